--- /dev/null
+++ b/internal/admission/gate.go
@@ -0,0 +1,298 @@
+// Package admission is one target's gate at its agent: the bound on load, the
+// queues behind it and the drain. It does no I/O. The gate counts what it
+// admits exactly, so the bound holds whatever routers believe.
+package admission
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/fault"
+)
+
+// Options are the gate's bounds.
+type Options struct {
+	// Factor is c: no target holds more than ceil(c x mean) requests.
+	Factor float64
+	// Floor is the bound while the mean is low or not known.
+	Floor int
+	// Most bounds the load whatever the mean.
+	Most int
+	// MeanAge is how long a reported mean is used.
+	MeanAge time.Duration
+	// QueueCount and QueueBytes bound what waits.
+	QueueCount int
+	QueueBytes int64
+	// Patience is how long a deferrable request waits before it counts as
+	// urgent.
+	Patience time.Duration
+}
+
+// DefaultOptions are the bounds used unless settings say otherwise.
+func DefaultOptions() Options {
+	return Options{
+		Factor:     1.25,
+		Floor:      8,
+		Most:       256,
+		MeanAge:    10 * time.Second,
+		QueueCount: 512,
+		QueueBytes: 64 << 20,
+		Patience:   10 * time.Second,
+	}
+}
+
+// Ticket is one request at the gate.
+type Ticket struct {
+	Workspace string
+	// Share is the workspace's weight; at least 1.
+	Share int
+	// Deferrable requests come after urgent ones.
+	Deferrable bool
+	// Bytes is what the request holds in memory while it waits.
+	Bytes int64
+	// Wait says that the request may queue; else a full gate refuses it.
+	Wait bool
+}
+
+// Load is the gate's exact state.
+type Load struct {
+	InFlight int
+	Queued   int
+	Limit    int
+	Leaving  bool
+}
+
+// Gate admits requests to one target. It is safe for concurrent use.
+type Gate struct {
+	options Options
+
+	mu       sync.Mutex
+	inFlight int
+	// foreign counts requests that run at the target without having been
+	// admitted by this process, such as those from before its restart.
+	foreign int
+	mean    float64
+	meanAt  time.Time
+	leaving bool
+	queues  *queues
+	// pace is the smoothed time between two places that come free.
+	pace     time.Duration
+	lastFree time.Time
+	// empty is closed when the gate is leaving and nothing is in flight.
+	empty   chan struct{}
+	drained bool
+}
+
+// NewGate returns an open gate.
+func NewGate(options Options) *Gate {
+	return &Gate{options: options, queues: newQueues(options.Patience), empty: make(chan struct{})}
+}
+
+// Limit is the most requests that may be in flight: the larger of the floor
+// and ceil(factor x mean), where the mean is the pool's as last reported.
+func Limit(options Options, mean float64) int {
+	// A hair is taken off so that 1.25 x 4 does not become 6 by rounding.
+	const hair = 1e-9
+	bound := int(math.Ceil(options.Factor*mean - hair))
+	return min(max(bound, options.Floor), options.Most)
+}
+
+// SetMean reports the mean load of the target's pool.
+func (g *Gate) SetMean(mean float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.mean = mean
+	g.meanAt = time.Now()
+	g.admitWaiting()
+}
+
+// SetForeign reports how many requests run at the target unknown to the gate.
+func (g *Gate) SetForeign(count int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.foreign = max(count, 0)
+	g.admitWaiting()
+}
+
+// limit is the bound now; a mean that is too old is not used.
+func (g *Gate) limit() int {
+	if time.Since(g.meanAt) > g.options.MeanAge {
+		return Limit(g.options, 0)
+	}
+	return Limit(g.options, g.mean)
+}
+
+func (g *Gate) free() bool {
+	return g.inFlight+g.foreign < g.limit()
+}
+
+// Place is one admitted request; Release gives it back.
+type Place struct {
+	gate *Gate
+	once sync.Once
+}
+
+// Admit takes a place. A refusal means that the request was never admitted.
+func (g *Gate) Admit(ctx context.Context, ticket Ticket) (*Place, *fault.Error) {
+	g.mu.Lock()
+	if g.leaving {
+		g.mu.Unlock()
+		return nil, fault.New(fault.Leaving, fault.NotRun, "the target is leaving")
+	}
+	if g.free() && g.queues.len() == 0 {
+		g.inFlight++
+		g.mu.Unlock()
+		return &Place{gate: g}, nil
+	}
+	waiter, refusal := g.enqueue(ctx, ticket)
+	g.mu.Unlock()
+	if refusal != nil {
+		return nil, refusal
+	}
+	return g.await(ctx, waiter)
+}
+
+// enqueue puts a request into its queue, or says when to come back.
+func (g *Gate) enqueue(ctx context.Context, ticket Ticket) (*waiter, *fault.Error) {
+	wait := g.estimate(ticket)
+	full := g.queues.len() >= g.options.QueueCount || g.queues.bytes+ticket.Bytes > g.options.QueueBytes
+	if !ticket.Wait || full {
+		return nil, fault.New(fault.Overloaded, fault.NotRun, "the target is at its bound of %d", g.limit()).After(wait)
+	}
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < wait {
+		return nil, fault.New(fault.Overloaded, fault.NotRun, "the queue is longer than the request may wait").After(wait)
+	}
+	return g.queues.push(ticket), nil
+}
+
+const (
+	// leastPause and mostPause bound the time to come back.
+	leastPause = 250 * time.Millisecond
+	mostPause  = 60 * time.Second
+)
+
+// estimate is the time until a request that queues now would be admitted.
+func (g *Gate) estimate(ticket Ticket) time.Duration {
+	ahead := g.queues.ahead(ticket)
+	wait := g.pace * time.Duration(ahead+1)
+	return min(max(wait, leastPause), mostPause)
+}
+
+// await waits for the place, for the end of the context or for leaving.
+func (g *Gate) await(ctx context.Context, w *waiter) (*Place, *fault.Error) {
+	select {
+	case <-w.admitted:
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch w.state {
+	case waiterAdmitted:
+		return &Place{gate: g}, nil
+	case waiterRefused:
+		return nil, fault.New(fault.Leaving, fault.NotRun, "the target is leaving")
+	}
+	g.queues.remove(w)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return nil, fault.New(fault.Deadline, fault.NotRun, "the time ran out in the queue").After(g.estimate(w.ticket))
+	}
+	return nil, fault.New(fault.Canceled, fault.NotRun, "the caller went away in the queue")
+}
+
+// paceWeight is the share of the newest interval in the smoothed pace.
+const paceWeight = 0.1
+
+// Release gives a place back and admits who waits.
+func (p *Place) Release() {
+	p.once.Do(func() {
+		g := p.gate
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.inFlight--
+		g.measurePace()
+		g.admitWaiting()
+		g.checkDrained()
+	})
+}
+
+func (g *Gate) measurePace() {
+	now := time.Now()
+	if !g.lastFree.IsZero() {
+		interval := now.Sub(g.lastFree)
+		g.pace += time.Duration(paceWeight * float64(interval-g.pace))
+	}
+	g.lastFree = now
+}
+
+// admitWaiting gives free places to waiters; g.mu is held.
+func (g *Gate) admitWaiting() {
+	for g.free() {
+		w := g.queues.pop()
+		if w == nil {
+			return
+		}
+		g.inFlight++
+		w.state = waiterAdmitted
+		close(w.admitted)
+	}
+}
+
+// Leave refuses all that is new and all that waits; what is in flight goes on.
+func (g *Gate) Leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = true
+	for w := g.queues.pop(); w != nil; w = g.queues.pop() {
+		w.state = waiterRefused
+		close(w.admitted)
+	}
+	g.checkDrained()
+}
+
+// Return opens a gate again whose target is no longer leaving.
+func (g *Gate) Return() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = false
+	if g.drained {
+		g.drained = false
+		g.empty = make(chan struct{})
+	}
+}
+
+func (g *Gate) checkDrained() {
+	if g.leaving && !g.drained && g.inFlight == 0 {
+		g.drained = true
+		close(g.empty)
+	}
+}
+
+// Drained is closed when the gate is leaving and nothing is in flight.
+func (g *Gate) Drained() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.empty
+}
+
+// Own counts the requests in flight that this gate admitted.
+func (g *Gate) Own() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inFlight
+}
+
+// Load is the state now.
+func (g *Gate) Load() Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Load{
+		InFlight: g.inFlight + g.foreign,
+		Queued:   g.queues.len(),
+		Limit:    g.limit(),
+		Leaving:  g.leaving,
+	}
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,218 @@
+// Package agent is the process beside the targets. It alone admits, refuses,
+// drains and remembers for its targets; all it promises it keeps from what it
+// holds itself.
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/admission"
+	"github.com/capersaddle/capersaddle/internal/config"
+	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/link"
+	"github.com/capersaddle/capersaddle/internal/member"
+	"github.com/capersaddle/capersaddle/internal/once"
+	"github.com/capersaddle/capersaddle/internal/platform"
+	"github.com/capersaddle/capersaddle/internal/target"
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+// Target is one back end beside this agent: an engine or a service's server.
+type Target struct {
+	ID string
+	// Pool is the model of an engine or the service's name.
+	Pool string
+	// Engine or Service is set, never both.
+	Engine  target.Engine
+	Service target.Service
+}
+
+// Options are what an agent works with.
+type Options struct {
+	ID         string
+	Session    string
+	DataCenter string
+	Targets    []Target
+	Admission  admission.Options
+	Once       once.Options
+	Members    *member.List
+	Config     *config.State
+	Store      platform.Store
+	Dialer     link.Dialer
+	Clock      once.Clock
+	Log        *log.Logger
+	// PieceWait is how long an engine may give nothing before the stream
+	// counts as cut.
+	PieceWait time.Duration
+	// RunTimeout bounds one call of a plain service.
+	RunTimeout time.Duration
+	// MostBody bounds the answer of a not-repeatable call, in bytes.
+	MostBody int64
+	// Hosts, when set, is the platform's host list; HostID is this host's
+	// entry there.
+	Hosts  platform.Hosts
+	HostID string
+}
+
+// Defaults for options left at zero.
+const (
+	defaultPieceWait  = 30 * time.Second
+	defaultRunTimeout = 60 * time.Second
+	defaultMostBody   = 8 << 20
+)
+
+// place is one target with its gate.
+type place struct {
+	Target
+	gate *admission.Gate
+	// leaveAt is when a leaving service target's gate closes at the latest;
+	// the agent's lock guards it.
+	leaveAt time.Time
+}
+
+// Agent serves exchanges for its targets.
+type Agent struct {
+	options Options
+	log     *log.Logger
+	places  map[string]*place
+	order   []string
+	// keepers are by service name.
+	keepers map[string]*keeper
+	lease   *longLease
+
+	mu sync.Mutex
+	// stopping says that the process itself is to end.
+	stopping bool
+	// hostLeaving is the host list's word.
+	hostLeaving bool
+
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+	runs   sync.WaitGroup
+}
+
+// New returns an agent; Start begins its loops.
+func New(options Options) *Agent {
+	if options.PieceWait == 0 {
+		options.PieceWait = defaultPieceWait
+	}
+	if options.RunTimeout == 0 {
+		options.RunTimeout = defaultRunTimeout
+	}
+	if options.MostBody == 0 {
+		options.MostBody = defaultMostBody
+	}
+	a := &Agent{
+		options: options,
+		log:     options.Log,
+		places:  make(map[string]*place),
+		keepers: make(map[string]*keeper),
+	}
+	a.lease = &longLease{store: options.Store, agent: options.ID}
+	for _, t := range options.Targets {
+		a.places[t.ID] = &place{Target: t, gate: admission.NewGate(options.Admission)}
+		a.order = append(a.order, t.ID)
+		if t.Service != nil && a.keepers[t.Pool] == nil {
+			a.keepers[t.Pool] = newKeeper(a, t.Pool)
+		}
+	}
+	return a
+}
+
+// Start begins the agent's loops.
+func (a *Agent) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	a.tend(ctx)
+	a.wait.Go(func() { a.tendLoop(ctx) })
+	if a.options.Hosts != nil {
+		a.wait.Go(func() { a.hostLoop(ctx) })
+	}
+	for _, k := range a.keepers {
+		a.wait.Go(func() { k.loop(ctx) })
+	}
+	return nil
+}
+
+// Close ends the loops at once and waits; Drain before it cuts nothing off.
+func (a *Agent) Close() error {
+	a.cancel()
+	a.wait.Wait()
+	a.runs.Wait()
+	return nil
+}
+
+// Drain refuses new work, hands over slots and waits for what is in flight.
+func (a *Agent) Drain(ctx context.Context) error {
+	a.mu.Lock()
+	a.stopping = true
+	a.mu.Unlock()
+	a.tend(ctx)
+	for _, id := range a.order {
+		select {
+		case <-a.places[id].gate.Drained():
+		case <-ctx.Done():
+			return errors.Newf("%s still has %d requests in flight", id, a.places[id].gate.Load().InFlight)
+		}
+	}
+	return nil
+}
+
+// Loads gives each target's exact load.
+func (a *Agent) Loads() map[string]admission.Load {
+	loads := make(map[string]admission.Load, len(a.places))
+	for id, p := range a.places {
+		loads[id] = p.gate.Load()
+	}
+	return loads
+}
+
+// Handle serves one exchange of a link.
+func (a *Agent) Handle(ctx context.Context, open *wire.Open, stream link.Stream) {
+	switch kind := open.GetKind().(type) {
+	case *wire.Open_Call:
+		a.serveCall(ctx, kind.Call, stream)
+	case *wire.Open_Settle:
+		a.serveSettle(ctx, kind.Settle, stream)
+	case *wire.Open_Promise:
+		a.servePromise(kind.Promise, stream)
+	case *wire.Open_HandOver:
+		a.serveHandOver(kind.HandOver, stream)
+	default:
+		refuse(stream, "", 0, fault.New(fault.BadRequest, fault.NotRun, "an agent does not serve this exchange"), nil)
+	}
+}
+
+func (a *Agent) serveCall(ctx context.Context, call *wire.Call, stream link.Stream) {
+	p, ok := a.places[call.GetTargetId()]
+	if !ok {
+		refuse(stream, call.GetRequestId(), call.GetAttempt(), fault.New(fault.NoTarget, fault.NotRun, "target %q is not here", call.GetTargetId()), nil)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.GetTimeLeftMs())*time.Millisecond)
+	defer cancel()
+	answer := &answer{stream: stream, id: call.GetRequestId(), attempt: call.GetAttempt(), place: p}
+	switch work := call.GetWork().(type) {
+	case *wire.Call_Chat:
+		a.serveChat(ctx, p, call, work.Chat, answer)
+	case *wire.Call_Service:
+		a.serveService(ctx, p, call, work.Service, answer)
+	default:
+		answer.refuse(fault.New(fault.BadRequest, fault.NotRun, "the call has no work"))
+	}
+}
+
+func ticketOf(call *wire.Call, bytes int) admission.Ticket {
+	return admission.Ticket{
+		Workspace:  call.GetWorkspace(),
+		Share:      int(call.GetShare()),
+		Deferrable: call.GetDeferrable(),
+		Bytes:      int64(bytes),
+		Wait:       call.GetWait(),
+	}
+}
--- /dev/null
+++ b/internal/agent/chat.go
@@ -0,0 +1,197 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/target"
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+const (
+	// pieceBuffer is how many pieces wait for a slow link before the engine
+	// is made to wait.
+	pieceBuffer = 64
+	// priorityUrgent and priorityDeferrable are what engines are told.
+	priorityUrgent     = 0
+	priorityDeferrable = 10
+)
+
+// serveChat runs one chat completion, from its offset on.
+func (a *Agent) serveChat(ctx context.Context, p *place, call *wire.Call, work *wire.ChatWork, answer *answer) {
+	if p.Engine == nil {
+		answer.refuse(fault.New(fault.NoTarget, fault.NotRun, "target %q is no engine", p.ID))
+		return
+	}
+	admitted, refusal := p.gate.Admit(ctx, ticketOf(call, len(work.GetBody())))
+	if refusal != nil {
+		answer.refuse(refusal)
+		return
+	}
+	defer admitted.Release()
+	if answer.admitted() != nil {
+		return
+	}
+	priority := int32(priorityUrgent)
+	if call.GetDeferrable() {
+		priority = priorityDeferrable
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	generation, err := p.Engine.Generate(ctx, target.GenerateRequest{
+		RequestID: call.GetRequestId(),
+		Body:      work.GetBody(),
+		Offset:    work.GetOffset(),
+		Prefix:    work.GetPrefix(),
+		Priority:  priority,
+	})
+	if err != nil {
+		answer.refuse(engineRefusal(err))
+		return
+	}
+	pump := newPump(generation)
+	defer pump.close(cancel)
+	a.stream(ctx, pump, work.GetOffset(), answer)
+}
+
+// engineRefusal tells an engine that took nothing from one that failed.
+func engineRefusal(err error) *fault.Error {
+	if errors.Is(err, target.ErrRefused) {
+		return fault.New(fault.TargetFailed, fault.NotRun, "the engine refused: %v", err)
+	}
+	return fault.New(fault.TargetFailed, fault.Unknown, "the engine failed: %v", err)
+}
+
+// pump reads an engine's pieces ahead, so that pieces which come while the
+// link is busy go together in one frame.
+type pump struct {
+	generation target.Generation
+	pieces     chan target.Piece
+	// err is set before pieces is closed.
+	err  error
+	stop chan struct{}
+	done chan struct{}
+}
+
+func newPump(generation target.Generation) *pump {
+	p := &pump{
+		generation: generation,
+		pieces:     make(chan target.Piece, pieceBuffer),
+		stop:       make(chan struct{}),
+		done:       make(chan struct{}),
+	}
+	go p.run()
+	return p
+}
+
+func (p *pump) run() {
+	defer close(p.done)
+	defer close(p.pieces)
+	for {
+		piece, err := p.generation.Next()
+		if err != nil {
+			p.err = err
+			return
+		}
+		select {
+		case p.pieces <- piece:
+		case <-p.stop:
+			p.err = context.Canceled
+			return
+		}
+	}
+}
+
+// close cancels the engine's work and waits for the reader.
+func (p *pump) close(cancel context.CancelFunc) {
+	cancel()
+	close(p.stop)
+	<-p.done
+	_ = p.generation.Close()
+}
+
+// stream sends pieces until the answer is whole or broken.
+func (a *Agent) stream(ctx context.Context, pump *pump, offset int64, answer *answer) {
+	idle := time.NewTimer(a.options.PieceWait)
+	defer idle.Stop()
+	next := offset
+	for {
+		select {
+		case <-ctx.Done():
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				answer.refuse(fault.New(fault.Deadline, fault.Unknown, "the time ran out after %d pieces", next))
+			}
+			return
+		case <-idle.C:
+			answer.refuse(fault.New(fault.Cut, fault.Unknown, "the engine gave nothing for %v after %d pieces", a.options.PieceWait, next))
+			return
+		case piece, ok := <-pump.pieces:
+			if !ok {
+				answer.refuse(cutRefusal(ctx, pump.err, next))
+				return
+			}
+			idle.Reset(a.options.PieceWait)
+			ended, err := sendBatch(pump, piece, &next, answer)
+			if err != nil || ended {
+				return
+			}
+		}
+	}
+}
+
+// cutRefusal says why an answer broke off.
+func cutRefusal(ctx context.Context, err error, next int64) *fault.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return fault.New(fault.Deadline, fault.Unknown, "the time ran out after %d pieces", next)
+	}
+	if errors.Is(err, io.EOF) {
+		err = target.ErrCut
+	}
+	return fault.New(fault.Cut, fault.Unknown, "the engine's stream broke after %d pieces: %v", next, err)
+}
+
+// sendBatch sends a piece with all that are ready behind it; ended says that
+// the answer was whole.
+func sendBatch(pump *pump, first target.Piece, next *int64, answer *answer) (ended bool, err error) {
+	data := &wire.Data{Offset: *next}
+	piece, more := first, true
+	for more && piece.Finish == "" {
+		if piece.Index != *next {
+			answer.refuse(fault.New(fault.Cut, fault.Unknown, "the engine gave piece %d where %d was due", piece.Index, *next))
+			return true, nil
+		}
+		data.Pieces = append(data.Pieces, piece.Text)
+		*next++
+		piece, more = ready(pump)
+	}
+	if len(data.Pieces) > 0 {
+		if err := answer.data(data); err != nil {
+			return false, err
+		}
+	}
+	if !more || piece.Finish == "" {
+		return false, nil
+	}
+	answer.end(&wire.End{
+		Length:           *next,
+		FinishReason:     piece.Finish,
+		PromptTokens:     piece.Usage.PromptTokens,
+		CompletionTokens: piece.Usage.CompletionTokens,
+		CachedTokens:     piece.Usage.CachedTokens,
+	})
+	return true, nil
+}
+
+// ready gives the next piece if one waits.
+func ready(pump *pump) (target.Piece, bool) {
+	select {
+	case piece, ok := <-pump.pieces:
+		return piece, ok
+	default:
+		return target.Piece{}, false
+	}
+}
--- /dev/null
+++ b/internal/agent/tend.go
@@ -0,0 +1,159 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/member"
+	"github.com/capersaddle/capersaddle/internal/platform"
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+const (
+	// tendEvery is the time between two rounds of looking after the gates.
+	tendEvery = 200 * time.Millisecond
+	// hostEvery is how often the host list is read.
+	hostEvery = 5 * time.Second
+	// slotPatience is how long a leaving service target stays open to hand
+	// its slots over without refusals.
+	slotPatience = 2 * time.Second
+	// reportEvery is how often engines are asked for their load.
+	reportEvery = 5
+)
+
+func (a *Agent) tendLoop(ctx context.Context) {
+	for round := 0; sleep(ctx, tendEvery); round++ {
+		a.tend(ctx)
+		if round%reportEvery == 0 {
+			a.countForeign(ctx)
+		}
+	}
+}
+
+// tend tells the gates the pool's mean and who is leaving, and tells the
+// members the gates' loads.
+func (a *Agent) tend(ctx context.Context) {
+	loads := make([]member.Load, 0, len(a.order))
+	states := make([]*wire.TargetState, 0, len(a.order))
+	for _, id := range a.order {
+		p := a.places[id]
+		if mean, ok := a.options.Members.MeanLoad(p.Pool); ok {
+			p.gate.SetMean(mean)
+		}
+		leaving := a.leaving(id)
+		a.setLeaving(ctx, p, leaving)
+		load := p.gate.Load()
+		loads = append(loads, member.Load{InFlight: uint32(load.InFlight), Limit: uint32(load.Limit)})
+		states = append(states, &wire.TargetState{Id: id, Pool: p.Pool, Leaving: leaving, Service: p.Service != nil})
+	}
+	a.tell(states)
+	a.options.Members.SetLoads(loads)
+}
+
+// tell passes on the targets' states if they differ from what was said.
+func (a *Agent) tell(states []*wire.TargetState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, peer := range a.options.Members.Peers() {
+		if peer.ID == a.options.ID && peer.Leaving == a.stopping && sameTargets(peer.Targets, states) {
+			return
+		}
+	}
+	a.options.Members.SetSelf(a.stopping, states)
+}
+
+func sameTargets(said []member.Target, states []*wire.TargetState) bool {
+	if len(said) != len(states) {
+		return false
+	}
+	for i, state := range states {
+		if said[i].ID != state.GetId() || said[i].Leaving != state.GetLeaving() {
+			return false
+		}
+	}
+	return true
+}
+
+// leaving says whether a target must take no new work: the process is to
+// stop, the host is leaving, or the operators marked the target.
+func (a *Agent) leaving(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stopping || a.hostLeaving || a.options.Config.View().Leaving(id)
+}
+
+// setLeaving closes or opens a target's gate. A service's target first hands
+// its slots over, for at most slotPatience.
+func (a *Agent) setLeaving(ctx context.Context, p *place, leaving bool) {
+	now := p.gate.Load().Leaving
+	switch {
+	case leaving && !now:
+		k := a.keepers[p.Pool]
+		if p.Service == nil || k == nil || k.guard.OwnedSlots() == 0 {
+			p.gate.Leave()
+			return
+		}
+		a.leaveLater(ctx, p, k)
+	case !leaving && now:
+		p.gate.Return()
+	}
+}
+
+// leaveLater closes a service target's gate once its slots are gone.
+func (a *Agent) leaveLater(ctx context.Context, p *place, k *keeper) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if p.leaveAt.IsZero() {
+		p.leaveAt = time.Now().Add(slotPatience)
+		return
+	}
+	if k.guard.OwnedSlots() > 0 && time.Now().Before(p.leaveAt) && ctx.Err() == nil {
+		return
+	}
+	p.leaveAt = time.Time{}
+	p.gate.Leave()
+}
+
+// countForeign asks engines how much they run; what this agent did not admit
+// is from before its restart, and counts too.
+func (a *Agent) countForeign(ctx context.Context) {
+	for _, id := range a.order {
+		p := a.places[id]
+		if p.Engine == nil {
+			continue
+		}
+		report, err := p.Engine.Load(ctx)
+		if err != nil {
+			continue
+		}
+		own := p.gate.Own()
+		p.gate.SetForeign(report.Running + report.Waiting - own)
+	}
+}
+
+// hostLoop reads the platform's host list for this host's own entry.
+func (a *Agent) hostLoop(ctx context.Context) {
+	for {
+		a.readHosts(ctx)
+		if !sleep(ctx, hostEvery) {
+			return
+		}
+	}
+}
+
+func (a *Agent) readHosts(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	hosts, err := a.options.Hosts.List(ctx)
+	if err != nil {
+		return
+	}
+	for _, host := range hosts {
+		if host.ID != a.options.HostID {
+			continue
+		}
+		a.mu.Lock()
+		a.hostLeaving = host.State == platform.HostLeaving
+		a.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/once/handover.go
@@ -0,0 +1,151 @@
+package once
+
+import (
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+// handed is what a successor holds of a slot before the table names it.
+type handed struct {
+	epoch   uint64
+	start   time.Time
+	records *records
+}
+
+// Freeze stops decisions in slots that are to be handed over. They thaw only
+// when a later table still names this agent, see Thaw.
+func (g *Guard) Freeze(numbers []int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, number := range numbers {
+		if slot, ok := g.owned[number]; ok {
+			slot.frozen = true
+		}
+	}
+}
+
+// Thaw takes up frozen slots again, after a hand-over was given up and no
+// change of the table is open. It reports false while one is.
+func (g *Guard) Thaw(numbers []int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.sentOn != nil {
+		return false
+	}
+	for _, number := range numbers {
+		if slot, ok := g.owned[number]; ok {
+			slot.frozen = false
+		}
+	}
+	return true
+}
+
+// Export writes the records of frozen slots for a successor. A key that is
+// still running goes as in doubt; Outcomes brings its end later.
+func (g *Guard) Export(numbers []int) *wire.HandOver {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	message := &wire.HandOver{Service: g.options.Service, From: g.self.Agent}
+	for _, number := range numbers {
+		slot, ok := g.owned[number]
+		if !ok || !slot.frozen {
+			continue
+		}
+		message.Slots = append(message.Slots, exportSlot(number, slot))
+	}
+	return message
+}
+
+func exportSlot(number int, slot *ownedSlot) *wire.SlotRecords {
+	out := &wire.SlotRecords{
+		Slot:    uint32(number),
+		Epoch:   slot.epoch,
+		StartMs: slot.start.UnixMilli(),
+	}
+	for element := slot.records.order.Front(); element != nil; element = element.Next() {
+		out.Records = append(out.Records, exportRecord(element.Value.(*Record)))
+	}
+	return out
+}
+
+func exportRecord(record *Record) *wire.KeyRecord {
+	state := record.State
+	if state == Running {
+		state = InDoubt
+	}
+	return &wire.KeyRecord{
+		Key:   record.Key,
+		AtMs:  record.At.UnixMilli(),
+		State: uint32(state),
+		Head:  record.Outcome.Head,
+		Body:  record.Outcome.Body,
+		Print: record.Print,
+	}
+}
+
+// Outcome writes one ended run for the successor that has its slot now.
+func (g *Guard) Outcome(record *Record) *wire.HandOver {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	number := SlotOf(record.Key, len(g.table.Slots))
+	return &wire.HandOver{
+		Service: g.options.Service,
+		From:    g.self.Agent,
+		Slots:   []*wire.SlotRecords{{Slot: uint32(number), Records: []*wire.KeyRecord{exportRecord(record)}}},
+	}
+}
+
+// Import takes in records from an owner that hands over, or the outcome of a
+// run that ended after its slot had come here.
+func (g *Guard) Import(message *wire.HandOver) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, slot := range message.GetSlots() {
+		number := int(slot.GetSlot())
+		if slot.GetEpoch() == 0 {
+			g.settleDoubts(number, slot)
+			continue
+		}
+		imported := newRecords()
+		for _, record := range slot.GetRecords() {
+			imported.add(importRecord(record))
+		}
+		g.imports[number] = handed{
+			epoch:   slot.GetEpoch(),
+			start:   time.UnixMilli(slot.GetStartMs()),
+			records: imported,
+		}
+	}
+}
+
+// settleDoubts turns keys in doubt into what became of them.
+func (g *Guard) settleDoubts(number int, slot *wire.SlotRecords) {
+	var held *records
+	if owned, ok := g.owned[number]; ok {
+		held = owned.records
+	} else if waiting, ok := g.imports[number]; ok {
+		held = waiting.records
+	} else {
+		return
+	}
+	for _, message := range slot.GetRecords() {
+		record, ok := held.byKey[message.GetKey()]
+		if !ok || record.State != InDoubt {
+			continue
+		}
+		ended := importRecord(message)
+		record.State = ended.State
+		record.Outcome = ended.Outcome
+	}
+}
+
+func importRecord(message *wire.KeyRecord) *Record {
+	return &Record{
+		Key:     message.GetKey(),
+		At:      time.UnixMilli(message.GetAtMs()),
+		Print:   message.GetPrint(),
+		State:   State(message.GetState()),
+		Outcome: Outcome{Head: message.GetHead(), Body: message.GetBody()},
+	}
+}
--- /dev/null
+++ b/internal/once/model_test.go
@@ -0,0 +1,452 @@
+package once
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+// chooser picks among n possibilities; rapid or a seeded source stands behind.
+type chooser interface {
+	Pick(n int, label string) int
+}
+
+// world is the model: hosts with wrong clocks, a store whose answers are lost
+// or late, messages that are late or lost, processes that pause anywhere.
+type world struct {
+	choose   chooser
+	options  Options
+	mutation mutation
+	now      time.Duration
+	hosts    []*modelHost
+	// store is the table's newest version and leases are by agent.
+	store    Table
+	leases   map[string]LongLease
+	writes   []*modelWrite
+	promises []*modelPromise
+	runs     []modelRun
+	keys     []modelKey
+	// log is what the target did, by key.
+	log map[string]int
+	// notRun are keys of which a caller was told that they did not run.
+	notRun map[string]bool
+	busy   *modelProcess
+	nested bool
+	trace  []string
+}
+
+type modelHost struct {
+	name string
+	// wrong is the error of the wall clock.
+	wrong time.Duration
+	// bootOrigin is where the boot clock began; another on each host.
+	bootOrigin time.Duration
+	// processes are all incarnations; the last is current, the others are
+	// paused and may wake.
+	processes []*modelProcess
+}
+
+type modelProcess struct {
+	world *world
+	host  *modelHost
+	guard *Guard
+	// onWall, when set, runs before each reading of the wall clock.
+	onWall func()
+}
+
+type modelWrite struct {
+	process *modelProcess
+	base    uint64
+	table   Table
+}
+
+type modelPromise struct {
+	owner   *modelProcess
+	witness Holder
+	sentAt  time.Duration
+	granted bool
+}
+
+type modelRun struct {
+	process *modelProcess
+	record  *Record
+}
+
+type modelKey struct {
+	name string
+	at   time.Time
+}
+
+var modelStart = time.UnixMilli(1_700_000_000_000)
+
+// Wall is the host's wrong clock; a pause may come right before it is read.
+func (p *modelProcess) Wall() time.Time {
+	p.pause()
+	if p.onWall != nil {
+		p.onWall()
+	}
+	return modelStart.Add(p.world.now + p.host.wrong)
+}
+
+// Boot counts true time, from another origin on each host.
+func (p *modelProcess) Boot() time.Duration {
+	p.pause()
+	return p.world.now + p.host.bootOrigin
+}
+
+// pause lets other processes act while this one stands inside a decision.
+func (p *modelProcess) pause() {
+	w := p.world
+	if w.busy != p || w.nested || w.choose.Pick(12, "pause") != 0 {
+		return
+	}
+	w.nested = true
+	defer func() { w.nested = false }()
+	w.say("%s pauses inside a decision", p.name())
+	for range 14 {
+		w.action()
+	}
+}
+
+func (p *modelProcess) name() string {
+	return p.host.name + "#" + p.guard.self.Incarnation
+}
+
+func modelOptions() Options {
+	options := DefaultOptions()
+	options.Service = "topup"
+	options.Back = 20 * time.Second
+	options.Keep = 20 * time.Second
+	options.LongLease = 40 * time.Second
+	return options
+}
+
+const (
+	modelSlots = 2
+	modelHosts = 3
+)
+
+func newWorld(choose chooser, mutation mutation) *world {
+	w := &world{
+		choose:   choose,
+		options:  modelOptions(),
+		mutation: mutation,
+		leases:   make(map[string]LongLease),
+		log:      make(map[string]int),
+		notRun:   make(map[string]bool),
+	}
+	w.store = NewTable(modelSlots)
+	w.store.Version = 1
+	for i := range modelHosts {
+		span := int64(2 * w.options.ClockError / time.Millisecond)
+		off := time.Duration(choose.Pick(int(span)+1, "clock error")) * time.Millisecond
+		host := &modelHost{name: fmt.Sprintf("h%d", i), wrong: off - w.options.ClockError, bootOrigin: time.Duration(i+1) * time.Hour}
+		w.hosts = append(w.hosts, host)
+		w.start(host)
+	}
+	for _, host := range w.hosts {
+		p := host.current()
+		w.leaseUp(p)
+		p.guard.Apply(w.store)
+		w.plan(p)
+		w.settleWrite(0, true)
+		p.guard.Apply(w.store)
+	}
+	return w
+}
+
+func (w *world) say(format string, args ...any) {
+	line := fmt.Sprintf("%8.3fs ", w.now.Seconds()) + fmt.Sprintf(format, args...)
+	w.trace = append(w.trace, line)
+}
+
+func (h *modelHost) current() *modelProcess {
+	return h.processes[len(h.processes)-1]
+}
+
+func (w *world) start(host *modelHost) {
+	options := w.options
+	options.Agent = host.name
+	options.Incarnation = fmt.Sprint(len(host.processes) + 1)
+	p := &modelProcess{world: w, host: host}
+	p.guard = NewGuard(options, p)
+	p.guard.mutation = w.mutation
+	host.processes = append(host.processes, p)
+	w.say("%s starts", p.name())
+}
+
+// anyProcess picks a process; mostly a current one, now and then one that was
+// thought dead.
+func (w *world) anyProcess() *modelProcess {
+	host := w.hosts[w.choose.Pick(len(w.hosts), "host")]
+	p := host.current()
+	if len(host.processes) > 1 && w.choose.Pick(3, "old") == 0 {
+		p = host.processes[w.choose.Pick(len(host.processes), "process")]
+	}
+	return p
+}
+
+func (w *world) freeProcess() *modelProcess {
+	p := w.anyProcess()
+	if w.nested && p == w.busy {
+		return nil
+	}
+	return p
+}
+
+// action is one step of the world.
+func (w *world) action() {
+	p := w.freeProcess()
+	if p == nil {
+		return
+	}
+	switch w.choose.Pick(30, "action") {
+	case 0, 1, 2:
+		w.pass(time.Duration(w.choose.Pick(1500, "ms")) * time.Millisecond)
+	case 3:
+		w.pass(time.Duration(1+w.choose.Pick(6, "s")) * time.Second)
+	case 4, 5, 6:
+		w.newKey()
+		w.submit(p, w.keys[len(w.keys)-1])
+	case 7, 8, 9:
+		if len(w.keys) > 0 {
+			w.submit(p, w.pickKey())
+		}
+	case 10:
+		if len(w.keys) > 0 {
+			w.settle(p, w.pickKey())
+		}
+	case 11, 12:
+		w.finishRun()
+	case 13, 14:
+		p.guard.Apply(w.store)
+	case 15:
+		w.plan(p)
+	case 16, 17:
+		w.settleWrite(w.choose.Pick(max(1, len(w.writes)), "write"), w.choose.Pick(4, "kept") != 0)
+	case 18, 19:
+		w.askPromises(p)
+	case 20:
+		w.stepPromise()
+	case 21:
+		w.rare(p)
+	default:
+		w.healthy(p)
+	}
+}
+
+// healthy is a round in which nothing goes wrong for one process.
+func (w *world) healthy(p *modelProcess) {
+	w.pass(time.Duration(w.choose.Pick(800, "round")) * time.Millisecond)
+	p.guard.Apply(w.store)
+	w.leaseUp(p)
+	for _, witness := range p.guard.Witnesses() {
+		promise := &modelPromise{owner: p, witness: witness, sentAt: p.guard.BootNow()}
+		if w.deliverPromise(promise); promise.granted {
+			p.guard.Promised(witness, promise.sentAt)
+		}
+	}
+}
+
+func (w *world) rare(p *modelProcess) {
+	switch w.choose.Pick(4, "rare") {
+	case 0:
+		w.start(p.host)
+		w.leaseUp(p.host.current())
+	case 1:
+		w.leaseUp(p)
+	case 2:
+		p.guard.Forget()
+	case 3:
+		w.pass(w.options.LongLease)
+	}
+}
+
+func (w *world) pass(d time.Duration) {
+	w.now += d
+}
+
+// pickKey prefers recent keys.
+func (w *world) pickKey() modelKey {
+	back := w.choose.Pick(min(len(w.keys), 5), "key")
+	return w.keys[len(w.keys)-1-back]
+}
+
+// newKey makes a key whose time may be wrong by up to 8 s either way.
+func (w *world) newKey() {
+	wrong := time.Duration(w.choose.Pick(16_000, "key time")-8_000) * time.Millisecond
+	name := fmt.Sprintf("w/k%d", len(w.keys))
+	w.keys = append(w.keys, modelKey{name: name, at: modelStart.Add(w.now + wrong)})
+}
+
+func (w *world) submit(p *modelProcess, key modelKey) {
+	outer := w.busy
+	if !w.nested {
+		w.busy = p
+	}
+	begun, refusal := p.guard.Begin(key.name, key.at, 1)
+	w.busy = outer
+	if refusal != nil || !begun.Run {
+		return
+	}
+	w.say("%s admits %s", p.name(), key.name)
+	w.runs = append(w.runs, modelRun{process: p, record: begun.Record})
+}
+
+func (w *world) settle(p *modelProcess, key modelKey) {
+	record, refusal := p.guard.Settle(key.name, key.at)
+	if refusal != nil {
+		return
+	}
+	if state, _ := p.guard.Snapshot(record); state == Closed {
+		w.notRun[key.name] = true
+		w.say("%s says %s did not run", p.name(), key.name)
+	}
+}
+
+func (w *world) finishRun() {
+	if len(w.runs) == 0 {
+		return
+	}
+	i := w.choose.Pick(len(w.runs), "run")
+	run := w.runs[i]
+	if w.nested && run.process == w.busy {
+		return
+	}
+	w.runs = append(w.runs[:i], w.runs[i+1:]...)
+	w.log[run.record.Key]++
+	w.say("target runs %s for %s", run.record.Key, run.process.name())
+	run.process.guard.End(run.record, Done, Outcome{})
+}
+
+// plan does what the agent's loop does, up to the write; the write itself and
+// its answer come later, or never.
+func (w *world) plan(p *modelProcess) {
+	peers := make([]Peer, 0, len(w.hosts))
+	// A process only knows which incarnations were live a while ago.
+	for _, host := range w.hosts {
+		if host == p.host || w.choose.Pick(4, "seen") != 0 {
+			peers = append(peers, Peer{Holder: host.current().guard.self, Leaving: w.choose.Pick(6, "leaving") == 0})
+		}
+	}
+	plan, ok := p.guard.Plan(Situation{Peers: peers, Leases: w.leases, MostMoves: modelSlots})
+	if !ok {
+		return
+	}
+	for successor, numbers := range plan.Moves {
+		p.guard.Freeze(numbers)
+		message := p.guard.Export(numbers)
+		if w.choose.Pick(4, "hand over lost") != 0 {
+			w.deliverImport(successor, message)
+		}
+	}
+	p.guard.Sending(plan.Base, plan.Takes)
+	w.say("%s sends table on %d: %v", p.name(), plan.Base, plan.Why)
+	w.writes = append(w.writes, &modelWrite{process: p, base: plan.Base, table: plan.Table})
+}
+
+func (w *world) deliverImport(to Holder, message *wire.HandOver) {
+	for _, host := range w.hosts {
+		for _, p := range host.processes {
+			if p.guard.self == to && (!w.nested || p != w.busy) {
+				p.guard.Import(message)
+			}
+		}
+	}
+}
+
+// settleWrite lets one write reach the store, or drops it; its answer is
+// never used: agents learn by reading.
+func (w *world) settleWrite(i int, kept bool) {
+	if len(w.writes) == 0 {
+		return
+	}
+	write := w.writes[i]
+	w.writes = append(w.writes[:i], w.writes[i+1:]...)
+	if !kept || write.base != w.store.Version {
+		return
+	}
+	version := w.store.Version + 1
+	w.store = write.table.Clone()
+	w.store.Version = version
+	w.say("store takes version %d", version)
+}
+
+func (w *world) leaseUp(p *modelProcess) {
+	if w.nested && p == w.busy {
+		return
+	}
+	sent := p.guard.BootNow()
+	w.leases[p.host.name] = p.guard.NewLongLease()
+	p.guard.SetLongLease(sent)
+}
+
+func (w *world) askPromises(p *modelProcess) {
+	for _, witness := range p.guard.Witnesses() {
+		w.promises = append(w.promises, &modelPromise{owner: p, witness: witness, sentAt: p.guard.BootNow()})
+	}
+	for range len(w.promises) {
+		if w.choose.Pick(3, "at once") != 0 {
+			w.stepPromise()
+		}
+	}
+}
+
+// stepPromise moves one promise on: to the witness, then back, or loses it.
+func (w *world) stepPromise() {
+	if len(w.promises) == 0 {
+		return
+	}
+	i := w.choose.Pick(len(w.promises), "promise")
+	promise := w.promises[i]
+	if w.nested && promise.owner == w.busy {
+		return
+	}
+	if promise.granted || w.choose.Pick(8, "lost") == 0 {
+		w.promises = append(w.promises[:i], w.promises[i+1:]...)
+		if promise.granted {
+			promise.owner.guard.Promised(promise.witness, promise.sentAt)
+		}
+		return
+	}
+	w.deliverPromise(promise)
+}
+
+func (w *world) deliverPromise(promise *modelPromise) {
+	for _, host := range w.hosts {
+		for _, p := range host.processes {
+			if p.guard.self == promise.witness && (!w.nested || p != w.busy) {
+				promise.granted = p.guard.GivePromise(promise.owner.guard.self, promise.witness)
+			}
+		}
+	}
+}
+
+// violation names what must never be seen; empty when all holds.
+func (w *world) violation() string {
+	for key, count := range w.log {
+		if count > 1 {
+			return fmt.Sprintf("key %s ran %d times", key, count)
+		}
+		if w.notRun[key] {
+			return fmt.Sprintf("key %s ran although a caller was told that it did not", key)
+		}
+	}
+	return ""
+}
+
+// play runs the world for a number of steps and ends all open runs.
+func play(choose chooser, mutation mutation, steps int) (*world, string) {
+	w := newWorld(choose, mutation)
+	for range steps {
+		w.action()
+		if broken := w.violation(); broken != "" {
+			return w, broken
+		}
+	}
+	for len(w.runs) > 0 {
+		w.finishRun()
+	}
+	return w, w.violation()
+}
--- /dev/null
+++ b/internal/once/table.go
@@ -0,0 +1,69 @@
+package once
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Holder is one incarnation of an agent; the zero value is nobody.
+type Holder struct {
+	Agent       string `json:"agent,omitempty"`
+	Incarnation string `json:"incarnation,omitempty"`
+}
+
+// Slot is one row of the slot table.
+type Slot struct {
+	Owner Holder `json:"owner"`
+	// Witness is zero when the owner has none; the owner's right then rests
+	// on its long lease alone.
+	Witness Holder `json:"witness"`
+	// Epoch rises with each change of owner.
+	Epoch uint64 `json:"epoch"`
+	// StartMS is the wall time, in ms, at which the line of owners that
+	// share records began: keys not surely later are in doubt.
+	StartMS int64 `json:"start_ms"`
+}
+
+// Table is the slot table of one service, one value in the store.
+type Table struct {
+	// Version is the store's version of the value; zero when there is none.
+	Version uint64 `json:"-"`
+	Slots   []Slot `json:"slots"`
+}
+
+// NewTable returns a table of n slots that nobody owns.
+func NewTable(n int) Table {
+	return Table{Slots: make([]Slot, n)}
+}
+
+// ParseTable reads a table as stored.
+func ParseTable(data []byte, version uint64) (Table, error) {
+	var table Table
+	if err := json.Unmarshal(data, &table); err != nil {
+		return Table{}, errors.Wrap(err, "read slot table")
+	}
+	if len(table.Slots) == 0 {
+		return Table{}, errors.New("slot table has no slots")
+	}
+	table.Version = version
+	return table, nil
+}
+
+// Encode writes the table as stored.
+func (t *Table) Encode() ([]byte, error) {
+	data, err := json.Marshal(t)
+	return data, errors.Wrap(err, "write slot table")
+}
+
+// Clone copies the table.
+func (t *Table) Clone() Table {
+	return Table{Version: t.Version, Slots: append([]Slot(nil), t.Slots...)}
+}
+
+// LongLease is what an agent writes in the store every few minutes.
+type LongLease struct {
+	Incarnation string `json:"incarnation"`
+	// UntilMS is the holder's wall time, in ms, at which the lease ends.
+	UntilMS int64 `json:"until_ms"`
+}
--- /dev/null
+++ b/internal/platform/fakehosts/hosts.go
@@ -0,0 +1,65 @@
+// Package fakehosts is a small stand-in for the platform's list of hosts.
+package fakehosts
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/capersaddle/capersaddle/internal/platform"
+)
+
+// Hosts is the stand-in.
+type Hosts struct {
+	mu    sync.Mutex
+	hosts []platform.Host
+}
+
+// New returns a list with the given hosts, all live.
+func New(ids ...string) *Hosts {
+	h := &Hosts{}
+	for _, id := range ids {
+		h.hosts = append(h.hosts, platform.Host{ID: id, Address: "127.0.0.1", State: platform.HostLive})
+	}
+	return h
+}
+
+// SetState changes one host's state.
+func (h *Hosts) SetState(id string, state platform.HostState) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range h.hosts {
+		if h.hosts[i].ID == id {
+			h.hosts[i].State = state
+		}
+	}
+}
+
+// List gives the list.
+func (h *Hosts) List(context.Context) ([]platform.Host, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.hosts), nil
+}
+
+// Handler serves the list over HTTP, and POST /state to change it:
+// {"id": "host-1", "state": "leaving"}.
+func (h *Hosts) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/hosts", func(w http.ResponseWriter, r *http.Request) {
+		hosts, _ := h.List(r.Context())
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(hosts)
+	})
+	mux.HandleFunc("POST /state", func(w http.ResponseWriter, r *http.Request) {
+		var change platform.Host
+		if err := json.NewDecoder(r.Body).Decode(&change); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		h.SetState(change.ID, change.State)
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/platform/httpstore.go
@@ -0,0 +1,112 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// VersionHeader carries a value's version.
+	VersionHeader = "Capersaddle-Store-Version"
+	// MaxValue bounds one stored value, in bytes.
+	MaxValue = 1 << 20
+)
+
+// HTTPStore speaks to the key-value service over HTTP.
+type HTTPStore struct {
+	// Base is the service's address, http://IP:port.
+	Base   string
+	Client *http.Client
+}
+
+func (s *HTTPStore) address(key string, query url.Values) string {
+	address := s.Base + "/v1/kv/" + url.PathEscape(key)
+	if len(query) == 0 {
+		return address
+	}
+	return address + "?" + query.Encode()
+}
+
+// call makes one request and maps the statuses that settle it.
+func (s *HTTPStore) call(ctx context.Context, method, address string, body []byte) (Value, error) {
+	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+	if err != nil {
+		return Value{}, errors.Wrap(err, "make request")
+	}
+	response, err := s.Client.Do(request)
+	if err != nil {
+		return Value{}, errors.Wrap(err, "call store")
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, MaxValue+1))
+	if err != nil {
+		return Value{}, errors.Wrap(err, "read store's answer")
+	}
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return Value{}, ErrNotFound
+	case http.StatusPreconditionFailed:
+		return Value{}, ErrVersion
+	default:
+		return Value{}, errors.Newf("store answered %d", response.StatusCode)
+	}
+	version, err := strconv.ParseUint(response.Header.Get(VersionHeader), 10, 64)
+	return Value{Data: data, Version: version}, errors.Wrap(err, "read version")
+}
+
+// Get reads a value.
+func (s *HTTPStore) Get(ctx context.Context, key string) (Value, error) {
+	return s.call(ctx, http.MethodGet, s.address(key, nil), nil)
+}
+
+// Put writes a value over a known version.
+func (s *HTTPStore) Put(ctx context.Context, key string, data []byte, base uint64) (uint64, error) {
+	query := url.Values{"base": {strconv.FormatUint(base, 10)}}
+	value, err := s.call(ctx, http.MethodPut, s.address(key, query), data)
+	return value.Version, err
+}
+
+// Delete removes a value.
+func (s *HTTPStore) Delete(ctx context.Context, key string) error {
+	_, err := s.call(ctx, http.MethodDelete, s.address(key, nil), nil)
+	return err
+}
+
+// Watch waits for another version.
+func (s *HTTPStore) Watch(ctx context.Context, key string, known uint64) (Value, error) {
+	query := url.Values{"watch": {strconv.FormatUint(known, 10)}}
+	return s.call(ctx, http.MethodGet, s.address(key, query), nil)
+}
+
+// HTTPHosts reads the platform's host list over HTTP.
+type HTTPHosts struct {
+	Base   string
+	Client *http.Client
+}
+
+// List reads the whole list.
+func (h *HTTPHosts) List(ctx context.Context) ([]Host, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, h.Base+"/v1/hosts", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	response, err := h.Client.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "call host list")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Newf("host list answered %d", response.StatusCode)
+	}
+	var hosts []Host
+	err = json.NewDecoder(io.LimitReader(response.Body, MaxValue)).Decode(&hosts)
+	return hosts, errors.Wrap(err, "read host list")
+}
--- /dev/null
+++ b/internal/process/agent.go
@@ -0,0 +1,145 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/agent"
+	"github.com/capersaddle/capersaddle/internal/metric"
+	"github.com/capersaddle/capersaddle/internal/once"
+	"github.com/capersaddle/capersaddle/internal/platform"
+	"github.com/capersaddle/capersaddle/internal/settings"
+	"github.com/capersaddle/capersaddle/internal/target"
+)
+
+// agentProcess is an agent with all its services.
+type agentProcess struct {
+	*common
+	agent *agent.Agent
+}
+
+func newAgent(s *settings.Settings, logger *log.Logger) (*agentProcess, error) {
+	c, err := newCommon(s, logger)
+	if err != nil {
+		return nil, err
+	}
+	p := &agentProcess{common: c}
+	options := agent.Options{
+		ID:         s.ID,
+		Session:    c.node.Session,
+		DataCenter: s.DataCenter,
+		Targets:    targetsOf(s),
+		Admission:  s.AdmissionOptions(),
+		Once:       s.OnceOptions(),
+		Members:    c.node.Members,
+		Config:     c.node.Config,
+		Store:      c.store,
+		Dialer:     c.node.Pool,
+		Clock:      once.HostClock{},
+		Log:        c.log,
+		HostID:     s.Host,
+	}
+	if s.Hosts != "" {
+		options.Hosts = &platform.HTTPHosts{Base: s.Hosts, Client: outbound()}
+	}
+	p.agent = agent.New(options)
+	c.node.Serve(p.agent.Handle)
+	c.registerGauges()
+	p.registerLoads()
+	ops := &operators{common: c, ready: func() bool { return true }}
+	return p, errors.Join(
+		c.kernel.Register("agent", p.agent),
+		c.kernel.Register("operators", newHTTPService(c.operators, ops.handler())),
+	)
+}
+
+func targetsOf(s *settings.Settings) []agent.Target {
+	client := outbound()
+	var targets []agent.Target
+	for _, t := range s.Targets {
+		made := agent.Target{ID: t.ID, Pool: t.Pool}
+		if t.Kind == "service" {
+			made.Service = &target.HTTPService{Base: t.URL, Client: client}
+		} else {
+			made.Engine = &target.HTTPEngine{Base: t.URL, Client: client}
+		}
+		targets = append(targets, made)
+	}
+	return targets
+}
+
+// registerLoads exports the load of the agent's few targets.
+func (p *agentProcess) registerLoads() {
+	metric.Gauge(p.registry, "targets_in_flight", "Requests in flight at this agent's targets.", func() float64 {
+		sum := 0
+		for _, load := range p.agent.Loads() {
+			sum += load.InFlight
+		}
+		return float64(sum)
+	})
+	metric.Gauge(p.registry, "targets_queued", "Requests queued at this agent's targets.", func() float64 {
+		sum := 0
+		for _, load := range p.agent.Loads() {
+			sum += load.Queued
+		}
+		return float64(sum)
+	})
+}
+
+// registerGauges exports what routers and agents share.
+func (c *common) registerGauges() {
+	metric.Gauge(c.registry, "config_revision", "Configuration revision in force.", func() float64 {
+		return float64(c.node.Config.Revision())
+	})
+	metric.Gauge(c.registry, "members_known", "Members known, the dead ones too.", func() float64 {
+		return float64(len(c.node.Members.Roster()))
+	})
+	metric.Gauge(c.registry, "member_suspicions", "Suspicions begun by this process.", func() float64 {
+		return float64(c.node.Members.Suspicions())
+	})
+	metric.Gauge(c.registry, "member_bytes_sent", "Bytes of membership datagrams sent.", func() float64 {
+		sent, _ := c.node.Beats.Traffic()
+		return float64(sent)
+	})
+	metric.Gauge(c.registry, "member_bytes_received", "Bytes of membership datagrams received.", func() float64 {
+		_, received := c.node.Beats.Traffic()
+		return float64(received)
+	})
+	metric.Gauge(c.registry, "link_sessions", "Link sessions open to other processes.", func() float64 {
+		return float64(c.node.Pool.Sessions())
+	})
+	metric.Gauge(c.registry, "link_bad_peers", "Link peers dropped for what they sent.", func() float64 {
+		return float64(c.node.BadPeers())
+	})
+}
+
+// Start starts all services.
+func (p *agentProcess) Start(ctx context.Context) error {
+	if err := p.common.Start(ctx); err != nil {
+		return err
+	}
+	p.log.Info("agent started", "targets", len(p.settings.Targets), "operators", p.addresses.Operators, "link", p.addresses.Link)
+	return nil
+}
+
+// drainTell gives the others a moment to hear that the agent is leaving.
+const drainTell = time.Second
+
+// Drain takes no new work, hands slots over and waits for what is in flight.
+func (p *agentProcess) Drain(ctx context.Context) error {
+	p.log.Info("agent draining")
+	began := time.Now()
+	err := p.agent.Drain(ctx)
+	if wait := drainTell - time.Since(began); wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/process/operators.go
@@ -0,0 +1,220 @@
+package process
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/capersaddle/capersaddle/internal/config"
+	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/member"
+)
+
+// mostCommand bounds an operator's command, in bytes.
+const mostCommand = 1 << 20
+
+// operators is the HTTP interface for operators and their tools.
+type operators struct {
+	*common
+	// editor is nil on agents, which take no commands.
+	editor *config.Editor
+	ready  func() bool
+}
+
+// Status is what a process says of itself.
+type Status struct {
+	ID             string `json:"id"`
+	Role           string `json:"role"`
+	DataCenter     string `json:"data_center"`
+	Ready          bool   `json:"ready"`
+	ConfigRevision uint64 `json:"config_revision"`
+	StoreSeen      bool   `json:"store_seen"`
+	Members        int    `json:"members"`
+}
+
+// OperatorError is the answer to a call that failed.
+type OperatorError struct {
+	Kind         fault.Kind     `json:"kind"`
+	Message      string         `json:"message"`
+	RunState     fault.RunState `json:"run_state"`
+	RetryAfterMS int64          `json:"retry_after_ms,omitempty"`
+}
+
+func (o *operators) handler() http.Handler {
+	mux := chi.NewRouter()
+	mux.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.Get("/readyz", o.serveReady)
+	mux.Handle("/metrics", promhttp.HandlerFor(o.registry, promhttp.HandlerOpts{}))
+	mux.Route("/operator/v1", func(sub chi.Router) {
+		sub.Use(o.authorize)
+		sub.Get("/status", o.serveStatus)
+		sub.Get("/members", o.serveMembers)
+		sub.Get("/documents", o.serveDocuments)
+		if o.editor != nil {
+			sub.Get("/history", o.serveHistory)
+			sub.Post("/command", o.serveCommand)
+			sub.Post("/republish", o.serveRepublish)
+		}
+	})
+	return mux
+}
+
+// authorize checks the operators' key, when the settings name one.
+func (o *operators) authorize(next http.Handler) http.Handler {
+	wanted := o.settings.OperatorKeyHash
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		sum := sha256.Sum256([]byte(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")))
+		given := hex.EncodeToString(sum[:])
+		if wanted != "" && subtle.ConstantTimeCompare([]byte(given), []byte(wanted)) != 1 {
+			writeFault(w, fault.New(fault.BadKey, fault.NotRun, "the operators' key is wrong or missing"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func writeFault(w http.ResponseWriter, err error) {
+	failure := fault.From(err)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(fault.AnswerOf(failure.Kind).Status)
+	_ = json.NewEncoder(w).Encode(OperatorError{
+		Kind:         failure.Kind,
+		Message:      failure.Message,
+		RunState:     failure.State,
+		RetryAfterMS: failure.RetryAfter.Milliseconds(),
+	})
+}
+
+func (o *operators) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !o.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (o *operators) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, Status{
+		ID:             o.settings.ID,
+		Role:           o.settings.Role,
+		DataCenter:     o.settings.DataCenter,
+		Ready:          o.ready(),
+		ConfigRevision: o.node.Config.Revision(),
+		StoreSeen:      o.node.Follower.StoreSeen(),
+		Members:        len(o.node.Members.Roster()),
+	})
+}
+
+// MemberRow is one member as operators see it.
+type MemberRow struct {
+	ID         string      `json:"id"`
+	Role       string      `json:"role"`
+	DataCenter string      `json:"data_center"`
+	Standing   string      `json:"standing"`
+	Leaving    bool        `json:"leaving"`
+	Steady     bool        `json:"steady"`
+	Targets    []TargetRow `json:"targets,omitempty"`
+	// HeardMS is how old the word on load is.
+	HeardMS int64 `json:"heard_ms"`
+}
+
+// TargetRow is one target as operators see it.
+type TargetRow struct {
+	ID       string `json:"id"`
+	Pool     string `json:"pool"`
+	Leaving  bool   `json:"leaving"`
+	InFlight uint32 `json:"in_flight"`
+	Limit    uint32 `json:"limit"`
+}
+
+func (o *operators) serveMembers(w http.ResponseWriter, _ *http.Request) {
+	rows := []MemberRow{}
+	for _, peer := range o.node.Members.Peers() {
+		rows = append(rows, memberRow(peer))
+	}
+	writeJSON(w, rows)
+}
+
+func memberRow(peer member.Peer) MemberRow {
+	row := MemberRow{
+		ID:         peer.ID,
+		Role:       peer.Role,
+		DataCenter: peer.DataCenter,
+		Standing:   strings.ToLower(strings.TrimPrefix(peer.Standing.String(), "STANDING_")),
+		Leaving:    peer.Leaving,
+		Steady:     peer.Steady,
+		HeardMS:    min(peer.Heard, time.Hour).Milliseconds(),
+	}
+	for _, target := range peer.Targets {
+		row.Targets = append(row.Targets, TargetRow{
+			ID:       target.ID,
+			Pool:     target.Pool,
+			Leaving:  target.Leaving,
+			InFlight: target.Load.InFlight,
+			Limit:    target.Load.Limit,
+		})
+	}
+	return row
+}
+
+// Documents is the configuration in force at one process.
+type Documents struct {
+	Revision  uint64            `json:"revision"`
+	Documents []config.Document `json:"documents"`
+}
+
+func (o *operators) serveDocuments(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, Documents{Revision: o.node.Config.Revision(), Documents: o.node.Config.Documents()})
+}
+
+func (o *operators) serveHistory(w http.ResponseWriter, r *http.Request) {
+	history, err := o.editor.History(r.Context())
+	if err != nil {
+		writeFault(w, err)
+		return
+	}
+	writeJSON(w, history)
+}
+
+func (o *operators) serveCommand(w http.ResponseWriter, r *http.Request) {
+	var command config.Command
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostCommand))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&command); err != nil {
+		writeFault(w, fault.New(fault.BadRequest, fault.NotRun, "the command is not readable: %v", err))
+		return
+	}
+	result, err := o.editor.Do(r.Context(), command)
+	o.log.Info("command", "id", command.ID, "who", command.Who, "revision", result.Revision, "error", err)
+	if err != nil {
+		writeFault(w, err)
+		return
+	}
+	writeJSON(w, result)
+}
+
+func (o *operators) serveRepublish(w http.ResponseWriter, r *http.Request) {
+	var command config.Command
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostCommand)).Decode(&command); err != nil || command.ID == "" {
+		writeFault(w, fault.New(fault.BadRequest, fault.NotRun, "the command needs an id"))
+		return
+	}
+	result, err := o.editor.Republish(r.Context(), command.ID, command.Who)
+	if err != nil {
+		writeFault(w, err)
+		return
+	}
+	writeJSON(w, result)
+}
--- /dev/null
+++ b/internal/router/http.go
@@ -0,0 +1,226 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+
+	"github.com/capersaddle/capersaddle/internal/config"
+	"github.com/capersaddle/capersaddle/internal/fault"
+)
+
+// Headers of the callers' interface.
+const (
+	HeaderRunState  = "Capersaddle-Run-State"
+	HeaderRequestID = "Capersaddle-Request-Id"
+	HeaderPlacement = "Capersaddle-Placement"
+	HeaderTimeout   = "Capersaddle-Timeout"
+	HeaderSettle    = "Capersaddle-Settle"
+	HeaderReplayed  = "Capersaddle-Replayed"
+	HeaderKey       = "Idempotency-Key"
+)
+
+// errorBody is the OpenAI error shape with the run state added.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message  string         `json:"message"`
+	Type     string         `json:"type"`
+	Code     string         `json:"code"`
+	RunState fault.RunState `json:"run_state"`
+	// RetryAfterMS is when to come back, in milliseconds.
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	RequestID    string `json:"request_id,omitempty"`
+}
+
+// Handler is the callers' HTTP interface.
+func (r *Router) Handler() http.Handler {
+	mux := chi.NewRouter()
+	mux.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.Get("/readyz", r.serveReady)
+	mux.Get("/v1/models", r.serveModels)
+	mux.Post("/v1/chat/completions", r.serveChatHTTP)
+	mux.Handle("/v1/services/{service}/*", http.HandlerFunc(r.serveServiceHTTP))
+	mux.NotFound(func(w http.ResponseWriter, _ *http.Request) {
+		writeError(w, "", fault.New(fault.BadRequest, fault.NotRun, "no such path; see /v1/models, /v1/chat/completions and /v1/services/"))
+	})
+	return mux
+}
+
+// Ready says whether the router may be given requests.
+func (r *Router) Ready() bool {
+	return !r.Draining() && r.options.Config.Revision() > 0
+}
+
+func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !r.Ready() {
+		writeError(w, "", fault.New(fault.NotReady, fault.NotRun, "the router is draining or has no configuration yet").After(time.Second))
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// writeError answers with an error before anything of an answer was sent.
+func writeError(w http.ResponseWriter, id string, failure *fault.Error) {
+	row := fault.AnswerOf(failure.Kind)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderRunState, string(failure.State))
+	if failure.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(secondsUp(failure.RetryAfter)))
+	}
+	w.WriteHeader(row.Status)
+	_ = json.NewEncoder(w).Encode(bodyOf(id, failure))
+}
+
+func secondsUp(d time.Duration) int {
+	return int((d + time.Second - 1) / time.Second)
+}
+
+func bodyOf(id string, failure *fault.Error) errorBody {
+	return errorBody{Error: errorDetail{
+		Message:      failure.Message,
+		Type:         fault.AnswerOf(failure.Kind).Type,
+		Code:         string(failure.Kind),
+		RunState:     failure.State,
+		RetryAfterMS: failure.RetryAfter.Milliseconds(),
+		RequestID:    id,
+	}}
+}
+
+// caller is who sends a request.
+type caller struct {
+	workspace string
+	settings  config.Workspace
+	view      *config.View
+}
+
+// enter checks who calls and takes a place for the request. The returned
+// function gives it back.
+func (r *Router) enter(req *http.Request) (caller, func(), *fault.Error) {
+	r.inFlight.Add(1)
+	leave := func() { r.inFlight.Done() }
+	if r.Draining() {
+		leave()
+		return caller{}, nil, fault.New(fault.NotReady, fault.NotRun, "the router is leaving; another will answer").After(time.Second)
+	}
+	who, refusal := r.identify(req)
+	if refusal != nil {
+		leave()
+		return caller{}, nil, refusal
+	}
+	if !r.busy.enter(who.workspace, who.settings.MostInFlight) {
+		leave()
+		return caller{}, nil, fault.New(fault.Overloaded, fault.NotRun, "the workspace has %d requests in flight here already", who.settings.MostInFlight).After(time.Second)
+	}
+	return who, func() {
+		r.busy.leave(who.workspace)
+		leave()
+	}, nil
+}
+
+func (r *Router) identify(req *http.Request) (caller, *fault.Error) {
+	key, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return caller{}, fault.New(fault.BadKey, fault.NotRun, "no API key; send 'Authorization: Bearer KEY'")
+	}
+	view := r.options.Config.View()
+	name, settings, ok := view.ByKey(key)
+	if !ok {
+		return caller{}, fault.New(fault.BadKey, fault.NotRun, "the API key is not known")
+	}
+	return caller{workspace: name, settings: settings, view: view}, nil
+}
+
+// bounded gives the request's context the shorter of the router's and the
+// caller's time.
+func (r *Router) bounded(req *http.Request) (context.Context, context.CancelFunc, *fault.Error) {
+	timeout := r.options.Timeout
+	if text := req.Header.Get(HeaderTimeout); text != "" {
+		wanted, err := time.ParseDuration(text)
+		if err != nil || wanted <= 0 {
+			return nil, nil, fault.New(fault.BadRequest, fault.NotRun, "header %s is %q; want a time such as 20s", HeaderTimeout, text)
+		}
+		timeout = min(timeout, wanted)
+	}
+	ctx, cancel := context.WithTimeout(req.Context(), timeout)
+	return ctx, cancel, nil
+}
+
+// readBody reads a request's body up to a bound.
+func readBody(w http.ResponseWriter, req *http.Request, most int64) ([]byte, *fault.Error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, most))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fault.New(fault.TooLarge, fault.NotRun, "the body is over %d bytes", most)
+	}
+	if err != nil {
+		return nil, fault.New(fault.BadRequest, fault.NotRun, "the body could not be read: %v", err)
+	}
+	return body, nil
+}
+
+func newRequestID() string {
+	return "req-" + uuid.NewString()
+}
+
+func className(settings config.Workspace) string {
+	if settings.Deferrable {
+		return "deferrable"
+	}
+	return "urgent"
+}
+
+// done tells the metrics and the log of a request's end.
+func (r *Router) done(id string, who caller, began time.Time, err error) {
+	kind := ""
+	if err != nil {
+		kind = string(fault.KindOf(err))
+	}
+	r.options.Metrics.Request(who.workspace, className(who.settings), kind, time.Since(began))
+	if err != nil {
+		failure := fault.From(err)
+		r.log.Info("request failed", "request", id, "workspace", who.workspace, "kind", kind, "run_state", failure.State, "error", failure.Message)
+		return
+	}
+	r.log.Debug("request answered", "request", id, "workspace", who.workspace)
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (r *Router) serveModels(w http.ResponseWriter, req *http.Request) {
+	who, refusal := r.identify(req)
+	if refusal != nil {
+		writeError(w, "", refusal)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, name := range sortedKeys(who.view.Models) {
+		owner := who.view.Models[name].OwnedBy
+		if owner == "" {
+			owner = "capersaddle"
+		}
+		list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: owner})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/internal/settings/read.go
@@ -0,0 +1,119 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
+
+	"github.com/capersaddle/capersaddle/internal/fault"
+)
+
+// MarshalJSON writes the duration as it is read.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON reads a duration with its unit.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return errors.Newf(`found %s; want a time with its unit in quotes, such as "8s"`, data)
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return errors.Newf(`found %q; want a time with its unit, such as "250ms", "8s" or "12h"`, text)
+	}
+	if parsed < 0 {
+		return errors.Newf("found %q; want a time that is not negative", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Problem is one thing wrong with a settings file.
+type Problem struct {
+	File string `json:"file"`
+	// Line counts from 1; zero when it is not known.
+	Line int    `json:"line,omitempty"`
+	Text string `json:"text"`
+}
+
+// String gives file:line: text.
+func (p Problem) String() string {
+	if p.Line == 0 {
+		return fmt.Sprintf("%s: %s", p.File, p.Text)
+	}
+	return fmt.Sprintf("%s:%d: %s", p.File, p.Line, p.Text)
+}
+
+// Load reads and checks a settings file. All problems come in one error.
+func Load(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fault.New(fault.BadSettings, fault.NotRun, "%v", err)
+	}
+	settings, problems := Parse(file, data)
+	if len(problems) == 0 {
+		return settings, nil
+	}
+	lines := make([]string, 0, len(problems))
+	for _, problem := range problems {
+		lines = append(lines, problem.String())
+	}
+	return nil, fault.New(fault.BadSettings, fault.NotRun, "%s", strings.Join(lines, "\n"))
+}
+
+// Parse reads settings and lists what is wrong with them.
+func Parse(file string, data []byte) (*Settings, []Problem) {
+	standard, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return nil, []Problem{{File: file, Line: lineInError(err), Text: err.Error()}}
+	}
+	settings := new(Settings)
+	decoder := json.NewDecoder(bytes.NewReader(standard))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(settings); err != nil {
+		return nil, []Problem{decodeProblem(file, standard, err, decoder.InputOffset())}
+	}
+	checker := &checker{file: file, text: standard}
+	checker.check(settings)
+	return settings, checker.problems
+}
+
+var hujsonLine = regexp.MustCompile(`line (\d+)`)
+
+func lineInError(err error) int {
+	found := hujsonLine.FindStringSubmatch(err.Error())
+	if found == nil {
+		return 0
+	}
+	line := 0
+	_, _ = fmt.Sscan(found[1], &line)
+	return line
+}
+
+func lineAt(text []byte, offset int64) int {
+	offset = min(max(offset, 0), int64(len(text)))
+	return bytes.Count(text[:offset], []byte("\n")) + 1
+}
+
+var unknownField = regexp.MustCompile(`unknown field "([^"]+)"`)
+
+func decodeProblem(file string, text []byte, err error, offset int64) Problem {
+	if found := unknownField.FindStringSubmatch(err.Error()); found != nil {
+		at := bytes.Index(text, []byte(`"`+found[1]+`"`))
+		return Problem{File: file, Line: lineAt(text, int64(at)), Text: fmt.Sprintf("unknown field %q; 'capersaddle config fields' lists the known ones", found[1])}
+	}
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return Problem{File: file, Line: lineAt(text, wrongType.Offset), Text: fmt.Sprintf("field %q: found a %s; want %s", wrongType.Field, wrongType.Value, wrongType.Type)}
+	}
+	return Problem{File: file, Line: lineAt(text, offset), Text: err.Error()}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,146 @@
+// Package settings reads a process's settings: JSON with comments, checked
+// whole, with errors that name file, line, what was found and what is wanted.
+package settings
+
+import (
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/admission"
+	"github.com/capersaddle/capersaddle/internal/member"
+	"github.com/capersaddle/capersaddle/internal/once"
+)
+
+// Duration is a time written as "250ms", "8s" or "12h".
+type Duration time.Duration
+
+// Settings are one process's settings.
+type Settings struct {
+	// Role is "router" or "agent".
+	Role       string `json:"role"`
+	ID         string `json:"id"`
+	DataCenter string `json:"data_center"`
+	// Callers is the router's address for callers, IP:port.
+	Callers string `json:"callers,omitempty"`
+	// Operators serves operators' calls and metrics, IP:port.
+	Operators string `json:"operators"`
+	// Link is the TCP address for other processes, IP:port.
+	Link string `json:"link"`
+	// Beat is the UDP address for membership, IP:port.
+	Beat string `json:"beat"`
+	// Seeds are beat addresses of other processes, IP:port.
+	Seeds []string `json:"seeds"`
+	// Store and Hosts are the platform's, http://IP:port.
+	Store string `json:"store"`
+	Hosts string `json:"hosts,omitempty"`
+	// Host is this host's id in the host list.
+	Host string `json:"host,omitempty"`
+	// Targets are an agent's.
+	Targets []Target `json:"targets,omitempty"`
+	// OperatorKeyHash is the hex SHA-256 of the operators' key.
+	OperatorKeyHash string     `json:"operator_key_hash,omitempty"`
+	Log             Log        `json:"log"`
+	Admission       Admission  `json:"admission"`
+	Once            Once       `json:"once"`
+	Membership      Membership `json:"membership"`
+	// Timeout bounds a request at a router.
+	Timeout Duration `json:"timeout,omitempty"`
+	// MostBody bounds a request's body, in bytes.
+	MostBody int64 `json:"most_body,omitempty"`
+}
+
+// Target is one back end beside an agent.
+type Target struct {
+	ID string `json:"id"`
+	// Kind is "engine" or "service".
+	Kind string `json:"kind"`
+	// Pool is the model of an engine or the service's name.
+	Pool string `json:"pool"`
+	// URL is http://IP:port.
+	URL string `json:"url"`
+}
+
+// Log says how to log.
+type Log struct {
+	// Level is debug, info, warn or error.
+	Level string `json:"level,omitempty"`
+	// Format is text or json.
+	Format string `json:"format,omitempty"`
+}
+
+// Admission are the gate's bounds; zero takes the default.
+type Admission struct {
+	Factor     float64  `json:"factor,omitempty"`
+	Floor      int      `json:"floor,omitempty"`
+	Most       int      `json:"most,omitempty"`
+	QueueCount int      `json:"queue_count,omitempty"`
+	QueueBytes int64    `json:"queue_bytes,omitempty"`
+	Patience   Duration `json:"patience,omitempty"`
+}
+
+// Once are the times of not-repeatable requests; zero takes the default.
+type Once struct {
+	ClockError Duration `json:"clock_error,omitempty"`
+	Ahead      Duration `json:"ahead,omitempty"`
+	Back       Duration `json:"back,omitempty"`
+	Keep       Duration `json:"keep,omitempty"`
+	Promise    Duration `json:"promise,omitempty"`
+	LongLease  Duration `json:"long_lease,omitempty"`
+}
+
+// Membership are its bounds; zero takes the default.
+type Membership struct {
+	// BytesPerSecond is the most that is sent.
+	BytesPerSecond int      `json:"bytes_per_second,omitempty"`
+	Suspicion      Duration `json:"suspicion,omitempty"`
+}
+
+// defaultBudget leaves room for configuration within 8 KB/s.
+const defaultBudget = 4000
+
+func or[T comparable](value, otherwise T) T {
+	var zero T
+	if value == zero {
+		return otherwise
+	}
+	return value
+}
+
+func orTime(value Duration, otherwise time.Duration) time.Duration {
+	return or(time.Duration(value), otherwise)
+}
+
+// AdmissionOptions fills in the defaults.
+func (s *Settings) AdmissionOptions() admission.Options {
+	options := admission.DefaultOptions()
+	options.Factor = or(s.Admission.Factor, options.Factor)
+	options.Floor = or(s.Admission.Floor, options.Floor)
+	options.Most = or(s.Admission.Most, options.Most)
+	options.QueueCount = or(s.Admission.QueueCount, options.QueueCount)
+	options.QueueBytes = or(s.Admission.QueueBytes, options.QueueBytes)
+	options.Patience = orTime(s.Admission.Patience, options.Patience)
+	return options
+}
+
+// OnceOptions fills in the defaults.
+func (s *Settings) OnceOptions() once.Options {
+	options := once.DefaultOptions()
+	options.ClockError = orTime(s.Once.ClockError, options.ClockError)
+	options.Ahead = orTime(s.Once.Ahead, options.Ahead)
+	options.Back = orTime(s.Once.Back, options.Back)
+	options.Keep = orTime(s.Once.Keep, options.Keep)
+	options.Promise = orTime(s.Once.Promise, options.Promise)
+	options.LongLease = orTime(s.Once.LongLease, options.LongLease)
+	return options
+}
+
+// MemberOptions fills in the defaults.
+func (s *Settings) MemberOptions() member.Options {
+	options := member.DefaultOptions()
+	options.Suspicion = orTime(s.Membership.Suspicion, options.Suspicion)
+	return options
+}
+
+// Budget is the bytes a second that membership may send.
+func (s *Settings) Budget() int {
+	return or(s.Membership.BytesPerSecond, defaultBudget)
+}
--- /dev/null
+++ b/internal/target/fakeengine/cache.go
@@ -0,0 +1,102 @@
+package fakeengine
+
+import (
+	"container/list"
+	"encoding/json"
+	"io"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+// blockTokens is the size of one cached block.
+const blockTokens = 16
+
+// prefixCache keeps hashes of token blocks, least recently used out first.
+type prefixCache struct {
+	mu     sync.Mutex
+	limit  int
+	order  *list.List
+	blocks map[uint64]*list.Element
+}
+
+func newPrefixCache(limit int) *prefixCache {
+	return &prefixCache{limit: limit, order: list.New(), blocks: make(map[uint64]*list.Element)}
+}
+
+// blockHashes chains the whole blocks of a prompt.
+func blockHashes(tokens []string) []uint64 {
+	hashes := make([]uint64, 0, len(tokens)/blockTokens)
+	digest := xxhash.New()
+	for i, token := range tokens {
+		_, _ = digest.WriteString(token)
+		_, _ = digest.Write([]byte{0})
+		if (i+1)%blockTokens == 0 {
+			hashes = append(hashes, digest.Sum64())
+		}
+	}
+	return hashes
+}
+
+// match counts the leading tokens that are cached and marks them as used.
+func (c *prefixCache) match(tokens []string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	matched := 0
+	for _, hash := range blockHashes(tokens) {
+		element, ok := c.blocks[hash]
+		if !ok {
+			break
+		}
+		c.order.MoveToFront(element)
+		matched += blockTokens
+	}
+	return matched
+}
+
+func (c *prefixCache) insert(tokens []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hashes := blockHashes(tokens)
+	for i := len(hashes) - 1; i >= 0; i-- {
+		c.add(hashes[i])
+	}
+}
+
+// add puts one block first; c.mu is held.
+func (c *prefixCache) add(hash uint64) {
+	if element, ok := c.blocks[hash]; ok {
+		c.order.MoveToFront(element)
+		return
+	}
+	c.blocks[hash] = c.order.PushFront(hash)
+	for c.order.Len() > c.limit {
+		last := c.order.Back()
+		c.order.Remove(last)
+		delete(c.blocks, last.Value.(uint64))
+	}
+}
+
+func (c *prefixCache) export(into io.Writer) error {
+	c.mu.Lock()
+	hashes := make([]uint64, 0, c.order.Len())
+	for element := c.order.Front(); element != nil; element = element.Next() {
+		hashes = append(hashes, element.Value.(uint64))
+	}
+	c.mu.Unlock()
+	return errors.Wrap(json.NewEncoder(into).Encode(hashes), "write export")
+}
+
+func (c *prefixCache) load(from io.Reader) error {
+	var hashes []uint64
+	if err := json.NewDecoder(from).Decode(&hashes); err != nil {
+		return errors.Wrap(err, "read export")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := len(hashes) - 1; i >= 0; i-- {
+		c.add(hashes[i])
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/target/fakeengine/engine.go
@@ -0,0 +1,243 @@
+// Package fakeengine is a small stand-in for a model engine: continuous
+// batching with a step time, a limited prefix cache, priorities, resume at an
+// offset, cancel, KV export and import, fenced orders and faults by call. The
+// same core serves in-process tests under virtual time and HTTP.
+package fakeengine
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/target"
+)
+
+// Options are the engine's size and speed.
+type Options struct {
+	Name string
+	// Step is the time of one batch step; each running answer gains a piece.
+	Step time.Duration
+	// Batch is how many answers run in one step.
+	Batch int
+	// PrefillPerStep is how many uncached prompt tokens one step takes in.
+	PrefillPerStep int
+	// CacheBlocks bounds the prefix cache, in blocks of blockTokens.
+	CacheBlocks int
+	// ChecksFence says that orders with a lower token are refused.
+	ChecksFence bool
+	// Log, when set, is told of each answer begun and ended.
+	Log func(line string)
+}
+
+// Defaults fill what is left at zero.
+func (o *Options) defaults() {
+	if o.Step == 0 {
+		o.Step = 5 * time.Millisecond
+	}
+	if o.Batch == 0 {
+		o.Batch = 64
+	}
+	if o.PrefillPerStep == 0 {
+		o.PrefillPerStep = 512
+	}
+	if o.CacheBlocks == 0 {
+		o.CacheBlocks = 4096
+	}
+	if o.Log == nil {
+		o.Log = func(string) {}
+	}
+}
+
+// Engine is the stand-in.
+type Engine struct {
+	options Options
+	cache   *prefixCache
+
+	mu      sync.Mutex
+	running []*sequence
+	stepped bool
+	faults  []Fault
+	fence   uint64
+	models  map[string]bool
+	// runs lists the request ids that began, in order.
+	runs   []string
+	wait   sync.WaitGroup
+	closed bool
+}
+
+// New returns an engine that has loaded the given models.
+func New(options Options, models ...string) *Engine {
+	options.defaults()
+	loaded := make(map[string]bool)
+	for _, model := range models {
+		loaded[model] = true
+	}
+	return &Engine{options: options, cache: newPrefixCache(options.CacheBlocks), models: loaded}
+}
+
+// Generate begins an answer.
+func (e *Engine) Generate(ctx context.Context, request target.GenerateRequest) (target.Generation, error) {
+	chat, err := target.ParseChat(request.Body)
+	if err != nil {
+		return nil, errors.Wrapf(target.ErrRefused, "%v", err)
+	}
+	seq := newSequence(ctx, chat, request)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.models[chat.Model] {
+		return nil, errors.Wrapf(target.ErrRefused, "model %q is not loaded", chat.Model)
+	}
+	if e.closed {
+		return nil, errors.Wrap(target.ErrRefused, "engine is closed")
+	}
+	seq.fault = e.nextFault()
+	if seq.fault.Refuse {
+		return nil, errors.Wrap(target.ErrRefused, "fault: refused")
+	}
+	cached := e.cache.match(seq.prompt)
+	seq.cached = int64(cached)
+	seq.prefill = len(seq.prompt) - cached
+	e.runs = append(e.runs, request.RequestID)
+	e.options.Log(e.options.Name + " begins " + request.RequestID)
+	e.running = append(e.running, seq)
+	e.ensureStepping()
+	return seq, nil
+}
+
+// ensureStepping starts the batch loop if it rests; e.mu is held.
+func (e *Engine) ensureStepping() {
+	if e.stepped {
+		return
+	}
+	e.stepped = true
+	e.wait.Go(e.steps)
+}
+
+// steps runs batch steps until nothing is left to run.
+func (e *Engine) steps() {
+	ticker := time.NewTicker(e.options.Step)
+	defer ticker.Stop()
+	for range ticker.C {
+		if !e.step() {
+			return
+		}
+	}
+}
+
+// step gives one piece to each running answer, lowest priority number first.
+func (e *Engine) step() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	budget := e.options.PrefillPerStep
+	left := e.options.Batch
+	kept := e.running[:0]
+	for _, seq := range byPriority(e.running) {
+		if seq.ctx.Err() != nil {
+			seq.end(context.Cause(seq.ctx))
+			e.options.Log(e.options.Name + " cancels " + seq.id)
+			continue
+		}
+		if left == 0 || seq.fault.Hang {
+			kept = append(kept, seq)
+			continue
+		}
+		left--
+		if e.advance(seq, &budget) {
+			kept = append(kept, seq)
+		}
+	}
+	e.running = kept
+	if len(kept) == 0 {
+		e.stepped = false
+		return false
+	}
+	return true
+}
+
+// advance moves one answer by a step; false when it has ended.
+func (e *Engine) advance(seq *sequence, budget *int) bool {
+	if seq.prefill > 0 {
+		taken := min(seq.prefill, *budget)
+		seq.prefill -= taken
+		*budget -= taken
+		return true
+	}
+	if seq.fault.CutAfter > 0 && seq.made >= seq.fault.CutAfter {
+		seq.end(errors.Wrap(target.ErrCut, "fault: cut"))
+		return false
+	}
+	if seq.next < seq.total {
+		seq.give(target.Piece{Index: seq.next, Text: seq.text(seq.next)})
+		seq.next++
+		seq.made++
+		return true
+	}
+	e.cache.insert(append(seq.prompt, seq.allTokens()...))
+	seq.give(target.Piece{Index: seq.total, Finish: seq.finishReason(), Usage: target.Usage{
+		PromptTokens:     int64(len(seq.prompt)),
+		CompletionTokens: seq.total,
+		CachedTokens:     seq.cached,
+	}})
+	seq.end(io.EOF)
+	e.options.Log(e.options.Name + " ends " + seq.id)
+	return false
+}
+
+// Load reports the batch.
+func (e *Engine) Load(context.Context) (target.LoadReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	running := min(len(e.running), e.options.Batch)
+	return target.LoadReport{Running: running, Waiting: len(e.running) - running}, nil
+}
+
+// Order loads or unloads a model.
+func (e *Engine) Order(_ context.Context, order target.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.options.ChecksFence && order.Token < e.fence {
+		return errors.Wrapf(target.ErrRefused, "order token %d is below %d", order.Token, e.fence)
+	}
+	e.fence = max(e.fence, order.Token)
+	switch order.Action {
+	case "load":
+		e.models[order.Model] = true
+	case "unload":
+		delete(e.models, order.Model)
+	default:
+		return errors.Wrapf(target.ErrRefused, "unknown action %q", order.Action)
+	}
+	return nil
+}
+
+// ExportKV writes the cached prefixes.
+func (e *Engine) ExportKV(_ context.Context, into io.Writer) error {
+	return e.cache.export(into)
+}
+
+// ImportKV reads prefixes exported elsewhere.
+func (e *Engine) ImportKV(_ context.Context, from io.Reader) error {
+	return e.cache.load(from)
+}
+
+// Runs lists the request ids begun so far, in order.
+func (e *Engine) Runs() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.runs...)
+}
+
+// Close ends all answers and waits for the batch loop.
+func (e *Engine) Close() error {
+	e.mu.Lock()
+	e.closed = true
+	for _, seq := range e.running {
+		seq.cancel()
+	}
+	e.mu.Unlock()
+	e.wait.Wait()
+	return nil
+}
--- /dev/null
+++ b/internal/target/httpengine.go
@@ -0,0 +1,276 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"iter"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tmaxmax/go-sse"
+)
+
+const (
+	// maxEvent bounds one event of an engine's stream, in bytes.
+	maxEvent = 1 << 20
+	// doneEvent is the data of the event that closes a whole stream.
+	doneEvent = "[DONE]"
+)
+
+// Extension is what the adapter adds to the caller's JSON for the engine.
+type Extension struct {
+	RequestID string `json:"request_id"`
+	Offset    int64  `json:"offset,omitempty"`
+	Prefix    string `json:"prefix,omitempty"`
+	Priority  int32  `json:"priority,omitempty"`
+}
+
+// Chunk is one event of an OpenAI completion stream.
+type Chunk struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Created int64         `json:"created"`
+	Model   string        `json:"model"`
+	Choices []ChunkChoice `json:"choices"`
+	Usage   *ChunkUsage   `json:"usage,omitempty"`
+}
+
+// ChunkChoice is the one choice of a chunk.
+type ChunkChoice struct {
+	Index        int        `json:"index"`
+	Delta        ChunkDelta `json:"delta"`
+	FinishReason *string    `json:"finish_reason"`
+}
+
+// ChunkDelta is the new text of a chunk.
+type ChunkDelta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// ChunkUsage is the OpenAI usage object.
+type ChunkUsage struct {
+	PromptTokens        int64         `json:"prompt_tokens"`
+	CompletionTokens    int64         `json:"completion_tokens"`
+	TotalTokens         int64         `json:"total_tokens"`
+	PromptTokensDetails CachedDetails `json:"prompt_tokens_details"`
+}
+
+// CachedDetails counts prompt tokens served from the prefix cache.
+type CachedDetails struct {
+	CachedTokens int64 `json:"cached_tokens"`
+}
+
+// UsageObject turns a Usage into its OpenAI form.
+func UsageObject(usage Usage) *ChunkUsage {
+	return &ChunkUsage{
+		PromptTokens:        usage.PromptTokens,
+		CompletionTokens:    usage.CompletionTokens,
+		TotalTokens:         usage.PromptTokens + usage.CompletionTokens,
+		PromptTokensDetails: CachedDetails{CachedTokens: usage.CachedTokens},
+	}
+}
+
+// HTTPEngine speaks to an engine over HTTP in the OpenAI form.
+type HTTPEngine struct {
+	// Base is the engine's address, http://IP:port.
+	Base   string
+	Client *http.Client
+}
+
+// Generate starts one completion; the stream is always asked for.
+func (e *HTTPEngine) Generate(ctx context.Context, request GenerateRequest) (Generation, error) {
+	body, err := withExtension(request)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	response, err := e.post(ctx, "/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	next, stop := iter.Pull2(sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEvent}))
+	return &httpGeneration{
+		cancel: cancel,
+		body:   response.Body,
+		next:   next,
+		stop:   stop,
+		index:  request.Offset,
+	}, nil
+}
+
+// withExtension adds the adapter's fields to the caller's JSON.
+func withExtension(request GenerateRequest) ([]byte, error) {
+	fields := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(request.Body, &fields); err != nil {
+		return nil, errors.Wrap(err, "read request body")
+	}
+	extension, err := json.Marshal(Extension{
+		RequestID: request.RequestID,
+		Offset:    request.Offset,
+		Prefix:    request.Prefix,
+		Priority:  request.Priority,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "write extension")
+	}
+	fields["stream"] = json.RawMessage("true")
+	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	fields["capersaddle"] = extension
+	return json.Marshal(fields)
+}
+
+func (e *HTTPEngine) post(ctx context.Context, path string, body io.Reader) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, e.Base+path, body)
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := e.Client.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "call engine")
+	}
+	if response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorText))
+	return nil, errors.Wrapf(ErrRefused, "engine answered %d: %s", response.StatusCode, text)
+}
+
+// maxErrorText bounds how much of an error body is kept, in bytes.
+const maxErrorText = 512
+
+// Load asks for the engine's load report.
+func (e *HTTPEngine) Load(ctx context.Context) (LoadReport, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, e.Base+"/load", nil)
+	if err != nil {
+		return LoadReport{}, errors.Wrap(err, "make request")
+	}
+	response, err := e.Client.Do(request)
+	if err != nil {
+		return LoadReport{}, errors.Wrap(err, "call engine")
+	}
+	defer func() { _ = response.Body.Close() }()
+	var report LoadReport
+	err = json.NewDecoder(io.LimitReader(response.Body, maxEvent)).Decode(&report)
+	return report, errors.Wrap(err, "read load report")
+}
+
+// Order sends a fenced order.
+func (e *HTTPEngine) Order(ctx context.Context, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return errors.Wrap(err, "write order")
+	}
+	response, err := e.post(ctx, "/orders", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// ExportKV copies the engine's cached prefixes.
+func (e *HTTPEngine) ExportKV(ctx context.Context, into io.Writer) error {
+	response, err := e.post(ctx, "/kv/export", http.NoBody)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(into, response.Body)
+	return errors.Wrap(err, "read export")
+}
+
+// ImportKV gives the engine prefixes that another has exported.
+func (e *HTTPEngine) ImportKV(ctx context.Context, from io.Reader) error {
+	response, err := e.post(ctx, "/kv/import", from)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// httpGeneration reads one completion's events.
+type httpGeneration struct {
+	cancel context.CancelFunc
+	body   io.ReadCloser
+	next   func() (sse.Event, error, bool)
+	stop   func()
+	index  int64
+	// last holds the piece with Finish until its usage has come.
+	last *Piece
+	done bool
+}
+
+// Next reads events until there is a piece to give.
+func (g *httpGeneration) Next() (Piece, error) {
+	if g.done {
+		return Piece{}, io.EOF
+	}
+	for {
+		event, err, ok := g.next()
+		if err != nil {
+			return Piece{}, errors.Wrapf(ErrCut, "read engine stream: %v", err)
+		}
+		if !ok {
+			return Piece{}, errors.Wrap(ErrCut, "engine stream ended early")
+		}
+		if event.Data == doneEvent {
+			return g.finish()
+		}
+		piece, ready, err := g.take(event.Data)
+		if err != nil || ready {
+			return piece, err
+		}
+	}
+}
+
+// take reads one chunk; ready says that it made a piece to give now.
+func (g *httpGeneration) take(data string) (piece Piece, ready bool, err error) {
+	var chunk Chunk
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return Piece{}, false, errors.Wrapf(ErrCut, "unreadable chunk: %v", err)
+	}
+	if len(chunk.Choices) > 0 {
+		piece, ready = g.takeChoice(chunk.Choices[0])
+	}
+	if chunk.Usage != nil && g.last != nil {
+		g.last.Usage = Usage{
+			PromptTokens:     chunk.Usage.PromptTokens,
+			CompletionTokens: chunk.Usage.CompletionTokens,
+			CachedTokens:     chunk.Usage.PromptTokensDetails.CachedTokens,
+		}
+	}
+	return piece, ready, nil
+}
+
+// takeChoice makes a piece of a chunk's text, and keeps the one with Finish.
+func (g *httpGeneration) takeChoice(choice ChunkChoice) (piece Piece, ready bool) {
+	if choice.Delta.Content != "" {
+		piece = Piece{Index: g.index, Text: choice.Delta.Content}
+		g.index++
+		ready = true
+	}
+	if choice.FinishReason != nil {
+		g.last = &Piece{Index: g.index, Finish: *choice.FinishReason}
+	}
+	return piece, ready
+}
+
+func (g *httpGeneration) finish() (Piece, error) {
+	if g.last == nil {
+		return Piece{}, errors.Wrap(ErrCut, "stream closed without finish_reason")
+	}
+	g.done = true
+	return *g.last, nil
+}
+
+// Close cancels the call and frees the connection.
+func (g *httpGeneration) Close() error {
+	g.cancel()
+	g.stop()
+	return g.body.Close()
+}
--- /dev/null
+++ b/pkg/cmd/config/check/check.go
@@ -0,0 +1,53 @@
+// Package check holds the command that checks settings files.
+package check
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/capersaddle/capersaddle/internal/settings"
+	"github.com/capersaddle/capersaddle/pkg/cmdutil"
+	"github.com/capersaddle/capersaddle/pkg/iostreams"
+)
+
+// CheckOptions are the command's options.
+type CheckOptions struct {
+	IO *iostreams.IOStreams
+
+	Files []string
+}
+
+// NewCmdCheck returns the command; runF replaces its work in tests.
+func NewCmdCheck(f *cmdutil.Factory, runF func(*CheckOptions) error) *cobra.Command {
+	opts := &CheckOptions{IO: f.IOStreams}
+	return &cobra.Command{
+		Use:   "check <file>...",
+		Short: "Check settings files",
+		Long: `Check settings files as a whole, without starting anything. Each problem is
+named with file, line, what was found and what is wanted.`,
+		Example: `  $ capersaddle config check examples/router.json examples/agent.json`,
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			opts.Files = args
+			if runF != nil {
+				return runF(opts)
+			}
+			return checkRun(opts)
+		},
+	}
+}
+
+func checkRun(opts *CheckOptions) error {
+	var all error
+	for _, file := range opts.Files {
+		if _, err := settings.Load(file); err != nil {
+			all = errors.CombineErrors(all, err)
+			_, _ = fmt.Fprintln(opts.IO.ErrOut, err)
+			continue
+		}
+		_, _ = fmt.Fprintf(opts.IO.Out, "%s: good\n", file)
+	}
+	return all
+}
--- /dev/null
+++ b/pkg/cmd/fake/fake.go
@@ -0,0 +1,98 @@
+// Package fake holds the command that serves a stand-in for an outside system.
+package fake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/platform/fakehosts"
+	"github.com/capersaddle/capersaddle/internal/platform/fakestore"
+	"github.com/capersaddle/capersaddle/internal/target/fakeengine"
+	"github.com/capersaddle/capersaddle/internal/target/fakeservice"
+	"github.com/capersaddle/capersaddle/pkg/cmdutil"
+	"github.com/capersaddle/capersaddle/pkg/iostreams"
+)
+
+// FakeOptions are the command's options.
+type FakeOptions struct {
+	IO *iostreams.IOStreams
+
+	Kind   string
+	Listen string
+	Name   string
+	Models []string
+	Hosts  []string
+	Step   time.Duration
+}
+
+// NewCmdFake returns the command; runF replaces its work in tests.
+func NewCmdFake(f *cmdutil.Factory, runF func(*FakeOptions) error) *cobra.Command {
+	opts := &FakeOptions{IO: f.IOStreams}
+	cmd := &cobra.Command{
+		Use:   "fake <engine|service|store|hosts>",
+		Short: "Serve a stand-in for an outside system",
+		Long: `Serve a small stand-in for a model engine, a plain service's server, the
+platform's key-value store or its list of hosts, so that routers and agents can
+be tried as separate processes on one machine. Not for real use.`,
+		Example: `  $ capersaddle fake store --listen 127.0.0.1:9000
+  $ capersaddle fake engine --listen 127.0.0.1:9100 --model volta-chat`,
+		Args:      cobra.ExactArgs(1),
+		ValidArgs: []string{"engine", "service", "store", "hosts"},
+		RunE: func(_ *cobra.Command, args []string) error {
+			opts.Kind = args[0]
+			if runF != nil {
+				return runF(opts)
+			}
+			return fakeRun(opts)
+		},
+	}
+	cmd.Flags().StringVar(&opts.Listen, "listen", "127.0.0.1:0", "`IP:port` to serve on; port 0 takes any")
+	cmd.Flags().StringVar(&opts.Name, "name", "fake", "`name` of the engine or server in its answers")
+	cmd.Flags().StringSliceVar(&opts.Models, "model", []string{"volta-chat"}, "`models` that the engine has loaded")
+	cmd.Flags().StringSliceVar(&opts.Hosts, "host", nil, "`ids` in the list of hosts")
+	cmd.Flags().DurationVar(&opts.Step, "step", 5*time.Millisecond, "`time` of one step of the engine")
+	return cmd
+}
+
+func handlerFor(opts *FakeOptions) (http.Handler, error) {
+	switch opts.Kind {
+	case "engine":
+		return fakeengine.New(fakeengine.Options{Name: opts.Name, Step: opts.Step}, opts.Models...).Handler(), nil
+	case "service":
+		return fakeservice.New(opts.Name, nil).Handler(), nil
+	case "store":
+		return fakestore.New().Handler(), nil
+	case "hosts":
+		return fakehosts.New(opts.Hosts...).Handler(), nil
+	}
+	return nil, fault.New(fault.BadRequest, fault.NotRun, "unknown stand-in %q; known are engine, service, store, hosts", opts.Kind)
+}
+
+func fakeRun(opts *FakeOptions) error {
+	handler, err := handlerFor(opts)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", opts.Listen)
+	if err != nil {
+		return fault.New(fault.BadRequest, fault.NotRun, "%v", err)
+	}
+	_, _ = fmt.Fprintf(opts.IO.Out, "%s http://%s\n", opts.Kind, listener.Addr())
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	defer context.AfterFunc(ctx, func() { _ = server.Close() })()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/cmdutil/run.go
@@ -0,0 +1,52 @@
+package cmdutil
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/process"
+	"github.com/capersaddle/capersaddle/internal/settings"
+	"github.com/capersaddle/capersaddle/pkg/iostreams"
+)
+
+// RunProcess runs a router or an agent from its settings file until SIGTERM or
+// SIGINT, then drains it. A second signal ends the drain.
+func RunProcess(streams *iostreams.IOStreams, role, file string, drainTimeout time.Duration) error {
+	loaded, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	if loaded.Role != role {
+		return fault.New(fault.BadSettings, fault.NotRun, `%s: field "role": found %q; want %q for this command`, file, loaded.Role, role)
+	}
+	logger := process.NewLogger(streams.ErrOut, loaded.Log)
+	running, err := process.New(loaded, logger)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := running.Start(ctx); err != nil {
+		return errors.CombineErrors(err, running.Close())
+	}
+	<-ctx.Done()
+	stop()
+	return drain(running, drainTimeout)
+}
+
+func drain(running process.Process, timeout time.Duration) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	err := running.Drain(ctx)
+	return errors.CombineErrors(err, running.Close())
+}
--- /dev/null
+++ b/pkg/iostreams/iostreams.go
@@ -0,0 +1,27 @@
+// Package iostreams holds the streams that commands read and write, so that
+// tests can hand in buffers.
+package iostreams
+
+import (
+	"bytes"
+	"io"
+	"os"
+)
+
+// IOStreams are a command's input and outputs.
+type IOStreams struct {
+	In     io.Reader
+	Out    io.Writer
+	ErrOut io.Writer
+}
+
+// System are the process's own streams.
+func System() *IOStreams {
+	return &IOStreams{In: os.Stdin, Out: os.Stdout, ErrOut: os.Stderr}
+}
+
+// Test returns streams on buffers, with the buffers of both outputs.
+func Test() (streams *IOStreams, out, errOut *bytes.Buffer) {
+	out, errOut = new(bytes.Buffer), new(bytes.Buffer)
+	return &IOStreams{In: new(bytes.Buffer), Out: out, ErrOut: errOut}, out, errOut
+}
