Sessions in virtual time, and every hop lost once

Cause: the promises had no proof end to end.

Seen failing first: a request whose time ran out in an agent's queue was answered 'unknown' or 'not_run' by chance, because router and agent gave up at the same instant; agents now get a tenth less time (at most 200 ms), so their word comes first. A full pool of one engine was answered 'no engine left' without queueing; the router now queues at one that refused for its load. A lost answer of the store on a bucket's write was refused although the write could be repeated; it is tried three times.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -172,6 +172,12 @@
 	return loads
 }
 
+// OwnsKey says whether this agent owns the slot of a workspace's key.
+func (a *Agent) OwnsKey(service, workspace, key string) bool {
+	k, ok := a.keepers[service]
+	return ok && k.guard.Owns(once.FullKey(workspace, key))
+}
+
 // Handle serves one exchange of a link.
 func (a *Agent) Handle(ctx context.Context, open *wire.Open, stream link.Stream) {
 	switch kind := open.GetKind().(type) {
--- a/internal/config/command.go
+++ b/internal/config/command.go
@@ -161,7 +161,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := e.repository.putBucket(ctx, bucket, command.ID, change(documents, changes, revision)); err != nil {
+		if err := e.putBucket(ctx, bucket, command.ID, change(documents, changes, revision)); err != nil {
 			return nil, err
 		}
 		written = append(written, bucket)
@@ -170,6 +170,20 @@
 	return written, nil
 }
 
+// bucketTries is how often a bucket's write is tried: the value is the same
+// each time, so a lost answer does no harm.
+const bucketTries = 3
+
+func (e *Editor) putBucket(ctx context.Context, bucket int, id string, documents []Document) error {
+	var err error
+	for range bucketTries {
+		if err = e.repository.putBucket(ctx, bucket, id, documents); err == nil || !wait(ctx, settleEvery) {
+			return err
+		}
+	}
+	return err
+}
+
 // change applies changes to a bucket's documents.
 func change(documents []Document, changes []Change, revision uint64) []Document {
 	changed := slices.Clone(documents)
@@ -258,7 +272,7 @@
 	base := Manifest{version: manifest.version}
 	var written []int
 	for bucket, documents := range byBucket {
-		if err := e.repository.putBucket(ctx, bucket, id, documents); err != nil {
+		if err := e.putBucket(ctx, bucket, id, documents); err != nil {
 			return Result{}, fault.New(fault.StoreAway, fault.NotRun, "%v", err)
 		}
 		written = append(written, bucket)
--- a/internal/link/memory.go
+++ b/internal/link/memory.go
@@ -87,11 +87,27 @@
 	return cut != nil && cut(address, hop, open, reply)
 }
 
+// From returns the dialer of the process at an address: when that is cut off,
+// its exchanges fail too.
+func (m *Memory) From(source string) Dialer {
+	return &memoryDialer{network: m, source: source}
+}
+
+type memoryDialer struct {
+	network *Memory
+	source  string
+}
+
 // Open starts an exchange.
-func (m *Memory) Open(ctx context.Context, address string, open *wire.Open) (Stream, error) {
+func (d *memoryDialer) Open(ctx context.Context, address string, open *wire.Open) (Stream, error) {
+	return d.network.open(ctx, d.source, address, open)
+}
+
+// open starts an exchange between two addresses.
+func (m *Memory) open(ctx context.Context, source, address string, open *wire.Open) (Stream, error) {
 	m.mu.Lock()
 	handler := m.handlers[address]
-	down := m.down[address]
+	down := m.down[address] || m.down[source]
 	m.mu.Unlock()
 	if handler == nil || down || m.cuts(address, BeforeSend, open, nil) {
 		return nil, fault.New(fault.LinkFailed, fault.NotRun, "%s: no link", address)
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -261,7 +261,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known, ok := l.entries[id]
-	if !ok || known.member.GetStanding() != wire.Standing_STANDING_ALIVE {
+	if !ok || id == l.self.GetId() || known.member.GetStanding() != wire.Standing_STANDING_ALIVE {
 		return
 	}
 	l.suspicions++
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -61,8 +61,12 @@
 	next int64
 	// tried are target numbers that have refused or failed.
 	tried []uint32
-	// refusals counts attempts that ran nothing.
+	// refusals counts attempts that ran nothing; queued says that the last
+	// one had asked to wait in a queue.
 	refusals int
+	queued   bool
+	// last is the newest failure.
+	last     *fault.Error
 	attempts uint32
 	// state is what can be said of the request if it fails now.
 	state fault.RunState
@@ -113,7 +117,7 @@
 	for {
 		number, ok := c.choose()
 		if !ok {
-			return result{}, c.failed(fault.New(fault.NoTarget, c.state, "no engine for model %q is left to try", c.request.model).After(time.Second))
+			return result{}, c.failed(c.exhausted())
 		}
 		p := c.pool.byNumber[number]
 		c.into.from = p.id
@@ -128,8 +132,30 @@
 	}
 }
 
-// choose takes the target of the placement token first, then the policy's.
+// exhausted is the error when no target is left to try: what the last one
+// said, or that there was none.
+func (c *chatRun) exhausted() *fault.Error {
+	if c.last != nil {
+		return c.last
+	}
+	return fault.New(fault.NoTarget, c.state, "no engine for model %q takes requests now", c.request.model).After(time.Second)
+}
+
+// choose takes the target of the placement token first, then the policy's. If
+// all that are left have refused for their load, it takes one of them again,
+// to queue there.
 func (c *chatRun) choose() (uint32, bool) {
+	number, ok := c.pick()
+	overloaded := c.last != nil && c.last.Kind == fault.Overloaded
+	if ok || !overloaded || c.queued {
+		return number, ok
+	}
+	c.tried = nil
+	c.refusals = max(c.refusals, mostRefusals)
+	return c.pick()
+}
+
+func (c *chatRun) pick() (uint32, bool) {
 	now := time.Now()
 	hints := c.pool.hints(now)
 	if c.attempts == 0 && c.request.preferred != "" {
@@ -148,6 +174,7 @@
 
 func (c *chatRun) call(p *place) *wire.Call {
 	c.attempts++
+	c.queued = c.refusals >= mostRefusals || c.request.deferrable && c.refusals > 0
 	return &wire.Call{
 		RequestId:  c.request.id,
 		Attempt:    c.attempts,
@@ -155,7 +182,7 @@
 		Workspace:  c.request.workspace,
 		Share:      uint32(max(c.request.share, 1)),
 		Deferrable: c.request.deferrable,
-		Wait:       c.refusals >= mostRefusals || c.request.deferrable && c.refusals > 0,
+		Wait:       c.queued,
 		Work: &wire.Call_Chat{Chat: &wire.ChatWork{
 			Model:  c.request.model,
 			Body:   c.request.body,
@@ -169,6 +196,7 @@
 // final error.
 func (c *chatRun) after(ctx context.Context, err error) *fault.Error {
 	failure := fault.From(err)
+	c.last = failure
 	if failure.State != fault.NotRun {
 		c.state = fault.Unknown
 	}
@@ -190,7 +218,7 @@
 	}
 	if failure.State == fault.NotRun {
 		// A request that was refused even the queue is given up at once.
-		if failure.Kind == fault.Overloaded && c.refusals > mostRefusals {
+		if failure.Kind == fault.Overloaded && c.queued {
 			return false
 		}
 		c.refusals++
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -52,12 +52,24 @@
 	return question{id: call.GetRequestId(), attempt: call.GetAttempt(), open: &wire.Open{Kind: &wire.Open_Call{Call: call}}}
 }
 
+const (
+	// marginPart and mostMargin make an agent's time shorter than the
+	// router's, so that its word on whether the request ran is here in time.
+	marginPart = 10
+	mostMargin = 200 * time.Millisecond
+)
+
+// agentTime is the time that an agent gets out of what is left.
+func agentTime(left time.Duration) time.Duration {
+	return left - min(left/marginPart, mostMargin)
+}
+
 // attempt makes one attempt of a call at a place. It passes each part on
 // once, in order, from offset next, which it moves; a part that does not fit
 // ends the attempt as cut.
 func (r *Router) attempt(ctx context.Context, p *place, ask question, next *int64, into sink) (result, error) {
 	if deadline, ok := ctx.Deadline(); ok && ask.open.GetCall() != nil {
-		ask.open.GetCall().TimeLeftMs = time.Until(deadline).Milliseconds()
+		ask.open.GetCall().TimeLeftMs = agentTime(time.Until(deadline)).Milliseconds()
 	}
 	stream, err := r.options.Dialer.Open(ctx, p.address, ask.open)
 	if err != nil {
--- /dev/null
+++ b/internal/session/world_test.go
@@ -0,0 +1,608 @@
+package session
+
+import (
+	"cmp"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/admission"
+	"github.com/capersaddle/capersaddle/internal/agent"
+	"github.com/capersaddle/capersaddle/internal/config"
+	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/link"
+	"github.com/capersaddle/capersaddle/internal/member"
+	"github.com/capersaddle/capersaddle/internal/once"
+	"github.com/capersaddle/capersaddle/internal/platform"
+	"github.com/capersaddle/capersaddle/internal/platform/fakestore"
+	"github.com/capersaddle/capersaddle/internal/router"
+	"github.com/capersaddle/capersaddle/internal/target"
+	"github.com/capersaddle/capersaddle/internal/target/fakeengine"
+	"github.com/capersaddle/capersaddle/internal/target/fakeservice"
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+const (
+	model   = "volta-chat"
+	service = "topup"
+)
+
+// line is one line of a session.
+type line struct {
+	at    time.Duration
+	actor string
+	text  string
+}
+
+// world is one small system in virtual time.
+type world struct {
+	t        *testing.T
+	began    time.Time
+	network  *link.Memory
+	store    *fakestore.Store
+	engines  map[string]*fakeengine.Engine
+	services map[string]*fakeservice.Server
+	agents   map[string]*process
+	routers  map[string]*process
+	// gate is what agents are started with.
+	gate admission.Options
+	// keys counts the keys made.
+	keys uint32
+	// names gives short names to random ids, such as keys.
+	names map[string]string
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+
+	holds []func()
+
+	mu    sync.Mutex
+	lines []line
+}
+
+// process is one router or agent.
+type process struct {
+	name     string
+	members  *member.List
+	state    *config.State
+	follower *config.Follower
+	agent    *agent.Agent
+	router   *router.Router
+	handler  http.Handler
+	editor   *config.Editor
+	world    *world
+	// cut says that the host is cut off, or paused, or dead.
+	cut bool
+	// wrong is the error of its wall clock.
+	wrong  time.Duration
+	closed bool
+}
+
+func newWorld(t *testing.T) *world {
+	ctx, cancel := context.WithCancel(t.Context())
+	w := &world{
+		t:        t,
+		began:    time.Now(),
+		network:  link.NewMemory(),
+		store:    fakestore.New(),
+		engines:  make(map[string]*fakeengine.Engine),
+		services: make(map[string]*fakeservice.Server),
+		agents:   make(map[string]*process),
+		routers:  make(map[string]*process),
+		names:    make(map[string]string),
+		gate:     admission.DefaultOptions(),
+		ctx:      ctx,
+		cancel:   cancel,
+	}
+	w.gate.Floor = 2
+	w.wait.Go(w.exchangeBeats)
+	return w
+}
+
+// say adds a line to the session.
+func (w *world) say(actor, format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, name := range w.names {
+		text = strings.ReplaceAll(text, id, name)
+	}
+	w.lines = append(w.lines, line{at: time.Since(w.began), actor: actor, text: text})
+}
+
+// process plumbing
+
+func (w *world) newProcess(name, role string) *process {
+	p := &process{name: name, world: w, state: config.NewState()}
+	p.members = member.NewList(member.DefaultOptions(), &wire.Member{
+		Id:          name,
+		Role:        role,
+		DataCenter:  "accra-1",
+		LinkAddress: name,
+		BeatAddress: name,
+		Incarnation: uint64(time.Now().UnixMilli()),
+		Session:     uuid.NewString(),
+	})
+	p.follower = config.NewFollower(p.state, &hostStore{Store: w.store, process: p}, p, quiet())
+	return p
+}
+
+func quiet() *log.Logger {
+	return log.New(io.Discard)
+}
+
+// session of a process, as its members know it.
+func (p *process) session() string {
+	for _, peer := range p.members.Peers() {
+		if peer.ID == p.name {
+			return peer.Session
+		}
+	}
+	return ""
+}
+
+// Wall and Boot are the process's clocks.
+func (p *process) Wall() time.Time { return time.Now().Add(p.wrong) }
+
+func (p *process) Boot() time.Duration { return time.Since(p.world.began) }
+
+// Ahead, Watcher and Pull make a process config.Peers.
+func (p *process) Ahead(revision uint64) (string, bool) { return p.members.Ahead(revision) }
+
+func (p *process) Watcher() bool { return p.members.Watcher() }
+
+func (p *process) Pull(ctx context.Context, address string, have uint64) (*wire.Delta, error) {
+	reply, err := link.Ask(ctx, p.world.network.From(p.name), address, &wire.Open{Kind: &wire.Open_Pull{Pull: &wire.Pull{Have: have}}})
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetDelta(), nil
+}
+
+// handle serves what all roles share, then the role's own.
+func (p *process) handle(ctx context.Context, open *wire.Open, stream link.Stream) {
+	if pull := open.GetPull(); pull != nil {
+		_ = stream.Send(&wire.Reply{Kind: &wire.Reply_Delta{Delta: p.state.Since(pull.GetHave())}})
+		return
+	}
+	if p.agent != nil {
+		p.agent.Handle(ctx, open, stream)
+	}
+}
+
+func (w *world) run(p *process) {
+	w.network.Serve(p.name, p.handle)
+	_ = p.follower.Start(w.ctx)
+	if p.agent != nil {
+		_ = p.agent.Start(w.ctx)
+	}
+	if p.router != nil {
+		_ = p.router.Start(w.ctx)
+	}
+}
+
+func (p *process) close() {
+	if p.closed {
+		return
+	}
+	p.closed = true
+	_ = p.follower.Close()
+	if p.agent != nil {
+		_ = p.agent.Close()
+	}
+	if p.router != nil {
+		_ = p.router.Close()
+	}
+}
+
+// addAgent starts an agent beside targets that exist already.
+func (w *world) addAgent(name string, targets ...agent.Target) *process {
+	p := w.newProcess(name, member.RoleAgent)
+	p.agent = agent.New(agent.Options{
+		ID:         name,
+		Session:    p.session(),
+		DataCenter: "accra-1",
+		Targets:    targets,
+		Admission:  w.gate,
+		Once:       once.DefaultOptions(),
+		Members:    p.members,
+		Config:     p.state,
+		Store:      &hostStore{Store: w.store, process: p},
+		Dialer:     w.network.From(name),
+		Clock:      p,
+		Log:        quiet(),
+	})
+	w.agents[name] = p
+	w.run(p)
+	return p
+}
+
+// addEngine makes an engine with an agent of its own.
+func (w *world) addEngine(id string) *fakeengine.Engine {
+	engine := fakeengine.New(fakeengine.Options{Name: id, Step: 20 * time.Millisecond, Log: func(text string) {
+		w.say("engine", "%s", w.shorten(text))
+	}}, model)
+	w.engines[id] = engine
+	w.addAgent("host-of-"+id, agent.Target{ID: id, Pool: model, Engine: engine})
+	return engine
+}
+
+// shorten takes random request ids out of a line.
+func (w *world) shorten(text string) string {
+	if at := strings.Index(text, " req-"); at >= 0 {
+		return text[:at]
+	}
+	return text
+}
+
+// addService makes a server of the plain service with an agent of its own.
+func (w *world) addService(id string) *fakeservice.Server {
+	server := fakeservice.New(id, func(text string) { w.say("service", "%s", text) })
+	w.services[id] = server
+	w.addAgent("host-of-"+id, agent.Target{ID: id, Pool: service, Service: server})
+	return server
+}
+
+func (w *world) addRouter(name string) *process {
+	p := w.newProcess(name, member.RoleRouter)
+	p.router = router.New(router.Options{
+		ID:      name,
+		Members: p.members,
+		Config:  p.state,
+		Dialer:  w.network.From(name),
+		Log:     quiet(),
+		Metrics: router.NoMetrics{},
+		Seed:    1,
+	})
+	p.handler = p.router.Handler()
+	p.editor = config.NewEditor(w.store, p.state)
+	w.routers[name] = p
+	w.run(p)
+	return p
+}
+
+// exchangeBeats lets all processes that are not cut off hear each other.
+func (w *world) exchangeBeats() {
+	for w.sleep(500 * time.Millisecond) {
+		all := w.processes()
+		for _, from := range all {
+			from.members.Expire()
+			for _, to := range all {
+				if from != to && !from.cut && !to.cut {
+					beat := from.members.Compose(&wire.Beat{ConfigRevision: from.state.Revision()}, 1200)
+					to.members.Take(beat)
+				}
+			}
+		}
+	}
+}
+
+func (w *world) processes() []*process {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []*process
+	for _, group := range []map[string]*process{w.agents, w.routers} {
+		for _, p := range group {
+			if !p.closed {
+				all = append(all, p)
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b *process) int { return cmp.Compare(a.name, b.name) })
+	return all
+}
+
+func (w *world) sleep(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-w.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// die cuts a host off from everything, as when it dies or is paused; the
+// others come to suspect it.
+func (w *world) die(p *process) {
+	w.network.SetDown(p.name, true)
+	p.cut = true
+	for _, other := range w.processes() {
+		other.members.Suspect(p.name)
+	}
+}
+
+// wake connects a host again that was paused.
+func (w *world) wake(p *process) {
+	w.network.SetDown(p.name, false)
+	p.cut = false
+}
+
+// hostStore is the store as seen from one host.
+type hostStore struct {
+	*fakestore.Store
+	process *process
+}
+
+// Get reads a value, unless the host is cut off.
+func (s *hostStore) Get(ctx context.Context, key string) (platform.Value, error) {
+	if s.process.cut {
+		return platform.Value{}, fakestore.ErrAway
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// Put writes a value, unless the host is cut off.
+func (s *hostStore) Put(ctx context.Context, key string, data []byte, base uint64) (uint64, error) {
+	if s.process.cut {
+		return 0, fakestore.ErrAway
+	}
+	return s.Store.Put(ctx, key, data, base)
+}
+
+// Watch waits for a change, unless the host is cut off.
+func (s *hostStore) Watch(ctx context.Context, key string, known uint64) (platform.Value, error) {
+	if s.process.cut {
+		return platform.Value{}, fakestore.ErrAway
+	}
+	return s.Store.Watch(ctx, key, known)
+}
+
+// hold makes a channel that something waits on until it is released, at the
+// latest at the session's end.
+func (w *world) hold() (channel chan struct{}, release func()) {
+	channel = make(chan struct{})
+	release = sync.OnceFunc(func() { close(channel) })
+	w.holds = append(w.holds, release)
+	return channel, release
+}
+
+// end closes everything.
+func (w *world) end() {
+	for _, release := range w.holds {
+		release()
+	}
+	w.cancel()
+	for _, p := range w.processes() {
+		p.close()
+	}
+	_ = w.network.Close()
+	for _, engine := range w.engines {
+		_ = engine.Close()
+	}
+	w.wait.Wait()
+	if w.t.Failed() {
+		w.t.Logf("the session so far:\n%s", w.text())
+	}
+}
+
+// text writes the session's lines in the order of time.
+func (w *world) text() string {
+	slices.SortStableFunc(w.lines, func(a, b line) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.actor, b.actor), cmp.Compare(a.text, b.text))
+	})
+	var text strings.Builder
+	for _, l := range w.lines {
+		fmt.Fprintf(&text, "%12s  %-8s  %s\n", l.at.Round(time.Millisecond), l.actor, l.text)
+	}
+	return text.String()
+}
+
+// compare holds the session against its golden file.
+func (w *world) compare() {
+	got := w.text()
+	name := filepath.Join("testdata", strings.ReplaceAll(filepath.Base(w.t.Name()), "_", "-")+".golden")
+	if os.Getenv("UPDATE_GOLDEN") != "" {
+		is.New(w.t).NoErr(os.WriteFile(name, []byte(got), 0o600))
+		return
+	}
+	want, err := os.ReadFile(name)
+	is.New(w.t).NoErr(err)
+	if got != string(want) {
+		w.t.Fatalf("the session differs from %s\n--- got\n%s--- want\n%s", name, got, want)
+	}
+}
+
+// callers and operators
+
+// command sends an operators' command and says how it ended.
+func (w *world) command(p *process, who string, command config.Command) (config.Result, error) {
+	command.Who = who
+	ctx, cancel := context.WithTimeout(w.ctx, 10*time.Second)
+	defer cancel()
+	result, err := p.editor.Do(ctx, command)
+	names := make([]string, 0, len(command.Changes))
+	for _, c := range command.Changes {
+		names = append(names, c.Name)
+	}
+	what := fmt.Sprintf("%s changes %s through %s", who, strings.Join(names, ", "), p.name)
+	switch {
+	case err != nil:
+		failure := fault.From(err)
+		w.say("operator", "%s: %s", what, describeFailure(failure))
+	case result.Repeat:
+		w.say("operator", "%s: was accepted before, at revision %d", what, result.Revision)
+	default:
+		w.say("operator", "%s: accepted at revision %d", what, result.Revision)
+	}
+	return result, err
+}
+
+func describeFailure(failure *fault.Error) string {
+	if failure.Kind == fault.Unsettled {
+		return "not settled (unsettled)"
+	}
+	return fmt.Sprintf("refused (%s, %s)", failure.Kind, failure.State)
+}
+
+func set(name string, value any) config.Change {
+	data, _ := json.Marshal(value)
+	return config.Change{Name: name, Value: data}
+}
+
+// configure sets the first configuration and waits until all have it.
+func (w *world) configure(workspaces ...string) {
+	changes := []config.Change{
+		set("model/"+model, config.Model{}),
+		set("service/"+service, config.Service{NotRepeatable: []string{"/credit"}, Slots: 8}),
+	}
+	for _, workspace := range workspaces {
+		changes = append(changes, set("workspace/"+workspace, config.Workspace{KeyHashes: []string{config.HashKey(workspace + "-key")}}))
+	}
+	for _, name := range slices.Sorted(mapsKeys(w.routers)) {
+		_, _ = w.command(w.routers[name], "ama", config.Command{ID: "first", Changes: changes})
+		break
+	}
+	time.Sleep(15 * time.Second)
+}
+
+func mapsKeys[V any](m map[string]V) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		for key := range m {
+			if !yield(key) {
+				return
+			}
+		}
+	}
+}
+
+// call sends a request to a router as a caller would.
+func (w *world) call(p *process, workspace, method, path string, header map[string]string, body string) *httptest.ResponseRecorder {
+	request := httptest.NewRequestWithContext(w.ctx, method, path, strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+workspace+"-key")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	recorder := httptest.NewRecorder()
+	func() {
+		// A broken stream ends in http.ErrAbortHandler, as under a server.
+		defer func() { _ = recover() }()
+		p.handler.ServeHTTP(recorder, request)
+	}()
+	return recorder
+}
+
+type errorAnswer struct {
+	Error struct {
+		Code     string `json:"code"`
+		RunState string `json:"run_state"`
+	} `json:"error"`
+}
+
+// refusal gives the kind and run state of an error answer.
+func refusal(body string) string {
+	var answer errorAnswer
+	_ = json.Unmarshal([]byte(body), &answer)
+	return answer.Error.Code + ", " + answer.Error.RunState
+}
+
+// newKey makes a key with a short name for the session. The UUIDv7 is put
+// together here because a library's generator never goes back in time, and
+// each session begins at the same virtual time.
+func (w *world) newKey(name string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.keys++
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:8], uint64(time.Now().UnixMilli())<<16)
+	binary.BigEndian.PutUint32(id[12:], w.keys)
+	id[6] = 0x70
+	id[8] = 0x80
+	w.names[id.String()] = name
+	return id.String()
+}
+
+// topUp sends a keyed request and says what came back.
+func (w *world) topUp(p *process, workspace, key string) *httptest.ResponseRecorder {
+	answer := w.call(p, workspace, http.MethodPost, "/v1/services/"+service+"/credit", map[string]string{router.HeaderKey: key}, `{"meter":"4711"}`)
+	what := fmt.Sprintf("%s tops up with %s through %s", workspace, key, p.name)
+	if answer.Code == http.StatusOK {
+		w.say("caller", "%s: %s", what, answer.Body)
+		return answer
+	}
+	w.say("caller", "%s: status %d (%s), come back after %s s", what, answer.Code, refusal(answer.Body.String()), answer.Header().Get("Retry-After"))
+	return answer
+}
+
+// streamed is a chat as its caller saw it.
+type streamed struct {
+	status    int
+	text      string
+	pieces    int
+	done      bool
+	failure   string
+	placement string
+	cached    int64
+}
+
+// chat streams a chat and says what came back.
+func (w *world) chat(p *process, workspace, question string, tokens int) streamed {
+	content, _ := json.Marshal(question)
+	body, _ := json.Marshal(map[string]any{
+		"model": model, "stream": true, "max_tokens": tokens,
+		"stream_options": target.StreamOptions{IncludeUsage: true},
+		"messages":       []target.ChatMessage{{Role: "user", Content: content}},
+	})
+	answer := w.call(p, workspace, http.MethodPost, "/v1/chat/completions", nil, string(body))
+	got := streamed{status: answer.Code, placement: answer.Header().Get(router.HeaderPlacement)}
+	if got.status != http.StatusOK {
+		got.failure = refusal(answer.Body.String())
+		return got
+	}
+	for event := range strings.SplitSeq(answer.Body.String(), "\n\n") {
+		got.take(strings.TrimPrefix(event, "data: "))
+	}
+	return got
+}
+
+func (s *streamed) take(data string) {
+	if data == "[DONE]" {
+		s.done = true
+		return
+	}
+	var chunk struct {
+		target.Chunk
+		errorAnswer
+	}
+	if json.Unmarshal([]byte(data), &chunk) != nil {
+		return
+	}
+	if chunk.Error.Code != "" {
+		s.failure = chunk.Error.Code + ", " + chunk.Error.RunState
+	}
+	if chunk.Usage != nil {
+		s.cached = chunk.Usage.PromptTokensDetails.CachedTokens
+	}
+	if len(chunk.Choices) > 0 && chunk.Choices[0].Delta.Content != "" {
+		s.text += chunk.Choices[0].Delta.Content
+		s.pieces++
+	}
+}
+
+// String tells a chat's end as a person would.
+func (s streamed) String() string {
+	switch {
+	case s.done:
+		return fmt.Sprintf("whole, %d pieces from %s", s.pieces, s.placement)
+	case s.status != http.StatusOK:
+		return fmt.Sprintf("status %d (%s)", s.status, s.failure)
+	}
+	return fmt.Sprintf("broken after %d pieces (%s)", s.pieces, s.failure)
+}
--- a/internal/target/fakeservice/service.go
+++ b/internal/target/fakeservice/service.go
@@ -33,6 +33,9 @@
 	LoseAnswer bool
 	// Delay waits before the effect.
 	Delay time.Duration
+	// Before, when set, waits before the effect until it is closed, whatever
+	// becomes of the caller.
+	Before chan struct{}
 	// Hold, when set, waits after the effect until it is closed.
 	Hold chan struct{}
 }
@@ -78,6 +81,9 @@
 	if !sleep(ctx, fault.Delay) {
 		return target.ServiceResponse{}, ctx.Err()
 	}
+	if fault.Before != nil {
+		<-fault.Before
+	}
 	number := s.record(request)
 	if fault.Hold != nil {
 		<-fault.Hold
