Chats keep their engine under the bound: homes, probes and a short wait

Change: a new chat goes to the least loaded of its first four targets; a returning one is looked for there (an agent remembers which chats its engine answered and refuses others as chat_not_held); a full engine that holds a chat queues it for up to twice the time that its prefix saves.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -56,6 +56,10 @@
 	Bytes int64
 	// Wait says that the request may queue; else a full gate refuses it.
 	Wait bool
+	// HomeWait lets a request queue without Wait if its turn is expected
+	// within this time, and refuses it when its turn has not come by then. It
+	// is what a wait here is worth to a chat whose prefix the target holds.
+	HomeWait time.Duration
 }
 
 // Load is the gate's exact state.
@@ -153,14 +157,20 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	return g.await(ctx, waiter)
+	if ticket.Wait {
+		return g.await(ctx, ctx, waiter)
+	}
+	short, cancel := context.WithTimeout(ctx, ticket.HomeWait)
+	defer cancel()
+	return g.await(ctx, short, waiter)
 }
 
 // enqueue puts a request into its queue, or says when to come back.
 func (g *Gate) enqueue(ctx context.Context, ticket Ticket) (*waiter, *fault.Error) {
 	wait := g.estimate(ticket)
 	full := g.queues.len() >= g.options.QueueCount || g.queues.bytes+ticket.Bytes > g.options.QueueBytes
-	if !ticket.Wait || full {
+	mayWait := ticket.Wait || ticket.HomeWait > 0 && wait <= ticket.HomeWait
+	if !mayWait || full {
 		return nil, fault.New(fault.Overloaded, fault.NotRun, "the target is at its bound of %d", g.limit()).After(wait)
 	}
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < wait {
@@ -182,11 +192,12 @@
 	return min(max(wait, leastPause), mostPause)
 }
 
-// await waits for the place, for the end of the context or for leaving.
-func (g *Gate) await(ctx context.Context, w *waiter) (*Place, *fault.Error) {
+// await waits for the place, for leaving, or for the end of bounded, which is
+// the request's own context or a shorter one.
+func (g *Gate) await(ctx, bounded context.Context, w *waiter) (*Place, *fault.Error) {
 	select {
 	case <-w.admitted:
-	case <-ctx.Done():
+	case <-bounded.Done():
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -197,6 +208,9 @@
 		return nil, fault.New(fault.Leaving, fault.NotRun, "the target is leaving")
 	}
 	g.queues.remove(w)
+	if ctx.Err() == nil {
+		return nil, fault.New(fault.Overloaded, fault.NotRun, "the target is at its bound of %d", g.limit()).After(g.estimate(w.ticket))
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return nil, fault.New(fault.Deadline, fault.NotRun, "the time ran out in the queue").After(g.estimate(w.ticket))
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -39,6 +39,7 @@
 	DataCenter string
 	Targets    []Target
 	Admission  admission.Options
+	Cache      CacheOptions
 	Once       once.Options
 	Members    *member.List
 	Config     *config.State
@@ -70,6 +71,8 @@
 type place struct {
 	Target
 	gate *admission.Gate
+	// held are the chats whose prefixes an engine has; nil for a service.
+	held *held
 	// leaveAt is when a leaving service target's gate closes at the latest;
 	// the agent's lock guards it.
 	leaveAt time.Time
@@ -101,6 +104,7 @@
 	if options.PieceWait == 0 {
 		options.PieceWait = defaultPieceWait
 	}
+	options.Cache.defaults()
 	if options.RunTimeout == 0 {
 		options.RunTimeout = defaultRunTimeout
 	}
@@ -115,7 +119,7 @@
 	}
 	a.lease = &longLease{store: options.Store, agent: options.ID}
 	for _, t := range options.Targets {
-		a.places[t.ID] = &place{Target: t, gate: admission.NewGate(options.Admission)}
+		a.places[t.ID] = newPlace(t, options)
 		a.order = append(a.order, t.ID)
 		if t.Service != nil && a.keepers[t.Pool] == nil {
 			a.keepers[t.Pool] = newKeeper(a, t.Pool)
@@ -124,6 +128,14 @@
 	return a
 }
 
+func newPlace(t Target, options Options) *place {
+	p := &place{Target: t, gate: admission.NewGate(options.Admission)}
+	if t.Engine != nil {
+		p.held = newHeld(options.Cache)
+	}
+	return p
+}
+
 // Start begins the agent's loops.
 func (a *Agent) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/agent/chat.go
+++ b/internal/agent/chat.go
@@ -27,7 +27,13 @@
 		answer.refuse(fault.New(fault.NoTarget, fault.NotRun, "target %q is no engine", p.ID))
 		return
 	}
-	admitted, refusal := p.gate.Admit(ctx, ticketOf(call, len(work.GetBody())))
+	if work.GetOnlyHeld() && !p.held.has(work.GetChat()) {
+		answer.refuse(fault.New(fault.NotHeld, fault.NotRun, "the chat is not held here"))
+		return
+	}
+	ticket := ticketOf(call, len(work.GetBody()))
+	ticket.HomeWait = p.held.worth(work.GetChat())
+	admitted, refusal := p.gate.Admit(ctx, ticket)
 	if refusal != nil {
 		answer.refuse(refusal)
 		return
@@ -55,7 +61,10 @@
 	}
 	pump := newPump(generation)
 	defer pump.close(cancel)
-	a.stream(ctx, pump, work.GetOffset(), answer)
+	end := a.stream(ctx, pump, work.GetOffset(), answer)
+	if end != nil {
+		p.held.put(work.GetChat(), end.GetPromptTokens()+end.GetCompletionTokens())
+	}
 }
 
 // engineRefusal tells an engine that took nothing from one that failed.
@@ -114,8 +123,9 @@
 	_ = p.generation.Close()
 }
 
-// stream sends pieces until the answer is whole or broken.
-func (a *Agent) stream(ctx context.Context, pump *pump, offset int64, answer *answer) {
+// stream sends pieces until the answer is whole, and returns its end, or
+// broken.
+func (a *Agent) stream(ctx context.Context, pump *pump, offset int64, answer *answer) *wire.End {
 	idle := time.NewTimer(a.options.PieceWait)
 	defer idle.Stop()
 	next := offset
@@ -125,19 +135,19 @@
 			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 				answer.refuse(fault.New(fault.Deadline, fault.Unknown, "the time ran out after %d pieces", next))
 			}
-			return
+			return nil
 		case <-idle.C:
 			answer.refuse(fault.New(fault.Cut, fault.Unknown, "the engine gave nothing for %v after %d pieces", a.options.PieceWait, next))
-			return
+			return nil
 		case piece, ok := <-pump.pieces:
 			if !ok {
 				answer.refuse(cutRefusal(ctx, pump.err, next))
-				return
+				return nil
 			}
 			idle.Reset(a.options.PieceWait)
-			ended, err := sendBatch(pump, piece, &next, answer)
-			if err != nil || ended {
-				return
+			end, more := sendBatch(pump, piece, &next, answer)
+			if !more {
+				return end
 			}
 		}
 	}
@@ -154,36 +164,35 @@
 	return fault.New(fault.Cut, fault.Unknown, "the engine's stream broke after %d pieces: %v", next, err)
 }
 
-// sendBatch sends a piece with all that are ready behind it; ended says that
-// the answer was whole.
-func sendBatch(pump *pump, first target.Piece, next *int64, answer *answer) (ended bool, err error) {
+// sendBatch sends a piece with all that are ready behind it. It returns false
+// when the stream is over, with the answer's end if it was whole.
+func sendBatch(pump *pump, first target.Piece, next *int64, answer *answer) (*wire.End, bool) {
 	data := &wire.Data{Offset: *next}
 	piece, more := first, true
 	for more && piece.Finish == "" {
 		if piece.Index != *next {
 			answer.refuse(fault.New(fault.Cut, fault.Unknown, "the engine gave piece %d where %d was due", piece.Index, *next))
-			return true, nil
+			return nil, false
 		}
 		data.Pieces = append(data.Pieces, piece.Text)
 		*next++
 		piece, more = ready(pump)
 	}
-	if len(data.Pieces) > 0 {
-		if err := answer.data(data); err != nil {
-			return false, err
-		}
+	if len(data.Pieces) > 0 && answer.data(data) != nil {
+		return nil, false
 	}
 	if !more || piece.Finish == "" {
-		return false, nil
+		return nil, true
 	}
-	answer.end(&wire.End{
+	end := &wire.End{
 		Length:           *next,
 		FinishReason:     piece.Finish,
 		PromptTokens:     piece.Usage.PromptTokens,
 		CompletionTokens: piece.Usage.CompletionTokens,
 		CachedTokens:     piece.Usage.CachedTokens,
-	})
-	return true, nil
+	}
+	answer.end(end)
+	return end, false
 }
 
 // ready gives the next piece if one waits.
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -27,6 +27,7 @@
 	KeyConflict    Kind = "idempotency_key_conflict"
 	Overloaded     Kind = "overloaded"
 	Leaving        Kind = "leaving"
+	NotHeld        Kind = "chat_not_held"
 	NotOwner       Kind = "not_owner"
 	NoOwner        Kind = "no_owner"
 	NoTarget       Kind = "no_target"
@@ -96,6 +97,7 @@
 	KeyConflict:    {http.StatusUnprocessableEntity, ExitRefused, false, typeInvalid},
 	Overloaded:     {http.StatusTooManyRequests, ExitRefused, true, typeRate},
 	Leaving:        {http.StatusServiceUnavailable, ExitRefused, true, typeServer},
+	NotHeld:        {http.StatusServiceUnavailable, ExitRefused, true, typeServer},
 	NotOwner:       {http.StatusServiceUnavailable, ExitRefused, true, typeServer},
 	NoOwner:        {http.StatusServiceUnavailable, ExitAway, true, typeServer},
 	NoTarget:       {http.StatusServiceUnavailable, ExitAway, true, typeServer},
--- /dev/null
+++ b/internal/policy/search.go
@@ -0,0 +1,153 @@
+package policy
+
+import "math/rand/v2"
+
+const (
+	// Homes is how many of a chat's first targets it may have been placed at:
+	// a new chat goes to the least loaded of them, so that targets with room
+	// fill up first, and a returning one is looked for there.
+	Homes = 4
+	// mostFull is how many targets may refuse for their load before the
+	// request asks to wait in a queue.
+	mostFull = 3
+	// mostTried bounds all attempts of one search.
+	mostTried = 16
+)
+
+// Ask is one attempt: which target, and how.
+type Ask struct {
+	Number uint32
+	// OnlyHeld asks the target to refuse a chat that it does not hold.
+	OnlyHeld bool
+	// Wait asks the target to queue the request if it is full.
+	Wait bool
+}
+
+// Outcome is how an attempt that ran nothing ended.
+type Outcome int
+
+// The outcomes that a search goes on from.
+const (
+	// NotHeld: the target does not hold the chat.
+	NotHeld Outcome = iota
+	// Full: the target is at its bound.
+	Full
+	// Gone: the target cannot be reached, is leaving or failed.
+	Gone
+)
+
+// Search finds a target for one request, attempt by attempt. The zero value
+// with its first fields set is ready.
+type Search struct {
+	Places *Places
+	// Chat is the chat's hash.
+	Chat uint64
+	// Returning says that the chat has been answered before.
+	Returning bool
+	// Token is the target that the caller's token names; valid if HasToken.
+	Token    uint32
+	HasToken bool
+	// Patient requests ask to wait as soon as one target was full.
+	Patient bool
+
+	tried [mostTried]uint32
+	count int
+	// probed counts the homes looked at for a returning chat.
+	probed int
+	full   int
+	// queued says that a target was asked to queue the request.
+	queued bool
+	last   Ask
+}
+
+// Next gives the next attempt; false when nothing is left to try.
+func (s *Search) Next(hints Hints, random *rand.Rand) (Ask, bool) {
+	ask, ok := s.next(hints, random)
+	if !ok && s.full > 0 && !s.queued {
+		// All that are left are full: one of them may queue the request.
+		s.count = 0
+		s.full = max(s.full, mostFull)
+		ask, ok = s.next(hints, random)
+	}
+	if !ok || s.count == mostTried {
+		return Ask{}, false
+	}
+	ask.Wait = s.full >= mostFull || s.Patient && s.full > 0
+	s.queued = s.queued || ask.Wait
+	s.tried[s.count] = ask.Number
+	s.count++
+	s.last = ask
+	return ask, true
+}
+
+// After takes in how the last attempt ended; false when the search is over
+// because even a queue had no room.
+func (s *Search) After(outcome Outcome) bool {
+	switch outcome {
+	case NotHeld:
+		// It may still be the best place for the chat as a new one.
+		s.count--
+	case Full:
+		s.full++
+		return !s.last.Wait
+	case Gone:
+	}
+	return true
+}
+
+func (s *Search) next(hints Hints, random *rand.Rand) (Ask, bool) {
+	if s.HasToken {
+		s.HasToken = false
+		if hints(s.Token).Usable() {
+			s.probed = Homes
+			return Ask{Number: s.Token}, true
+		}
+	}
+	if number, ok := s.probe(hints); ok {
+		return Ask{Number: number, OnlyHeld: true}, true
+	}
+	if number, ok := s.lightestHome(hints); ok {
+		return Ask{Number: number}, true
+	}
+	number, ok := s.Places.Choose(s.Chat, hints, random, s.tried[:s.count])
+	return Ask{Number: number}, ok
+}
+
+// probe looks for a returning chat at its homes, in order, until one was
+// full: then that one holds it.
+func (s *Search) probe(hints Hints) (uint32, bool) {
+	if !s.Returning || s.full > 0 {
+		return 0, false
+	}
+	homes := s.homes()
+	for s.probed < len(homes) {
+		number := homes[s.probed]
+		s.probed++
+		if hints(number).Usable() && !contains(s.tried[:s.count], number) {
+			return number, true
+		}
+	}
+	return 0, false
+}
+
+func (s *Search) homes() []uint32 {
+	order := s.Places.Order(SlotOf(s.Chat))
+	return order[:min(len(order), Homes)]
+}
+
+// lightestHome is the home with the most room; those believed full are left
+// for later.
+func (s *Search) lightestHome(hints Hints) (uint32, bool) {
+	best := none
+	var bestHint Hint
+	for _, number := range s.homes() {
+		hint := hints(number)
+		if !hint.Usable() || hint.Full() || contains(s.tried[:s.count], number) {
+			continue
+		}
+		if best == none || lessLoaded(hint, bestHint) {
+			best, bestHint = number, hint
+		}
+	}
+	return best, best != none
+}
--- /dev/null
+++ b/internal/policy/trial_test.go
@@ -0,0 +1,652 @@
+package policy
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// The trial plays routers and engines in steps of a tenth of a second: real
+// decision code, simple engines, hints that are late, lost and partial. It is
+// for comparing policies within one run, not for absolute figures.
+
+const (
+	stepsPerSecond = 10
+	trialSeconds   = 60
+	// factor and floor are the agents' bound.
+	factor = 1.25
+	floor  = 4
+	// serviceSeconds is the mean time of a request without prefill.
+	serviceSeconds = 6.0
+	// prefillPerSecond is how many uncached tokens an engine takes in.
+	prefillPerSecond = 4000.0
+	// homeWaitFactor is the agents' default.
+	homeWaitFactor = 2.0
+	// cacheTokens is the size of an engine's prefix cache.
+	cacheTokens = 400_000
+	// longestQueue is how many requests wait at an engine.
+	longestQueue = 32
+)
+
+// trialSize is the size of one trial.
+type trialSize struct {
+	routers int
+	engines int
+	// perSecond is the rate of requests.
+	perSecond float64
+	// samples is how many engines' loads a router and an agent hear of each
+	// second; the rest of their hints is from replies.
+	samples int
+}
+
+var (
+	sizeToday  = trialSize{routers: 3, engines: 50, perSecond: 50, samples: 50}
+	sizeLetter = trialSize{routers: 370, engines: 7500, perSecond: 8900, samples: 240}
+)
+
+// scenario is what happens during a trial.
+type scenario struct {
+	name string
+	// rate scales the rate of requests at a second.
+	rate func(second int) float64
+	// returning is the share of requests that return to a chat at a second.
+	returning func(second int) float64
+	// long says that returning chats are the longest ones.
+	long func(second int) bool
+	// down says whether an engine is away at a second.
+	down func(engine, second int) bool
+	// stale is the share of routers whose lists are 15 s old.
+	stale float64
+}
+
+func flat(rate float64) func(int) float64 { return func(int) float64 { return rate } }
+
+func scenarios() []scenario {
+	usual := func(int) float64 { return 0.7 }
+	never := func(int) bool { return false }
+	up := func(int, int) bool { return false }
+	steady := scenario{name: "steady", rate: flat(1), returning: usual, long: never, down: up}
+	surge := steady
+	surge.name = "surge"
+	surge.rate = func(second int) float64 {
+		if second >= 20 && second < 40 {
+			return 2.5
+		}
+		return 1
+	}
+	surge.returning = func(second int) float64 {
+		if second >= 20 && second < 40 {
+			return 0.3
+		}
+		return 0.7
+	}
+	burst := steady
+	burst.name = "burst"
+	burst.rate = func(second int) float64 {
+		if second >= 20 && second < 30 {
+			return 3
+		}
+		return 1
+	}
+	burst.returning = func(second int) float64 {
+		if second >= 20 && second < 30 {
+			return 0.98
+		}
+		return 0.7
+	}
+	burst.long = func(second int) bool { return second >= 20 && second < 30 }
+	churn := steady
+	churn.name = "churn"
+	churn.down = func(engine, second int) bool {
+		// A tenth of the engines goes within a minute, each for 30 s.
+		gone := engine % 10
+		from := engine * 7 % 60
+		return gone == 0 && second >= from && second < from+30
+	}
+	flap := steady
+	flap.name = "flap"
+	flap.down = func(engine, second int) bool { return engine%20 == 0 && second/5%2 == 1 }
+	stale := churn
+	stale.name = "stale"
+	stale.stale = 0.5
+	return []scenario{steady, surge, burst, churn, flap, stale}
+}
+
+// trialChat is one chat.
+type trialChat struct {
+	hash   uint64
+	tokens int
+	// home is the engine that answered last, or -1.
+	home int
+	busy bool
+}
+
+// trialEngine is an engine with its agent.
+type trialEngine struct {
+	load  int
+	queue []*trialRequest
+	// ends counts the requests that end at each step, by ring index.
+	ends []int
+	// cached maps chats to the tokens cached; used orders them.
+	cached map[*trialChat]int
+	used   []*trialChat
+	tokens int
+	// mean is what the agent believes of its pool.
+	mean float64
+	down bool
+	// running are the requests by their end.
+	running map[int][]*trialRequest
+}
+
+type trialRequest struct {
+	chat   *trialChat
+	router int
+}
+
+// picker is a policy under trial.
+type picker struct {
+	name string
+	// bounded says that agents enforce the bound.
+	bounded bool
+	// tokens is how many of ten returning chats send their token back.
+	tokens int
+	// pick is nil for the real search.
+	pick func(t *trial, router int, chat *trialChat, tried []uint32) (uint32, bool)
+}
+
+type trial struct {
+	size     trialSize
+	scenario scenario
+	picker
+	random  *rand.Rand
+	places  *Places
+	engines []*trialEngine
+	// hints are by router and engine.
+	hints  [][]Hint
+	turn   []int
+	chats  []*trialChat
+	step   int
+	result trialResult
+	ratios []float64
+	// history holds loads of past seconds, newest last.
+	history [][]int
+	// seen is what routers with fresh and with stale lists believe is up.
+	upNow, upBefore []bool
+	tried           []uint32
+}
+
+type trialResult struct {
+	requests, refusals, dropped, retries, probes int
+	reused, reusable                             int
+	overBound                                    int
+	waitSteps                                    int
+}
+
+func newTrial(size trialSize, s scenario, p picker) *trial {
+	t := &trial{size: size, scenario: s, picker: p, random: rand.New(rand.NewPCG(1, 2)), turn: make([]int, size.routers)}
+	names := make([]string, size.engines)
+	for i := range names {
+		names[i] = fmt.Sprintf("engine-%05d", i)
+		t.engines = append(t.engines, &trialEngine{cached: make(map[*trialChat]int), running: make(map[int][]*trialRequest)})
+	}
+	t.places = sharedPlaces(names)
+	t.upNow = make([]bool, size.engines)
+	for i := range t.upNow {
+		t.upNow[i] = true
+	}
+	t.upBefore = slices.Clone(t.upNow)
+	for range size.routers {
+		t.hints = append(t.hints, make([]Hint, size.engines))
+	}
+	return t
+}
+
+var placesCache = map[int]*Places{}
+
+func sharedPlaces(names []string) *Places {
+	if _, ok := placesCache[len(names)]; !ok {
+		placesCache[len(names)] = NewPlaces(names)
+	}
+	return placesCache[len(names)]
+}
+
+func (t *trial) run() {
+	for t.step = 0; t.step < trialSeconds*stepsPerSecond; t.step++ {
+		if t.step%stepsPerSecond == 0 {
+			t.eachSecond(t.step / stepsPerSecond)
+		}
+		t.finish()
+		t.arrive()
+		t.measure()
+	}
+}
+
+// eachSecond changes engines and passes words on load around.
+func (t *trial) eachSecond(second int) {
+	loads := make([]int, len(t.engines))
+	for i, e := range t.engines {
+		down := t.scenario.down(i, second)
+		if down && !e.down {
+			t.engineDies(e)
+		}
+		e.down = down
+		loads[i] = e.load
+	}
+	t.history = append(t.history, loads)
+	for i, e := range t.engines {
+		t.upNow[i] = !e.down
+	}
+	if second%15 == 0 {
+		copy(t.upBefore, t.upNow)
+	}
+	for r := range t.hints {
+		t.spread(t.hints[r])
+	}
+	for _, e := range t.engines {
+		e.mean = t.sampledMean()
+	}
+}
+
+// engineDies loses its cache and its requests.
+func (t *trial) engineDies(e *trialEngine) {
+	for _, ending := range e.running {
+		for _, request := range ending {
+			request.chat.busy = false
+		}
+	}
+	for _, request := range e.queue {
+		request.chat.busy = false
+	}
+	*e = trialEngine{cached: make(map[*trialChat]int), running: make(map[int][]*trialRequest), down: true}
+}
+
+// spread gives a router words on some engines' load, up to 4 s old; one in
+// five is lost.
+func (t *trial) spread(hints []Hint) {
+	for range t.size.samples {
+		i := t.random.IntN(len(hints))
+		if t.random.IntN(5) == 0 {
+			continue
+		}
+		age := t.random.IntN(min(len(t.history), 4))
+		hints[i].InFlight = uint32(t.history[len(t.history)-1-age][i])
+		hints[i].Limit = uint32(t.limit(t.engines[i]))
+	}
+}
+
+// sampledMean is what an agent works out from late words on some engines.
+func (t *trial) sampledMean() float64 {
+	sum := 0
+	count := min(t.size.samples, 100)
+	for range count {
+		age := t.random.IntN(min(len(t.history), 4))
+		sum += t.history[len(t.history)-1-age][t.random.IntN(len(t.engines))]
+	}
+	return float64(sum) / float64(count)
+}
+
+func (t *trial) limit(e *trialEngine) int {
+	return max(floor, int(math.Ceil(factor*e.mean-1e-9)))
+}
+
+func (t *trial) arrive() {
+	second := t.step / stepsPerSecond
+	rate := t.size.perSecond * t.scenario.rate(second) / stepsPerSecond
+	count := int(rate)
+	if t.random.Float64() < rate-float64(count) {
+		count++
+	}
+	for range count {
+		t.send(t.nextChat(second), t.random.IntN(t.size.routers))
+	}
+}
+
+// nextChat returns to a chat or begins one.
+func (t *trial) nextChat(second int) *trialChat {
+	if len(t.chats) > 100 && t.random.Float64() < t.scenario.returning(second) {
+		if chat := t.returningChat(t.scenario.long(second)); chat != nil {
+			chat.tokens += 200
+			return chat
+		}
+	}
+	chat := &trialChat{hash: t.random.Uint64(), tokens: 500 + t.random.IntN(3500), home: -1}
+	t.chats = append(t.chats, chat)
+	return chat
+}
+
+func (t *trial) returningChat(long bool) *trialChat {
+	var best *trialChat
+	for range 8 {
+		// Most return within minutes: the newest half is drawn more often.
+		i := len(t.chats) - 1 - int(math.Pow(t.random.Float64(), 2)*float64(len(t.chats)))
+		chat := t.chats[max(i, 0)]
+		if chat.busy {
+			continue
+		}
+		if !long {
+			return chat
+		}
+		if best == nil || chat.tokens > best.tokens {
+			best = chat
+		}
+	}
+	return best
+}
+
+// send carries a request to an engine as a router would.
+func (t *trial) send(chat *trialChat, router int) {
+	t.result.requests++
+	chat.busy = true
+	request := &trialRequest{chat: chat, router: router}
+	if t.pick == nil {
+		t.search(request)
+		return
+	}
+	t.tried = t.tried[:0]
+	for range 5 {
+		number, ok := t.pick(t, router, chat, t.tried)
+		if !ok {
+			break
+		}
+		if t.offer(request, Ask{Number: number}) == admitted {
+			return
+		}
+		t.result.retries++
+		t.tried = append(t.tried, number)
+	}
+	t.drop(chat)
+}
+
+func (t *trial) drop(chat *trialChat) {
+	t.result.dropped++
+	chat.busy = false
+}
+
+// search is the way of the real router.
+func (t *trial) search(request *trialRequest) {
+	chat := request.chat
+	search := Search{Places: t.places, Chat: chat.hash, Returning: chat.home >= 0}
+	if chat.home >= 0 && t.random.IntN(10) < t.tokens {
+		search.Token, search.HasToken = uint32(chat.home), true
+	}
+	hints := func(number uint32) Hint { return t.hint(request.router, number) }
+	for {
+		ask, ok := search.Next(hints, t.random)
+		if !ok {
+			break
+		}
+		end := t.offer(request, ask)
+		if end == admitted {
+			return
+		}
+		t.result.retries++
+		if !search.After(Outcome(end)) {
+			break
+		}
+	}
+	t.drop(chat)
+}
+
+func (t *trial) hint(router int, number uint32) Hint {
+	hint := t.hints[router][number]
+	up := t.upNow
+	if float64(router) < t.scenario.stale*float64(t.size.routers) {
+		up = t.upBefore
+	}
+	if !up[number] {
+		hint.Down = true
+	}
+	return hint
+}
+
+// admitted is the end of an attempt beside the search's outcomes.
+const admitted = -1
+
+// offer lets an engine's agent admit, queue or refuse a request.
+func (t *trial) offer(request *trialRequest, ask Ask) int {
+	e := t.engines[ask.Number]
+	hint := &t.hints[request.router][ask.Number]
+	if e.down {
+		hint.Down = true
+		return int(Gone)
+	}
+	held, holds := e.cached[request.chat]
+	if ask.OnlyHeld && !holds {
+		t.result.probes++
+		return int(NotHeld)
+	}
+	limit := t.limit(e)
+	defer func() {
+		hint.Down = false
+		hint.InFlight, hint.Limit = uint32(e.load), uint32(limit)
+		if !t.bounded {
+			hint.Limit = math.MaxUint32
+		}
+	}()
+	if !t.bounded || e.load < limit && len(e.queue) == 0 {
+		t.admit(e, int(ask.Number), request)
+		return admitted
+	}
+	// A chat whose prefix is here may wait for up to twice the time that the
+	// prefix saves.
+	saved := homeWaitFactor * float64(held) / prefillPerSecond
+	expected := serviceSeconds / float64(max(e.load, 1)) * float64(len(e.queue)+1)
+	if (ask.Wait || expected <= saved) && len(e.queue) < longestQueue {
+		e.queue = append(e.queue, request)
+		return admitted
+	}
+	t.result.refusals++
+	return int(Full)
+}
+
+// admit begins a request: what is cached of its chat needs no prefill.
+func (t *trial) admit(e *trialEngine, number int, request *trialRequest) {
+	if t.bounded && e.load >= t.limit(e) {
+		t.result.overBound++
+	}
+	chat := request.chat
+	e.load++
+	cached := min(e.cached[chat], chat.tokens-200)
+	if chat.home >= 0 {
+		t.result.reusable += chat.tokens - 200
+		t.result.reused += max(cached, 0)
+	}
+	e.remember(chat)
+	chat.home = number
+	seconds := t.random.ExpFloat64()*serviceSeconds + float64(chat.tokens-max(cached, 0))/prefillPerSecond
+	end := t.step + 1 + int(seconds*stepsPerSecond)
+	e.running[end] = append(e.running[end], request)
+}
+
+// remember puts a chat into the cache, least recently used out first.
+func (e *trialEngine) remember(chat *trialChat) {
+	if _, ok := e.cached[chat]; ok {
+		e.tokens -= e.cached[chat]
+	}
+	e.cached[chat] = chat.tokens
+	e.tokens += chat.tokens
+	e.used = append(e.used, chat)
+	for e.tokens > cacheTokens && len(e.used) > 1 {
+		oldest := e.used[0]
+		e.used = e.used[1:]
+		if slices.Contains(e.used, oldest) {
+			continue
+		}
+		e.tokens -= e.cached[oldest]
+		delete(e.cached, oldest)
+	}
+}
+
+// finish ends requests and admits those that wait.
+func (t *trial) finish() {
+	for i, e := range t.engines {
+		ending := e.running[t.step]
+		if len(ending) == 0 && len(e.queue) == 0 {
+			continue
+		}
+		delete(e.running, t.step)
+		for _, request := range ending {
+			request.chat.busy = false
+			e.load--
+		}
+		for len(e.queue) > 0 && e.load < t.limit(e) {
+			next := e.queue[0]
+			e.queue = e.queue[1:]
+			t.admit(e, i, next)
+		}
+		t.result.waitSteps += len(e.queue)
+	}
+}
+
+// measure notes the largest load over the mean.
+func (t *trial) measure() {
+	if t.step < 10*stepsPerSecond {
+		return
+	}
+	sum, most, up := 0, 0, 0
+	for _, e := range t.engines {
+		if e.down {
+			continue
+		}
+		up++
+		sum += e.load
+		most = max(most, e.load)
+	}
+	if sum > 0 {
+		t.ratios = append(t.ratios, float64(most)*float64(up)/float64(sum))
+	}
+}
+
+func quantile(sorted []float64, q float64) float64 {
+	return sorted[int(q*float64(len(sorted)-1))]
+}
+
+// pickers are our policy and what it is compared with.
+func pickers() []picker {
+	usable := func(t *trial, router int, number uint32, tried []uint32) bool {
+		return !slices.Contains(tried, number) && t.hint(router, number).Usable()
+	}
+	random := func(t *trial, router int, _ *trialChat, tried []uint32) (uint32, bool) {
+		for range 64 {
+			number := uint32(t.random.IntN(len(t.engines)))
+			if usable(t, router, number, tried) {
+				return number, true
+			}
+		}
+		return 0, false
+	}
+	robin := func(t *trial, router int, _ *trialChat, tried []uint32) (uint32, bool) {
+		for range 64 {
+			t.turn[router]++
+			number := uint32((t.turn[router] + router*31) % len(t.engines))
+			if usable(t, router, number, tried) {
+				return number, true
+			}
+		}
+		return 0, false
+	}
+	least := func(t *trial, router int, _ *trialChat, tried []uint32) (uint32, bool) {
+		// Of the engines it knows, those with the least load; at thousands of
+		// engines a sample of 64 keeps the trial's own cost down.
+		best, found := uint32(0), false
+		for range min(len(t.engines), 64) {
+			number := uint32(t.random.IntN(len(t.engines)))
+			if usable(t, router, number, tried) && (!found || t.hint(router, number).InFlight < t.hint(router, best).InFlight) {
+				best, found = number, true
+			}
+		}
+		return best, found
+	}
+	two := func(t *trial, router int, chat *trialChat, tried []uint32) (uint32, bool) {
+		a, okA := random(t, router, chat, tried)
+		b, okB := random(t, router, chat, tried)
+		if !okA || okB && t.hint(router, b).InFlight < t.hint(router, a).InFlight {
+			return b, okB
+		}
+		return a, okA
+	}
+	plain := func(t *trial, router int, chat *trialChat, tried []uint32) (uint32, bool) {
+		for _, number := range t.places.Order(SlotOf(chat.hash)) {
+			if usable(t, router, number, tried) {
+				return number, true
+			}
+		}
+		return random(t, router, chat, tried)
+	}
+	bounded := func(t *trial, router int, chat *trialChat, tried []uint32) (uint32, bool) {
+		return t.places.Choose(chat.hash, func(number uint32) Hint { return t.hint(router, number) }, t.random, tried)
+	}
+	return []picker{
+		{name: "capersaddle", bounded: true, tokens: 9},
+		{name: "capersaddle-no-tokens", bounded: true},
+		{name: "bounded-rendezvous", bounded: true, pick: bounded},
+		{name: "random", pick: random},
+		{name: "round-robin", pick: robin},
+		{name: "least-known", pick: least},
+		{name: "two-choices", pick: two},
+		{name: "rendezvous", pick: plain},
+	}
+}
+
+func runTrial(size trialSize, s scenario, p picker) *trial {
+	t := newTrial(size, s, p)
+	t.run()
+	slices.SortFunc(t.ratios, cmp.Compare[float64])
+	return t
+}
+
+// BenchmarkTrial compares the policies at both sizes:
+//
+//	go test -run - -bench Trial -benchtime 1x ./internal/policy
+func BenchmarkTrial(b *testing.B) {
+	sizes := map[string]trialSize{"today": sizeToday, "letter": sizeLetter}
+	for _, name := range []string{"today", "letter"} {
+		for _, s := range scenarios() {
+			for _, p := range pickers() {
+				b.Run(name+"/"+s.name+"/"+p.name, func(b *testing.B) {
+					for range b.N {
+						report(b, runTrial(sizes[name], s, p))
+					}
+				})
+			}
+		}
+	}
+}
+
+func report(b *testing.B, t *trial) {
+	requests := float64(t.result.requests)
+	b.ReportMetric(quantile(t.ratios, 0.5), "skew-p50")
+	b.ReportMetric(quantile(t.ratios, 0.99), "skew-p99")
+	b.ReportMetric(quantile(t.ratios, 1), "skew-worst")
+	b.ReportMetric(100*float64(t.result.reused)/float64(max(t.result.reusable, 1)), "reuse-%")
+	b.ReportMetric(float64(t.result.refusals)/requests, "refusals/req")
+	b.ReportMetric(float64(t.result.probes)/requests, "probes/req")
+	b.ReportMetric(1000*float64(t.result.dropped)/requests, "dropped/1000req")
+	b.ReportMetric(float64(t.result.waitSteps)/stepsPerSecond/requests, "wait-s/req")
+	b.ReportMetric(0, "ns/op")
+}
+
+// TestTrialKeepsTheBound plays each scenario at today's size: no engine is
+// ever above its bound, and reuse stays near that of plain rendezvous.
+func TestTrialKeepsTheBound(t *testing.T) {
+	all := pickers()
+	ours, plain := all[0], all[len(all)-1]
+	for _, s := range scenarios() {
+		t.Run(s.name, func(t *testing.T) {
+			bounded := runTrial(sizeToday, s, ours)
+			free := runTrial(sizeToday, s, plain)
+			if bounded.result.overBound != 0 {
+				t.Fatalf("%d requests were admitted above the bound", bounded.result.overBound)
+			}
+			reuse := float64(bounded.result.reused) / float64(bounded.result.reusable)
+			most := float64(free.result.reused) / float64(free.result.reusable)
+			t.Logf("skew worst %.2f, plain rendezvous %.2f; reuse %.3f and %.3f", quantile(bounded.ratios, 1), quantile(free.ratios, 1), reuse, most)
+			if reuse < 0.8*most {
+				t.Fatalf("reuse is %.3f, below four fifths of plain rendezvous' %.3f", reuse, most)
+			}
+		})
+	}
+}
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -33,6 +33,7 @@
 		DataCenter: s.DataCenter,
 		Targets:    targetsOf(s),
 		Admission:  s.AdmissionOptions(),
+		Cache:      s.CacheOptions(),
 		Once:       s.OnceOptions(),
 		Members:    c.node.Members,
 		Config:     c.node.Config,
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -21,15 +21,13 @@
 	body       []byte
 	// chat is the hash that decides affinity.
 	chat uint64
+	// returning says that the body holds an earlier answer.
+	returning bool
 	// preferred is the target named by the caller's placement token.
 	preferred string
 }
 
-// mostRefusals is how many targets may refuse a request before it asks to
-// queue at the next.
-const mostRefusals = 3
-
-// mostAttempts bounds all attempts of one request.
+// mostAttempts bounds the attempts that reached a target.
 const mostAttempts = 8
 
 // chatHash hashes what stays the same when a chat returns: the caller's own
@@ -51,23 +49,30 @@
 	return policy.HashName(leading.String())
 }
 
+// isReturning says whether a chat has been answered before.
+func isReturning(chat *target.ChatBody) bool {
+	for i := range chat.Messages {
+		if chat.Messages[i].Role == "assistant" {
+			return true
+		}
+	}
+	return false
+}
+
 // chatRun is the state of a chat's attempts.
 type chatRun struct {
 	router  *Router
 	request chatRequest
 	pool    *pool
 	into    *chatSink
+	search  policy.Search
 	// next is the index of the first piece that the caller does not have.
-	next int64
-	// tried are target numbers that have refused or failed.
-	tried []uint32
-	// refusals counts attempts that ran nothing; queued says that the last
-	// one had asked to wait in a queue.
-	refusals int
-	queued   bool
-	// last is the newest failure.
-	last     *fault.Error
+	next     int64
 	attempts uint32
+	// reruns counts attempts after an answer that broke off.
+	reruns int
+	// last is the newest failure.
+	last *fault.Error
 	// state is what can be said of the request if it fails now.
 	state fault.RunState
 }
@@ -94,7 +99,7 @@
 	return s.sink.data(data)
 }
 
-// serve carries a chat to its end: whole, or a plain error. begin is told
+// serveChat carries a chat to its end: whole, or a plain error. begin is told
 // which target answers, before the first piece.
 func (r *Router) serveChat(ctx context.Context, request chatRequest, begin func(target string), into sink) (result, error) {
 	r.spill.earn()
@@ -109,23 +114,29 @@
 		pool:    pool,
 		into:    &chatSink{sink: into, begin: begin},
 		state:   fault.NotRun,
-	}
+		search: policy.Search{
+			Places:    pool.order,
+			Chat:      request.chat,
+			Returning: request.returning,
+			Patient:   request.deferrable,
+		},
+	}
+	run.search.Token, run.search.HasToken = pool.order.Number(request.preferred)
 	return run.run(ctx)
 }
 
 func (c *chatRun) run(ctx context.Context) (result, error) {
 	for {
-		number, ok := c.choose()
+		ask, ok := c.choose()
 		if !ok {
 			return result{}, c.failed(c.exhausted())
 		}
-		p := c.pool.byNumber[number]
+		p := c.pool.byNumber[ask.Number]
 		c.into.from = p.id
-		end, err := c.router.attempt(ctx, p, callQuestion(c.call(p)), &c.next, c.into)
+		end, err := c.router.attempt(ctx, p, callQuestion(c.call(p, ask)), &c.next, c.into)
 		if err == nil {
 			return end, nil
 		}
-		c.tried = append(c.tried, number)
 		if final := c.after(ctx, err); final != nil {
 			return result{}, c.failed(final)
 		}
@@ -141,40 +152,14 @@
 	return fault.New(fault.NoTarget, c.state, "no engine for model %q takes requests now", c.request.model).After(time.Second)
 }
 
-// choose takes the target of the placement token first, then the policy's. If
-// all that are left have refused for their load, it takes one of them again,
-// to queue there.
-func (c *chatRun) choose() (uint32, bool) {
-	number, ok := c.pick()
-	overloaded := c.last != nil && c.last.Kind == fault.Overloaded
-	if ok || !overloaded || c.queued {
-		return number, ok
-	}
-	c.tried = nil
-	c.refusals = max(c.refusals, mostRefusals)
-	return c.pick()
-}
-
-func (c *chatRun) pick() (uint32, bool) {
-	now := time.Now()
-	hints := c.pool.hints(now)
-	if c.attempts == 0 && c.request.preferred != "" {
-		if p, ok := c.pool.byName[c.request.preferred]; ok {
-			hint := p.hint(now)
-			number, known := c.pool.order.Number(p.id)
-			if known && hint.Usable() && !hint.Full() {
-				return number, true
-			}
-		}
-	}
+func (c *chatRun) choose() (policy.Ask, bool) {
 	c.router.randomMu.Lock()
 	defer c.router.randomMu.Unlock()
-	return c.pool.order.Choose(c.request.chat, hints, c.router.random, c.tried)
+	return c.search.Next(c.pool.hints(time.Now()), c.router.random)
 }
 
-func (c *chatRun) call(p *place) *wire.Call {
+func (c *chatRun) call(p *place, ask policy.Ask) *wire.Call {
 	c.attempts++
-	c.queued = c.refusals >= mostRefusals || c.request.deferrable && c.refusals > 0
 	return &wire.Call{
 		RequestId:  c.request.id,
 		Attempt:    c.attempts,
@@ -182,12 +167,14 @@
 		Workspace:  c.request.workspace,
 		Share:      uint32(max(c.request.share, 1)),
 		Deferrable: c.request.deferrable,
-		Wait:       c.queued,
+		Wait:       ask.Wait,
 		Work: &wire.Call_Chat{Chat: &wire.ChatWork{
-			Model:  c.request.model,
-			Body:   c.request.body,
-			Offset: c.next,
-			Prefix: c.into.text.String(),
+			Model:    c.request.model,
+			Body:     c.request.body,
+			Offset:   c.next,
+			Prefix:   c.into.text.String(),
+			Chat:     c.request.chat,
+			OnlyHeld: ask.OnlyHeld,
 		}},
 	}
 }
@@ -196,14 +183,18 @@
 // final error.
 func (c *chatRun) after(ctx context.Context, err error) *fault.Error {
 	failure := fault.From(err)
-	c.last = failure
 	if failure.State != fault.NotRun {
 		c.state = fault.Unknown
 	}
 	if ctx.Err() != nil {
 		return fault.From(endOf(ctx))
 	}
-	if c.attempts >= mostAttempts || !c.mayRetry(failure) {
+	if failure.Kind == fault.NotHeld {
+		c.search.After(policy.NotHeld)
+		return nil
+	}
+	c.last = failure
+	if !c.mayRetry(failure) {
 		return failure
 	}
 	c.router.options.Metrics.Retry(string(failure.Kind))
@@ -216,15 +207,17 @@
 	case fault.Canceled, fault.Deadline, fault.BadRequest, fault.TooLarge:
 		return false
 	}
-	if failure.State == fault.NotRun {
-		// A request that was refused even the queue is given up at once.
-		if failure.Kind == fault.Overloaded && c.queued {
-			return false
-		}
-		c.refusals++
-		return c.router.spill.spend()
+	if failure.State != fault.NotRun {
+		c.reruns++
+		c.search.After(policy.Gone)
+		return c.reruns < mostAttempts && c.router.rerun.spend()
+	}
+	outcome := policy.Gone
+	if failure.Kind == fault.Overloaded {
+		outcome = policy.Full
 	}
-	return c.router.rerun.spend()
+	// A request that was refused even the queue is given up at once.
+	return c.search.After(outcome) && c.router.spill.spend()
 }
 
 // failed gives the final error the run state that covers all attempts.
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -95,6 +95,7 @@
 		switch kind := reply.GetKind().(type) {
 		case *wire.Reply_Admitted:
 			p.heard(kind.Admitted.GetLoad())
+			defer p.ended()
 		case *wire.Reply_Head:
 			if err := into.head(kind.Head); err != nil {
 				return result{}, callerGone(err)
--- a/internal/router/httpchat.go
+++ b/internal/router/httpchat.go
@@ -98,6 +98,7 @@
 		model:      model,
 		body:       body,
 		chat:       chatHash(who.workspace, &chat),
+		returning:  isReturning(&chat),
 		preferred:  req.Header.Get(HeaderPlacement),
 	}, chat, nil
 }
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -57,6 +57,13 @@
 	p.heardAt.Store(time.Now().UnixNano())
 }
 
+// ended notes that a request which this router sent has ended.
+func (p *place) ended() {
+	if in := p.inFlight.Load(); in > 0 {
+		p.inFlight.CompareAndSwap(in, in-1)
+	}
+}
+
 // down notes that the target could not be reached.
 func (p *place) down() {
 	p.downUntil.Store(time.Now().Add(downFor).UnixNano())
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/capersaddle/capersaddle/internal/admission"
+	"github.com/capersaddle/capersaddle/internal/agent"
 	"github.com/capersaddle/capersaddle/internal/member"
 	"github.com/capersaddle/capersaddle/internal/once"
 )
@@ -40,6 +41,7 @@
 	OperatorKeyHash string     `json:"operator_key_hash,omitempty"`
 	Log             Log        `json:"log"`
 	Admission       Admission  `json:"admission"`
+	Cache           Cache      `json:"cache"`
 	Once            Once       `json:"once"`
 	Membership      Membership `json:"membership"`
 	// Timeout bounds a request at a router.
@@ -77,6 +79,18 @@
 	Patience   Duration `json:"patience,omitempty"`
 }
 
+// Cache describes the engines' prefix caches to their agent; zero takes the
+// default. A wrong value costs reuse, never a promise.
+type Cache struct {
+	// Tokens is how many tokens an engine's cache holds.
+	Tokens int64 `json:"tokens,omitempty"`
+	// PrefillPerSecond is how many uncached tokens an engine takes in.
+	PrefillPerSecond float64 `json:"prefill_per_second,omitempty"`
+	// HomeWaitFactor is how long a chat may wait for the engine that holds
+	// it, in multiples of the time that this saves.
+	HomeWaitFactor float64 `json:"home_wait_factor,omitempty"`
+}
+
 // Once are the times of not-repeatable requests; zero takes the default.
 type Once struct {
 	ClockError Duration `json:"clock_error,omitempty"`
@@ -121,6 +135,15 @@
 	return options
 }
 
+// CacheOptions passes the cache's description on; zero stays for the default.
+func (s *Settings) CacheOptions() agent.CacheOptions {
+	return agent.CacheOptions{
+		Tokens:           s.Cache.Tokens,
+		PrefillPerSecond: s.Cache.PrefillPerSecond,
+		HomeWaitFactor:   s.Cache.HomeWaitFactor,
+	}
+}
+
 // OnceOptions fills in the defaults.
 func (s *Settings) OnceOptions() once.Options {
 	options := once.DefaultOptions()
