--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -93,6 +93,9 @@
 	stopping bool
 	// hostLeaving is the host list's word.
 	hostLeaving bool
+	// told and toldStopping are what the members were last told.
+	told         []*wire.TargetState
+	toldStopping bool
 
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
--- a/internal/agent/keeper.go
+++ b/internal/agent/keeper.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +13,7 @@
 	"github.com/capersaddle/capersaddle/internal/config"
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/link"
+	"github.com/capersaddle/capersaddle/internal/member"
 	"github.com/capersaddle/capersaddle/internal/once"
 	"github.com/capersaddle/capersaddle/internal/platform"
 	"github.com/capersaddle/capersaddle/internal/wire"
@@ -249,21 +252,23 @@
 // peers are the live agents of this service.
 func (k *keeper) peers() []once.Peer {
 	var peers []once.Peer
-	for _, member := range k.agent.options.Members.Peers() {
-		if !member.Alive() {
-			continue
+	k.agent.options.Members.Visit(func(view member.View) {
+		if !view.Alive() {
+			return
 		}
-		for _, t := range member.Targets {
-			if t.Service && t.Pool == k.service {
+		m := view.Member
+		for _, t := range m.GetTargets() {
+			if t.GetService() && t.GetPool() == k.service {
 				peers = append(peers, once.Peer{
-					Holder:     once.Holder{Agent: member.ID, Incarnation: member.Session},
-					DataCenter: member.DataCenter,
-					Leaving:    member.Leaving || t.Leaving || !member.Steady,
+					Holder:     once.Holder{Agent: m.GetId(), Incarnation: m.GetSession()},
+					DataCenter: m.GetDataCenter(),
+					Leaving:    m.GetLeaving() || t.GetLeaving() || !view.Steady,
 				})
-				break
+				return
 			}
 		}
-	}
+	})
+	slices.SortFunc(peers, func(a, b once.Peer) int { return cmp.Compare(a.Holder.Agent, b.Holder.Agent) })
 	return peers
 }
 
@@ -334,7 +339,7 @@
 
 // ask sends one message to another agent and reads its one reply.
 func (k *keeper) ask(ctx context.Context, agent string, open *wire.Open) (*wire.Reply, error) {
-	address, ok := k.agent.linkAddress(agent)
+	address, ok := k.agent.options.Members.LinkAddress(agent)
 	if !ok {
 		return nil, errors.Newf("agent %q is not known", agent)
 	}
@@ -343,15 +348,6 @@
 	return link.Ask(ctx, k.agent.options.Dialer, address, open)
 }
 
-func (a *Agent) linkAddress(agent string) (string, bool) {
-	for _, peer := range a.options.Members.Peers() {
-		if peer.ID == agent {
-			return peer.LinkAddress, true
-		}
-	}
-	return "", false
-}
-
 // servePromise answers an owner as its witness.
 func (a *Agent) servePromise(promise *wire.Promise, stream link.Stream) {
 	reply := &wire.PromiseReply{WallMs: a.options.Clock.Wall().UnixMilli()}
--- a/internal/agent/tend.go
+++ b/internal/agent/tend.go
@@ -10,19 +10,25 @@
 )
 
 const (
-	// tendEvery is the time between two rounds of looking after the gates.
+	// tendEvery is the time between two rounds of looking after the gates;
+	// every meanEvery rounds they are told the pools' means.
 	tendEvery = 200 * time.Millisecond
+	meanEvery = 5
 	// hostEvery is how often the host list is read.
 	hostEvery = 5 * time.Second
 	// slotPatience is how long a leaving service target stays open to hand
 	// its slots over without refusals.
 	slotPatience = 2 * time.Second
-	// reportEvery is how often engines are asked for their load.
+	// reportEvery is how many rounds pass between two questions to the
+	// engines for their load.
 	reportEvery = 5
 )
 
 func (a *Agent) tendLoop(ctx context.Context) {
 	for round := 0; sleep(ctx, tendEvery); round++ {
+		if round%meanEvery == 0 {
+			a.setMeans()
+		}
 		a.tend(ctx)
 		if round%reportEvery == 0 {
 			a.countForeign(ctx)
@@ -30,16 +36,22 @@
 	}
 }
 
-// tend tells the gates the pool's mean and who is leaving, and tells the
-// members the gates' loads.
+// setMeans tells the gates their pools' means.
+func (a *Agent) setMeans() {
+	means := a.options.Members.MeanLoads()
+	for _, p := range a.places {
+		if mean, ok := means[p.Pool]; ok {
+			p.gate.SetMean(mean)
+		}
+	}
+}
+
+// tend tells the gates who is leaving, and the members the gates' loads.
 func (a *Agent) tend(ctx context.Context) {
 	loads := make([]member.Load, 0, len(a.order))
 	states := make([]*wire.TargetState, 0, len(a.order))
 	for _, id := range a.order {
 		p := a.places[id]
-		if mean, ok := a.options.Members.MeanLoad(p.Pool); ok {
-			p.gate.SetMean(mean)
-		}
 		leaving := a.leaving(id)
 		a.setLeaving(ctx, p, leaving)
 		load := p.gate.Load()
@@ -54,20 +66,19 @@
 func (a *Agent) tell(states []*wire.TargetState) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, peer := range a.options.Members.Peers() {
-		if peer.ID == a.options.ID && peer.Leaving == a.stopping && sameTargets(peer.Targets, states) {
-			return
-		}
+	if a.toldStopping == a.stopping && sameStates(a.told, states) {
+		return
 	}
+	a.told, a.toldStopping = states, a.stopping
 	a.options.Members.SetSelf(a.stopping, states)
 }
 
-func sameTargets(said []member.Target, states []*wire.TargetState) bool {
-	if len(said) != len(states) {
+func sameStates(told, states []*wire.TargetState) bool {
+	if len(told) != len(states) {
 		return false
 	}
 	for i, state := range states {
-		if said[i].ID != state.GetId() || said[i].Leaving != state.GetLeaving() {
+		if told[i].GetLeaving() != state.GetLeaving() {
 			return false
 		}
 	}
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -78,8 +78,10 @@
 	order []string
 	next  int
 	// digest is the combined hash of all entries.
-	digest  uint64
-	changed chan struct{}
+	digest uint64
+	// generation rises with each change of members or their targets.
+	generation uint64
+	changed    chan struct{}
 	// suspicions counts suspicions begun here.
 	suspicions int
 }
@@ -100,6 +102,7 @@
 }
 
 func (l *List) wake() {
+	l.generation++
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -84,26 +84,85 @@
 	return peer
 }
 
-// MeanLoad is the mean load of a pool's targets whose word is fresh; false
-// when there is none. With thousands of targets the fresh ones are a sample.
-func (l *List) MeanLoad(pool string) (float64, bool) {
+// Generation rises with each change of members or their targets, but not with
+// words on load.
+func (l *List) Generation() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.generation
+}
+
+// View is a member as Visit shows it; it must not be kept or changed.
+type View struct {
+	Member *wire.Member
+	// Steady is false for a member that comes and goes too often.
+	Steady bool
+	// Loads are parallel to the member's targets; empty if nothing fresh is
+	// known.
+	Loads []Load
+}
+
+// Alive says whether the member counts as up.
+func (v View) Alive() bool {
+	return v.Member.GetStanding() != wire.Standing_STANDING_DEAD
+}
+
+// Visit shows all members, in no order, while the list is locked.
+func (l *List) Visit(show func(View)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	sum, count := 0.0, 0
 	for _, known := range l.entries {
-		if now.Sub(known.loadsAt) > l.options.LoadAge || known.member.GetStanding() == wire.Standing_STANDING_DEAD {
-			continue
+		view := View{Member: known.member, Steady: l.decayed(known, now) <= l.options.FlapMost}
+		if now.Sub(known.loadsAt) <= l.options.LoadAge && len(known.loads) == len(known.member.GetTargets()) {
+			view.Loads = known.loads
+		}
+		show(view)
+	}
+}
+
+// LinkAddress gives where a member takes links; false if it is not known.
+func (l *List) LinkAddress(id string) (string, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, ok := l.entries[id]
+	if !ok {
+		return "", false
+	}
+	return known.member.GetLinkAddress(), true
+}
+
+// poolSum adds up the loads of a pool's targets.
+type poolSum struct {
+	load  float64
+	count int
+}
+
+// MeanLoads gives the mean load of each pool's targets whose word is fresh;
+// a pool without any has no entry. With thousands of targets the fresh ones
+// are a sample.
+func (l *List) MeanLoads() map[string]float64 {
+	sums := make(map[string]poolSum)
+	l.Visit(func(view View) {
+		if !view.Alive() {
+			return
 		}
-		for i, target := range known.member.GetTargets() {
-			if target.GetPool() != pool || target.GetLeaving() || i >= len(known.loads) {
+		for i, load := range view.Loads {
+			target := view.Member.GetTargets()[i]
+			if target.GetLeaving() {
 				continue
 			}
-			sum += float64(known.loads[i].InFlight)
-			count++
+			sum := sums[target.GetPool()]
+			sum.load += float64(load.InFlight)
+			sum.count++
+			sums[target.GetPool()] = sum
 		}
+	})
+	means := make(map[string]float64, len(sums))
+	for pool, sum := range sums {
+		means[pool] = sum.load / float64(sum.count)
 	}
-	return sum / float64(max(count, 1)), count > 0
+	return means
 }
 
 // Ahead gives the link address of a live member that said it holds a
--- a/internal/policy/places.go
+++ b/internal/policy/places.go
@@ -27,11 +27,18 @@
 	number map[string]uint32
 	// order holds Choices target numbers for each slot, best first.
 	order []uint32
+	// least is the score of each slot's last choice; a target with a lower
+	// one is not among them. Zero while a place is free.
+	least []uint64
 }
 
 // NewPlaces builds the table for a set of targets, in any order.
 func NewPlaces(names []string) *Places {
-	p := &Places{number: make(map[string]uint32), order: make([]uint32, Slots*Choices)}
+	p := &Places{
+		number: make(map[string]uint32),
+		order:  make([]uint32, Slots*Choices),
+		least:  make([]uint64, Slots),
+	}
 	for i := range p.order {
 		p.order[i] = none
 	}
@@ -72,7 +79,9 @@
 	number := p.take(name)
 	hash := p.hashes[number]
 	for slot := range Slots {
-		p.insert(slot, number, Score(slotHash(slot), hash))
+		if score := Score(slotHash(slot), hash); score >= p.least[slot] {
+			p.insert(slot, number, score)
+		}
 	}
 }
 
@@ -107,6 +116,9 @@
 	}
 	copy(row[at+1:], row[at:Choices-1])
 	row[at] = number
+	if last := row[Choices-1]; last != none {
+		p.least[slot] = Score(hash, p.hashes[last])
+	}
 }
 
 // before says whether a target comes before another in a slot's order.
@@ -142,10 +154,14 @@
 	for i := range row {
 		row[i] = none
 	}
+	p.least[slot] = 0
 	hash := slotHash(slot)
 	for number, name := range p.names {
-		if name != "" {
-			p.insert(slot, uint32(number), Score(hash, p.hashes[number]))
+		if name == "" {
+			continue
+		}
+		if score := Score(hash, p.hashes[number]); score >= p.least[slot] {
+			p.insert(slot, uint32(number), score)
 		}
 	}
 }
@@ -173,6 +189,7 @@
 		hashes: slices.Clone(p.hashes),
 		number: number,
 		order:  slices.Clone(p.order),
+		least:  slices.Clone(p.least),
 	}
 }
 
--- /dev/null
+++ b/internal/policy/places_test.go
@@ -0,0 +1,195 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func engineNames(n int) []string {
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("engine-%05d", i)
+	}
+	return names
+}
+
+func namesOf(p *Places, slot int) []string {
+	var names []string
+	for _, number := range p.Order(slot) {
+		names = append(names, p.Name(number))
+	}
+	return names
+}
+
+// Whatever the order in which targets come and go, two processes with the same
+// targets have the same order for every slot.
+func TestOrderDependsOnlyOnTheSet(t *testing.T) {
+	source := rand.New(rand.NewPCG(1, 1))
+	names := engineNames(30)
+	grown := NewPlaces(nil)
+	for range 150 {
+		name := names[source.IntN(len(names))]
+		if grown.Has(name) {
+			grown.Remove(name)
+		} else {
+			grown.Add(name)
+		}
+	}
+	fresh := NewPlaces(grown.Names())
+	for slot := 0; slot < Slots; slot += 101 {
+		if !slices.Equal(namesOf(grown, slot), namesOf(fresh, slot)) {
+			t.Fatalf("slot %d: %v and %v", slot, namesOf(grown, slot), namesOf(fresh, slot))
+		}
+	}
+}
+
+// A target that comes or goes moves only the chats that it gets or loses.
+func TestChangeMovesFewChats(t *testing.T) {
+	is := is.New(t)
+	before := NewPlaces(engineNames(50))
+	after := before.Clone()
+	after.Add("engine-new")
+	moved := 0
+	for slot := range Slots {
+		was, now := namesOf(before, slot)[0], namesOf(after, slot)[0]
+		if was != now {
+			moved++
+			is.Equal(now, "engine-new") // nobody moves between old targets
+		}
+	}
+	share := float64(moved) / Slots
+	is.True(share > 0.015 && share < 0.025) // one in 51
+}
+
+func noHints(uint32) Hint { return Hint{} }
+
+// A search never asks a target twice in a row, ends, and only asks targets
+// that are usable.
+func TestSearchEnds(t *testing.T) {
+	places := NewPlaces(engineNames(12))
+	rapid.Check(t, func(rt *rapid.T) {
+		usable := rapid.SliceOfN(rapid.Bool(), 12, 12).Draw(rt, "usable")
+		hints := func(number uint32) Hint { return Hint{Down: !usable[number]} }
+		search := Search{
+			Places:    places,
+			Chat:      rapid.Uint64().Draw(rt, "chat"),
+			Returning: rapid.Bool().Draw(rt, "returning"),
+			HasToken:  rapid.Bool().Draw(rt, "has token"),
+			Token:     uint32(rapid.IntRange(0, 11).Draw(rt, "token")),
+		}
+		random := rand.New(rand.NewPCG(3, 4))
+		asked := 0
+		for {
+			ask, ok := search.Next(hints, random)
+			if !ok {
+				break
+			}
+			if !usable[ask.Number] {
+				rt.Fatalf("asked %d, which is down", ask.Number)
+			}
+			if asked++; asked > 2*mostTried+Homes {
+				rt.Fatalf("asked %d times", asked)
+			}
+			outcome := []Outcome{NotHeld, Full, Gone}[rapid.IntRange(0, 2).Draw(rt, "outcome")]
+			if outcome == NotHeld && !ask.OnlyHeld {
+				outcome = Gone
+			}
+			if !search.After(outcome) {
+				break
+			}
+		}
+	})
+}
+
+func TestSearchOrder(t *testing.T) {
+	places := NewPlaces(engineNames(20))
+	const chat = 42
+	homes := places.Order(SlotOf(chat))[:Homes]
+	random := rand.New(rand.NewPCG(1, 2))
+	tests := map[string]struct {
+		search Search
+		hints  Hints
+		want   Ask
+	}{
+		"the token's target first": {
+			Search{Places: places, Chat: chat, HasToken: true, Token: 7}, noHints, Ask{Number: 7},
+		},
+		"a token to a leaving target is passed over": {
+			Search{Places: places, Chat: chat, HasToken: true, Token: homes[3]},
+			func(n uint32) Hint { return Hint{Leaving: n == homes[3]} },
+			Ask{Number: homes[0]},
+		},
+		"a returning chat is looked for at its homes": {
+			Search{Places: places, Chat: chat, Returning: true}, noHints, Ask{Number: homes[0], OnlyHeld: true},
+		},
+		"a new chat goes to the home with most room": {
+			Search{Places: places, Chat: chat},
+			func(n uint32) Hint {
+				if n == homes[2] {
+					return Hint{InFlight: 1, Limit: 9}
+				}
+				return Hint{InFlight: 5, Limit: 9}
+			},
+			Ask{Number: homes[2]},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, ok := tt.search.Next(tt.hints, random)
+			is.New(t).True(ok)
+			is.New(t).Equal(got, tt.want)
+		})
+	}
+}
+
+// BenchmarkDecision is one search's first attempt.
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range []int{50, 833, 7500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			places := sharedPlaces(engineNames(n))
+			table := make([]Hint, n)
+			random := rand.New(rand.NewPCG(1, 2))
+			for i := range table {
+				table[i] = Hint{InFlight: uint32(random.IntN(12)), Limit: 15}
+			}
+			hints := func(number uint32) Hint { return table[number] }
+			b.ReportAllocs()
+			for b.Loop() {
+				search := Search{Places: places, Chat: random.Uint64(), Returning: true}
+				_, _ = search.Next(hints, random)
+				search.After(NotHeld)
+				_, _ = search.Next(hints, random)
+			}
+		})
+	}
+}
+
+// BenchmarkPlacesChange is one target leaving and one joining.
+func BenchmarkPlacesChange(b *testing.B) {
+	for _, n := range []int{50, 833, 7500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			places := sharedPlaces(engineNames(n)).Clone()
+			for b.Loop() {
+				places.Remove("engine-00007")
+				places.Add("engine-00007")
+			}
+		})
+	}
+}
+
+// BenchmarkPlacesBuild is a router's start.
+func BenchmarkPlacesBuild(b *testing.B) {
+	for _, n := range []int{50, 833, 7500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			names := engineNames(n)
+			for b.Loop() {
+				NewPlaces(names)
+			}
+		})
+	}
+}
--- a/internal/policy/trial_test.go
+++ b/internal/policy/trial_test.go
@@ -128,8 +128,6 @@
 type trialEngine struct {
 	load  int
 	queue []*trialRequest
-	// ends counts the requests that end at each step, by ring index.
-	ends []int
 	// cached maps chats to the tokens cached; used orders them.
 	cached map[*trialChat]int
 	used   []*trialChat
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -97,8 +97,12 @@
 	}
 }
 
-// refreshEvery bounds how often the view of targets is built anew for load.
-const refreshEvery = 500 * time.Millisecond
+const (
+	// refreshEvery is how often words on load are taken in.
+	refreshEvery = 500 * time.Millisecond
+	// refreshPause is the least time between two takings-in of changes.
+	refreshPause = 100 * time.Millisecond
+)
 
 // Start begins to follow the members.
 func (r *Router) Start(context.Context) error {
@@ -118,6 +122,9 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+			if !pause(ctx, refreshPause) {
+				return
+			}
 		case <-ticker.C:
 		}
 	}
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -94,6 +94,8 @@
 	pools   atomic.Pointer[map[string]*pool]
 	// mu is held while the view is built anew.
 	mu sync.Mutex
+	// generation is the members' that the view was built from.
+	generation uint64
 }
 
 func newTable(members *member.List) *table {
@@ -108,11 +110,17 @@
 	return (*t.pools.Load())[name]
 }
 
-// refresh takes in the members' newest word. Pools whose targets are the same
-// are kept with their hints.
+// refresh takes in the members' newest word. The view is built anew only when
+// members or targets have changed; else only hints are.
 func (t *table) refresh() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	generation := t.members.Generation()
+	if generation == t.generation {
+		t.members.Visit(t.updateHints)
+		return
+	}
+	t.generation = generation
 	found := t.gather()
 	old := *t.pools.Load()
 	next := make(map[string]*pool, len(found))
@@ -122,26 +130,66 @@
 	t.pools.Store(&next)
 }
 
+// updateHints takes one member's word on load.
+func (t *table) updateHints(view member.View) {
+	m := view.Member
+	if m.GetRole() != member.RoleAgent || !view.Alive() {
+		return
+	}
+	pools := *t.pools.Load()
+	for i, target := range m.GetTargets() {
+		pool := pools[target.GetPool()]
+		if pool == nil {
+			continue
+		}
+		p, ok := pool.byName[target.GetId()]
+		if !ok {
+			continue
+		}
+		p.leaving.Store(target.GetLeaving() || m.GetLeaving() || !view.Steady)
+		if len(view.Loads) > i {
+			p.hearsay(view.Loads[i])
+		}
+	}
+}
+
 // seenTarget is one target with its agent's address.
 type seenTarget struct {
-	target member.Target
-	peer   member.Peer
+	id      string
+	pool    string
+	agent   string
+	address string
+	service bool
+	leaving bool
+	load    member.Load
 }
 
 // gather lists the live targets by pool.
 func (t *table) gather() map[string]map[string]seenTarget {
 	found := make(map[string]map[string]seenTarget)
-	for _, peer := range t.members.Peers() {
-		if peer.Role != member.RoleAgent || !peer.Alive() {
-			continue
+	t.members.Visit(func(view member.View) {
+		m := view.Member
+		if m.GetRole() != member.RoleAgent || !view.Alive() {
+			return
 		}
-		for _, target := range peer.Targets {
-			if found[target.Pool] == nil {
-				found[target.Pool] = make(map[string]seenTarget)
+		for i, target := range m.GetTargets() {
+			seen := seenTarget{
+				id:      target.GetId(),
+				pool:    target.GetPool(),
+				agent:   m.GetId(),
+				address: m.GetLinkAddress(),
+				service: target.GetService(),
+				leaving: target.GetLeaving() || m.GetLeaving() || !view.Steady,
+			}
+			if len(view.Loads) > i {
+				seen.load = view.Loads[i]
+			}
+			if found[seen.pool] == nil {
+				found[seen.pool] = make(map[string]seenTarget)
 			}
-			found[target.Pool][target.ID] = seenTarget{target: target, peer: peer}
+			found[seen.pool][seen.id] = seen
 		}
-	}
+	})
 	return found
 }
 
@@ -164,31 +212,25 @@
 // placeFor keeps the hints of a target that was there before.
 func placeFor(before *pool, s seenTarget) *place {
 	if before != nil {
-		if known, ok := before.byName[s.target.ID]; ok && known.address == s.peer.LinkAddress {
-			known.update(s)
+		if known, ok := before.byName[s.id]; ok && known.address == s.address {
+			known.leaving.Store(s.leaving)
+			known.hearsay(s.load)
 			return known
 		}
 	}
-	fresh := &place{
-		id:      s.target.ID,
-		pool:    s.target.Pool,
-		agent:   s.peer.ID,
-		address: s.peer.LinkAddress,
-		service: s.target.Service,
-	}
-	fresh.update(s)
+	fresh := &place{id: s.id, pool: s.pool, agent: s.agent, address: s.address, service: s.service}
+	fresh.leaving.Store(s.leaving)
+	fresh.hearsay(s.load)
 	return fresh
 }
 
-// update takes hearsay, unless the target's own word is newer.
-func (p *place) update(s seenTarget) {
-	p.leaving.Store(s.target.Leaving || s.peer.Leaving || !s.peer.Steady)
-	spoke := time.Since(time.Unix(0, p.heardAt.Load()))
-	if spoke < hintAge || s.target.Load.Limit == 0 {
+// hearsay takes a passed-on word on load, unless the target's own is newer.
+func (p *place) hearsay(load member.Load) {
+	if load.Limit == 0 || time.Since(time.Unix(0, p.heardAt.Load())) < hintAge {
 		return
 	}
-	p.inFlight.Store(s.target.Load.InFlight)
-	p.limit.Store(s.target.Load.Limit)
+	p.inFlight.Store(load.InFlight)
+	p.limit.Store(load.Limit)
 }
 
 // orderFor changes the order of the pool before, or builds a new one.
