--- /dev/null
+++ b/internal/dev/bench_test.go
@@ -0,0 +1,157 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/target/fakeengine"
+)
+
+// postChat sends a chat and reads it to its end; first is the time to the
+// first byte of the body.
+func postChat(b testing.TB, url, body string) (first, total time.Duration) {
+	began := time.Now()
+	request, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+Key)
+	response, err := benchClient.Do(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	one := make([]byte, 1)
+	_, _ = io.ReadFull(response.Body, one)
+	first = time.Since(began)
+	rest, err := io.ReadAll(response.Body)
+	if err != nil || !strings.Contains(string(rest), "[DONE]") {
+		b.Fatalf("status %d, not whole: %v %s", response.StatusCode, err, rest)
+	}
+	return first, time.Since(began)
+}
+
+var benchClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
+
+// cpu is the processor time that this process has used.
+func cpu() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func quantileOf(times []time.Duration, q float64) float64 {
+	slices.Sort(times)
+	return float64(times[int(q*float64(len(times)-1))].Microseconds())
+}
+
+// BenchmarkAddedLatency compares the time to the first byte through a router
+// and an agent with the stand-in engine called directly, in turn, at 24
+// requests a second with 50 streams open beside them.
+func BenchmarkAddedLatency(b *testing.B) {
+	stack := startStack(b)
+	direct := fakeengine.New(fakeengine.Options{Name: "direct", Step: time.Millisecond}, Model)
+	server := httptest.NewServer(direct.Handler())
+	defer server.Close()
+	through := "http://" + stack.Routers[0].Addresses().Callers
+	for _, engine := range stack.Engines {
+		engine.SetStep(time.Millisecond)
+	}
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	for i := range 50 {
+		wait.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					postChat(b, through, chatBody(200, message("user", fmt.Sprintf("background %d", i))))
+				}
+			}
+		})
+	}
+	var near, far []time.Duration
+	body := chatBody(1, message("user", "short"))
+	pace := time.NewTicker(time.Second / 24)
+	for b.Loop() {
+		<-pace.C
+		first, _ := postChat(b, server.URL, body)
+		near = append(near, first)
+		first, _ = postChat(b, through, body)
+		far = append(far, first)
+	}
+	close(stop)
+	wait.Wait()
+	b.ReportMetric(quantileOf(near, 0.5), "direct-p50-us")
+	b.ReportMetric(quantileOf(near, 0.99), "direct-p99-us")
+	b.ReportMetric(quantileOf(far, 0.5), "through-p50-us")
+	b.ReportMetric(quantileOf(far, 0.99), "through-p99-us")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkTokens streams as much as it can through one router and reports
+// pieces a second of processor time of the whole process: callers, router,
+// agents and stand-ins together.
+func BenchmarkTokens(b *testing.B) {
+	stack := startStack(b)
+	for _, engine := range stack.Engines {
+		engine.SetStep(time.Millisecond)
+	}
+	through := "http://" + stack.Routers[0].Addresses().Callers
+	const streams, tokens = 200, 1000
+	var pieces atomic.Int64
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	began, used := time.Now(), cpu()
+	for b.Loop() {
+		var wait sync.WaitGroup
+		for i := range streams {
+			wait.Go(func() {
+				postChat(b, through, chatBody(tokens, message("user", fmt.Sprintf("stream %d", i))))
+				pieces.Add(tokens)
+			})
+		}
+		wait.Wait()
+	}
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(pieces.Load())/time.Since(began).Seconds(), "pieces/s")
+	b.ReportMetric(float64(pieces.Load())/(cpu()-used).Seconds(), "pieces/cpu-s")
+	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/float64(pieces.Load()), "allocs/piece")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkRequests sends short requests one after another from many callers.
+func BenchmarkRequests(b *testing.B) {
+	stack := startStack(b)
+	for _, engine := range stack.Engines {
+		engine.SetStep(time.Millisecond)
+	}
+	through := "http://" + stack.Routers[0].Addresses().Callers
+	const callers, each = 64, 50
+	var count atomic.Int64
+	began, used := time.Now(), cpu()
+	for b.Loop() {
+		var wait sync.WaitGroup
+		for i := range callers {
+			wait.Go(func() {
+				for j := range each {
+					postChat(b, through, chatBody(1, message("user", fmt.Sprintf("request %d %d", i, j))))
+					count.Add(1)
+				}
+			})
+		}
+		wait.Wait()
+	}
+	b.ReportMetric(float64(count.Load())/time.Since(began).Seconds(), "requests/s")
+	b.ReportMetric(float64((cpu()-used).Microseconds())/float64(count.Load()), "cpu-us/request")
+	b.ReportMetric(0, "ns/op")
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,228 @@
+package link
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hashicorp/yamux"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func hello() *wire.Hello {
+	return &wire.Hello{Version: Version, ProcessId: "test"}
+}
+
+func startServer(t *testing.T, handler Handler) *Server {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	s := NewServer(listener, hello(), log.New(io.Discard), handler)
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func startPool(t *testing.T) *Pool {
+	p := NewPool(hello())
+	t.Cleanup(func() { _ = p.Close() })
+	return p
+}
+
+func callOf(id string) *wire.Open {
+	return &wire.Open{Kind: &wire.Open_Call{Call: &wire.Call{RequestId: id}}}
+}
+
+func echo(_ context.Context, open *wire.Open, stream Stream) {
+	_ = stream.Send(&wire.Reply{RequestId: open.GetCall().GetRequestId()})
+}
+
+func TestOneSessionServesAllExchanges(t *testing.T) {
+	is := is.New(t)
+	server, pool := startServer(t, echo), startPool(t)
+	for _, id := range []string{"a", "b", "c"} {
+		reply, err := Ask(t.Context(), pool, server.Address(), callOf(id))
+		is.NoErr(err)
+		is.Equal(reply.GetRequestId(), id)
+	}
+	is.Equal(pool.Sessions(), 1)
+}
+
+// A caller that closes ends the handler's context.
+func TestCloseReachesTheHandler(t *testing.T) {
+	is := is.New(t)
+	cause := make(chan error, 1)
+	server, pool := startServer(t, func(ctx context.Context, _ *wire.Open, _ Stream) {
+		<-ctx.Done()
+		cause <- context.Cause(ctx)
+	}), startPool(t)
+	stream, err := pool.Open(t.Context(), server.Address(), callOf("a"))
+	is.NoErr(err)
+	is.NoErr(stream.Close())
+	is.Equal(<-cause, ErrPeerClosed)
+}
+
+// A slow reader stalls only its own exchange.
+func TestSlowReaderStallsOnlyItself(t *testing.T) {
+	is := is.New(t)
+	stuck := make(chan struct{})
+	server, pool := startServer(t, func(_ context.Context, open *wire.Open, stream Stream) {
+		if open.GetCall().GetRequestId() != "slow" {
+			echo(t.Context(), open, stream)
+			return
+		}
+		defer close(stuck)
+		part := &wire.Reply{Kind: &wire.Reply_Data{Data: &wire.Data{Bytes: make([]byte, 64<<10)}}}
+		for stream.Send(part) == nil {
+		}
+	}), startPool(t)
+	slow, err := pool.Open(t.Context(), server.Address(), callOf("slow"))
+	is.NoErr(err)
+	for range 100 {
+		_, err := Ask(t.Context(), pool, server.Address(), callOf("quick"))
+		is.NoErr(err)
+	}
+	is.NoErr(slow.Close())
+	<-stuck
+}
+
+// After the server has gone, an exchange fails as not run, and works again
+// once a server is back.
+func TestReconnect(t *testing.T) {
+	is := is.New(t)
+	server, pool := startServer(t, echo), startPool(t)
+	address := server.Address()
+	_, err := Ask(t.Context(), pool, address, callOf("a"))
+	is.NoErr(err)
+	is.NoErr(server.Close())
+	_, err = Ask(t.Context(), pool, address, callOf("b"))
+	is.True(err != nil)
+	listener, err := net.Listen("tcp", address)
+	is.NoErr(err)
+	again := NewServer(listener, hello(), log.New(io.Discard), echo)
+	defer func() { _ = again.Close() }()
+	for {
+		if _, err = Ask(t.Context(), pool, address, callOf("c")); err == nil {
+			return
+		}
+		if t.Context().Err() != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func rawSession(t *testing.T, address string) *yamux.Session {
+	conn, err := net.Dial("tcp", address)
+	is.New(t).NoErr(err)
+	session, err := yamux.Client(conn, sessionConfig())
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = session.Close() })
+	return session
+}
+
+// Peers that send garbage, huge frames or another version are dropped and
+// counted, and the handler never sees them.
+func TestBadPeersAreDropped(t *testing.T) {
+	tests := map[string]func(conn net.Conn){
+		"garbage": func(conn net.Conn) {
+			_, _ = conn.Write([]byte(strings.Repeat("\xff", 64)))
+		},
+		"huge frame": func(conn net.Conn) {
+			_, _ = conn.Write(binary.AppendUvarint(nil, MaxMessage+1))
+		},
+		"not a message": func(conn net.Conn) {
+			_, _ = conn.Write([]byte{3, 0xff, 0xff, 0xff})
+		},
+		"wrong version": func(conn net.Conn) {
+			_ = newMessageStream(conn).Send(&wire.Open{Kind: &wire.Open_Hello{Hello: &wire.Hello{Version: 99}}})
+		},
+		"cut short": func(conn net.Conn) {
+			_, _ = conn.Write([]byte{20, 1, 2})
+			_ = conn.Close()
+		},
+	}
+	for name, send := range tests {
+		t.Run(name, func(t *testing.T) {
+			var handled atomic.Int32
+			server := startServer(t, func(context.Context, *wire.Open, Stream) { handled.Add(1) })
+			session := rawSession(t, server.Address())
+			conn, err := session.OpenStream()
+			is.New(t).NoErr(err)
+			send(conn)
+			<-session.CloseChan()
+			is.New(t).Equal(server.BadPeers(), int64(1))
+			is.New(t).Equal(handled.Load(), int32(0))
+		})
+	}
+}
+
+// A message that is cut short is an error, never a clean end.
+func TestTruncationIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	ours, theirs := net.Pipe()
+	go func() {
+		data, _ := proto.Marshal(&wire.Reply{RequestId: "request"})
+		_, _ = theirs.Write(append(binary.AppendUvarint(nil, uint64(len(data))), data[:3]...))
+		_ = theirs.Close()
+	}()
+	err := newMessageStream(ours).Recv(new(wire.Reply))
+	is.True(err != nil)
+	is.True(err != io.EOF)
+	_ = ours.Close()
+}
+
+func FuzzFrames(f *testing.F) {
+	data, _ := proto.Marshal(callOf("seed"))
+	f.Add(append(binary.AppendUvarint(nil, uint64(len(data))), data...))
+	f.Add([]byte{0})
+	f.Add([]byte("\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff"))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		ours, theirs := net.Pipe()
+		go func() {
+			_, _ = theirs.Write(data)
+			_ = theirs.Close()
+		}()
+		_ = ours.SetDeadline(time.Now().Add(time.Second))
+		stream := newMessageStream(ours)
+		for stream.Recv(new(wire.Open)) == nil {
+		}
+		_ = ours.Close()
+	})
+}
+
+// BenchmarkStream is pieces passed through one session, a frame each.
+func BenchmarkStream(b *testing.B) {
+	piece := &wire.Reply{RequestId: "request-0123456789", Attempt: 1, Kind: &wire.Reply_Data{Data: &wire.Data{Offset: 100, Pieces: []string{" kitchen"}}}}
+	listener, _ := net.Listen("tcp", "127.0.0.1:0")
+	server := NewServer(listener, hello(), log.New(io.Discard), func(_ context.Context, _ *wire.Open, stream Stream) {
+		for stream.Send(piece) == nil {
+		}
+	})
+	defer func() { _ = server.Close() }()
+	pool := NewPool(hello())
+	defer func() { _ = pool.Close() }()
+	stream, err := pool.Open(b.Context(), server.Address(), callOf("a"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	reply := new(wire.Reply)
+	for b.Loop() {
+		if err := stream.Recv(reply); err != nil {
+			b.Fatal(err)
+		}
+	}
+	_ = stream.Close()
+}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -128,9 +128,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	session, err := yamux.Client(conn, sessionConfig())
+	gathered := newCoalescer(conn)
+	session, err := yamux.Client(gathered, sessionConfig())
 	if err != nil {
-		_ = conn.Close()
+		_ = gathered.Close()
 		return nil, errors.Wrap(err, "start session")
 	}
 	if err := p.introduce(session); err != nil {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -75,9 +75,10 @@
 }
 
 func (s *Server) serveConn(conn net.Conn) {
-	session, err := yamux.Server(conn, sessionConfig())
+	gathered := newCoalescer(conn)
+	session, err := yamux.Server(gathered, sessionConfig())
 	if err != nil {
-		_ = conn.Close()
+		_ = gathered.Close()
 		return
 	}
 	if !s.track(session) {
@@ -131,6 +132,8 @@
 	go func() {
 		defer close(watch)
 		cancel(s.awaitEnd(session, stream))
+		// Frees a handler that waits for a peer which reads no more.
+		_ = conn.Close()
 	}()
 	s.handler(ctx, open, stream)
 	_ = conn.Close()
--- a/internal/router/httpchat.go
+++ b/internal/router/httpchat.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"net/http"
@@ -128,8 +129,9 @@
 	// begun says that the status line is out.
 	begun bool
 	text  strings.Builder
-	// buffer is used again for each event.
-	buffer []byte
+	// buffer is used again for each event; before and after are what stands
+	// around a piece's text.
+	buffer, before, after []byte
 }
 
 func (c *chatWriter) head(*wire.Head) error {
@@ -157,15 +159,36 @@
 	c.begin()
 	c.buffer = c.buffer[:0]
 	for i, piece := range data.GetPieces() {
-		chunk := c.chunk(target.ChunkDelta{Content: piece}, nil)
 		if data.GetOffset()+int64(i) == 0 {
-			chunk.Choices[0].Delta.Role = "assistant"
+			c.appendEvent(c.chunk(target.ChunkDelta{Role: "assistant", Content: piece}, nil))
+			continue
 		}
-		c.appendEvent(chunk)
+		c.appendPiece(piece)
 	}
 	return c.flush()
 }
 
+// placeholder stands for a piece's text while an event's frame is made.
+const placeholder = "PIECE"
+
+// appendPiece appends the event of one further piece. All but its text is the
+// same for each event of an answer and is made only once.
+func (c *chatWriter) appendPiece(piece string) {
+	if c.before == nil {
+		frame, _ := json.Marshal(c.chunk(target.ChunkDelta{Content: placeholder}, nil))
+		before, after, _ := bytes.Cut(frame, []byte(`"`+placeholder+`"`))
+		c.before = append([]byte("data: "), before...)
+		c.after = append(after, "\n\n"...)
+	}
+	text, err := json.Marshal(piece)
+	if err != nil {
+		return
+	}
+	c.buffer = append(c.buffer, c.before...)
+	c.buffer = append(c.buffer, text...)
+	c.buffer = append(c.buffer, c.after...)
+}
+
 func (c *chatWriter) chunk(delta target.ChunkDelta, finish *string) target.Chunk {
 	return target.Chunk{
 		ID:      "chatcmpl-" + c.id,
--- /dev/null
+++ b/internal/router/stream_test.go
@@ -0,0 +1,142 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/capersaddle/capersaddle/internal/config"
+	"github.com/capersaddle/capersaddle/internal/link"
+	"github.com/capersaddle/capersaddle/internal/target"
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+// cannedDialer answers every call with the same number of pieces.
+type cannedDialer struct {
+	pieces, perFrame int
+}
+
+func (d cannedDialer) Open(_ context.Context, _ string, open *wire.Open) (link.Stream, error) {
+	return &cannedStream{dialer: d, call: open.GetCall()}, nil
+}
+
+type cannedStream struct {
+	dialer cannedDialer
+	call   *wire.Call
+	next   int64
+	ended  bool
+}
+
+func (s *cannedStream) Send(link.Message) error { return nil }
+
+func (s *cannedStream) Close() error { return nil }
+
+func (s *cannedStream) Recv(msg link.Message) error {
+	if s.ended {
+		return io.EOF
+	}
+	reply := &wire.Reply{RequestId: s.call.GetRequestId(), Attempt: s.call.GetAttempt()}
+	if int(s.next) >= s.dialer.pieces {
+		s.ended = true
+		reply.Kind = &wire.Reply_End{End: &wire.End{Length: s.next, FinishReason: "stop"}}
+	} else {
+		data := &wire.Data{Offset: s.next}
+		for range s.dialer.perFrame {
+			data.Pieces = append(data.Pieces, " kitchen")
+			s.next++
+		}
+		reply.Kind = &wire.Reply_Data{Data: data}
+	}
+	proto.Merge(msg, reply)
+	return nil
+}
+
+type discardWriter struct{ header http.Header }
+
+func (w discardWriter) Header() http.Header         { return w.header }
+func (w discardWriter) Write(p []byte) (int, error) { return len(p), nil }
+func (w discardWriter) WriteHeader(int)             {}
+func (w discardWriter) Flush()                      {}
+
+func testState(t testing.TB) *config.State {
+	state := config.NewState()
+	document := func(name string, value any) *wire.Document {
+		data, _ := json.Marshal(value)
+		return &wire.Document{Name: name, Value: data, Revision: 1}
+	}
+	_, err := state.Apply(&wire.Delta{To: 1, Whole: true, Documents: []*wire.Document{
+		document("workspace/clinic", config.Workspace{KeyHashes: []string{config.HashKey("key")}}),
+		document("model/model-1", config.Model{}),
+	}})
+	is.New(t).NoErr(err)
+	return state
+}
+
+func testRouter(t testing.TB, dialer link.Dialer) *Router {
+	return New(Options{Members: fleet(13), Config: testState(t), Dialer: dialer, Log: log.New(io.Discard), Metrics: NoMetrics{}, Seed: 1})
+}
+
+func chatRequestFor(body string) *http.Request {
+	request := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer key")
+	return request
+}
+
+const streamBody = `{"model":"model-1","stream":true,"messages":[{"role":"user","content":"hello"}]}`
+
+// Every event of a stream is a chunk that can be read, with the piece's text
+// whatever it holds.
+func TestEventsAreReadable(t *testing.T) {
+	is := is.New(t)
+	writer := httptest.NewRecorder()
+	chat := &chatWriter{w: writer, id: "r", model: "m", stream: true}
+	pieces := []string{"a", ` "quoted"`, "\n", "é😀", "PIECE", "</script>"}
+	is.NoErr(chat.data(&wire.Data{Pieces: pieces[:1]}))
+	is.NoErr(chat.data(&wire.Data{Offset: 1, Pieces: pieces[1:]}))
+	is.NoErr(chat.finish(&wire.End{Length: 6, FinishReason: "stop"}))
+	events := strings.Split(strings.TrimSpace(writer.Body.String()), "\n\n")
+	is.Equal(events[len(events)-1], "data: [DONE]")
+	for i, piece := range pieces {
+		var chunk target.Chunk
+		is.NoErr(json.Unmarshal([]byte(strings.TrimPrefix(events[i], "data: ")), &chunk))
+		is.Equal(chunk.Choices[0].Delta.Content, piece)
+	}
+}
+
+// BenchmarkRouterPieces is the router's own work for each piece: reading a
+// frame's reply and writing the caller's event, without sockets.
+func BenchmarkRouterPieces(b *testing.B) {
+	const pieces = 1000
+	for _, perFrame := range []int{1, 4} {
+		b.Run(fmt.Sprintf("per-frame-%d", perFrame), func(b *testing.B) {
+			r := testRouter(b, cannedDialer{pieces: pieces, perFrame: perFrame})
+			handler := r.Handler()
+			b.ReportAllocs()
+			began := time.Now()
+			for b.Loop() {
+				handler.ServeHTTP(discardWriter{header: http.Header{}}, chatRequestFor(streamBody))
+			}
+			b.ReportMetric(float64(b.N)*pieces/time.Since(began).Seconds(), "pieces/s")
+		})
+	}
+}
+
+// BenchmarkRouterRequest is the router's own work for a request of one piece.
+func BenchmarkRouterRequest(b *testing.B) {
+	r := testRouter(b, cannedDialer{pieces: 1, perFrame: 1})
+	handler := r.Handler()
+	b.ReportAllocs()
+	for b.Loop() {
+		handler.ServeHTTP(discardWriter{header: http.Header{}}, chatRequestFor(streamBody))
+	}
+}
--- a/internal/target/fakeengine/engine.go
+++ b/internal/target/fakeengine/engine.go
@@ -107,6 +107,13 @@
 	return seq, nil
 }
 
+// SetStep changes the time of a step, from the next time the engine rests.
+func (e *Engine) SetStep(step time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.options.Step = step
+}
+
 // ensureStepping starts the batch loop if it rests; e.mu is held.
 func (e *Engine) ensureStepping() {
 	if e.stepped {
@@ -118,7 +125,10 @@
 
 // steps runs batch steps until nothing is left to run.
 func (e *Engine) steps() {
-	ticker := time.NewTicker(e.options.Step)
+	e.mu.Lock()
+	step := e.options.Step
+	e.mu.Unlock()
+	ticker := time.NewTicker(step)
 	defer ticker.Stop()
 	for range ticker.C {
 		if !e.step() {
