--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -45,6 +45,8 @@
 	repository repository
 	peers      Peers
 	log        *log.Logger
+	// mu is held while the store's configuration is loaded.
+	mu sync.Mutex
 	// known is the manifest whose buckets the state holds; nil if unknown.
 	known *Manifest
 	// storeSeen says whether the store answered the last call.
@@ -135,10 +137,7 @@
 
 // watchOnce loads a later manifest or waits for one.
 func (f *Follower) watchOnce(ctx context.Context) error {
-	version := uint64(0)
-	if f.known != nil {
-		version = f.known.version
-	}
+	version := f.knownVersion()
 	bounded, cancel := context.WithTimeout(ctx, watchFor)
 	defer cancel()
 	value, err := f.repository.store.Watch(bounded, ManifestKey, version)
@@ -156,7 +155,19 @@
 	return f.load(ctx, manifest)
 }
 
+// knownVersion is the version of the manifest that was loaded last.
+func (f *Follower) knownVersion() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.known == nil {
+		return 0
+	}
+	return f.known.version
+}
+
 func (f *Follower) load(ctx context.Context, manifest Manifest) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	held := f.state.Revision()
 	if manifest.Revision < held {
 		f.log.Warn("the store is behind the fleet; not applied", "store", manifest.Revision, "held", held)
@@ -180,7 +191,8 @@
 	return nil
 }
 
-// Fetch reads the store once, for a start when no peer knows more.
+// Fetch reads the store once, so that a process that has just accepted a
+// command acts on it at once.
 func (f *Follower) Fetch(ctx context.Context) error {
 	manifest, err := f.repository.manifest(ctx)
 	if err != nil {
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -324,6 +324,24 @@
 	return nil, false
 }
 
+// Some gives the beat addresses of a few random live members.
+func (l *List) Some(count int) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var addresses []string
+	start := rand.IntN(len(l.order))
+	for i := range l.order {
+		m := l.entries[l.order[(start+i)%len(l.order)]].member
+		if len(addresses) == count {
+			break
+		}
+		if m.GetId() != l.self.GetId() && m.GetStanding() == wire.Standing_STANDING_ALIVE {
+			addresses = append(addresses, m.GetBeatAddress())
+		}
+	}
+	return addresses
+}
+
 // Roster lists all members, the dead ones too.
 func (l *List) Roster() []*wire.Member {
 	l.mu.Lock()
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -160,6 +160,23 @@
 	s.list.Suspect(peer.GetId())
 }
 
+const (
+	// urgeCount is how many members are told at once of a new configuration
+	// revision, each of which tells as many.
+	urgeCount = 4
+	// urgeSize bounds such a datagram, in bytes.
+	urgeSize = 300
+)
+
+// Urge tells a few members at once that something has changed here.
+func (s *Service) Urge() {
+	for _, address := range s.list.Some(urgeCount) {
+		if to, err := netip.ParseAddrPort(address); err == nil {
+			s.sendSized(to, &wire.Beat{Sequence: s.sequence.Add(1)}, urgeSize)
+		}
+	}
+}
+
 // expect notes who waits for answers; a nil channel ends the waiting.
 func (s *Service) expect(answered chan struct{}, sequences ...uint64) {
 	s.mu.Lock()
@@ -176,8 +193,12 @@
 // send sends one datagram if the budget allows; it is made no larger than
 // what the budget still holds.
 func (s *Service) send(to netip.AddrPort, beat *wire.Beat) {
+	s.sendSized(to, beat, beatMost)
+}
+
+func (s *Service) sendSized(to netip.AddrPort, beat *wire.Beat, most int) {
 	beat.ConfigRevision = s.options.ConfigRevision()
-	room := min(int(s.bucket.Tokens()), beatMost)
+	room := min(int(s.bucket.Tokens()), most)
 	data, err := proto.Marshal(s.list.Compose(beat, room))
 	if err != nil || !s.bucket.AllowN(time.Now(), len(data)) {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	ServiceLinks   = "links"
 	ServiceMembers = "members"
 	ServiceConfig  = "config"
+	ServiceUrge    = "urge"
 )
 
 // Options are what a node is made of.
@@ -91,6 +92,7 @@
 		k.Register(ServiceLinks, &links{node: n, hello: hello}),
 		k.Register(ServiceMembers, n.Beats),
 		k.Register(ServiceConfig, n.Follower),
+		k.Register(ServiceUrge, newUrger(n.Config, n.Beats)),
 	)
 }
 
--- a/internal/process/operators.go
+++ b/internal/process/operators.go
@@ -202,9 +202,18 @@
 		writeFault(w, err)
 		return
 	}
+	o.takeEffect(r)
 	writeJSON(w, result)
 }
 
+// takeEffect brings an accepted command into force here; if the store does not
+// answer any more, the watchers will.
+func (o *operators) takeEffect(r *http.Request) {
+	if err := o.node.Follower.Fetch(r.Context()); err != nil {
+		o.log.Warn("accepted configuration not read back", "error", err)
+	}
+}
+
 func (o *operators) serveRepublish(w http.ResponseWriter, r *http.Request) {
 	var command config.Command
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostCommand)).Decode(&command); err != nil || command.ID == "" {
@@ -216,5 +225,6 @@
 		writeFault(w, err)
 		return
 	}
+	o.takeEffect(r)
 	writeJSON(w, result)
 }
