A leaving engine hands its hottest chats' cache on

Cause: after a planned stop each of its chats had to build its prefix anew.

Ruled out: sending the whole cache to one neighbour, since each chat has its own next home; passing it through the leaving agent's own writes, since a receiver must be able to refuse.

Change: the agent of the leaving engine sorts its 256 most recently used chats by their next home in the rendezvous order; these homes' agents fetch the KV cache of the chats' last requests and import it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -89,6 +89,8 @@
 	lease   *longLease
 
 	mu sync.Mutex
+	// cacheMoves counts chats whose KV cache has been handed to others.
+	cacheMoves int
 	// stopping says that the process itself is to end.
 	stopping bool
 	// hostLeaving is the host list's word.
@@ -204,6 +206,10 @@
 		a.servePromise(kind.Promise, stream)
 	case *wire.Open_HandOver:
 		a.serveHandOver(kind.HandOver, stream)
+	case *wire.Open_TakeOver:
+		a.serveTakeOver(kind.TakeOver, stream)
+	case *wire.Open_Export:
+		a.serveExport(ctx, kind.Export, stream)
 	default:
 		refuse(stream, "", 0, fault.New(fault.BadRequest, fault.NotRun, "an agent does not serve this exchange"), nil)
 	}
--- a/internal/agent/chat.go
+++ b/internal/agent/chat.go
@@ -63,7 +63,7 @@
 	defer pump.close(cancel)
 	end := a.stream(ctx, pump, work.GetOffset(), answer)
 	if end != nil {
-		p.held.put(work.GetChat(), end.GetPromptTokens()+end.GetCompletionTokens())
+		p.held.put(work.GetChat(), call.GetRequestId(), end.GetPromptTokens()+end.GetCompletionTokens())
 	}
 }
 
--- a/internal/agent/held.go
+++ b/internal/agent/held.go
@@ -1,10 +1,13 @@
 package agent
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
 // CacheOptions describe an engine's prefix cache, as far as the agent needs to
@@ -19,6 +22,8 @@
 	HomeWaitFactor float64
 	// MostHomeWait bounds that wait.
 	MostHomeWait time.Duration
+	// KeepOnLeave leaves the cache where it is when a target is to stop.
+	KeepOnLeave bool
 }
 
 // Defaults of CacheOptions. The factor of 2 is measured in docs/MEASURES.md:
@@ -47,19 +52,26 @@
 	}
 }
 
+// heldChat is what is remembered of one chat.
+type heldChat struct {
+	tokens int64
+	// request is the chat's last request here, by which the engine names it.
+	request string
+}
+
 // held remembers which chats an engine has answered and how many tokens of
 // each it is likely to hold, least recently used out first.
 type held struct {
 	options CacheOptions
 
 	mu     sync.Mutex
-	chats  *lru.Cache[uint64, int64]
+	chats  *lru.Cache[uint64, heldChat]
 	tokens int64
 }
 
 func newHeld(options CacheOptions) *held {
 	h := &held{options: options}
-	chats, err := lru.NewWithEvict(mostHeld, func(_ uint64, tokens int64) { h.tokens -= tokens })
+	chats, err := lru.NewWithEvict(mostHeld, func(_ uint64, chat heldChat) { h.tokens -= chat.tokens })
 	if err != nil {
 		// Only a size below one fails.
 		panic(err)
@@ -79,22 +91,37 @@
 func (h *held) worth(chat uint64) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	tokens, ok := h.chats.Peek(chat)
+	known, ok := h.chats.Peek(chat)
 	if !ok {
 		return 0
 	}
-	seconds := h.options.HomeWaitFactor * float64(tokens) / h.options.PrefillPerSecond
+	seconds := h.options.HomeWaitFactor * float64(known.tokens) / h.options.PrefillPerSecond
 	return min(time.Duration(seconds*float64(time.Second)), h.options.MostHomeWait)
 }
 
-// put notes that the engine has answered a chat and now holds its tokens.
-func (h *held) put(chat uint64, tokens int64) {
+// put notes that the engine has answered a request of a chat and now holds
+// its tokens.
+func (h *held) put(chat uint64, request string, tokens int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.chats.Remove(chat)
-	h.chats.Add(chat, tokens)
+	h.chats.Add(chat, heldChat{tokens: tokens, request: request})
 	h.tokens += tokens
 	for h.tokens > h.options.Tokens && h.chats.Len() > 1 {
 		h.chats.RemoveOldest()
 	}
 }
+
+// hottest lists the most recently used chats, up to a number.
+func (h *held) hottest(most int) []*wire.HeldChat {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	keys := h.chats.Keys()
+	slices.Reverse(keys)
+	chats := make([]*wire.HeldChat, 0, min(most, len(keys)))
+	for _, key := range keys[:min(most, len(keys))] {
+		known, _ := h.chats.Peek(key)
+		chats = append(chats, &wire.HeldChat{Chat: key, RequestId: known.request, Tokens: known.tokens})
+	}
+	return chats
+}
--- a/internal/agent/tend.go
+++ b/internal/agent/tend.go
@@ -102,6 +102,7 @@
 		k := a.keepers[p.Pool]
 		if p.Service == nil || k == nil || k.guard.OwnedSlots() == 0 {
 			p.gate.Leave()
+			a.handCacheOn(ctx, p)
 			return
 		}
 		a.leaveLater(ctx, p, k)
--- a/internal/policy/rendezvous.go
+++ b/internal/policy/rendezvous.go
@@ -65,3 +65,19 @@
 	}
 	return best
 }
+
+// Home is the first target of a chat among names, in the same order as Places
+// has it; empty for none. It is for a few chats: Places is for many.
+func Home(chat uint64, names []string) string {
+	hash := slotHash(SlotOf(chat))
+	best := ""
+	var bestScore uint64
+	for _, name := range names {
+		score := Score(hash, HashName(name))
+		better := score > bestScore || score == bestScore && name < best
+		if best == "" || better {
+			best, bestScore = name, score
+		}
+	}
+	return best
+}
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -35,6 +36,11 @@
 		"a key that was closed stays closed":  closedKey,
 		"answer of the service is lost":       serviceAnswerLost,
 		"router restarts during store outage": routerRestart,
+		"planned stop hands the cache on":     func(w *world, is *is.I) { is.Equal(cacheAfterStop(w, is), 1.0) },
+		"planned stop keeps the cache": func(w *world, is *is.I) {
+			w.cache.KeepOnLeave = true
+			is.Equal(cacheAfterStop(w, is), 0.0)
+		},
 	}
 	for name, play := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -501,3 +507,37 @@
 	w.say("operator", "router-0 is ready at revision %d", fresh.state.Revision())
 	w.say("caller", "a chat through it: %v", w.chat(fresh, "clinic", "hello", 2))
 }
+
+// cacheAfterStop stops an engine and tells which share of its chats found
+// their prefixes at their next homes.
+func cacheAfterStop(w *world, is *is.I) float64 {
+	w.startAll(4, 0, 2)
+	r := w.routers["router-0"]
+	const chats = 24
+	long := func(i int) string { return fmt.Sprintf("%d ", i) + strings.Repeat("shift log of the whole month ", 20) }
+	homes := make(map[int]streamed)
+	for i := range chats {
+		homes[i] = w.chat(r, "clinic", long(i), 2)
+	}
+	stopped := homes[0].placement
+	_, err := w.command(r, "ama", config.Command{ID: "stop", Changes: []config.Change{set("mark/"+stopped, config.Mark{Leaving: true})}})
+	is.NoErr(err)
+	time.Sleep(5 * time.Second)
+	moved, cached := 0, 0
+	for i := range chats {
+		if homes[i].placement != stopped {
+			continue
+		}
+		moved++
+		got := w.returning(w.routers["router-1"], "clinic", long(i), homes[i])
+		is.True(got.done)
+		is.True(got.placement != stopped)
+		if got.cached > 0 {
+			cached++
+		}
+	}
+	w.quietEngines()
+	w.say("engine", "%s is to stop; it handed the cache of %d chats on", stopped, w.agents["host-of-"+stopped].agent.CacheMoves())
+	w.say("caller", "its %d chats came back elsewhere, %d found their prefix", moved, cached)
+	return float64(cached) / float64(moved)
+}
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -60,7 +60,8 @@
 	agents   map[string]*process
 	routers  map[string]*process
 	// gate is what agents are started with.
-	gate admission.Options
+	gate  admission.Options
+	cache agent.CacheOptions
 	// keys counts the keys made.
 	keys uint32
 	// names gives short names to random ids, such as keys.
@@ -220,6 +221,7 @@
 		DataCenter: "accra-1",
 		Targets:    targets,
 		Admission:  w.gate,
+		Cache:      w.cache,
 		Once:       once.DefaultOptions(),
 		Members:    p.members,
 		Config:     p.state,
@@ -554,13 +556,30 @@
 
 // chat streams a chat and says what came back.
 func (w *world) chat(p *process, workspace, question string, tokens int) streamed {
-	content, _ := json.Marshal(question)
+	return w.converse(p, workspace, "", tokens, say("user", question))
+}
+
+// returning sends the next turn of a chat with its placement token.
+func (w *world) returning(p *process, workspace, question string, before streamed) streamed {
+	return w.converse(p, workspace, before.placement, 2, say("user", question), say("assistant", before.text), say("user", "and then?"))
+}
+
+func say(role, text string) target.ChatMessage {
+	content, _ := json.Marshal(text)
+	return target.ChatMessage{Role: role, Content: content}
+}
+
+func (w *world) converse(p *process, workspace, token string, tokens int, messages ...target.ChatMessage) streamed {
 	body, _ := json.Marshal(map[string]any{
 		"model": model, "stream": true, "max_tokens": tokens,
 		"stream_options": target.StreamOptions{IncludeUsage: true},
-		"messages":       []target.ChatMessage{{Role: "user", Content: content}},
+		"messages":       messages,
 	})
-	answer := w.call(p, workspace, http.MethodPost, "/v1/chat/completions", nil, string(body))
+	header := map[string]string{}
+	if token != "" {
+		header[router.HeaderPlacement] = token
+	}
+	answer := w.call(p, workspace, http.MethodPost, "/v1/chat/completions", header, string(body))
 	got := streamed{status: answer.Code, placement: answer.Header().Get(router.HeaderPlacement)}
 	if got.status != http.StatusOK {
 		got.failure = refusal(answer.Body.String())
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -89,6 +89,8 @@
 	// HomeWaitFactor is how long a chat may wait for the engine that holds
 	// it, in multiples of the time that this saves.
 	HomeWaitFactor float64 `json:"home_wait_factor,omitempty"`
+	// KeepOnLeave leaves the cache where it is when a target is to stop.
+	KeepOnLeave bool `json:"keep_on_leave,omitempty"`
 }
 
 // Once are the times of not-repeatable requests; zero takes the default.
@@ -141,6 +143,7 @@
 		Tokens:           s.Cache.Tokens,
 		PrefillPerSecond: s.Cache.PrefillPerSecond,
 		HomeWaitFactor:   s.Cache.HomeWaitFactor,
+		KeepOnLeave:      s.Cache.KeepOnLeave,
 	}
 }
 
--- a/internal/target/fakeengine/cache.go
+++ b/internal/target/fakeengine/cache.go
@@ -19,10 +19,12 @@
 	limit  int
 	order  *list.List
 	blocks map[uint64]*list.Element
+	// requests are the blocks of answered requests, for exports.
+	requests map[string][]uint64
 }
 
 func newPrefixCache(limit int) *prefixCache {
-	return &prefixCache{limit: limit, order: list.New(), blocks: make(map[uint64]*list.Element)}
+	return &prefixCache{limit: limit, order: list.New(), blocks: make(map[uint64]*list.Element), requests: make(map[string][]uint64)}
 }
 
 // blockHashes chains the whole blocks of a prompt.
@@ -55,10 +57,11 @@
 	return matched
 }
 
-func (c *prefixCache) insert(tokens []string) {
+func (c *prefixCache) insert(request string, tokens []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	hashes := blockHashes(tokens)
+	c.requests[request] = hashes
 	for i := len(hashes) - 1; i >= 0; i-- {
 		c.add(hashes[i])
 	}
@@ -78,11 +81,15 @@
 	}
 }
 
-func (c *prefixCache) export(into io.Writer) error {
+func (c *prefixCache) export(requests []string, into io.Writer) error {
 	c.mu.Lock()
-	hashes := make([]uint64, 0, c.order.Len())
-	for element := c.order.Front(); element != nil; element = element.Next() {
-		hashes = append(hashes, element.Value.(uint64))
+	var hashes []uint64
+	for _, request := range requests {
+		for _, hash := range c.requests[request] {
+			if _, ok := c.blocks[hash]; ok {
+				hashes = append(hashes, hash)
+			}
+		}
 	}
 	c.mu.Unlock()
 	return errors.Wrap(json.NewEncoder(into).Encode(hashes), "write export")
--- a/internal/target/fakeengine/engine.go
+++ b/internal/target/fakeengine/engine.go
@@ -185,7 +185,7 @@
 		seq.made++
 		return true
 	}
-	e.cache.insert(append(seq.prompt, seq.allTokens()...))
+	e.cache.insert(seq.id, append(seq.prompt, seq.allTokens()...))
 	seq.give(target.Piece{Index: seq.total, Finish: seq.finishReason(), Usage: target.Usage{
 		PromptTokens:     int64(len(seq.prompt)),
 		CompletionTokens: seq.total,
@@ -223,9 +223,9 @@
 	return nil
 }
 
-// ExportKV writes the cached prefixes.
-func (e *Engine) ExportKV(_ context.Context, into io.Writer) error {
-	return e.cache.export(into)
+// ExportKV writes the cached prefixes of requests.
+func (e *Engine) ExportKV(_ context.Context, requestIDs []string, into io.Writer) error {
+	return e.cache.export(requestIDs, into)
 }
 
 // ImportKV reads prefixes exported elsewhere.
--- a/internal/target/fakeengine/http.go
+++ b/internal/target/fakeengine/http.go
@@ -21,7 +21,7 @@
 	mux.Post("/v1/chat/completions", e.serveChat)
 	mux.Get("/load", e.serveLoad)
 	mux.Post("/orders", e.serveOrder)
-	mux.Post("/kv/export", func(w http.ResponseWriter, r *http.Request) { _ = e.ExportKV(r.Context(), w) })
+	mux.Post("/kv/export", e.serveExport)
 	mux.Post("/kv/import", e.serveImport)
 	mux.Post("/faults", e.serveFaults)
 	return mux
@@ -104,6 +104,15 @@
 	}
 }
 
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	var requestIDs []string
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&requestIDs); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	_ = e.ExportKV(r.Context(), requestIDs, w)
+}
+
 func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
 	if err := e.ImportKV(r.Context(), http.MaxBytesReader(w, r.Body, maxBody)); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/internal/target/httpengine.go
+++ b/internal/target/httpengine.go
@@ -173,9 +173,13 @@
 	return response.Body.Close()
 }
 
-// ExportKV copies the engine's cached prefixes.
-func (e *HTTPEngine) ExportKV(ctx context.Context, into io.Writer) error {
-	response, err := e.post(ctx, "/kv/export", http.NoBody)
+// ExportKV copies the cached prefixes of requests.
+func (e *HTTPEngine) ExportKV(ctx context.Context, requestIDs []string, into io.Writer) error {
+	body, err := json.Marshal(requestIDs)
+	if err != nil {
+		return errors.Wrap(err, "write request ids")
+	}
+	response, err := e.post(ctx, "/kv/export", bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -76,8 +76,9 @@
 	Generate(ctx context.Context, request GenerateRequest) (Generation, error)
 	Load(ctx context.Context) (LoadReport, error)
 	Order(ctx context.Context, order Order) error
-	// ExportKV writes the cached prefixes, hottest first, up to a bound.
-	ExportKV(ctx context.Context, into io.Writer) error
+	// ExportKV writes the cached prefixes of requests that the engine has
+	// answered; those it no longer holds are left out.
+	ExportKV(ctx context.Context, requestIDs []string, into io.Writer) error
 	ImportKV(ctx context.Context, from io.Reader) error
 }
 
