--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -20,18 +20,29 @@
 	return json.Marshal(time.Duration(d).String())
 }
 
+// durationError is a time that cannot be read; raw is what the file holds.
+type durationError struct {
+	raw  string
+	want string
+}
+
+// Error says what was found and what is wanted.
+func (e *durationError) Error() string {
+	return fmt.Sprintf("found %s; want %s", e.raw, e.want)
+}
+
 // UnmarshalJSON reads a duration with its unit.
 func (d *Duration) UnmarshalJSON(data []byte) error {
 	var text string
 	if err := json.Unmarshal(data, &text); err != nil {
-		return errors.Newf(`found %s; want a time with its unit in quotes, such as "8s"`, data)
+		return &durationError{string(data), `a time with its unit in quotes, such as "8s"`}
 	}
 	parsed, err := time.ParseDuration(text)
 	if err != nil {
-		return errors.Newf(`found %q; want a time with its unit, such as "250ms", "8s" or "12h"`, text)
+		return &durationError{string(data), `a time with its unit, such as "250ms", "8s" or "12h"`}
 	}
 	if parsed < 0 {
-		return errors.Newf("found %q; want a time that is not negative", text)
+		return &durationError{string(data), "a time that is not negative"}
 	}
 	*d = Duration(parsed)
 	return nil
@@ -106,11 +117,25 @@
 
 var unknownField = regexp.MustCompile(`unknown field "([^"]+)"`)
 
+// lineOfValue finds the first field that has a raw value; zero if none.
+func lineOfValue(text []byte, raw string) int {
+	field := regexp.MustCompile(`:\s*` + regexp.QuoteMeta(raw) + `\s*[,}\]]`)
+	found := field.FindIndex(text)
+	if found == nil {
+		return 0
+	}
+	return lineAt(text, int64(found[0]))
+}
+
 func decodeProblem(file string, text []byte, err error, offset int64) Problem {
 	if found := unknownField.FindStringSubmatch(err.Error()); found != nil {
 		at := bytes.Index(text, []byte(`"`+found[1]+`"`))
 		return Problem{File: file, Line: lineAt(text, int64(at)), Text: fmt.Sprintf("unknown field %q; 'capersaddle config fields' lists the known ones", found[1])}
 	}
+	var badTime *durationError
+	if errors.As(err, &badTime) {
+		return Problem{File: file, Line: lineOfValue(text, badTime.raw), Text: badTime.Error()}
+	}
 	var wrongType *json.UnmarshalTypeError
 	if errors.As(err, &wrongType) {
 		return Problem{File: file, Line: lineAt(text, wrongType.Offset), Text: fmt.Sprintf("field %q: found a %s; want %s", wrongType.Field, wrongType.Value, wrongType.Type)}
--- /dev/null
+++ b/internal/target/httpservice_test.go
@@ -0,0 +1,84 @@
+package target
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// deadEndServer answers the first request of each connection and breaks the
+// connection when a second has been read: as a server that dies right after
+// its effect.
+func deadEndServer(t *testing.T) (address string, seen *atomic.Int32) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	seen = new(atomic.Int32)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveOne(conn, seen)
+		}
+	}()
+	return listener.Addr().String(), seen
+}
+
+func serveOne(conn net.Conn, seen *atomic.Int32) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for first := true; ; first = false {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		seen.Add(1)
+		if !first {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+// A call whose kept connection breaks is never sent again by the transport,
+// with or without a body, although it carries an idempotency key.
+func TestTransportDoesNotRepeat(t *testing.T) {
+	tests := map[string][]byte{"with a body": []byte("{}"), "without a body": nil}
+	for name, body := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, seen := deadEndServer(t)
+			service := &HTTPService{Base: "http://" + address, Client: &http.Client{Transport: &http.Transport{}}}
+			request := ServiceRequest{Method: http.MethodPost, Path: "/credit", Header: http.Header{"Idempotency-Key": {"k"}}, Body: body}
+			response, err := service.Do(t.Context(), request)
+			is.NoErr(err)
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+			_, err = service.Do(t.Context(), request)
+			is.True(err != nil)
+			is.True(!errors.Is(err, ErrRefused)) // it may have run
+			is.Equal(seen.Load(), int32(2))      // and was sent once
+		})
+	}
+}
+
+// Only a connection that was never made means that nothing ran.
+func TestRefusedMeansNotConnected(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	_ = listener.Close()
+	service := &HTTPService{Base: "http://" + address, Client: http.DefaultClient}
+	_, err = service.Do(t.Context(), ServiceRequest{Method: http.MethodPost, Path: "/", Header: http.Header{}})
+	is.True(errors.Is(err, ErrRefused))
+}
