--- /dev/null
+++ b/internal/process/reference_test.go
@@ -0,0 +1,156 @@
+package process
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/settings"
+)
+
+// fieldNames lists the JSON names of all settings, those inside with dots.
+func fieldNames(t reflect.Type, prefix string) []string {
+	var names []string
+	for i := range t.NumField() {
+		field := t.Field(i)
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		inner := field.Type
+		if inner.Kind() == reflect.Slice {
+			inner = inner.Elem()
+		}
+		if inner.Kind() == reflect.Struct {
+			names = append(names, fieldNames(inner, prefix+name+".")...)
+			continue
+		}
+		names = append(names, prefix+name)
+	}
+	return names
+}
+
+// documented lists the names in the first column of a page's tables.
+func documented(t *testing.T, page string) []string {
+	text, err := os.ReadFile("../../docs/" + page)
+	is.New(t).NoErr(err)
+	var names []string
+	for _, found := range regexp.MustCompile("(?m)^\\| `([^`]+)` \\|").FindAllStringSubmatch(string(text), -1) {
+		names = append(names, found[1])
+	}
+	slices.Sort(names)
+	return names
+}
+
+func same(t *testing.T, page string, inCode []string) {
+	inPage := documented(t, page)
+	for _, name := range inCode {
+		if !slices.Contains(inPage, name) {
+			t.Errorf("docs/%s does not name %s", page, name)
+		}
+	}
+	for _, name := range inPage {
+		if !slices.Contains(inCode, name) {
+			t.Errorf("docs/%s names %s, which does not exist", page, name)
+		}
+	}
+}
+
+func TestSettingsPageIsComplete(t *testing.T) {
+	same(t, "SETTINGS.md", fieldNames(reflect.TypeFor[settings.Settings](), ""))
+}
+
+func testSettings(role string) *settings.Settings {
+	s := &settings.Settings{
+		Role: role, ID: role + "-0", DataCenter: "accra-1", Operators: "127.0.0.1:0", Link: "127.0.0.1:0",
+		Beat: "127.0.0.1:0", Store: "http://127.0.0.1:1",
+	}
+	if role == "router" {
+		s.Callers = "127.0.0.1:0"
+	} else {
+		s.Targets = []settings.Target{{ID: "topup-0", Kind: "service", Pool: "topup", URL: "http://127.0.0.1:1"}}
+	}
+	return s
+}
+
+func startProcess(t *testing.T, s *settings.Settings) Process {
+	p, err := New(s, log.New(io.Discard))
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(p.Start(t.Context()))
+	t.Cleanup(func() { is.New(t).NoErr(p.Close()) })
+	return p
+}
+
+func TestMetricsPageIsComplete(t *testing.T) {
+	var inCode []string
+	for _, role := range []string{"router", "agent"} {
+		p := startProcess(t, testSettings(role))
+		if r, ok := p.(*routerProcess); ok {
+			// A series shows only once it has been used.
+			m := r.metrics
+			m.Request("w", "urgent", "overloaded", 1)
+			m.First("w", "urgent", 1)
+			m.Retry("overloaded")
+		}
+		response, err := http.Get("http://" + p.Addresses().Operators + "/metrics")
+		is.New(t).NoErr(err)
+		text, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		for _, found := range regexp.MustCompile(`(?m)^# TYPE (capersaddle_\w+)`).FindAllStringSubmatch(string(text), -1) {
+			inCode = append(inCode, found[1])
+		}
+	}
+	slices.Sort(inCode)
+	same(t, "METRICS.md", slices.Compact(inCode))
+}
+
+// The operators' key is needed where the settings name one.
+func TestOperatorsKey(t *testing.T) {
+	is := is.New(t)
+	s := testSettings("router")
+	s.OperatorKeyHash = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b" // of "secret"
+	p := startProcess(t, s)
+	status := func(key string) int {
+		request, err := http.NewRequest(http.MethodGet, "http://"+p.Addresses().Operators+"/operator/v1/status", nil)
+		is.NoErr(err)
+		request.Header.Set("Authorization", "Bearer "+key)
+		response, err := http.DefaultClient.Do(request)
+		is.NoErr(err)
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	is.Equal(status("secret"), http.StatusOK)
+	is.Equal(status("guess"), http.StatusUnauthorized)
+	is.Equal(status(""), http.StatusUnauthorized)
+}
+
+// While the store is away, queries are answered and changes plainly refused.
+func TestOperatorsWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	p := startProcess(t, testSettings("router"))
+	post := func(path string, body any) (int, string) {
+		data, _ := json.Marshal(body)
+		response, err := http.Post("http://"+p.Addresses().Operators+"/operator/v1"+path, "application/json", strings.NewReader(string(data)))
+		is.NoErr(err)
+		text, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		return response.StatusCode, string(text)
+	}
+	status, text := post("/query", Text{Text: "routers"})
+	is.Equal(status, http.StatusOK)
+	is.True(strings.Contains(text, "router-0"))
+	status, text = post("/query", Text{Text: "history"})
+	is.Equal(status, http.StatusOK)
+	is.True(strings.Contains(text, "missing"))
+	status, text = post("/exec", Script{ID: "a", Text: "create model m"})
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(text, "nothing was changed"))
+	status, _ = post("/exec", Script{ID: "a", Text: "mark target nobody-has"})
+	is.Equal(status, http.StatusConflict)
+}
--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -21,7 +21,8 @@
 // routerProcess is a router with all its services.
 type routerProcess struct {
 	*common
-	router *router.Router
+	router  *router.Router
+	metrics *metric.Router
 }
 
 func newRouter(s *settings.Settings, logger *log.Logger) (*routerProcess, error) {
@@ -34,14 +35,14 @@
 		return nil, errors.CombineErrors(err, callers.Close())
 	}
 	c.addresses.Callers = callers.Addr().String()
-	p := &routerProcess{common: c}
+	p := &routerProcess{common: c, metrics: metric.NewRouter(c.registry)}
 	p.router = router.New(router.Options{
 		ID:       s.ID,
 		Members:  c.node.Members,
 		Config:   c.node.Config,
 		Dialer:   c.node.Pool,
 		Log:      c.log,
-		Metrics:  metric.NewRouter(c.registry),
+		Metrics:  p.metrics,
 		Timeout:  time.Duration(s.Timeout),
 		MostBody: s.MostBody,
 	})
