Orders: agents give managed engines their models

Cause: an engine's model was fixed in its agent's settings; operators could not place models.

Ruled out: top ranks without regard to what is held (an engine that comes back would cost loads); deciding by demand.

Change: placements, worked out by each agent alike; settle time, turns for loads, drain, fenced tokens, a check against pauses for engines that check nothing. An agent refuses a chat for a model that its engine does not hold. A command id that belongs to another command is refused.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -25,8 +26,11 @@
 // Target is one back end beside this agent: an engine or a service's server.
 type Target struct {
 	ID string
-	// Pool is the model of an engine or the service's name.
+	// Pool is the model of an engine or the service's name; empty for a
+	// managed engine.
 	Pool string
+	// Managed engines are given their model by the placements.
+	Managed bool
 	// Engine or Service is set, never both.
 	Engine  target.Engine
 	Service target.Service
@@ -54,6 +58,8 @@
 	RunTimeout time.Duration
 	// MostBody bounds the answer of a not-repeatable call, in bytes.
 	MostBody int64
+	// Placing are the times of changes of managed engines' models.
+	Placing PlacingOptions
 	// Hosts, when set, is the platform's host list; HostID is this host's
 	// entry there.
 	Hosts  platform.Hosts
@@ -71,6 +77,13 @@
 type place struct {
 	Target
 	gate *admission.Gate
+	// model is the pool now; it changes only for managed engines.
+	model atomic.Pointer[string]
+	// changing is true while a managed engine changes its model.
+	changing atomic.Bool
+	// wish is the model that the placements give a managed engine; the
+	// placer's loop alone uses it.
+	wish wish
 	// held are the chats whose prefixes an engine has; nil for a service.
 	held *held
 	// leaveAt is when a leaving service target's gate closes at the latest;
@@ -89,6 +102,8 @@
 	lease   *longLease
 
 	mu sync.Mutex
+	// token is that of the last order given.
+	token uint64
 	// cacheMoves counts chats whose KV cache has been handed to others.
 	cacheMoves int
 	// stopping says that the process itself is to end.
@@ -110,6 +125,7 @@
 		options.PieceWait = defaultPieceWait
 	}
 	options.Cache.defaults()
+	options.Placing.defaults()
 	if options.RunTimeout == 0 {
 		options.RunTimeout = defaultRunTimeout
 	}
@@ -135,12 +151,22 @@
 
 func newPlace(t Target, options Options) *place {
 	p := &place{Target: t, gate: admission.NewGate(options.Admission)}
+	p.setPool(t.Pool)
 	if t.Engine != nil {
 		p.held = newHeld(options.Cache)
 	}
 	return p
 }
 
+// pool is the model or service that the target serves now.
+func (p *place) pool() string {
+	return *p.model.Load()
+}
+
+func (p *place) setPool(pool string) {
+	p.model.Store(&pool)
+}
+
 // Start begins the agent's loops.
 func (a *Agent) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -150,6 +176,9 @@
 	if a.options.Hosts != nil {
 		a.wait.Go(func() { a.hostLoop(ctx) })
 	}
+	if a.manages() {
+		a.wait.Go(func() { a.placeLoop(ctx) })
+	}
 	for _, k := range a.keepers {
 		a.wait.Go(func() { k.loop(ctx) })
 	}
--- a/internal/agent/cache.go
+++ b/internal/agent/cache.go
@@ -61,7 +61,7 @@
 			return
 		}
 		for _, t := range m.GetTargets() {
-			if t.GetPool() == p.Pool && !t.GetLeaving() && t.GetId() != p.ID {
+			if t.GetPool() == p.pool() && !t.GetLeaving() && t.GetId() != p.ID {
 				names = append(names, t.GetId())
 				addresses[t.GetId()] = m.GetLinkAddress()
 			}
--- a/internal/agent/chat.go
+++ b/internal/agent/chat.go
@@ -27,6 +27,10 @@
 		answer.refuse(fault.New(fault.NoTarget, fault.NotRun, "target %q is no engine", p.ID))
 		return
 	}
+	if p.pool() != work.GetModel() {
+		answer.refuse(fault.New(fault.NoTarget, fault.NotRun, "engine %q does not hold model %q", p.ID, work.GetModel()))
+		return
+	}
 	if work.GetOnlyHeld() && !p.held.has(work.GetChat()) {
 		answer.refuse(fault.New(fault.NotHeld, fault.NotRun, "the chat is not held here"))
 		return
@@ -39,6 +43,11 @@
 		return
 	}
 	defer admitted.Release()
+	if p.pool() != work.GetModel() {
+		// It waited while the engine changed its model.
+		answer.refuse(fault.New(fault.NoTarget, fault.NotRun, "engine %q no longer holds model %q", p.ID, work.GetModel()))
+		return
+	}
 	if answer.admitted() != nil {
 		return
 	}
--- a/internal/agent/tend.go
+++ b/internal/agent/tend.go
@@ -40,7 +40,7 @@
 func (a *Agent) setMeans() {
 	means := a.options.Members.MeanLoads()
 	for _, p := range a.places {
-		if mean, ok := means[p.Pool]; ok {
+		if mean, ok := means[p.pool()]; ok {
 			p.gate.SetMean(mean)
 		}
 	}
@@ -56,7 +56,7 @@
 		a.setLeaving(ctx, p, leaving)
 		load := p.gate.Load()
 		loads = append(loads, member.Load{InFlight: uint32(load.InFlight), Limit: uint32(load.Limit)})
-		states = append(states, &wire.TargetState{Id: id, Pool: p.Pool, Leaving: leaving, Service: p.Service != nil})
+		states = append(states, &wire.TargetState{Id: id, Pool: p.pool(), Leaving: leaving || p.changing.Load(), Service: p.Service != nil, Managed: p.Managed})
 	}
 	a.tell(states)
 	a.options.Members.SetLoads(loads)
@@ -78,7 +78,7 @@
 		return false
 	}
 	for i, state := range states {
-		if told[i].GetLeaving() != state.GetLeaving() {
+		if told[i].GetLeaving() != state.GetLeaving() || told[i].GetPool() != state.GetPool() {
 			return false
 		}
 	}
@@ -96,6 +96,9 @@
 // setLeaving closes or opens a target's gate. A service's target first hands
 // its slots over, for at most slotPatience.
 func (a *Agent) setLeaving(ctx context.Context, p *place, leaving bool) {
+	if p.changing.Load() {
+		return
+	}
 	now := p.gate.Load().Leaving
 	switch {
 	case leaving && !now:
--- a/internal/config/command.go
+++ b/internal/config/command.go
@@ -45,6 +45,15 @@
 	Changes []Change `json:"changes"`
 }
 
+// names lists the documents that the command changes.
+func (c *Command) names() []string {
+	names := make([]string, 0, len(c.Changes))
+	for _, change := range c.Changes {
+		names = append(names, change.Name)
+	}
+	return names
+}
+
 // Result is a command's acceptance.
 type Result struct {
 	Revision uint64 `json:"revision"`
@@ -116,6 +125,9 @@
 		return Result{}, fault.New(fault.StoreAway, fault.NotRun, "the store does not answer, nothing was changed: %v", err).After(settleEvery)
 	}
 	if accepted, ok := manifest.find(command.ID); ok {
+		if !slices.Equal(accepted.Names, command.names()) {
+			return Result{}, fault.New(fault.Conflict, fault.NotRun, "the id %s belongs to another command, accepted at revision %d; give this one its own", command.ID, accepted.Revision)
+		}
 		return Result{Revision: accepted.Revision, Repeat: true}, nil
 	}
 	if refusal := e.check(command, manifest); refusal != nil {
@@ -128,10 +140,7 @@
 	if command.DryRun {
 		return Result{Revision: manifest.Revision, DryRun: true}, nil
 	}
-	accepted := Accepted{ID: command.ID, Revision: manifest.Revision + 1, Who: command.Who, At: time.Now().UTC()}
-	for _, change := range command.Changes {
-		accepted.Names = append(accepted.Names, change.Name)
-	}
+	accepted := Accepted{ID: command.ID, Revision: manifest.Revision + 1, Who: command.Who, At: time.Now().UTC(), Names: command.names()}
 	written, err := e.writeBuckets(ctx, command, changed)
 	if err != nil {
 		return Result{}, refusedOrAway(err)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -216,6 +216,20 @@
 	}
 }
 
+// An id that was used for another command is refused, not taken for a repeat.
+func TestIDOfAnotherCommand(t *testing.T) {
+	is := is.New(t)
+	editor := NewEditor(fakestore.New(), NewState())
+	first := Command{ID: "a", Changes: []Change{{Name: "model/m", Value: json.RawMessage(`{}`)}}}
+	_, err := editor.Do(t.Context(), first)
+	is.NoErr(err)
+	again, err := editor.Do(t.Context(), first)
+	is.NoErr(err)
+	is.True(again.Repeat)
+	_, err = editor.Do(t.Context(), Command{ID: "a", Changes: []Change{{Name: "model/n", Value: json.RawMessage(`{}`)}}})
+	is.Equal(fault.KindOf(err), fault.Conflict)
+}
+
 // A dry run changes nothing and says whether the command would be accepted.
 func TestDryRun(t *testing.T) {
 	is := is.New(t)
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -17,6 +17,7 @@
 	KindService   = "service"
 	KindRoute     = "route"
 	KindMark      = "mark"
+	KindPlacement = "placement"
 )
 
 // Document is one entry of the configuration.
@@ -67,6 +68,11 @@
 	Leaving bool `json:"leaving"`
 }
 
+// Placement says how many managed engines should hold the model of its name.
+type Placement struct {
+	Replicas int `json:"replicas"`
+}
+
 // SplitName cuts a document's name into kind and name.
 func SplitName(full string) (kind, name string, err error) {
 	kind, name, ok := strings.Cut(full, "/")
@@ -94,8 +100,10 @@
 		return strict(full, value, new(Route))
 	case KindMark:
 		return strict(full, value, new(Mark))
+	case KindPlacement:
+		return checkPlacement(full, value)
 	}
-	return errors.Newf("document %q: unknown kind %q; known are workspace, model, service, route, mark", full, kind)
+	return errors.Newf("document %q: unknown kind %q; known are workspace, model, service, route, mark, placement", full, kind)
 }
 
 func strict(full string, value json.RawMessage, into any) error {
@@ -136,3 +144,14 @@
 	}
 	return nil
 }
+
+func checkPlacement(full string, value json.RawMessage) error {
+	var placement Placement
+	if err := strict(full, value, &placement); err != nil {
+		return err
+	}
+	if placement.Replicas < 0 {
+		return errors.Newf("document %q: replicas is %d; want 0 or more", full, placement.Replicas)
+	}
+	return nil
+}
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -16,6 +16,7 @@
 	Services   map[string]Service
 	Routes     map[string]Route
 	Marks      map[string]Mark
+	Placements map[string]Placement
 	// byKeyHash finds a workspace's name by the hash of an API key.
 	byKeyHash map[string]string
 }
@@ -28,6 +29,7 @@
 		Services:   make(map[string]Service),
 		Routes:     make(map[string]Route),
 		Marks:      make(map[string]Mark),
+		Placements: make(map[string]Placement),
 		byKeyHash:  make(map[string]string),
 	}
 }
@@ -63,6 +65,8 @@
 		read(v.Routes, name, value)
 	case KindMark:
 		read(v.Marks, name, value)
+	case KindPlacement:
+		read(v.Placements, name, value)
 	}
 }
 
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -61,7 +61,7 @@
 	client := outbound()
 	var targets []agent.Target
 	for _, t := range s.Targets {
-		made := agent.Target{ID: t.ID, Pool: t.Pool}
+		made := agent.Target{ID: t.ID, Pool: t.Pool, Managed: t.Managed}
 		if t.Kind == "service" {
 			made.Service = &target.HTTPService{Base: t.URL, Client: client}
 		} else {
--- a/internal/process/query.go
+++ b/internal/process/query.go
@@ -66,7 +66,7 @@
 		"leases":  o.leaseTable,
 		"history": o.historyTable,
 	}
-	for _, kind := range []string{config.KindWorkspace, config.KindModel, config.KindService, config.KindRoute, config.KindMark} {
+	for _, kind := range []string{config.KindWorkspace, config.KindModel, config.KindService, config.KindRoute, config.KindMark, config.KindPlacement} {
 		sources[kind+"s"] = func(context.Context) oplang.Table { return o.documentTable(kind) }
 	}
 	return sources
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/agent"
 	"github.com/capersaddle/capersaddle/internal/config"
+	"github.com/capersaddle/capersaddle/internal/target"
 	"github.com/capersaddle/capersaddle/internal/target/fakeengine"
 	"github.com/capersaddle/capersaddle/internal/target/fakeservice"
 )
@@ -37,6 +38,7 @@
 		"answer of the service is lost":       serviceAnswerLost,
 		"router restarts during store outage": routerRestart,
 		"planned stop hands the cache on":     func(w *world, is *is.I) { is.Equal(cacheAfterStop(w, is), 1.0) },
+		"placements are followed":             placements,
 		"planned stop keeps the cache": func(w *world, is *is.I) {
 			w.cache.KeepOnLeave = true
 			is.Equal(cacheAfterStop(w, is), 0.0)
@@ -541,3 +543,50 @@
 	w.say("caller", "its %d chats came back elsewhere, %d found their prefix", moved, cached)
 	return float64(cached) / float64(moved)
 }
+
+// placements: agents give their engines the models that the operators placed,
+// without an election; engines that come and go cause few loads.
+func placements(w *world, is *is.I) {
+	for i := range 5 {
+		w.addManaged(fmt.Sprintf("engine-%d", i))
+	}
+	w.addRouter("router-0")
+	r := w.routers["router-0"]
+	w.configure("clinic")
+	place := func(id string, volta, tips int) {
+		_, err := w.command(r, "ama", config.Command{ID: id, Changes: []config.Change{
+			set("placement/"+model, config.Placement{Replicas: volta}),
+			set("placement/tips-chat", config.Placement{Replicas: tips}),
+		}})
+		is.NoErr(err)
+		time.Sleep(time.Minute)
+	}
+	loads := func() int {
+		sum := 0
+		for _, engine := range w.engines {
+			sum += engine.Loads()
+		}
+		return sum
+	}
+	place("place-1", 3, 1)
+	is.Equal(loads(), 4)
+	held := w.chat(r, "clinic", "served by a placed engine", 3)
+	w.say("caller", "a chat: %v", held)
+	is.True(held.done)
+
+	w.say("operator", "the host of %s dies", held.placement)
+	w.die(w.agents["host-of-"+held.placement])
+	time.Sleep(2 * time.Minute)
+	is.Equal(loads(), 5) // the idle engine stands in
+	w.say("operator", "the host of %s is back", held.placement)
+	w.wake(w.agents["host-of-"+held.placement])
+	time.Sleep(2 * time.Minute)
+	is.Equal(loads(), 5) // and stays
+
+	place("place-2", 1, 3)
+	w.say("engine", "%d loads in all", loads())
+	is.True(loads() <= 8)
+	err := w.engines["engine-0"].Order(w.ctx, target.Order{Token: 1, Action: "unload", Model: model})
+	w.say("engine", "an order with an old token: %v", err)
+	is.True(err != nil)
+}
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -250,6 +250,18 @@
 	return engine
 }
 
+// addManaged makes an engine that holds nothing, with an agent that follows
+// the placements.
+func (w *world) addManaged(id string) {
+	engine := fakeengine.New(fakeengine.Options{Name: id, Step: 20 * time.Millisecond, ChecksFence: true, Log: func(text string) {
+		if !strings.Contains(text, " req-") {
+			w.say("engine", "%s", text)
+		}
+	}})
+	w.engines[id] = engine
+	w.addAgent("host-of-"+id, agent.Target{ID: id, Managed: true, Engine: engine})
+}
+
 // shorten takes random request ids out of a line.
 func (w *world) shorten(text string) string {
 	if at := strings.Index(text, " req-"); at >= 0 {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -154,7 +154,12 @@
 		if target.Kind != "engine" && target.Kind != "service" {
 			c.say("targets.kind", target.Kind, `found %q; want "engine" or "service"`, target.Kind)
 		}
-		c.need("targets.pool", target.Pool)
+		if !target.Managed {
+			c.need("targets.pool", target.Pool)
+		}
+		if target.Managed && (target.Kind != "engine" || target.Pool != "") {
+			c.say("targets.managed", "true", "target %q: only an engine without a pool can be managed", target.ID)
+		}
 		c.base("targets.url", target.URL)
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,8 +55,11 @@
 	ID string `json:"id"`
 	// Kind is "engine" or "service".
 	Kind string `json:"kind"`
-	// Pool is the model of an engine or the service's name.
+	// Pool is the model of an engine or the service's name; empty for a
+	// managed engine.
 	Pool string `json:"pool"`
+	// Managed engines are given their model by the placements.
+	Managed bool `json:"managed,omitempty"`
 	// URL is http://IP:port.
 	URL string `json:"url"`
 }
--- a/internal/target/fakeengine/engine.go
+++ b/internal/target/fakeengine/engine.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -62,6 +63,8 @@
 	faults  []Fault
 	fence   uint64
 	models  map[string]bool
+	// loads counts the models loaded.
+	loads int
 	// runs lists the request ids that began, in order.
 	runs   []string
 	wait   sync.WaitGroup
@@ -212,9 +215,11 @@
 		return errors.Wrapf(target.ErrRefused, "order token %d is below %d", order.Token, e.fence)
 	}
 	e.fence = max(e.fence, order.Token)
+	e.options.Log(fmt.Sprintf("%s is told to %s %s", e.options.Name, order.Action, order.Model))
 	switch order.Action {
 	case "load":
 		e.models[order.Model] = true
+		e.loads++
 	case "unload":
 		delete(e.models, order.Model)
 	default:
@@ -233,6 +238,13 @@
 	return e.cache.load(from)
 }
 
+// Loads counts the models loaded so far.
+func (e *Engine) Loads() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.loads
+}
+
 // Runs lists the request ids begun so far, in order.
 func (e *Engine) Runs() []string {
 	e.mu.Lock()
