Mutual TLS for links and operators, signed beats, roles

Cause: anybody who reached a link, beat or operators' address could speak there.

Ruled out: names in certificates (processes are met by IP number); encrypting beats (what they say are hints; a signature keeps strangers out).

Change: keys inline or from files that are read again; a certificate's organizational unit is its role; links take router and agent, the operators' address, if asked to, read, operate and administer. capersaddle dev makes throwaway certificates in memory.

--- a/internal/dev/stack.go
+++ b/internal/dev/stack.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -21,6 +23,7 @@
 	"github.com/capersaddle/capersaddle/internal/platform/fakehosts"
 	"github.com/capersaddle/capersaddle/internal/platform/fakestore"
 	"github.com/capersaddle/capersaddle/internal/process"
+	"github.com/capersaddle/capersaddle/internal/secure"
 	"github.com/capersaddle/capersaddle/internal/settings"
 	"github.com/capersaddle/capersaddle/internal/target/fakeengine"
 	"github.com/capersaddle/capersaddle/internal/target/fakeservice"
@@ -63,9 +66,12 @@
 
 	options Options
 	kernel  *kernel.Kernel
-	seed    string
-	store   string
-	hosts   string
+	// authority issues throwaway certificates; beatKey signs beats.
+	authority *secure.Authority
+	beatKey   string
+	seed      string
+	store     string
+	hosts     string
 }
 
 // New puts a stack together; Start starts it.
@@ -79,6 +85,9 @@
 		options:    options,
 		kernel:     kernel.New(),
 	}
+	if err := s.makeKeys(); err != nil {
+		return nil, err
+	}
 	if err := s.addPlatform(); err != nil {
 		return nil, err
 	}
@@ -91,6 +100,19 @@
 	return s, s.addRouters()
 }
 
+// makeKeys makes the keys of this one run, in memory.
+func (s *Stack) makeKeys() error {
+	var err error
+	if s.authority, err = secure.NewAuthority(); err != nil {
+		return err
+	}
+	const keyLength = 32
+	key := make([]byte, keyLength)
+	_, _ = rand.Read(key)
+	s.beatKey = hex.EncodeToString(key)
+	return nil
+}
+
 // serve registers an HTTP stand-in on a free loopback port.
 func (s *Stack) serve(name string, handler http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -157,7 +179,11 @@
 	return nil
 }
 
-func (s *Stack) common(role, id, center string) *settings.Settings {
+func (s *Stack) common(role, id, center string) (*settings.Settings, error) {
+	keys, err := s.authority.Issue(id, role, keyLife)
+	if err != nil {
+		return nil, err
+	}
 	made := &settings.Settings{
 		Role:       role,
 		ID:         id,
@@ -166,15 +192,23 @@
 		Link:       "127.0.0.1:0",
 		Beat:       "127.0.0.1:0",
 		Store:      s.store,
+		TLS:        settings.TLS{CA: keys.CA, Cert: keys.Cert, Key: keys.Key},
+		Membership: settings.Membership{Key: s.beatKey},
 	}
 	if s.seed != "" {
 		made.Seeds = []string{s.seed}
 	}
-	return made
+	return made, nil
 }
 
+// keyLife is how long the throwaway certificates hold.
+const keyLife = 7 * 24 * time.Hour
+
 func (s *Stack) addAgent(id, center string, targets []settings.Target) error {
-	made := s.common("agent", id, center)
+	made, err := s.common("agent", id, center)
+	if err != nil {
+		return err
+	}
 	made.Targets = targets
 	made.Hosts = s.hosts
 	made.Host = id
@@ -200,7 +234,10 @@
 func (s *Stack) addRouters() error {
 	for i := range routers {
 		id := fmt.Sprintf("router-%d", i)
-		made := s.common("router", id, Centers[i%len(Centers)])
+		made, err := s.common("router", id, Centers[i%len(Centers)])
+		if err != nil {
+			return err
+		}
 		made.Callers = "127.0.0.1:0"
 		if i == 0 && s.options.Callers != "" {
 			made.Callers = s.options.Callers
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -32,13 +32,13 @@
 func startServer(t *testing.T, handler Handler) *Server {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	s := NewServer(listener, hello(), log.New(io.Discard), handler)
+	s := NewServer(listener, hello(), nil, log.New(io.Discard), handler)
 	t.Cleanup(func() { _ = s.Close() })
 	return s
 }
 
 func startPool(t *testing.T) *Pool {
-	p := NewPool(hello())
+	p := NewPool(hello(), nil)
 	t.Cleanup(func() { _ = p.Close() })
 	return p
 }
@@ -181,7 +181,7 @@
 	is.True(err != nil)
 	listener, err := net.Listen("tcp", address)
 	is.NoErr(err)
-	again := NewServer(listener, hello(), log.New(io.Discard), echo)
+	again := NewServer(listener, hello(), nil, log.New(io.Discard), echo)
 	defer func() { _ = again.Close() }()
 	for {
 		if _, err = Ask(t.Context(), pool, address, callOf("c")); err == nil {
@@ -286,11 +286,11 @@
 func BenchmarkStream(b *testing.B) {
 	piece := &wire.Reply{RequestId: "request-0123456789", Attempt: 1, Kind: &wire.Reply_Data{Data: &wire.Data{Offset: 100, Pieces: []string{" kitchen"}}}}
 	listener, _ := net.Listen("tcp", "127.0.0.1:0")
-	server := NewServer(listener, hello(), log.New(io.Discard), func(_ context.Context, _ *wire.Open, stream Stream) {
+	server := NewServer(listener, hello(), nil, log.New(io.Discard), func(_ context.Context, _ *wire.Open, stream Stream) {
 		sendForever(stream, piece)
 	})
 	defer func() { _ = server.Close() }()
-	pool := NewPool(hello())
+	pool := NewPool(hello(), nil)
 	defer func() { _ = pool.Close() }()
 	stream, err := pool.Open(b.Context(), server.Address(), callOf("a"))
 	if err != nil {
--- a/internal/link/memory_bench_test.go
+++ b/internal/link/memory_bench_test.go
@@ -41,9 +41,9 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		servers = append(servers, NewServer(listener, hello(), log.New(io.Discard), echo))
+		servers = append(servers, NewServer(listener, hello(), nil, log.New(io.Discard), echo))
 	}
-	pool := NewPool(hello())
+	pool := NewPool(hello(), nil)
 	before := inUse()
 	for _, server := range servers {
 		if _, err := Ask(b.Context(), pool, server.Address(), callOf("a")); err != nil {
@@ -64,14 +64,14 @@
 	for b.Loop() {
 		release := make(chan struct{})
 		listener, _ := net.Listen("tcp", "127.0.0.1:0")
-		server := NewServer(listener, hello(), log.New(io.Discard), func(ctx context.Context, _ *wire.Open, stream Stream) {
+		server := NewServer(listener, hello(), nil, log.New(io.Discard), func(ctx context.Context, _ *wire.Open, stream Stream) {
 			_ = stream.Send(&wire.Reply{})
 			select {
 			case <-release:
 			case <-ctx.Done():
 			}
 		})
-		pool := NewPool(hello())
+		pool := NewPool(hello(), nil)
 		var streams []Stream
 		before := inUse()
 		for range n {
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -32,6 +33,8 @@
 // Pool keeps one session for each peer address, opened on demand.
 type Pool struct {
 	hello *wire.Hello
+	// tls is nil for links without encryption.
+	tls *tls.Config
 
 	mu     sync.Mutex
 	peers  map[string]*peer
@@ -56,9 +59,10 @@
 	waits     *backoff.ExponentialBackOff
 }
 
-// NewPool returns a pool that introduces itself with hello.
-func NewPool(hello *wire.Hello) *Pool {
-	p := &Pool{hello: hello, peers: make(map[string]*peer), stop: make(chan struct{})}
+// NewPool returns a pool that introduces itself with hello. With a nil TLS
+// configuration its links are not encrypted.
+func NewPool(hello *wire.Hello, config *tls.Config) *Pool {
+	p := &Pool{hello: hello, tls: config, peers: make(map[string]*peer), stop: make(chan struct{})}
 	p.wait.Go(p.sweep)
 	return p
 }
@@ -135,6 +139,9 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "dial")
 	}
+	if conn, err = p.encrypt(ctx, conn); err != nil {
+		return nil, nil, err
+	}
 	gathered := newCoalescer(conn)
 	session, err := yamux.Client(gathered, sessionConfig())
 	if err != nil {
@@ -146,6 +153,20 @@
 	return session, gathered, nil
 }
 
+// encrypt runs the TLS handshake, if links are encrypted.
+func (p *Pool) encrypt(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	if p.tls == nil {
+		return conn, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	encrypted := tls.Client(conn, p.tls)
+	if err := encrypted.HandshakeContext(ctx); err != nil {
+		return nil, errors.CombineErrors(errors.Wrap(err, "TLS handshake"), conn.Close())
+	}
+	return encrypted, nil
+}
+
 // introduce sends Hello and waits for the server's clean close in answer.
 func (p *Pool) introduce(session *yamux.Session) error {
 	conn, err := session.OpenStream()
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -28,6 +30,8 @@
 	listener net.Listener
 	handler  Handler
 	hello    *wire.Hello
+	// tls is nil for links without encryption.
+	tls      *tls.Config
 	log      *log.Logger
 	badPeers atomic.Int64
 
@@ -38,13 +42,15 @@
 	wait   sync.WaitGroup
 }
 
-// NewServer serves the listener at once; it owns the listener.
-func NewServer(listener net.Listener, hello *wire.Hello, logger *log.Logger, handler Handler) *Server {
+// NewServer serves the listener at once; it owns the listener. With a nil TLS
+// configuration its links are not encrypted.
+func NewServer(listener net.Listener, hello *wire.Hello, config *tls.Config, logger *log.Logger, handler Handler) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
 		listener: listener,
 		handler:  handler,
 		hello:    hello,
+		tls:      config,
 		log:      logger,
 		ctx:      ctx,
 		cancel:   cancel,
@@ -78,6 +84,13 @@
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetKeepAliveConfig(keepAlive())
 	}
+	if s.tls != nil {
+		encrypted, err := s.encrypt(conn)
+		if err != nil {
+			return
+		}
+		conn = encrypted
+	}
 	gathered := newCoalescer(conn)
 	session, err := yamux.Server(gathered, sessionConfig())
 	if err != nil {
@@ -98,6 +111,26 @@
 	}
 }
 
+// encrypt runs the TLS handshake; a peer that fails it is counted and dropped.
+func (s *Server) encrypt(conn net.Conn) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, openTimeout)
+	defer cancel()
+	encrypted := tls.Server(conn, s.tls)
+	err := encrypted.HandshakeContext(ctx)
+	if err == nil {
+		return encrypted, nil
+	}
+	_ = conn.Close()
+	var network *net.OpError
+	if s.ctx.Err() != nil || errors.Is(err, io.EOF) || errors.As(err, &network) {
+		// The peer went away; that says nothing against it.
+		return nil, err
+	}
+	s.badPeers.Add(1)
+	s.log.Warn("dropped a link peer", "peer", conn.RemoteAddr(), "why", "TLS handshake", "error", err)
+	return nil, err
+}
+
 func (s *Server) track(session *yamux.Session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/capersaddle/capersaddle/internal/secure"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -48,6 +49,8 @@
 	Seeds []string
 	// Budget is the most bytes a second that are sent.
 	Budget int
+	// Signer signs and checks datagrams; nil for none.
+	Signer *secure.Signer
 	// ConfigRevision tells the configuration revision in force.
 	ConfigRevision func() uint64
 	// Roster asks the process at a link address for all members.
@@ -80,6 +83,9 @@
 
 // NewService returns a service that owns conn; Start begins its work.
 func NewService(list *List, conn PacketConn, options ServiceOptions, logger *log.Logger) *Service {
+	if options.Signer == nil {
+		options.Signer = &secure.Signer{}
+	}
 	return &Service{
 		list:    list,
 		conn:    conn,
@@ -107,6 +113,11 @@
 	return errors.Wrap(err, "close socket")
 }
 
+// Bad counts datagrams that were dropped for what they held.
+func (s *Service) Bad() int64 {
+	return s.bad.Load()
+}
+
 // Traffic is the bytes sent and received so far.
 func (s *Service) Traffic() (sent, received int64) {
 	return s.sent.Load(), s.received.Load()
@@ -211,8 +222,9 @@
 
 func (s *Service) sendSized(to netip.AddrPort, beat *wire.Beat, most int) {
 	beat.ConfigRevision = s.options.ConfigRevision()
-	room := min(int(s.bucket.Tokens()), most)
+	room := min(int(s.bucket.Tokens()), most) - s.options.Signer.Overhead()
 	data, err := proto.Marshal(s.list.Compose(beat, room))
+	data = s.options.Signer.Sign(data)
 	if err != nil || !s.bucket.AllowN(time.Now(), len(data)) {
 		return
 	}
@@ -233,7 +245,8 @@
 		}
 		s.received.Add(int64(n))
 		beat := new(wire.Beat)
-		if proto.Unmarshal(buffer[:n], beat) != nil || beat.GetFrom() == "" {
+		data, genuine := s.options.Signer.Open(buffer[:n])
+		if !genuine || proto.Unmarshal(data, beat) != nil || beat.GetFrom() == "" {
 			s.bad.Add(1)
 			continue
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 
 	"github.com/charmbracelet/log"
@@ -15,6 +16,7 @@
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/member"
 	"github.com/capersaddle/capersaddle/internal/platform"
+	"github.com/capersaddle/capersaddle/internal/secure"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -41,6 +43,26 @@
 	Store   platform.Store
 	Log     *log.Logger
 	Members member.Options
+	// Keys are nil for links without encryption.
+	Keys *secure.Keys
+	// Signer signs beats.
+	Signer *secure.Signer
+}
+
+// clientTLS is for links that the process opens.
+func (o *Options) clientTLS() *tls.Config {
+	if o.Keys == nil {
+		return nil
+	}
+	return o.Keys.Client(secure.RoleRouter, secure.RoleAgent)
+}
+
+// serverTLS is for links that the process takes.
+func (o *Options) serverTLS() *tls.Config {
+	if o.Keys == nil {
+		return nil
+	}
+	return o.Keys.Server(secure.RoleRouter, secure.RoleAgent)
 }
 
 // Node holds the common parts of one process.
@@ -64,7 +86,7 @@
 	hello := &wire.Hello{Version: link.Version, ProcessId: options.ID, Role: options.Role, DataCenter: options.DataCenter}
 	n := &Node{
 		Session: session,
-		Pool:    link.NewPool(hello),
+		Pool:    link.NewPool(hello, options.clientTLS()),
 		Config:  config.NewState(),
 		options: options,
 	}
@@ -80,6 +102,7 @@
 	n.Beats = member.NewService(n.Members, options.BeatConn, member.ServiceOptions{
 		Seeds:          options.Seeds,
 		Budget:         options.Budget,
+		Signer:         options.Signer,
 		ConfigRevision: n.Config.Revision,
 		Roster:         n.roster,
 	}, options.Log)
@@ -167,7 +190,7 @@
 // Start begins to take links.
 func (l *links) Start(context.Context) error {
 	n := l.node
-	n.server = link.NewServer(n.options.LinkListener, l.hello, n.options.Log, n.handle)
+	n.server = link.NewServer(n.options.LinkListener, l.hello, n.options.serverTLS(), n.options.Log, n.handle)
 	return nil
 }
 
--- a/internal/process/operators.go
+++ b/internal/process/operators.go
@@ -15,6 +15,7 @@
 	"github.com/capersaddle/capersaddle/internal/config"
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/member"
+	"github.com/capersaddle/capersaddle/internal/secure"
 )
 
 // mostCommand bounds an operator's command, in bytes.
@@ -54,15 +55,17 @@
 	mux.Handle("/metrics", promhttp.HandlerFor(o.registry, promhttp.HandlerOpts{}))
 	mux.Route("/operator/v1", func(sub chi.Router) {
 		sub.Use(o.authorize)
+		operate := sub.With(o.needs(secure.RoleOperate, secure.RoleAdminister))
+		administer := sub.With(o.needs(secure.RoleAdminister))
 		sub.Get("/status", o.serveStatus)
 		sub.Get("/members", o.serveMembers)
 		sub.Get("/documents", o.serveDocuments)
 		sub.Post("/query", o.serveQuery)
 		if o.editor != nil {
 			sub.Get("/history", o.serveHistory)
-			sub.Post("/command", o.serveCommand)
-			sub.Post("/exec", o.serveExec)
-			sub.Post("/republish", o.serveRepublish)
+			operate.Post("/command", o.serveCommand)
+			operate.Post("/exec", o.serveExec)
+			administer.Post("/republish", o.serveRepublish)
 		}
 	})
 	return mux
@@ -82,6 +85,20 @@
 	})
 }
 
+// needs asks for a role in the caller's certificate, when the operators'
+// address uses TLS.
+func (o *operators) needs(roles ...string) func(http.Handler) http.Handler {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.TLS != nil && !secure.HasRole(*r.TLS, roles...) {
+				writeFault(w, fault.New(fault.Forbidden, fault.NotRun, "this needs a certificate with one of the roles %s", strings.Join(roles, ", ")))
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
+
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(value)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -18,6 +19,7 @@
 	"github.com/capersaddle/capersaddle/internal/kernel"
 	"github.com/capersaddle/capersaddle/internal/node"
 	"github.com/capersaddle/capersaddle/internal/platform"
+	"github.com/capersaddle/capersaddle/internal/secure"
 	"github.com/capersaddle/capersaddle/internal/settings"
 )
 
@@ -72,6 +74,8 @@
 	log       *log.Logger
 	store     platform.Store
 	operators net.Listener
+	// keys are nil without TLS.
+	keys      *secure.Keys
 	addresses Addresses
 }
 
@@ -113,6 +117,14 @@
 		},
 	}
 	c.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	keys, signer, err := loadKeys(s)
+	if err != nil {
+		return nil, errors.CombineErrors(err, errors.CombineErrors(errors.CombineErrors(operators.Close(), beatConn.Close()), linkListener.Close()))
+	}
+	c.keys = keys
+	if keys != nil && s.TLS.Operators {
+		c.operators = tls.NewListener(operators, keys.Server(secure.RoleRead, secure.RoleOperate, secure.RoleAdminister))
+	}
 	c.node, err = node.New(c.kernel, node.Options{
 		ID:           s.ID,
 		Role:         s.Role,
@@ -124,10 +136,22 @@
 		Store:        c.store,
 		Log:          c.log,
 		Members:      s.MemberOptions(),
+		Keys:         keys,
+		Signer:       signer,
 	})
 	return c, err
 }
 
+// loadKeys reads the process's keys; nil keys if it has none.
+func loadKeys(s *settings.Settings) (*secure.Keys, *secure.Signer, error) {
+	signer, err := secure.NewSigner(s.Membership.Key)
+	if err != nil || !s.TLS.Source().Set() {
+		return nil, signer, err
+	}
+	keys, err := secure.Load(s.TLS.Source())
+	return keys, signer, err
+}
+
 func listenUDP(address string) (*net.UDPConn, error) {
 	parsed, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
--- a/internal/process/reference_test.go
+++ b/internal/process/reference_test.go
@@ -10,10 +10,12 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
+	"github.com/capersaddle/capersaddle/internal/secure"
 	"github.com/capersaddle/capersaddle/internal/settings"
 )
 
@@ -130,6 +132,50 @@
 	is.Equal(status(""), http.StatusUnauthorized)
 }
 
+// With TLS on the operators' address, what a caller may do is in its
+// certificate.
+func TestOperatorsRoles(t *testing.T) {
+	authority, err := secure.NewAuthority()
+	is.New(t).NoErr(err)
+	own, err := authority.Issue("router-0", secure.RoleRouter, time.Hour)
+	is.New(t).NoErr(err)
+	s := testSettings("router")
+	s.TLS = settings.TLS{CA: own.CA, Cert: own.Cert, Key: own.Key, Operators: true}
+	p := startProcess(t, s)
+	tests := map[string]struct {
+		role  string
+		path  string
+		wants int
+	}{
+		"a reader may ask":                     {secure.RoleRead, "/query", http.StatusOK},
+		"a reader may not change":              {secure.RoleRead, "/exec", http.StatusForbidden},
+		"an operator may change":               {secure.RoleOperate, "/exec", http.StatusServiceUnavailable},
+		"an operator may not republish":        {secure.RoleOperate, "/republish", http.StatusForbidden},
+		"an administrator may republish":       {secure.RoleAdminister, "/republish", http.StatusServiceUnavailable},
+		"another process is not let in at all": {secure.RoleAgent, "/query", 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			source, err := authority.Issue("ama", tt.role, time.Hour)
+			is.NoErr(err)
+			keys, err := secure.Load(source)
+			is.NoErr(err)
+			transport := &http.Transport{TLSClientConfig: keys.Client(secure.RoleRouter)}
+			defer transport.CloseIdleConnections()
+			bodies := map[string]string{"/query": `{"text":"routers"}`, "/exec": `{"id":"a","text":"create model m"}`, "/republish": `{"id":"a"}`}
+			status := 0
+			url := "https://" + p.Addresses().Operators + "/operator/v1" + tt.path
+			response, err := (&http.Client{Transport: transport}).Post(url, "application/json", strings.NewReader(bodies[tt.path]))
+			if err == nil {
+				status = response.StatusCode
+				_ = response.Body.Close()
+			}
+			is.Equal(status, tt.wants)
+		})
+	}
+}
+
 // While the store is away, queries are answered and changes plainly refused.
 func TestOperatorsWithoutTheStore(t *testing.T) {
 	is := is.New(t)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -7,6 +7,8 @@
 	"net/url"
 	"slices"
 	"strings"
+
+	"github.com/capersaddle/capersaddle/internal/secure"
 )
 
 // checker gathers what is wrong with settings that could be read.
@@ -79,6 +81,7 @@
 	}
 	c.targets(s)
 	c.numbers(s)
+	c.keys(s)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "text", "json")
 }
@@ -189,3 +192,19 @@
 
 // leastBudget lets one whole datagram out each second.
 const leastBudget = 1200
+
+// keys checks that TLS is set as a whole, and that the keys can be read.
+func (c *checker) keys(s *Settings) {
+	if _, err := secure.NewSigner(s.Membership.Key); err != nil {
+		c.say("membership.key", "", "want a key of at least 32 bytes in hex")
+	}
+	if !s.TLS.Source().Set() {
+		return
+	}
+	c.need("tls.ca", s.TLS.CA)
+	c.need("tls.cert", s.TLS.Cert)
+	c.need("tls.key", s.TLS.Key)
+	if _, err := secure.Load(s.TLS.Source()); err != nil {
+		c.say("tls", "", "%v", err)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,7 @@
 	"github.com/capersaddle/capersaddle/internal/agent"
 	"github.com/capersaddle/capersaddle/internal/member"
 	"github.com/capersaddle/capersaddle/internal/once"
+	"github.com/capersaddle/capersaddle/internal/secure"
 )
 
 // Duration is a time written as "250ms", "8s" or "12h".
@@ -37,6 +38,8 @@
 	Host string `json:"host,omitempty"`
 	// Targets are an agent's.
 	Targets []Target `json:"targets,omitempty"`
+	// TLS are the process's keys; links are not encrypted without them.
+	TLS TLS `json:"tls"`
 	// OperatorKeyHash is the hex SHA-256 of the operators' key.
 	OperatorKeyHash string     `json:"operator_key_hash,omitempty"`
 	Log             Log        `json:"log"`
@@ -64,6 +67,20 @@
 	URL string `json:"url"`
 }
 
+// TLS are keys, each as PEM text or as the path of a file.
+type TLS struct {
+	CA   string `json:"ca,omitempty"`
+	Cert string `json:"cert,omitempty"`
+	Key  string `json:"key,omitempty"`
+	// Operators asks for certificates on the operators' address too.
+	Operators bool `json:"operators,omitempty"`
+}
+
+// Source gives the keys' place.
+func (t TLS) Source() secure.Source {
+	return secure.Source{CA: t.CA, Cert: t.Cert, Key: t.Key}
+}
+
 // Log says how to log.
 type Log struct {
 	// Level is debug, info, warn or error.
@@ -109,8 +126,10 @@
 // Membership are its bounds; zero takes the default.
 type Membership struct {
 	// BytesPerSecond is the most that is sent.
-	BytesPerSecond int      `json:"bytes_per_second,omitempty"`
-	Suspicion      Duration `json:"suspicion,omitempty"`
+	BytesPerSecond int `json:"bytes_per_second,omitempty"`
+	// Key is a hex key that all processes share; beats are signed with it.
+	Key       string   `json:"key,omitempty"`
+	Suspicion Duration `json:"suspicion,omitempty"`
 }
 
 // defaultBudget leaves room for configuration within 8 KB/s.
--- a/pkg/cmdutil/client.go
+++ b/pkg/cmdutil/client.go
@@ -22,7 +22,11 @@
 
 // NewClient returns a client for an operators' address, IP:port.
 func NewClient(address, key string, client *http.Client) *Client {
-	return &Client{base: "http://" + address + "/operator/v1", key: key, http: client}
+	scheme := "http://"
+	if client.Transport != nil {
+		scheme = "https://"
+	}
+	return &Client{base: scheme + address + "/operator/v1", key: key, http: client}
 }
 
 // call sends one request and reads the answer into a value. A router that
