--- a/internal/link/memory_bench_test.go
+++ b/internal/link/memory_bench_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"runtime"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 
+	"github.com/capersaddle/capersaddle/internal/secure"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -24,26 +27,41 @@
 // BenchmarkIdleLink is the memory of a session with no stream, both ends
 // together.
 func BenchmarkIdleLink(b *testing.B) {
-	for _, n := range []int{100, 400} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			for b.Loop() {
-				measureIdle(b, n)
-			}
-			b.ReportMetric(0, "ns/op")
-		})
+	authority, err := secure.NewAuthority()
+	if err != nil {
+		b.Fatal(err)
+	}
+	source, err := authority.Issue("bench", secure.RoleAgent, time.Hour)
+	if err != nil {
+		b.Fatal(err)
+	}
+	keys, err := secure.Load(source)
+	if err != nil {
+		b.Fatal(err)
+	}
+	encrypted := keys.Server(secure.RoleAgent)
+	for name, config := range map[string]*tls.Config{"plain": nil, "tls": encrypted} {
+		for _, n := range []int{100, 400} {
+			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
+				for b.Loop() {
+					measureIdle(b, n, config)
+				}
+				b.ReportMetric(0, "ns/op")
+			})
+		}
 	}
 }
 
-func measureIdle(b *testing.B, n int) {
+func measureIdle(b *testing.B, n int, config *tls.Config) {
 	var servers []*Server
 	for range n {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			b.Fatal(err)
 		}
-		servers = append(servers, NewServer(listener, hello(), nil, log.New(io.Discard), echo))
+		servers = append(servers, NewServer(listener, hello(), config, log.New(io.Discard), echo))
 	}
-	pool := NewPool(hello(), nil)
+	pool := NewPool(hello(), config)
 	before := inUse()
 	for _, server := range servers {
 		if _, err := Ask(b.Context(), pool, server.Address(), callOf("a")); err != nil {
