--- a/internal/dev/bench_test.go
+++ b/internal/dev/bench_test.go
@@ -55,8 +55,15 @@
 
 // BenchmarkAddedLatency compares the time to the first byte through a router
 // and an agent with the stand-in engine called directly, in turn, at 24
-// requests a second with 50 streams open beside them.
+// requests a second, alone and with 50 streams of 1,000 pieces a second each
+// open beside them.
 func BenchmarkAddedLatency(b *testing.B) {
+	for _, streams := range []int{0, 50} {
+		b.Run(fmt.Sprintf("streams-%d", streams), func(b *testing.B) { measureLatency(b, streams) })
+	}
+}
+
+func measureLatency(b *testing.B, streams int) {
 	stack := startStack(b)
 	direct := fakeengine.New(fakeengine.Options{Name: "direct", Step: time.Millisecond}, Model)
 	server := httptest.NewServer(direct.Handler())
@@ -67,7 +74,7 @@
 	}
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
-	for i := range 50 {
+	for i := range streams {
 		wait.Go(func() {
 			for {
 				select {
--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -14,9 +14,9 @@
 	"github.com/capersaddle/capersaddle/internal/settings"
 )
 
-// unreadyFor is how long a draining router still answers, so that the
-// platform's balancer sees that it is not ready.
-const unreadyFor = time.Second
+// unreadyFor is how long an unready router still takes requests, so that the
+// platform's balancer sees it first.
+const unreadyFor = 3 * time.Second
 
 // routerProcess is a router with all its services.
 type routerProcess struct {
@@ -65,17 +65,17 @@
 	return nil
 }
 
-// Drain goes unready, waits for the balancer to see it, then for requests in
-// flight.
+// Drain goes unready, goes on serving until the balancer has surely seen it,
+// and then waits for requests in flight.
 func (p *routerProcess) Drain(ctx context.Context) error {
 	p.log.Info("router draining")
+	p.router.Unready()
 	p.node.Members.SetSelf(true, nil)
-	drained := p.router.Drain(ctx)
 	timer := time.NewTimer(unreadyFor)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return drained
+	return p.router.Drain(ctx)
 }
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -59,7 +59,7 @@
 
 // Ready says whether the router may be given requests.
 func (r *Router) Ready() bool {
-	return !r.Draining() && r.options.Config.Revision() > 0
+	return !r.unready.Load() && !r.Draining() && r.options.Config.Revision() > 0
 }
 
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -66,7 +66,9 @@
 	randomMu sync.Mutex
 	random   *rand.Rand
 
-	// draining says that no new requests are taken.
+	// unready tells the balancer to send nothing more; what comes all the
+	// same is served. draining says that no new requests are taken.
+	unready  atomic.Bool
 	draining atomic.Bool
 	inFlight sync.WaitGroup
 	busy     *busy
@@ -130,6 +132,11 @@
 	}
 }
 
+// Unready makes /readyz say no, while requests are still served.
+func (r *Router) Unready() {
+	r.unready.Store(true)
+}
+
 // Drain takes no new requests and waits for those in flight.
 func (r *Router) Drain(ctx context.Context) error {
 	r.draining.Store(true)
--- a/internal/router/stream_test.go
+++ b/internal/router/stream_test.go
@@ -113,6 +113,61 @@
 	}
 }
 
+// An unready router says so and still serves; a draining one takes nothing.
+func TestUnreadyThenDraining(t *testing.T) {
+	is := is.New(t)
+	r := testRouter(t, cannedDialer{pieces: 1, perFrame: 1})
+	handler := r.Handler()
+	get := func(request *http.Request) int {
+		writer := httptest.NewRecorder()
+		handler.ServeHTTP(writer, request)
+		return writer.Code
+	}
+	ready := httptest.NewRequest(http.MethodGet, "/readyz", nil)
+	is.Equal(get(ready), http.StatusOK)
+	r.Unready()
+	is.Equal(get(ready), http.StatusServiceUnavailable)
+	is.Equal(get(chatRequestFor(streamBody)), http.StatusOK)
+	is.NoErr(r.Drain(t.Context()))
+	is.Equal(get(chatRequestFor(streamBody)), http.StatusServiceUnavailable)
+}
+
+// Each mistake of a caller gets its kind, status and run state.
+func TestCallersMistakes(t *testing.T) {
+	r := testRouter(t, cannedDialer{pieces: 1, perFrame: 1})
+	handler := r.Handler()
+	big := `{"model":"model-1","messages":[{"role":"user","content":"` + strings.Repeat("x", defaultMostBody) + `"}]}`
+	tests := map[string]struct {
+		path, key, body string
+		status          int
+		code            string
+	}{
+		"no key":          {"/v1/chat/completions", "", streamBody, http.StatusUnauthorized, "bad_api_key"},
+		"wrong key":       {"/v1/chat/completions", "Bearer nope", streamBody, http.StatusUnauthorized, "bad_api_key"},
+		"unknown model":   {"/v1/chat/completions", "Bearer key", strings.Replace(streamBody, "model-1", "nope", 1), http.StatusNotFound, "unknown_model"},
+		"bad JSON":        {"/v1/chat/completions", "Bearer key", "{", http.StatusBadRequest, "bad_request"},
+		"no messages":     {"/v1/chat/completions", "Bearer key", `{"model":"model-1"}`, http.StatusBadRequest, "bad_request"},
+		"too large":       {"/v1/chat/completions", "Bearer key", big, http.StatusRequestEntityTooLarge, "body_too_large"},
+		"unknown service": {"/v1/services/nope/x", "Bearer key", "", http.StatusNotFound, "unknown_service"},
+		"unknown path":    {"/v2/anything", "Bearer key", "", http.StatusBadRequest, "bad_request"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			request := httptest.NewRequest(http.MethodPost, tt.path, strings.NewReader(tt.body))
+			request.Header.Set("Authorization", tt.key)
+			writer := httptest.NewRecorder()
+			handler.ServeHTTP(writer, request)
+			is.Equal(writer.Code, tt.status)
+			is.Equal(writer.Header().Get(HeaderRunState), "not_run")
+			var answer errorBody
+			is.NoErr(json.Unmarshal(writer.Body.Bytes(), &answer))
+			is.Equal(answer.Error.Code, tt.code)
+			is.Equal(string(answer.Error.RunState), "not_run")
+		})
+	}
+}
+
 // BenchmarkRouterPieces is the router's own work for each piece: reading a
 // frame's reply and writing the caller's event, without sockets.
 func BenchmarkRouterPieces(b *testing.B) {
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -572,8 +572,20 @@
 		}
 		return sum
 	}
+	// The order of loads within a second says nothing; what is held does.
+	show := func() {
+		w.quietEngines()
+		var held []string
+		for _, peer := range r.members.Peers() {
+			for _, t := range peer.Targets {
+				held = append(held, fmt.Sprintf("%s holds %q", t.ID, t.Pool))
+			}
+		}
+		w.say("operator", "%s; %d loads so far", strings.Join(held, ", "), loads())
+	}
 	place("place-1", 3, 1)
 	is.Equal(loads(), 4)
+	show()
 	held := w.chat(r, "clinic", "served by a placed engine", 3)
 	w.say("caller", "a chat: %v", held)
 	is.True(held.done)
@@ -582,13 +594,15 @@
 	w.die(w.agents["host-of-"+held.placement])
 	time.Sleep(2 * time.Minute)
 	is.Equal(loads(), 5) // the idle engine stands in
+	show()
 	w.say("operator", "the host of %s is back", held.placement)
 	w.wake(w.agents["host-of-"+held.placement])
 	time.Sleep(2 * time.Minute)
 	is.Equal(loads(), 5) // and stays
+	show()
 
 	place("place-2", 1, 3)
-	w.say("engine", "%d loads in all", loads())
+	show()
 	is.True(loads() <= 8)
 	err := w.engines["engine-0"].Order(w.ctx, target.Order{Token: 1, Action: "unload", Model: model})
 	w.say("engine", "an order with an old token: %v", err)
