--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -86,6 +86,10 @@
 	wish wish
 	// held are the chats whose prefixes an engine has; nil for a service.
 	held *held
+	// foreign is what the engine still runs from before this process's start,
+	// once it is known; the tending loop alone uses it.
+	foreign      int
+	foreignKnown bool
 	// leaveAt is when a leaving service target's gate closes at the latest;
 	// the agent's lock guards it.
 	leaveAt time.Time
--- a/internal/agent/keeper.go
+++ b/internal/agent/keeper.go
@@ -11,12 +11,10 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
-	"github.com/capersaddle/capersaddle/internal/config"
-	"github.com/capersaddle/capersaddle/internal/fault"
-	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/member"
 	"github.com/capersaddle/capersaddle/internal/once"
 	"github.com/capersaddle/capersaddle/internal/platform"
+	"github.com/capersaddle/capersaddle/internal/wait"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -36,8 +34,6 @@
 	peerTimeout = time.Second
 	// movesPerRound bounds the slots handed over at a time.
 	movesPerRound = 64
-	// slotsDefault is the size of a new slot table.
-	slotsDefault = 64
 )
 
 // TableKey is where a service's slot table is in the store.
@@ -45,14 +41,6 @@
 	return "once/table/" + service
 }
 
-// SlotsOf is the number of slots of a service.
-func SlotsOf(service config.Service) int {
-	if service.Slots > 0 {
-		return service.Slots
-	}
-	return slotsDefault
-}
-
 // keeper carries the messages and store calls of one service's guard.
 type keeper struct {
 	agent   *Agent
@@ -93,7 +81,7 @@
 func (k *keeper) loop(ctx context.Context) {
 	for {
 		k.round(ctx)
-		if !sleep(ctx, keeperEvery) {
+		if !wait.For(ctx, keeperEvery) {
 			return
 		}
 	}
@@ -183,7 +171,7 @@
 
 func (k *keeper) createTable(ctx context.Context) error {
 	service := k.agent.options.Config.View().Services[k.service]
-	table := once.NewTable(SlotsOf(service))
+	table := once.NewTable(service.SlotCount())
 	data, err := table.Encode()
 	if err != nil {
 		return err
@@ -314,144 +302,3 @@
 	}
 	return situation, nil
 }
-
-// renewPromises asks each witness for its promise.
-func (k *keeper) renewPromises(ctx context.Context) {
-	var wait sync.WaitGroup
-	for _, witness := range k.guard.Witnesses() {
-		wait.Go(func() { k.renewPromise(ctx, witness) })
-	}
-	wait.Wait()
-}
-
-func (k *keeper) renewPromise(ctx context.Context, witness once.Holder) {
-	self := k.guard.Self()
-	table := k.guard.Table()
-	sentAt := k.guard.BootNow()
-	reply, err := k.ask(ctx, witness.Agent, &wire.Open{Kind: &wire.Open_Promise{Promise: &wire.Promise{
-		Service:            k.service,
-		Owner:              self.Agent,
-		OwnerIncarnation:   self.Incarnation,
-		Witness:            witness.Agent,
-		WitnessIncarnation: witness.Incarnation,
-		WallMs:             k.agent.options.Clock.Wall().UnixMilli(),
-		TableVersion:       table.Version,
-	}}})
-	if err != nil {
-		return
-	}
-	promise := reply.GetPromise()
-	k.compareClocks(witness.Agent, sentAt, promise.GetWallMs())
-	if promise.GetGranted() {
-		k.guard.Promised(witness, sentAt)
-	}
-	if promise.GetTableVersion() > table.Version {
-		k.markStale()
-	}
-}
-
-// compareClocks warns when another host's wall clock is further from this one's
-// than two clocks within the stated error can be. The time of the exchange is
-// given to the other side.
-func (k *keeper) compareClocks(agent string, sentAt time.Duration, theirs int64) {
-	clock := k.agent.options.Clock
-	took := clock.Boot() - sentAt
-	apart := clock.Wall().Sub(time.UnixMilli(theirs)).Abs() - took
-	most := 2 * k.agent.options.Once.ClockError
-	if apart <= most {
-		return
-	}
-	k.agent.clockWarnings.Add(1)
-	k.log.Warn("wall clocks are too far apart: a request could run twice after a take-over", "agent", agent, "apart", apart.Round(time.Millisecond), "most", most)
-}
-
-// ask sends one message to another agent and reads its one reply.
-func (k *keeper) ask(ctx context.Context, agent string, open *wire.Open) (*wire.Reply, error) {
-	address, ok := k.agent.options.Members.LinkAddress(agent)
-	if !ok {
-		return nil, errors.Newf("agent %q is not known", agent)
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	return link.Ask(ctx, k.agent.options.Dialer, address, open)
-}
-
-// servePromise answers an owner as its witness.
-func (a *Agent) servePromise(promise *wire.Promise, stream link.Stream) {
-	reply := &wire.PromiseReply{WallMs: a.options.Clock.Wall().UnixMilli()}
-	if k, ok := a.keepers[promise.GetService()]; ok {
-		owner := once.Holder{Agent: promise.GetOwner(), Incarnation: promise.GetOwnerIncarnation()}
-		witness := once.Holder{Agent: promise.GetWitness(), Incarnation: promise.GetWitnessIncarnation()}
-		reply.Granted = k.guard.GivePromise(owner, witness)
-		table := k.guard.Table()
-		reply.TableVersion = table.Version
-		if promise.GetTableVersion() > table.Version {
-			k.markStale()
-		}
-	}
-	_ = stream.Send(&wire.Reply{Kind: &wire.Reply_Promise{Promise: reply}})
-}
-
-// serveHandOver takes records from an owner that hands over.
-func (a *Agent) serveHandOver(message *wire.HandOver, stream link.Stream) {
-	reply := &wire.HandOverReply{}
-	if k, ok := a.keepers[message.GetService()]; ok {
-		k.guard.Import(message)
-		reply.Accepted = true
-		if message.GetTableVersion() > 0 {
-			k.markStale()
-			if k.mayCallStore() {
-				ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-				defer cancel()
-				_ = k.readTable(ctx)
-			}
-		}
-	}
-	_ = stream.Send(&wire.Reply{Kind: &wire.Reply_HandOver{HandOver: reply}})
-}
-
-// end records an outcome; if the slot has gone meanwhile, its new owner is
-// told.
-func (k *keeper) end(record *once.Record, state once.State, outcome once.Outcome) {
-	k.guard.End(record, state, outcome)
-	k.tellOutcome(record)
-}
-
-// reopen takes back a run that never reached the service.
-func (k *keeper) reopen(record *once.Record, why *fault.Error) {
-	k.guard.Reopen(record, why)
-	k.tellOutcome(record)
-}
-
-// whyReopened is the refusal that a reopened key's waiters get: the key is
-// open, so the same request may be sent again.
-func whyReopened(why *fault.Error) *fault.Error {
-	refusal := fault.New(why.Kind, fault.Unknown, "%s; the key is open, send the same request again", why.Message)
-	return refusal.After(max(why.RetryAfter, frozenRetry))
-}
-
-// frozenRetry is the least time to come back with an open key.
-const frozenRetry = 250 * time.Millisecond
-
-func (k *keeper) tellOutcome(record *once.Record) {
-	if k.guard.Owns(record.Key) {
-		return
-	}
-	owner := k.guard.OwnerOf(record.Key)
-	message := k.guard.Outcome(record)
-	_, err := k.ask(context.Background(), owner, &wire.Open{Kind: &wire.Open_HandOver{HandOver: message}})
-	if err != nil {
-		k.log.Warn("outcome not passed on to the slot's new owner", "service", k.service, "owner", owner, "error", err)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/agent/placer.go
+++ b/internal/agent/placer.go
@@ -10,6 +10,7 @@
 	"github.com/capersaddle/capersaddle/internal/member"
 	"github.com/capersaddle/capersaddle/internal/policy"
 	"github.com/capersaddle/capersaddle/internal/target"
+	"github.com/capersaddle/capersaddle/internal/wait"
 )
 
 // PlacingOptions are the times of changes of managed engines' models.
@@ -75,7 +76,7 @@
 
 // placeLoop follows the placements for this agent's managed engines.
 func (a *Agent) placeLoop(ctx context.Context) {
-	for sleep(ctx, placeEvery) {
+	for wait.For(ctx, placeEvery) {
 		a.placeRound(ctx)
 	}
 }
--- /dev/null
+++ b/internal/agent/promise.go
@@ -0,0 +1,108 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/link"
+	"github.com/capersaddle/capersaddle/internal/once"
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+// renewPromises asks each witness for its promise.
+func (k *keeper) renewPromises(ctx context.Context) {
+	var wait sync.WaitGroup
+	for _, witness := range k.guard.Witnesses() {
+		wait.Go(func() { k.renewPromise(ctx, witness) })
+	}
+	wait.Wait()
+}
+
+func (k *keeper) renewPromise(ctx context.Context, witness once.Holder) {
+	self := k.guard.Self()
+	table := k.guard.Table()
+	sentAt := k.guard.BootNow()
+	reply, err := k.ask(ctx, witness.Agent, &wire.Open{Kind: &wire.Open_Promise{Promise: &wire.Promise{
+		Service:            k.service,
+		Owner:              self.Agent,
+		OwnerIncarnation:   self.Incarnation,
+		Witness:            witness.Agent,
+		WitnessIncarnation: witness.Incarnation,
+		WallMs:             k.agent.options.Clock.Wall().UnixMilli(),
+		TableVersion:       table.Version,
+	}}})
+	if err != nil {
+		return
+	}
+	promise := reply.GetPromise()
+	k.compareClocks(witness.Agent, sentAt, promise.GetWallMs())
+	if promise.GetGranted() {
+		k.guard.Promised(witness, sentAt)
+	}
+	if promise.GetTableVersion() > table.Version {
+		k.markStale()
+	}
+}
+
+// compareClocks warns when another host's wall clock is further from this one's
+// than two clocks within the stated error can be. The time of the exchange is
+// given to the other side.
+func (k *keeper) compareClocks(agent string, sentAt time.Duration, theirs int64) {
+	clock := k.agent.options.Clock
+	took := clock.Boot() - sentAt
+	apart := clock.Wall().Sub(time.UnixMilli(theirs)).Abs() - took
+	most := 2 * k.agent.options.Once.ClockError
+	if apart <= most {
+		return
+	}
+	k.agent.clockWarnings.Add(1)
+	k.log.Warn("wall clocks are too far apart: a request could run twice after a take-over", "agent", agent, "apart", apart.Round(time.Millisecond), "most", most)
+}
+
+// ask sends one message to another agent and reads its one reply.
+func (k *keeper) ask(ctx context.Context, agent string, open *wire.Open) (*wire.Reply, error) {
+	address, ok := k.agent.options.Members.LinkAddress(agent)
+	if !ok {
+		return nil, errors.Newf("agent %q is not known", agent)
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return link.Ask(ctx, k.agent.options.Dialer, address, open)
+}
+
+// servePromise answers an owner as its witness.
+func (a *Agent) servePromise(promise *wire.Promise, stream link.Stream) {
+	reply := &wire.PromiseReply{WallMs: a.options.Clock.Wall().UnixMilli()}
+	if k, ok := a.keepers[promise.GetService()]; ok {
+		owner := once.Holder{Agent: promise.GetOwner(), Incarnation: promise.GetOwnerIncarnation()}
+		witness := once.Holder{Agent: promise.GetWitness(), Incarnation: promise.GetWitnessIncarnation()}
+		reply.Granted = k.guard.GivePromise(owner, witness)
+		table := k.guard.Table()
+		reply.TableVersion = table.Version
+		if promise.GetTableVersion() > table.Version {
+			k.markStale()
+		}
+	}
+	_ = stream.Send(&wire.Reply{Kind: &wire.Reply_Promise{Promise: reply}})
+}
+
+// serveHandOver takes records from an owner that hands over.
+func (a *Agent) serveHandOver(message *wire.HandOver, stream link.Stream) {
+	reply := &wire.HandOverReply{}
+	if k, ok := a.keepers[message.GetService()]; ok {
+		k.guard.Import(message)
+		reply.Accepted = true
+		if message.GetTableVersion() > 0 {
+			k.markStale()
+			if k.mayCallStore() {
+				ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+				defer cancel()
+				_ = k.readTable(ctx)
+			}
+		}
+	}
+	_ = stream.Send(&wire.Reply{Kind: &wire.Reply_HandOver{HandOver: reply}})
+}
--- a/internal/agent/tend.go
+++ b/internal/agent/tend.go
@@ -6,6 +6,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/member"
 	"github.com/capersaddle/capersaddle/internal/platform"
+	"github.com/capersaddle/capersaddle/internal/wait"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -25,7 +26,7 @@
 )
 
 func (a *Agent) tendLoop(ctx context.Context) {
-	for round := 0; sleep(ctx, tendEvery); round++ {
+	for round := 0; wait.For(ctx, tendEvery); round++ {
 		if round%meanEvery == 0 {
 			a.setMeans()
 		}
@@ -129,20 +130,25 @@
 	p.gate.Leave()
 }
 
-// countForeign asks engines how much they run; what this agent did not admit
-// is from before its restart, and counts too.
+// countForeign asks engines how much they run from before this process's start:
+// that counts against the bound too. It only falls: the engines' reports lag,
+// so later ones also show what this agent admitted and has seen end.
 func (a *Agent) countForeign(ctx context.Context) {
 	for _, id := range a.order {
 		p := a.places[id]
-		if p.Engine == nil {
+		if p.Engine == nil || p.foreignKnown && p.foreign == 0 {
 			continue
 		}
 		report, err := p.Engine.Load(ctx)
 		if err != nil {
 			continue
 		}
-		own := p.gate.Own()
-		p.gate.SetForeign(report.Running + report.Waiting - own)
+		count := max(report.Running+report.Waiting-p.gate.Own(), 0)
+		if p.foreignKnown {
+			count = min(count, p.foreign)
+		}
+		p.foreign, p.foreignKnown = count, true
+		p.gate.SetForeign(count)
 	}
 }
 
@@ -150,7 +156,7 @@
 func (a *Agent) hostLoop(ctx context.Context) {
 	for {
 		a.readHosts(ctx)
-		if !sleep(ctx, hostEvery) {
+		if !wait.For(ctx, hostEvery) {
 			return
 		}
 	}
--- a/internal/config/command.go
+++ b/internal/config/command.go
@@ -11,27 +11,9 @@
 
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/platform"
+	"github.com/capersaddle/capersaddle/internal/wait"
 )
 
-// Need is what a change asks of the document before it.
-type Need string
-
-// The needs; the zero value asks nothing.
-const (
-	NeedAbsent  Need = "absent"
-	NeedPresent Need = "present"
-)
-
-// Change sets one document; an empty value removes it.
-type Change struct {
-	Name  string          `json:"name"`
-	Value json.RawMessage `json:"value,omitempty"`
-	// Need refuses the command unless the document is absent or present.
-	Need Need `json:"need,omitempty"`
-	// Merge keeps the fields that Value does not name.
-	Merge bool `json:"merge,omitempty"`
-}
-
 // Command is one change of the configuration, whole or not at all.
 type Command struct {
 	// ID names the command: sending it again under the same ID is safe.
@@ -227,69 +209,13 @@
 func (e *Editor) putBucket(ctx context.Context, bucket int, id string, documents []Document) error {
 	var err error
 	for range bucketTries {
-		if err = e.repository.putBucket(ctx, bucket, id, documents); err == nil || !wait(ctx, settleEvery) {
+		if err = e.repository.putBucket(ctx, bucket, id, documents); err == nil || !wait.For(ctx, settleEvery) {
 			return err
 		}
 	}
 	return err
 }
 
-// change applies changes to a bucket's documents.
-func change(documents []Document, changes []Change, revision uint64) ([]Document, error) {
-	changed := slices.Clone(documents)
-	for _, one := range changes {
-		at := slices.IndexFunc(changed, func(d Document) bool { return d.Name == one.Name })
-		if refusal := one.meets(at >= 0); refusal != nil {
-			return nil, refusal
-		}
-		value := one.Value
-		if at >= 0 {
-			var err error
-			if value, err = one.over(changed[at].Value); err != nil {
-				return nil, err
-			}
-			changed = slices.Delete(changed, at, at+1)
-		}
-		if len(value) > 0 {
-			changed = append(changed, Document{Name: one.Name, Value: value, Revision: revision})
-		}
-	}
-	return changed, nil
-}
-
-// meets checks a change's need.
-func (c *Change) meets(present bool) *fault.Error {
-	switch {
-	case c.Need == NeedAbsent && present:
-		return fault.New(fault.Conflict, fault.NotRun, "%s exists already; use change", c.Name)
-	case c.Need == NeedPresent && !present:
-		return fault.New(fault.Conflict, fault.NotRun, "%s does not exist", c.Name)
-	}
-	return nil
-}
-
-// over gives the value of a document after the change.
-func (c *Change) over(before json.RawMessage) (json.RawMessage, error) {
-	if !c.Merge {
-		return c.Value, nil
-	}
-	fields := make(map[string]json.RawMessage)
-	if err := json.Unmarshal(before, &fields); err != nil {
-		return nil, errors.Wrapf(err, "document %q", c.Name)
-	}
-	if err := json.Unmarshal(c.Value, &fields); err != nil {
-		return nil, errors.Wrapf(err, "document %q", c.Name)
-	}
-	merged, err := json.Marshal(fields)
-	if err != nil {
-		return nil, errors.Wrapf(err, "document %q", c.Name)
-	}
-	if err := CheckDocument(c.Name, merged); err != nil {
-		return nil, fault.New(fault.BadRequest, fault.NotRun, "%v", err)
-	}
-	return merged, nil
-}
-
 // swap writes the manifest; a lost answer is settled by reading.
 func (e *Editor) swap(ctx context.Context, command Command, before, next Manifest) (Result, error) {
 	data, err := json.Marshal(next)
@@ -304,7 +230,7 @@
 		if errors.Is(err, platform.ErrVersion) {
 			return e.afterVersion(ctx, command)
 		}
-		if ctx.Err() != nil || !wait(ctx, settleEvery) {
+		if ctx.Err() != nil || !wait.For(ctx, settleEvery) {
 			return Result{}, unsettled(command, err)
 		}
 	}
@@ -316,7 +242,7 @@
 	for {
 		manifest, err := e.repository.manifest(ctx)
 		if err != nil {
-			if !wait(ctx, settleEvery) {
+			if !wait.For(ctx, settleEvery) {
 				return Result{}, unsettled(command, err)
 			}
 			continue
@@ -332,18 +258,6 @@
 	return fault.New(fault.Unsettled, fault.Unknown, "the store's answer is lost (%v); send the command again under id %s: it takes effect at most once", err, command.ID).After(time.Second)
 }
 
-// wait sleeps unless the context ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Republish writes the configuration in force to a store that was put back to
 // an older state, as a revision above both.
 func (e *Editor) Republish(ctx context.Context, id, who string) (Result, error) {
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/capersaddle/capersaddle/internal/platform"
+	"github.com/capersaddle/capersaddle/internal/wait"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -53,7 +54,7 @@
 	storeSeen atomic.Bool
 
 	cancel context.CancelFunc
-	wait   sync.WaitGroup
+	loops  sync.WaitGroup
 }
 
 // NewFollower returns a follower; Start begins its work.
@@ -65,15 +66,15 @@
 func (f *Follower) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	f.wait.Go(func() { f.pullLoop(ctx) })
-	f.wait.Go(func() { f.watchLoop(ctx) })
+	f.loops.Go(func() { f.pullLoop(ctx) })
+	f.loops.Go(func() { f.watchLoop(ctx) })
 	return nil
 }
 
 // Close stops following.
 func (f *Follower) Close() error {
 	f.cancel()
-	f.wait.Wait()
+	f.loops.Wait()
 	return nil
 }
 
@@ -84,7 +85,7 @@
 
 // pullLoop takes later revisions from peers.
 func (f *Follower) pullLoop(ctx context.Context) {
-	for wait(ctx, pullEvery) {
+	for wait.For(ctx, pullEvery) {
 		have := f.state.Revision()
 		address, ok := f.peers.Ahead(have)
 		if !ok {
@@ -121,13 +122,13 @@
 	pause := watchPause
 	for ctx.Err() == nil {
 		if !f.peers.Watcher() {
-			wait(ctx, watchPause)
+			wait.For(ctx, watchPause)
 			continue
 		}
 		if err := f.watchOnce(ctx); err != nil && ctx.Err() == nil {
 			f.storeSeen.Store(false)
 			f.log.Debug("store watch failed", "error", err)
-			wait(ctx, pause/2+rand.N(pause))
+			wait.For(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, mostPause)
 			continue
 		}
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -104,6 +104,17 @@
 	return name, ok
 }
 
+// slotsDefault is the size of a slot table when the service names none.
+const slotsDefault = 64
+
+// SlotCount is the size of a service's slot table.
+func (s Service) SlotCount() int {
+	if s.Slots > 0 {
+		return s.Slots
+	}
+	return slotsDefault
+}
+
 // NeedsKey says whether a call of a service may not be repeated.
 func (s Service) NeedsKey(path string) bool {
 	for _, prefix := range s.NotRepeatable {
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os"
 	"strconv"
@@ -189,18 +190,26 @@
 	return time.Duration(user+system) * time.Second / ticksPerSecond
 }
 
-// BenchmarkProcesses streams through a router and an agent that are processes
-// of their own, and reports the processor time of each.
+// BenchmarkProcesses streams through a router and agents that are processes of
+// their own, and reports the processor time of each. With few streams the
+// processes sleep and wake for each piece; with many they show their limit.
 func BenchmarkProcesses(b *testing.B) {
+	for _, streams := range []int{20, 100, 400} {
+		b.Run(fmt.Sprintf("streams-%d", streams), func(b *testing.B) { measureProcesses(b, streams) })
+	}
+}
+
+func measureProcesses(b *testing.B, streams int) {
 	f := newFixture(b)
+	f.admission["floor"] = 256
 	f.addRouter("router-0")
-	f.addEngine("engine-0", "--step", "1ms")
-	f.addEngine("engine-1", "--step", "1ms")
+	f.addEngine("engine-0", "--step", "1ms", "--batch", "256")
+	f.addEngine("engine-1", "--step", "1ms", "--batch", "256")
 	f.configure("router-0")
 	f.until("a chat is served", func() bool { return whole(f.chat("router-0", 3), 3) })
 	routerCPU := cpuOf(b, f.router["router-0"].cmd.Process.Pid)
 	agentCPU := cpuOf(b, f.agents["engine-0"].cmd.Process.Pid) + cpuOf(b, f.agents["engine-1"].cmd.Process.Pid)
-	const streams, tokens = 100, 2000
+	const tokens = 1000
 	pieces := 0
 	began := time.Now()
 	for b.Loop() {
--- a/internal/e2e/processes_test.go
+++ b/internal/e2e/processes_test.go
@@ -105,6 +105,8 @@
 	seed      string
 	urls      map[string]string
 	engines   map[string]*child
+	// admission are the agents' bounds.
+	admission map[string]any
 }
 
 // freePort takes a port that nobody has now.
@@ -120,7 +122,7 @@
 		t: t, binary: build(t), dir: t.TempDir(),
 		agents: make(map[string]*child), router: make(map[string]*child),
 		address: make(map[string]string), operators: make(map[string]string),
-		urls: make(map[string]string), engines: make(map[string]*child),
+		urls: make(map[string]string), engines: make(map[string]*child), admission: make(map[string]any),
 	}
 	f.store = f.freePort()
 	f.start("fake", "store", "--listen", f.store)
@@ -133,7 +135,7 @@
 		"role": role, "id": id, "data_center": "accra-1", "operators": f.freePort(),
 		"link": f.freePort(), "beat": f.freePort(), "seeds": []string{f.seed},
 		"store": "http://" + f.store, "log": map[string]any{"level": "info"},
-		"admission": map[string]any{}, "cache": map[string]any{}, "once": map[string]any{}, "membership": map[string]any{},
+		"admission": f.admission, "cache": map[string]any{}, "once": map[string]any{}, "membership": map[string]any{},
 	}
 	for name, value := range more {
 		all[name] = value
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/capersaddle/capersaddle/internal/secure"
+	"github.com/capersaddle/capersaddle/internal/wait"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -125,7 +126,7 @@
 
 func (s *Service) probeLoop(ctx context.Context) {
 	s.greet()
-	for sleep(ctx, probeEvery*3/4+rand.N(probeEvery/2)) {
+	for wait.For(ctx, probeEvery*3/4+rand.N(probeEvery/2)) {
 		s.list.Expire()
 		peer, ok := s.list.NextProbe()
 		if !ok {
@@ -178,7 +179,7 @@
 	for range probeTries {
 		s.list.Remind(id)
 		s.send(address, &wire.Beat{Sequence: s.sequence.Add(1)})
-		if !sleep(ctx, probeWait) {
+		if !wait.For(ctx, probeWait) {
 			return
 		}
 	}
@@ -326,14 +327,3 @@
 	}
 	s.list.Merge(members)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/process/query.go
+++ b/internal/process/query.go
@@ -15,7 +15,6 @@
 	"github.com/capersaddle/capersaddle/internal/member"
 	"github.com/capersaddle/capersaddle/internal/once"
 	"github.com/capersaddle/capersaddle/internal/oplang"
-	"github.com/capersaddle/capersaddle/internal/platform"
 )
 
 // storeWait bounds what a query reads from the store.
@@ -221,5 +220,3 @@
 	}
 	return table
 }
-
-var _ platform.Store = (*platform.HTTPStore)(nil)
--- a/internal/router/httpservice.go
+++ b/internal/router/httpservice.go
@@ -13,10 +13,6 @@
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
-// slotsDefault is the size of a slot table when the service names none; the
-// agents use the same.
-const slotsDefault = 64
-
 // hopHeaders are for one connection only and are not passed on (RFC 9110,
 // section 7.6.1); the API key is the system's own business.
 var hopHeaders = map[string]bool{
@@ -100,16 +96,12 @@
 	if req.URL.RawQuery != "" {
 		path += "?" + req.URL.RawQuery
 	}
-	slots := service.Slots
-	if slots == 0 {
-		slots = slotsDefault
-	}
 	return serviceRequest{
 		id:         id,
 		workspace:  who.workspace,
 		share:      who.settings.Share,
 		deferrable: who.settings.Deferrable,
-		slots:      slots,
+		slots:      service.SlotCount(),
 		work: &wire.ServiceWork{
 			Service: name,
 			Method:  req.Method,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/capersaddle/capersaddle/internal/config"
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/member"
+	"github.com/capersaddle/capersaddle/internal/wait"
 )
 
 // Options are what a router works with.
@@ -124,7 +125,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
-			if !pause(ctx, refreshPause) {
+			if !wait.For(ctx, refreshPause) {
 				return
 			}
 		case <-ticker.C:
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -12,6 +12,7 @@
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/once"
 	"github.com/capersaddle/capersaddle/internal/policy"
+	"github.com/capersaddle/capersaddle/internal/wait"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -202,7 +203,7 @@
 		if final := k.after(err); final != nil {
 			return result{}, final
 		}
-		if !pause(ctx, k.pauseFor(err)) {
+		if !wait.For(ctx, k.pauseFor(err)) {
 			return result{}, fault.From(endOf(ctx))
 		}
 	}
@@ -279,20 +280,6 @@
 	return ownerPause
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	if d == 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // settle asks the owner what became of a key, closing it if it never ran.
 func (r *Router) settle(ctx context.Context, request serviceRequest, into sink) (result, error) {
 	pool := r.table.pool(request.work.GetService())
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -130,7 +130,7 @@
 func decodeProblem(file string, text []byte, err error, offset int64) Problem {
 	if found := unknownField.FindStringSubmatch(err.Error()); found != nil {
 		at := bytes.Index(text, []byte(`"`+found[1]+`"`))
-		return Problem{File: file, Line: lineAt(text, int64(at)), Text: fmt.Sprintf("unknown field %q; 'capersaddle config fields' lists the known ones", found[1])}
+		return Problem{File: file, Line: lineAt(text, int64(at)), Text: fmt.Sprintf("unknown field %q; docs/SETTINGS.md lists the known ones", found[1])}
 	}
 	var badTime *durationError
 	if errors.As(err, &badTime) {
--- a/internal/target/fakeservice/service.go
+++ b/internal/target/fakeservice/service.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/capersaddle/capersaddle/internal/target"
+	"github.com/capersaddle/capersaddle/internal/wait"
 )
 
 // Effect is one call that took effect.
@@ -78,7 +79,7 @@
 	if fault.Refuse {
 		return target.ServiceResponse{}, errors.Wrap(target.ErrRefused, "fault: refused")
 	}
-	if !sleep(ctx, fault.Delay) {
+	if !wait.For(ctx, fault.Delay) {
 		return target.ServiceResponse{}, ctx.Err()
 	}
 	if fault.Before != nil {
@@ -99,20 +100,6 @@
 	}, nil
 }
 
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait == 0 {
-		return true
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (s *Server) nextFault() Fault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/cmd/dev/dev.go
+++ b/pkg/cmd/dev/dev.go
@@ -88,7 +88,7 @@
 // tell plays the story and prints its table.
 func tell(ctx context.Context, opts *DevOptions, stack *dev.Stack) error {
 	table := dev.Tell(ctx, stack)
-	if err := print(opts, table); err != nil {
+	if err := printTable(opts, table); err != nil {
 		return err
 	}
 	for _, step := range table {
@@ -99,7 +99,7 @@
 	return nil
 }
 
-func print(opts *DevOptions, table []dev.Step) error {
+func printTable(opts *DevOptions, table []dev.Step) error {
 	if opts.JSON {
 		return cmdutil.PrintJSON(opts.IO.Out, table)
 	}
--- a/pkg/cmd/fake/fake.go
+++ b/pkg/cmd/fake/fake.go
@@ -32,6 +32,7 @@
 	Models []string
 	Hosts  []string
 	Step   time.Duration
+	Batch  int
 }
 
 // NewCmdFake returns the command; runF replaces its work in tests.
@@ -60,13 +61,14 @@
 	cmd.Flags().StringSliceVar(&opts.Models, "model", []string{"volta-chat"}, "`models` that the engine has loaded")
 	cmd.Flags().StringSliceVar(&opts.Hosts, "host", nil, "`ids` in the list of hosts")
 	cmd.Flags().DurationVar(&opts.Step, "step", 5*time.Millisecond, "`time` of one step of the engine")
+	cmd.Flags().IntVar(&opts.Batch, "batch", 64, "`number` of answers that run in one step of the engine")
 	return cmd
 }
 
 func handlerFor(opts *FakeOptions) (http.Handler, error) {
 	switch opts.Kind {
 	case "engine":
-		return fakeengine.New(fakeengine.Options{Name: opts.Name, Step: opts.Step}, opts.Models...).Handler(), nil
+		return fakeengine.New(fakeengine.Options{Name: opts.Name, Step: opts.Step, Batch: opts.Batch}, opts.Models...).Handler(), nil
 	case "service":
 		return fakeservice.New(opts.Name, nil).Handler(), nil
 	case "store":
