Engines' cache events and lag, the weight store's stand-in, loads that wait

Cause: agents only guessed what engines hold; the stand-ins had neither cache events nor lag, and there was no weight store. With one, the turns turned out to exceed its rate: 4 refusals for 7 loads, because turns were worked out anew each second and rounded to whole seconds.

Change: agents read evictions; a turn is fixed when the change is first wanted and kept to the moment; a refused load is ordered again with backoff.

--- a/internal/agent/held.go
+++ b/internal/agent/held.go
@@ -7,6 +7,7 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 
+	"github.com/capersaddle/capersaddle/internal/target"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -64,14 +65,21 @@
 type held struct {
 	options CacheOptions
 
-	mu     sync.Mutex
-	chats  *lru.Cache[uint64, heldChat]
-	tokens int64
+	mu    sync.Mutex
+	chats *lru.Cache[uint64, heldChat]
+	// byRequest finds a chat by its last request.
+	byRequest map[string]uint64
+	tokens    int64
+	// nextEvent is the number of the engine's next cache event.
+	nextEvent uint64
 }
 
 func newHeld(options CacheOptions) *held {
-	h := &held{options: options}
-	chats, err := lru.NewWithEvict(mostHeld, func(_ uint64, chat heldChat) { h.tokens -= chat.tokens })
+	h := &held{options: options, byRequest: make(map[string]uint64)}
+	chats, err := lru.NewWithEvict(mostHeld, func(_ uint64, chat heldChat) {
+		h.tokens -= chat.tokens
+		delete(h.byRequest, chat.request)
+	})
 	if err != nil {
 		// Only a size below one fails.
 		panic(err)
@@ -106,6 +114,7 @@
 	defer h.mu.Unlock()
 	h.chats.Remove(chat)
 	h.chats.Add(chat, heldChat{tokens: tokens, request: request})
+	h.byRequest[request] = chat
 	h.tokens += tokens
 	for h.tokens > h.options.Tokens && h.chats.Len() > 1 {
 		h.chats.RemoveOldest()
@@ -125,3 +134,24 @@
 	}
 	return chats
 }
+
+// next is the number to ask the engine's cache events after.
+func (h *held) next() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.nextEvent
+}
+
+// heard takes the engine's cache events: chats that it evicted are not held
+// any more. After a gap the rest stays as it is: a chat wrongly thought held
+// costs a prefill, one wrongly thought lost would cost it too.
+func (h *held) heard(events target.CacheEvents) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.nextEvent = events.Next
+	for _, event := range events.Events {
+		if chat, ok := h.byRequest[event.RequestID]; ok && event.Evicted {
+			h.chats.Remove(chat)
+		}
+	}
+}
--- a/internal/agent/placer.go
+++ b/internal/agent/placer.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
 	"github.com/capersaddle/capersaddle/internal/member"
@@ -52,10 +53,11 @@
 	}
 }
 
-// wish is the model that an engine should hold, and since when.
+// wish is the model that an engine should hold, and when it is to change, on
+// the boot clock.
 type wish struct {
 	model string
-	since time.Duration
+	due   time.Duration
 	known bool
 }
 
@@ -96,14 +98,20 @@
 			continue
 		}
 		if !p.wish.known || p.wish.model != model {
-			p.wish = wish{model: model, since: now, known: true}
+			due := now + a.options.Placing.Settle + a.turn(id, engines, assigned)
+			p.wish = wish{model: model, due: due, known: true}
 			continue
 		}
-		if now-p.wish.since < a.options.Placing.Settle+a.turn(id, engines, assigned) {
+		if now+placeEvery < p.wish.due {
 			continue
 		}
 		p.changing.Store(true)
-		a.wait.Go(func() { a.changeModel(ctx, p, model) })
+		a.wait.Go(func() {
+			if wait.For(ctx, p.wish.due-now) {
+				a.changeModel(ctx, p, model)
+			}
+			p.changing.Store(false)
+		})
 	}
 }
 
@@ -156,7 +164,7 @@
 // changeModel drains an engine, gives it its new model and opens it again. If
 // an order fails the engine holds nothing, and the next round tries again.
 func (a *Agent) changeModel(ctx context.Context, p *place, model string) {
-	defer p.changing.Store(false)
+	p.wish = wish{}
 	before := p.pool()
 	p.gate.Leave()
 	select {
@@ -177,7 +185,7 @@
 		}
 	}
 	if model != "" {
-		if err := a.giveOrder(ctx, p, decided, orderLoad, model); err != nil {
+		if err := a.load(ctx, p, model); err != nil {
 			a.log.Warn("engine did not load", "target", p.ID, "model", model, "error", err)
 			return
 		}
@@ -186,6 +194,25 @@
 	a.log.Info("engine changed its model", "target", p.ID, "from", before, "to", model)
 }
 
+// loadTries is how often a load is ordered before the assignment is looked at
+// again; the weight store may refuse some for its rate.
+const loadTries = 6
+
+// load orders a load, again with growing and jittered waits if it is refused.
+func (a *Agent) load(ctx context.Context, p *place, model string) error {
+	waits := backoff.NewExponentialBackOff()
+	var err error
+	for range loadTries {
+		if err = a.giveOrder(ctx, p, a.options.Clock.Boot(), orderLoad, model); err == nil {
+			return nil
+		}
+		if !wait.For(ctx, waits.NextBackOff()) {
+			return err
+		}
+	}
+	return err
+}
+
 // errStale says that the agent was paused between decision and order.
 var errStale = errors.New("the decision is too old, another will follow")
 
--- a/internal/agent/tend.go
+++ b/internal/agent/tend.go
@@ -21,7 +21,7 @@
 	// its slots over without refusals.
 	slotPatience = 2 * time.Second
 	// reportEvery is how many rounds pass between two questions to the
-	// engines for their load.
+	// engines for their load and cache events.
 	reportEvery = 5
 )
 
@@ -33,6 +33,7 @@
 		a.tend(ctx)
 		if round%reportEvery == 0 {
 			a.countForeign(ctx)
+			a.hearCaches(ctx)
 		}
 	}
 }
@@ -152,6 +153,20 @@
 	}
 }
 
+// hearCaches takes the engines' cache events.
+func (a *Agent) hearCaches(ctx context.Context) {
+	for _, id := range a.order {
+		p := a.places[id]
+		if p.Engine == nil {
+			continue
+		}
+		events, err := p.Engine.CacheEvents(ctx, p.held.next())
+		if err == nil {
+			p.held.heard(events)
+		}
+	}
+}
+
 // hostLoop reads the platform's host list for this host's own entry.
 func (a *Agent) hostLoop(ctx context.Context) {
 	for {
--- a/internal/dev/stack.go
+++ b/internal/dev/stack.go
@@ -22,6 +22,7 @@
 	"github.com/capersaddle/capersaddle/internal/kernel"
 	"github.com/capersaddle/capersaddle/internal/platform/fakehosts"
 	"github.com/capersaddle/capersaddle/internal/platform/fakestore"
+	"github.com/capersaddle/capersaddle/internal/platform/fakeweights"
 	"github.com/capersaddle/capersaddle/internal/process"
 	"github.com/capersaddle/capersaddle/internal/secure"
 	"github.com/capersaddle/capersaddle/internal/settings"
@@ -35,6 +36,8 @@
 	engineHosts    = 10
 	enginesPerHost = 5
 	serviceHosts   = 3
+	// loadsPerSecond is the rate of the weight store.
+	loadsPerSecond = 2
 	// Model and Service are the names that the stack serves.
 	Model   = "volta-chat"
 	Service = "topup"
@@ -43,6 +46,9 @@
 	Workspace = "demo"
 )
 
+// engineLag is how late the engines' reports and cache events are.
+const engineLag = 500 * time.Millisecond
+
 // Centers are the data centres of the stack.
 var Centers = []string{"accra-1", "accra-2", "accra-3"}
 
@@ -57,6 +63,7 @@
 type Stack struct {
 	Store    *fakestore.Store
 	Hosts    *fakehosts.Hosts
+	Weights  *fakeweights.Weights
 	Engines  map[string]*fakeengine.Engine
 	Services map[string]*fakeservice.Server
 	Routers  []process.Process
@@ -138,7 +145,11 @@
 	if s.store, err = s.serve("store", s.Store.Handler()); err != nil {
 		return err
 	}
-	s.hosts, err = s.serve("hosts", s.Hosts.Handler())
+	if s.hosts, err = s.serve("hosts", s.Hosts.Handler()); err != nil {
+		return err
+	}
+	s.Weights = fakeweights.New(loadsPerSecond)
+	_, err = s.serve("weights", s.Weights.Handler())
 	return err
 }
 
@@ -147,7 +158,7 @@
 		var targets []settings.Target
 		for e := range enginesPerHost {
 			id := fmt.Sprintf("engine-%02d", h*enginesPerHost+e)
-			engine := fakeengine.New(fakeengine.Options{Name: id}, Model)
+			engine := fakeengine.New(fakeengine.Options{Name: id, Lag: engineLag, Fetch: s.Weights.Fetch}, Model)
 			s.Engines[id] = engine
 			url, err := s.serve(id, engine.Handler())
 			if err != nil {
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -26,6 +26,7 @@
 	"github.com/capersaddle/capersaddle/internal/once"
 	"github.com/capersaddle/capersaddle/internal/platform"
 	"github.com/capersaddle/capersaddle/internal/platform/fakestore"
+	"github.com/capersaddle/capersaddle/internal/platform/fakeweights"
 	"github.com/capersaddle/capersaddle/internal/router"
 	"github.com/capersaddle/capersaddle/internal/target/fakeengine"
 	"github.com/capersaddle/capersaddle/internal/target/fakeservice"
@@ -50,6 +51,7 @@
 	began    time.Time
 	network  *link.Memory
 	store    *fakestore.Store
+	weights  *fakeweights.Weights
 	engines  map[string]*fakeengine.Engine
 	services map[string]*fakeservice.Server
 	agents   map[string]*process
@@ -97,6 +99,7 @@
 		began:    time.Now(),
 		network:  link.NewMemory(),
 		store:    fakestore.New(),
+		weights:  fakeweights.New(2),
 		engines:  make(map[string]*fakeengine.Engine),
 		services: make(map[string]*fakeservice.Server),
 		agents:   make(map[string]*process),
@@ -252,7 +255,7 @@
 // addManaged makes an engine that holds nothing, with an agent that follows
 // the placements.
 func (w *world) addManaged(id string) {
-	engine := fakeengine.New(fakeengine.Options{Name: id, Step: 20 * time.Millisecond, ChecksFence: true, Log: func(text string) {
+	engine := fakeengine.New(fakeengine.Options{Name: id, Step: 20 * time.Millisecond, ChecksFence: true, Fetch: w.weights.Fetch, Log: func(text string) {
 		if !strings.Contains(text, " req-") {
 			w.say("engine", "%s", text)
 		}
--- a/internal/target/fakeengine/cache.go
+++ b/internal/target/fakeengine/cache.go
@@ -8,6 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/target"
 )
 
 // blockTokens is the size of one cached block.
@@ -19,12 +21,16 @@
 	limit  int
 	order  *list.List
 	blocks map[uint64]*list.Element
-	// requests are the blocks of answered requests, for exports.
+	// requests are the blocks of answered requests, for exports and events.
 	requests map[string][]uint64
+	// ending names the request whose last block a block is: without it the
+	// request's prefix is no longer whole.
+	ending map[uint64]string
+	events eventLog
 }
 
 func newPrefixCache(limit int) *prefixCache {
-	return &prefixCache{limit: limit, order: list.New(), blocks: make(map[uint64]*list.Element), requests: make(map[string][]uint64)}
+	return &prefixCache{limit: limit, order: list.New(), blocks: make(map[uint64]*list.Element), requests: make(map[string][]uint64), ending: make(map[uint64]string)}
 }
 
 // blockHashes chains the whole blocks of a prompt.
@@ -61,7 +67,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	hashes := blockHashes(tokens)
-	c.requests[request] = hashes
+	if len(hashes) > 0 {
+		c.requests[request] = hashes
+		c.ending[hashes[len(hashes)-1]] = request
+		c.events.add(target.CacheEvent{RequestID: request})
+	}
 	for i := len(hashes) - 1; i >= 0; i-- {
 		c.add(hashes[i])
 	}
@@ -77,8 +87,20 @@
 	for c.order.Len() > c.limit {
 		last := c.order.Back()
 		c.order.Remove(last)
-		delete(c.blocks, last.Value.(uint64))
+		c.evicted(last.Value.(uint64))
+	}
+}
+
+// evicted forgets a block, and the request that ended with it.
+func (c *prefixCache) evicted(hash uint64) {
+	delete(c.blocks, hash)
+	request, ok := c.ending[hash]
+	if !ok {
+		return
 	}
+	delete(c.ending, hash)
+	delete(c.requests, request)
+	c.events.add(target.CacheEvent{RequestID: request, Evicted: true})
 }
 
 func (c *prefixCache) export(requests []string, into io.Writer) error {
--- a/internal/target/fakeengine/engine.go
+++ b/internal/target/fakeengine/engine.go
@@ -27,6 +27,10 @@
 	PrefillPerStep int
 	// CacheBlocks bounds the prefix cache, in blocks of blockTokens.
 	CacheBlocks int
+	// Lag is how late load reports and cache events are.
+	Lag time.Duration
+	// Fetch, when set, gets a model's weights when one is to be loaded.
+	Fetch func(model string) error
 	// ChecksFence says that orders with a lower token are refused.
 	ChecksFence bool
 	// Log, when set, is told of each answer begun and ended.
@@ -63,6 +67,8 @@
 	faults  []Fault
 	fence   uint64
 	models  map[string]bool
+	// reports are the newest one that is older than the lag, and later ones.
+	reports []timedReport
 	// loads counts the models loaded.
 	loads int
 	// runs lists the request ids that began, in order.
@@ -172,6 +178,10 @@
 
 // advance moves one answer by a step; false when it has ended.
 func (e *Engine) advance(seq *sequence, budget *int) bool {
+	if seq.fault.LateSteps > 0 {
+		seq.fault.LateSteps--
+		return true
+	}
 	if seq.prefill > 0 {
 		taken := min(seq.prefill, *budget)
 		seq.prefill -= taken
@@ -199,12 +209,23 @@
 	return false
 }
 
-// Load reports the batch.
+// Load reports the batch as it was before the engine's lag.
 func (e *Engine) Load(context.Context) (target.LoadReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	running := min(len(e.running), e.options.Batch)
-	return target.LoadReport{Running: running, Waiting: len(e.running) - running}, nil
+	now := time.Now()
+	e.reports = append(e.reports, timedReport{at: now, report: target.LoadReport{Running: running, Waiting: len(e.running) - running}})
+	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.options.Lag {
+		e.reports = e.reports[1:]
+	}
+	return e.reports[0].report, nil
+}
+
+// timedReport is a load report and when it was true.
+type timedReport struct {
+	at     time.Time
+	report target.LoadReport
 }
 
 // Order loads or unloads a model.
@@ -218,6 +239,9 @@
 	e.options.Log(fmt.Sprintf("%s is told to %s %s", e.options.Name, order.Action, order.Model))
 	switch order.Action {
 	case "load":
+		if err := e.fetch(order.Model); err != nil {
+			return errors.Wrapf(target.ErrRefused, "load %s: %v", order.Model, err)
+		}
 		e.models[order.Model] = true
 		e.loads++
 	case "unload":
@@ -228,6 +252,13 @@
 	return nil
 }
 
+func (e *Engine) fetch(model string) error {
+	if e.options.Fetch == nil {
+		return nil
+	}
+	return e.options.Fetch(model)
+}
+
 // ExportKV writes the cached prefixes of requests.
 func (e *Engine) ExportKV(_ context.Context, requestIDs []string, into io.Writer) error {
 	return e.cache.export(requestIDs, into)
--- a/internal/target/fakeengine/fault.go
+++ b/internal/target/fakeengine/fault.go
@@ -6,6 +6,8 @@
 	Refuse bool `json:"refuse"`
 	// Hang takes the call and never gives a piece.
 	Hang bool `json:"hang"`
+	// LateSteps waits so many steps before the first piece.
+	LateSteps int `json:"late_steps"`
 	// CutAfter breaks the stream after so many pieces of this call.
 	CutAfter int `json:"cut_after"`
 }
--- a/internal/target/fakeengine/http.go
+++ b/internal/target/fakeengine/http.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/go-chi/chi/v5"
 
@@ -20,6 +21,7 @@
 	mux := chi.NewRouter()
 	mux.Post("/v1/chat/completions", e.serveChat)
 	mux.Get("/load", e.serveLoad)
+	mux.Get("/events", e.serveEvents)
 	mux.Post("/orders", e.serveOrder)
 	mux.Post("/kv/export", e.serveExport)
 	mux.Post("/kv/import", e.serveImport)
@@ -93,6 +95,16 @@
 	_ = json.NewEncoder(w).Encode(report)
 }
 
+func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	events, _ := e.CacheEvents(r.Context(), after)
+	_ = json.NewEncoder(w).Encode(events)
+}
+
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order target.Order
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&order); err != nil {
--- a/internal/target/httpengine.go
+++ b/internal/target/httpengine.go
@@ -7,6 +7,7 @@
 	"io"
 	"iter"
 	"net/http"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tmaxmax/go-sse"
@@ -144,20 +145,36 @@
 // maxErrorText bounds how much of an error body is kept, in bytes.
 const maxErrorText = 512
 
-// Load asks for the engine's load report.
-func (e *HTTPEngine) Load(ctx context.Context) (LoadReport, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, e.Base+"/load", nil)
+// get reads a JSON answer.
+func (e *HTTPEngine) get(ctx context.Context, path string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, e.Base+path, nil)
 	if err != nil {
-		return LoadReport{}, errors.Wrap(err, "make request")
+		return errors.Wrap(err, "make request")
 	}
 	response, err := e.Client.Do(request)
 	if err != nil {
-		return LoadReport{}, errors.Wrap(err, "call engine")
+		return errors.Wrap(err, "call engine")
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("engine answered %d to %s", response.StatusCode, path)
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, maxEvent)).Decode(into)
+	return errors.Wrap(err, "read engine's answer")
+}
+
+// Load asks for the engine's load report.
+func (e *HTTPEngine) Load(ctx context.Context) (LoadReport, error) {
 	var report LoadReport
-	err = json.NewDecoder(io.LimitReader(response.Body, maxEvent)).Decode(&report)
-	return report, errors.Wrap(err, "read load report")
+	err := e.get(ctx, "/load", &report)
+	return report, err
+}
+
+// CacheEvents asks for the cache's events after a number.
+func (e *HTTPEngine) CacheEvents(ctx context.Context, after uint64) (CacheEvents, error) {
+	var events CacheEvents
+	err := e.get(ctx, "/events?after="+strconv.FormatUint(after, 10), &events)
+	return events, err
 }
 
 // Order sends a fenced order.
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -71,11 +71,28 @@
 	Model  string `json:"model"`
 }
 
+// CacheEvent tells of one answered request's place in the prefix cache.
+type CacheEvent struct {
+	RequestID string `json:"request_id"`
+	// Evicted says that the request's prefix is held no longer.
+	Evicted bool `json:"evicted"`
+}
+
+// CacheEvents are what an engine published after a number. They come late.
+type CacheEvents struct {
+	Events []CacheEvent `json:"events"`
+	// Next is the number to ask after next time.
+	Next uint64 `json:"next"`
+	// Gap says that events between are lost.
+	Gap bool `json:"gap"`
+}
+
 // Engine is one model engine.
 type Engine interface {
 	Generate(ctx context.Context, request GenerateRequest) (Generation, error)
 	Load(ctx context.Context) (LoadReport, error)
 	Order(ctx context.Context, order Order) error
+	CacheEvents(ctx context.Context, after uint64) (CacheEvents, error)
 	// ExportKV writes the cached prefixes of requests that the engine has
 	// answered; those it no longer holds are left out.
 	ExportKV(ctx context.Context, requestIDs []string, into io.Writer) error
--- a/pkg/cmd/fake/fake.go
+++ b/pkg/cmd/fake/fake.go
@@ -16,6 +16,7 @@
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/platform/fakehosts"
 	"github.com/capersaddle/capersaddle/internal/platform/fakestore"
+	"github.com/capersaddle/capersaddle/internal/platform/fakeweights"
 	"github.com/capersaddle/capersaddle/internal/target/fakeengine"
 	"github.com/capersaddle/capersaddle/internal/target/fakeservice"
 	"github.com/capersaddle/capersaddle/pkg/cmdutil"
@@ -33,21 +34,22 @@
 	Hosts  []string
 	Step   time.Duration
 	Batch  int
+	Rate   float64
 }
 
 // NewCmdFake returns the command; runF replaces its work in tests.
 func NewCmdFake(f *cmdutil.Factory, runF func(*FakeOptions) error) *cobra.Command {
 	opts := &FakeOptions{IO: f.IOStreams}
 	cmd := &cobra.Command{
-		Use:   "fake <engine|service|store|hosts>",
+		Use:   "fake <engine|service|store|hosts|weights>",
 		Short: "Serve a stand-in for an outside system",
 		Long: `Serve a small stand-in for a model engine, a plain service's server, the
-platform's key-value store or its list of hosts, so that routers and agents can
+platform's key-value store, its list of hosts or its weight store, so that routers and agents can
 be tried as separate processes on one machine. Not for real use.`,
 		Example: `  $ capersaddle fake store --listen 127.0.0.1:9000
   $ capersaddle fake engine --listen 127.0.0.1:9100 --model volta-chat`,
 		Args:      cobra.ExactArgs(1),
-		ValidArgs: []string{"engine", "service", "store", "hosts"},
+		ValidArgs: []string{"engine", "service", "store", "hosts", "weights"},
 		RunE: func(_ *cobra.Command, args []string) error {
 			opts.Kind = args[0]
 			if runF != nil {
@@ -62,6 +64,7 @@
 	cmd.Flags().StringSliceVar(&opts.Hosts, "host", nil, "`ids` in the list of hosts")
 	cmd.Flags().DurationVar(&opts.Step, "step", 5*time.Millisecond, "`time` of one step of the engine")
 	cmd.Flags().IntVar(&opts.Batch, "batch", 64, "`number` of answers that run in one step of the engine")
+	cmd.Flags().Float64Var(&opts.Rate, "rate", 2, "`fetches` a second that the weight store bears")
 	return cmd
 }
 
@@ -75,8 +78,10 @@
 		return fakestore.New().Handler(), nil
 	case "hosts":
 		return fakehosts.New(opts.Hosts...).Handler(), nil
+	case "weights":
+		return fakeweights.New(opts.Rate).Handler(), nil
 	}
-	return nil, fault.New(fault.BadRequest, fault.NotRun, "unknown stand-in %q; known are engine, service, store, hosts", opts.Kind)
+	return nil, fault.New(fault.BadRequest, fault.NotRun, "unknown stand-in %q; known are engine, service, store, hosts, weights", opts.Kind)
 }
 
 func fakeRun(opts *FakeOptions) error {
