Sessions that hang on no tie

Cause: 1 of 51 runs of the sessions under load differed from its golden file: a request met a hand-over that happened to be under way (40.1 s for 40 s), because keepers' waits are jittered and beats came at the same instants as other loops.

Change: beats are offset; the two sessions wait until slots have settled. The weight store must refuse nothing in the placement session (60 of 60 runs: 0).

--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -315,7 +315,7 @@
 	place("place-2", 1, 3)
 	show()
 	is.True(loads() <= 8)
-	is.True(w.weights.Refused() <= loads()) // turns and waits keep near the weight store's rate
+	is.Equal(w.weights.Refused(), 0) // the turns keep the weight store's rate
 	err := w.engines["engine-0"].Order(w.ctx, target.Order{Token: 1, Action: "unload", Model: model})
 	w.say("engine", "an order with an old token: %v", err)
 	is.True(err != nil)
--- a/internal/session/slots_test.go
+++ b/internal/session/slots_test.go
@@ -63,7 +63,7 @@
 	w.say("service", "the host of %s wakes", owner)
 	release()
 	w.wake(w.agents["host-of-"+owner])
-	time.Sleep(5 * time.Second)
+	time.Sleep(time.Minute) // its slots may go back to it meanwhile
 	w.topUp(w.routers["router-1"], "clinic", key)
 	wait.Wait()
 	is.Equal(w.effects(key), 1)
@@ -99,9 +99,10 @@
 	w.say("service", "the host of %s dies with key-1 under way", owner)
 	w.die(w.agents["host-of-"+owner])
 	wait.Wait()
-	for round := range 3 {
-		w.topUp(w.routers[fmt.Sprintf("router-%d", (round+1)%3)], "clinic", key)
-		time.Sleep(5 * time.Second)
+	w.topUp(w.routers["router-1"], "clinic", key)
+	time.Sleep(time.Minute) // by then the slots have a new owner
+	for _, name := range []string{"router-2", "router-0"} {
+		w.topUp(w.routers[name], "clinic", key)
 	}
 	release()
 	time.Sleep(time.Second)
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -300,8 +300,13 @@
 	return p
 }
 
+// beatOffset keeps beats away from the moments at which the processes' own
+// loops wake, so that it never hangs on chance who comes first.
+const beatOffset = 37 * time.Millisecond
+
 // exchangeBeats lets all processes that are not cut off hear each other.
 func (w *world) exchangeBeats() {
+	w.sleep(beatOffset)
 	for w.sleep(500 * time.Millisecond) {
 		all := w.processes()
 		for _, from := range all {
