--- a/internal/session/hops_test.go
+++ b/internal/session/hops_test.go
@@ -141,6 +141,7 @@
 		w.startAll(2, 0, 1)
 		r := w.routers["router-0"]
 		first := w.chat(r, "clinic", "a question", 4)
+		w.settle()
 		w.engines[first.placement].Inject(hang)
 		got := w.chat(r, "clinic", "a question", 4)
 		is.True(got.done)
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -140,6 +140,7 @@
 	w.startAll(3, 0, 2)
 	r := w.routers["router-0"]
 	home := w.chat(r, "clinic", "a long report", 1).placement
+	w.settle()
 	var wait sync.WaitGroup
 	wait.Go(func() {
 		got := w.chat(r, "clinic", "a long report", 500)
@@ -168,6 +169,7 @@
 	w.startAll(3, 0, 1)
 	r := w.routers["router-0"]
 	home := w.chat(r, "clinic", "flap", 1).placement
+	w.settle()
 	for round := range 4 {
 		w.engines[home].Inject(fakeengine.Fault{CutAfter: 2})
 		got := w.chat(r, "clinic", "flap", 6)
@@ -195,9 +197,11 @@
 	r := w.routers["router-0"]
 	whole := w.chat(r, "clinic", "a fault summary", 12)
 	w.say("caller", "undisturbed: %v", whole)
+	w.settle()
 	w.engines[whole.placement].Inject(fakeengine.Fault{CutAfter: 5})
 	cut := w.chat(r, "clinic", "a fault summary", 12)
 	w.say("caller", "the engine breaks after 5 pieces: %v", cut)
+	w.settle()
 	is.Equal(cut.text, whole.text)
 	for _, engine := range w.engines {
 		engine.Inject(fakeengine.Fault{CutAfter: 1}, fakeengine.Fault{CutAfter: 1}, fakeengine.Fault{CutAfter: 1}, fakeengine.Fault{CutAfter: 1})
@@ -235,6 +239,7 @@
 	homes := make(map[int]streamed)
 	for i := range chats {
 		homes[i] = w.chat(r, "clinic", long(i), 2)
+		w.settle()
 	}
 	stopped := homes[0].placement
 	_, err := w.command(r, "ama", config.Command{ID: "stop", Changes: []config.Change{set("mark/"+stopped, config.Mark{Leaving: true})}})
@@ -247,6 +252,7 @@
 		}
 		moved++
 		got := w.returning(w.routers["router-1"], "clinic", long(i), homes[i])
+		w.settle()
 		is.True(got.done)
 		is.True(got.placement != stopped)
 		if got.cached > 0 {
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -321,6 +321,12 @@
 	}
 }
 
+// settle lets words on load pass, so that the next chat's place hangs on the
+// order of engines alone.
+func (w *world) settle() {
+	time.Sleep(3 * time.Second)
+}
+
 func (w *world) processes() []*process {
 	w.mu.Lock()
 	defer w.mu.Unlock()
