An order's freshness is checked against its decision

Cause, found when reading: a load was ordered with the time of the order itself as that of its decision, so that the check against pauses could not fail; and an engine was told to be leaving up to a second before it changed.

Change: the assignment is worked out anew before each order, and the time before that counts; waiting for the turn and changing are two states.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -79,8 +79,10 @@
 	gate *admission.Gate
 	// model is the pool now; it changes only for managed engines.
 	model atomic.Pointer[string]
-	// changing is true while a managed engine changes its model.
-	changing atomic.Bool
+	// scheduled is true from shortly before a managed engine changes its model
+	// until it has, changing while it does.
+	scheduled atomic.Bool
+	changing  atomic.Bool
 	// wish is the model that the placements give a managed engine; the
 	// placer's loop alone uses it.
 	wish wish
--- a/internal/agent/placer.go
+++ b/internal/agent/placer.go
@@ -90,7 +90,7 @@
 	for _, id := range a.order {
 		p := a.places[id]
 		model, ok := assigned[id]
-		if !p.Managed || !ok || p.changing.Load() || a.leaving(id) {
+		if !p.Managed || !ok || p.scheduled.Load() || a.leaving(id) {
 			continue
 		}
 		if model == p.pool() {
@@ -105,12 +105,14 @@
 		if now+placeEvery < p.wish.due {
 			continue
 		}
-		p.changing.Store(true)
+		p.scheduled.Store(true)
+		due := p.wish.due
+		p.wish = wish{}
 		a.wait.Go(func() {
-			if wait.For(ctx, p.wish.due-now) {
+			defer p.scheduled.Store(false)
+			if wait.For(ctx, due-now) {
 				a.changeModel(ctx, p, model)
 			}
-			p.changing.Store(false)
 		})
 	}
 }
@@ -164,7 +166,8 @@
 // changeModel drains an engine, gives it its new model and opens it again. If
 // an order fails the engine holds nothing, and the next round tries again.
 func (a *Agent) changeModel(ctx context.Context, p *place, model string) {
-	p.wish = wish{}
+	p.changing.Store(true)
+	defer p.changing.Store(false)
 	before := p.pool()
 	p.gate.Leave()
 	select {
@@ -174,8 +177,8 @@
 	}
 	defer p.gate.Return()
 	// The drain may have taken long: what was wanted then may be so no more.
-	decided := a.options.Clock.Boot()
-	if policy.Assign(a.wanted(), a.managedEngines())[p.ID] != model {
+	decided, ok := a.stillWanted(p, model)
+	if !ok {
 		return
 	}
 	if before != "" {
@@ -203,7 +206,11 @@
 	waits := backoff.NewExponentialBackOff()
 	var err error
 	for range loadTries {
-		if err = a.giveOrder(ctx, p, a.options.Clock.Boot(), orderLoad, model); err == nil {
+		decided, ok := a.stillWanted(p, model)
+		if !ok {
+			return errStale
+		}
+		if err = a.giveOrder(ctx, p, decided, orderLoad, model); err == nil {
 			return nil
 		}
 		if !wait.For(ctx, waits.NextBackOff()) {
@@ -213,9 +220,17 @@
 	return err
 }
 
-// errStale says that the agent was paused between decision and order.
+// errStale says that the decision behind an order no longer holds, or that the
+// agent was paused since.
 var errStale = errors.New("the decision is too old, another will follow")
 
+// stillWanted says whether an engine should still hold a model, and at which
+// boot time that was begun to be worked out.
+func (a *Agent) stillWanted(p *place, model string) (decided time.Duration, ok bool) {
+	decided = a.options.Clock.Boot()
+	return decided, policy.Assign(a.wanted(), a.managedEngines())[p.ID] == model
+}
+
 // giveOrder gives one fenced order, unless the agent was paused since it was
 // decided.
 func (a *Agent) giveOrder(ctx context.Context, p *place, decided time.Duration, action, model string) error {
