--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -19,7 +19,7 @@
 const (
 	// dialTimeout bounds the making of a session.
 	dialTimeout = 2 * time.Second
-	// idleAfter is how long a session without streams is kept. At the letter's
+	// idleAfter is how long a session without streams is kept. At the planned
 	// size a router meets each agent about once a minute and a half: closing
 	// sooner would cost more bytes in new sessions than all other control.
 	idleAfter = 10 * time.Minute
--- a/internal/member/bench_test.go
+++ b/internal/member/bench_test.go
@@ -15,7 +15,7 @@
 	perHost      = 4
 )
 
-// sizes are numbers of members: today's, half the letter's and the letter's.
+// sizes are numbers of members: today's, half the planned and the planned one.
 var sizes = []int{16, 1135, 2270}
 
 // benchMembers makes a fleet with one router to about five agents.
--- a/internal/policy/trial_test.go
+++ b/internal/policy/trial_test.go
@@ -43,8 +43,8 @@
 }
 
 var (
-	sizeToday  = trialSize{routers: 3, engines: 50, perSecond: 50, samples: 50}
-	sizeLetter = trialSize{routers: 370, engines: 7500, perSecond: 8900, samples: 240}
+	sizeToday   = trialSize{routers: 3, engines: 50, perSecond: 50, samples: 50}
+	sizePlanned = trialSize{routers: 370, engines: 7500, perSecond: 8900, samples: 240}
 )
 
 // scenario is what happens during a trial.
@@ -600,8 +600,8 @@
 //
 //	go test -run - -bench Trial -benchtime 1x ./internal/policy
 func BenchmarkTrial(b *testing.B) {
-	sizes := map[string]trialSize{"today": sizeToday, "letter": sizeLetter}
-	for _, name := range []string{"today", "letter"} {
+	sizes := map[string]trialSize{"today": sizeToday, "planned": sizePlanned}
+	for _, name := range []string{"today", "planned"} {
 		for _, s := range scenarios() {
 			for _, p := range pickers() {
 				b.Run(name+"/"+s.name+"/"+p.name, func(b *testing.B) {
