The stack waits until its routers send requests to all targets

The stack only waited for the members.

Ruled out: a fault in the routing itself; the refusal was true and said not_run.

Change: a router's status tells how many targets it sends requests to, and the stack waits for all of them.

--- a/internal/dev/client.go
+++ b/internal/dev/client.go
@@ -182,15 +182,8 @@
 	return into, errors.Wrap(json.NewDecoder(response.Body).Decode(&into), "read answer")
 }
 
-// servesAll says whether a router has heard of all targets.
+// servesAll says whether a router sends requests to all targets.
 func servesAll(ctx context.Context, p process.Process) bool {
-	members, err := operatorGet[[]process.MemberRow](ctx, p, "/members")
-	if err != nil {
-		return false
-	}
-	targets := 0
-	for _, m := range members {
-		targets += len(m.Targets)
-	}
-	return targets == engineHosts*enginesPerHost+serviceHosts
+	status, err := operatorGet[process.Status](ctx, p, "/status")
+	return err == nil && status.RoutedTargets == engineHosts*enginesPerHost+serviceHosts
 }
--- a/internal/process/operators.go
+++ b/internal/process/operators.go
@@ -27,6 +27,8 @@
 	// editor is nil on agents, which take no commands.
 	editor *config.Editor
 	ready  func() bool
+	// routed counts the targets that a router sends requests to; nil on agents.
+	routed func() int
 }
 
 // Status is what a process says of itself.
@@ -38,6 +40,8 @@
 	ConfigRevision uint64 `json:"config_revision"`
 	StoreSeen      bool   `json:"store_seen"`
 	Members        int    `json:"members"`
+	// RoutedTargets are those that a router sends requests to.
+	RoutedTargets int `json:"routed_targets,omitempty"`
 }
 
 // OperatorError is the answer to a call that failed.
@@ -126,7 +130,12 @@
 }
 
 func (o *operators) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	routed := 0
+	if o.routed != nil {
+		routed = o.routed()
+	}
 	writeJSON(w, Status{
+		RoutedTargets:  routed,
 		ID:             o.settings.ID,
 		Role:           o.settings.Role,
 		DataCenter:     o.settings.DataCenter,
--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -47,7 +47,7 @@
 		MostBody: s.MostBody,
 	})
 	c.registerGauges()
-	ops := &operators{common: c, editor: config.NewEditor(c.store, c.node.Config), ready: p.router.Ready}
+	ops := &operators{common: c, editor: config.NewEditor(c.store, c.node.Config), ready: p.router.Ready, routed: p.router.Targets}
 	return p, errors.Join(
 		c.kernel.Register("router", p.router),
 		c.kernel.Register("operators", newHTTPService(c.operators, ops.handler())),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -154,6 +154,11 @@
 	}
 }
 
+// Targets counts the targets that this router sends requests to.
+func (r *Router) Targets() int {
+	return r.table.count()
+}
+
 // Draining says whether the router takes no new requests.
 func (r *Router) Draining() bool {
 	return r.draining.Load()
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -110,6 +110,15 @@
 	return (*t.pools.Load())[name]
 }
 
+// count is the number of targets that requests can be sent to now.
+func (t *table) count() int {
+	sum := 0
+	for _, pool := range *t.pools.Load() {
+		sum += len(pool.byName)
+	}
+	return sum
+}
+
 // refresh takes in the members' newest word. The view is built anew only when
 // members or targets have changed; else only hints are.
 func (t *table) refresh() {
