--- a/internal/agent/keeper.go
+++ b/internal/agent/keeper.go
@@ -36,7 +36,8 @@
 	slotsDefault = 64
 )
 
-func tableKey(service string) string {
+// TableKey is where a service's slot table is in the store.
+func TableKey(service string) string {
 	return "once/table/" + service
 }
 
@@ -147,7 +148,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	store := k.agent.options.Store
-	value, err := store.Get(ctx, tableKey(k.service))
+	value, err := store.Get(ctx, TableKey(k.service))
 	if errors.Is(err, platform.ErrNotFound) {
 		return k.createTable(ctx)
 	}
@@ -173,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = k.agent.options.Store.Put(ctx, tableKey(k.service), data, 0)
+	_, err = k.agent.options.Store.Put(ctx, TableKey(k.service), data, 0)
 	if errors.Is(err, platform.ErrVersion) {
 		return nil
 	}
@@ -201,7 +202,7 @@
 	k.markStale()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	version, err := k.agent.options.Store.Put(ctx, tableKey(k.service), data, plan.Base)
+	version, err := k.agent.options.Store.Put(ctx, TableKey(k.service), data, plan.Base)
 	if errors.Is(err, platform.ErrVersion) {
 		return k.readTable(ctx)
 	}
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -15,7 +15,8 @@
 // leaseEvery is the time between two renewals of an agent's long lease.
 const leaseEvery = 10 * time.Minute
 
-func leaseKey(agent string) string {
+// LeaseKey is where an agent's long lease is in the store.
+func LeaseKey(agent string) string {
 	return "once/lease/" + agent
 }
 
@@ -47,7 +48,7 @@
 	if err != nil {
 		return errors.Wrap(err, "write lease")
 	}
-	if _, err := l.store.Put(ctx, leaseKey(l.agent), data, base); err != nil {
+	if _, err := l.store.Put(ctx, LeaseKey(l.agent), data, base); err != nil {
 		return errors.Wrap(err, "renew long lease")
 	}
 	for _, guard := range l.guards {
@@ -59,7 +60,7 @@
 
 // version is the stored lease's version; zero if there is none.
 func (l *longLease) version(ctx context.Context) (uint64, error) {
-	value, err := l.store.Get(ctx, leaseKey(l.agent))
+	value, err := l.store.Get(ctx, LeaseKey(l.agent))
 	if errors.Is(err, platform.ErrNotFound) {
 		return 0, nil
 	}
@@ -71,7 +72,7 @@
 func (l *longLease) read(ctx context.Context, agent string) (once.LongLease, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	value, err := l.store.Get(ctx, leaseKey(agent))
+	value, err := l.store.Get(ctx, LeaseKey(agent))
 	if errors.Is(err, platform.ErrNotFound) {
 		return once.LongLease{}, nil
 	}
--- a/internal/config/command.go
+++ b/internal/config/command.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -12,10 +13,23 @@
 	"github.com/capersaddle/capersaddle/internal/platform"
 )
 
+// Need is what a change asks of the document before it.
+type Need string
+
+// The needs; the zero value asks nothing.
+const (
+	NeedAbsent  Need = "absent"
+	NeedPresent Need = "present"
+)
+
 // Change sets one document; an empty value removes it.
 type Change struct {
 	Name  string          `json:"name"`
 	Value json.RawMessage `json:"value,omitempty"`
+	// Need refuses the command unless the document is absent or present.
+	Need Need `json:"need,omitempty"`
+	// Merge keeps the fields that Value does not name.
+	Merge bool `json:"merge,omitempty"`
 }
 
 // Command is one change of the configuration, whole or not at all.
@@ -24,9 +38,11 @@
 	ID  string `json:"id"`
 	Who string `json:"who,omitempty"`
 	// IfRevision, when not zero, refuses the command at another revision.
-	IfRevision uint64   `json:"if_revision,omitempty"`
-	DryRun     bool     `json:"dry_run,omitempty"`
-	Changes    []Change `json:"changes"`
+	IfRevision uint64 `json:"if_revision,omitempty"`
+	DryRun     bool   `json:"dry_run,omitempty"`
+	// Force carries out what would break a promise.
+	Force   bool     `json:"force,omitempty"`
+	Changes []Change `json:"changes"`
 }
 
 // Result is a command's acceptance.
@@ -105,6 +121,10 @@
 	if refusal := e.check(command, manifest); refusal != nil {
 		return Result{}, refusal
 	}
+	changed, err := e.changeBuckets(ctx, command, &manifest, manifest.Revision+1)
+	if err != nil {
+		return Result{}, refusedOrAway(err)
+	}
 	if command.DryRun {
 		return Result{Revision: manifest.Revision, DryRun: true}, nil
 	}
@@ -112,9 +132,9 @@
 	for _, change := range command.Changes {
 		accepted.Names = append(accepted.Names, change.Name)
 	}
-	written, err := e.writeBuckets(ctx, command, &manifest, accepted.Revision)
+	written, err := e.writeBuckets(ctx, command, changed)
 	if err != nil {
-		return Result{}, fault.New(fault.StoreAway, fault.NotRun, "the store does not answer, nothing was changed: %v", err).After(settleEvery)
+		return Result{}, refusedOrAway(err)
 	}
 	next := manifest.next(accepted, written)
 	result, err := e.swap(ctx, command, manifest, next)
@@ -147,26 +167,47 @@
 	return nil
 }
 
-// writeBuckets writes the new values of all buckets that the command touches.
-// They mean nothing until the manifest names them.
-func (e *Editor) writeBuckets(ctx context.Context, command Command, manifest *Manifest, revision uint64) ([]int, error) {
+// refusedOrAway passes a refusal on; any other error before the manifest's
+// write means that the store is away and nothing was changed.
+func refusedOrAway(err error) *fault.Error {
+	var refusal *fault.Error
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return fault.New(fault.StoreAway, fault.NotRun, "the store does not answer, nothing was changed: %v", err).After(settleEvery)
+}
+
+// changeBuckets works out the new documents of all buckets that the command
+// touches, and refuses what does not meet its needs.
+func (e *Editor) changeBuckets(ctx context.Context, command Command, manifest *Manifest, revision uint64) (map[int][]Document, error) {
 	byBucket := make(map[int][]Change)
 	for _, change := range command.Changes {
 		bucket := bucketOf(change.Name)
 		byBucket[bucket] = append(byBucket[bucket], change)
 	}
-	var written []int
+	changed := make(map[int][]Document, len(byBucket))
 	for bucket, changes := range byBucket {
 		documents, err := e.repository.bucket(ctx, manifest, bucket)
 		if err != nil {
 			return nil, err
 		}
-		if err := e.putBucket(ctx, bucket, command.ID, change(documents, changes, revision)); err != nil {
+		changed[bucket], err = change(documents, changes, revision)
+		if err != nil {
+			return nil, err
+		}
+	}
+	return changed, nil
+}
+
+// writeBuckets writes the new values. They mean nothing until the manifest
+// names them.
+func (e *Editor) writeBuckets(ctx context.Context, command Command, changed map[int][]Document) ([]int, error) {
+	written := slices.Sorted(maps.Keys(changed))
+	for _, bucket := range written {
+		if err := e.putBucket(ctx, bucket, command.ID, changed[bucket]); err != nil {
 			return nil, err
 		}
-		written = append(written, bucket)
 	}
-	slices.Sort(written)
 	return written, nil
 }
 
@@ -185,15 +226,59 @@
 }
 
 // change applies changes to a bucket's documents.
-func change(documents []Document, changes []Change, revision uint64) []Document {
+func change(documents []Document, changes []Change, revision uint64) ([]Document, error) {
 	changed := slices.Clone(documents)
 	for _, one := range changes {
-		changed = slices.DeleteFunc(changed, func(d Document) bool { return d.Name == one.Name })
-		if len(one.Value) > 0 {
-			changed = append(changed, Document{Name: one.Name, Value: one.Value, Revision: revision})
+		at := slices.IndexFunc(changed, func(d Document) bool { return d.Name == one.Name })
+		if refusal := one.meets(at >= 0); refusal != nil {
+			return nil, refusal
+		}
+		value := one.Value
+		if at >= 0 {
+			var err error
+			if value, err = one.over(changed[at].Value); err != nil {
+				return nil, err
+			}
+			changed = slices.Delete(changed, at, at+1)
+		}
+		if len(value) > 0 {
+			changed = append(changed, Document{Name: one.Name, Value: value, Revision: revision})
 		}
 	}
-	return changed
+	return changed, nil
+}
+
+// meets checks a change's need.
+func (c *Change) meets(present bool) *fault.Error {
+	switch {
+	case c.Need == NeedAbsent && present:
+		return fault.New(fault.Conflict, fault.NotRun, "%s exists already; use change", c.Name)
+	case c.Need == NeedPresent && !present:
+		return fault.New(fault.Conflict, fault.NotRun, "%s does not exist", c.Name)
+	}
+	return nil
+}
+
+// over gives the value of a document after the change.
+func (c *Change) over(before json.RawMessage) (json.RawMessage, error) {
+	if !c.Merge {
+		return c.Value, nil
+	}
+	fields := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(before, &fields); err != nil {
+		return nil, errors.Wrapf(err, "document %q", c.Name)
+	}
+	if err := json.Unmarshal(c.Value, &fields); err != nil {
+		return nil, errors.Wrapf(err, "document %q", c.Name)
+	}
+	merged, err := json.Marshal(fields)
+	if err != nil {
+		return nil, errors.Wrapf(err, "document %q", c.Name)
+	}
+	if err := CheckDocument(c.Name, merged); err != nil {
+		return nil, fault.New(fault.BadRequest, fault.NotRun, "%v", err)
+	}
+	return merged, nil
 }
 
 // swap writes the manifest; a lost answer is settled by reading.
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -28,6 +28,8 @@
 	Steady bool
 	// Targets are an agent's, with its newest word on their load.
 	Targets []Target
+	// ConfigRevision is what the member itself said last, to this process.
+	ConfigRevision uint64
 	// Heard is how long ago the word on load was said.
 	Heard time.Duration
 }
@@ -72,6 +74,8 @@
 		Leaving:     m.GetLeaving(),
 		Steady:      l.decayed(known, now) <= l.options.FlapMost,
 		Heard:       now.Sub(known.loadsAt),
+
+		ConfigRevision: known.config,
 	}
 	fresh := peer.Heard <= l.options.LoadAge
 	for i, target := range m.GetTargets() {
--- a/internal/process/operators.go
+++ b/internal/process/operators.go
@@ -57,9 +57,11 @@
 		sub.Get("/status", o.serveStatus)
 		sub.Get("/members", o.serveMembers)
 		sub.Get("/documents", o.serveDocuments)
+		sub.Post("/query", o.serveQuery)
 		if o.editor != nil {
 			sub.Get("/history", o.serveHistory)
 			sub.Post("/command", o.serveCommand)
+			sub.Post("/exec", o.serveExec)
 			sub.Post("/republish", o.serveRepublish)
 		}
 	})
@@ -196,13 +198,12 @@
 		writeFault(w, fault.New(fault.BadRequest, fault.NotRun, "the command is not readable: %v", err))
 		return
 	}
-	result, err := o.editor.Do(r.Context(), command)
+	result, err := o.do(r, command)
 	o.log.Info("command", "id", command.ID, "who", command.Who, "revision", result.Revision, "error", err)
 	if err != nil {
 		writeFault(w, err)
 		return
 	}
-	o.takeEffect(r)
 	writeJSON(w, result)
 }
 
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -8,8 +8,10 @@
 	"github.com/capersaddle/capersaddle/pkg/cmd/agent"
 	"github.com/capersaddle/capersaddle/pkg/cmd/config"
 	"github.com/capersaddle/capersaddle/pkg/cmd/dev"
+	"github.com/capersaddle/capersaddle/pkg/cmd/exec"
 	"github.com/capersaddle/capersaddle/pkg/cmd/fake"
 	"github.com/capersaddle/capersaddle/pkg/cmd/member"
+	"github.com/capersaddle/capersaddle/pkg/cmd/query"
 	"github.com/capersaddle/capersaddle/pkg/cmd/router"
 	"github.com/capersaddle/capersaddle/pkg/cmd/target"
 	"github.com/capersaddle/capersaddle/pkg/cmdutil"
@@ -39,6 +41,8 @@
 		router.NewCmdRouter(f, nil),
 		agent.NewCmdAgent(f, nil),
 		fake.NewCmdFake(f, nil),
+		query.NewCmdQuery(f, nil),
+		exec.NewCmdExec(f, nil),
 		config.NewCmdConfig(f),
 		target.NewCmdTarget(f),
 		member.NewCmdMember(f),
--- a/pkg/cmdutil/change.go
+++ b/pkg/cmdutil/change.go
@@ -26,7 +26,7 @@
 // AddCommandFlags adds --id and --who.
 func AddCommandFlags(cmd *cobra.Command, id, who *string) {
 	cmd.Flags().StringVar(id, "id", "", "command `id`: sending a command again under its id is safe")
-	cmd.Flags().StringVar(who, "who", os.Getenv("USER"), "`name` kept in the history")
+	cmd.Flags().StringVar(who, "who", firstOf(os.Getenv("USER"), "unknown"), "`name` kept in the history")
 }
 
 // ChangeOptions are the options of commands that change the configuration.
@@ -39,6 +39,7 @@
 	Who        string
 	IfRevision uint64
 	DryRun     bool
+	Force      bool
 	JSON       bool
 	Changes    []config.Change
 }
@@ -55,6 +56,7 @@
 	AddCommandFlags(cmd, &o.ID, &o.Who)
 	cmd.Flags().Uint64Var(&o.IfRevision, "if-revision", 0, "refuse unless the configuration is at this `revision`")
 	cmd.Flags().BoolVar(&o.DryRun, "dry-run", false, "check only")
+	cmd.Flags().BoolVar(&o.Force, "force", false, "carry out what would leave a pool without a target")
 }
 
 // Run sends the command and says how it ended: accepted, refused or unknown.
@@ -67,22 +69,29 @@
 		Who:        o.Who,
 		IfRevision: o.IfRevision,
 		DryRun:     o.DryRun,
+		Force:      o.Force,
 		Changes:    o.Changes,
 	})
-	if fault.KindOf(err) == fault.Unsettled && err != nil {
-		return fault.New(fault.Unsettled, fault.Unknown, "%s; run it again with --id %s", fault.From(err).Message, o.ID)
-	}
 	if err != nil {
-		return err
+		return WithID(err, o.ID)
 	}
 	if o.JSON {
 		return PrintJSON(o.IO.Out, result)
 	}
-	_, _ = fmt.Fprintln(o.IO.Out, describe(result))
+	_, _ = fmt.Fprintln(o.IO.Out, Describe(result))
 	return nil
 }
 
-func describe(result config.Result) string {
+// WithID tells how to settle a command whose answer is lost.
+func WithID(err error, id string) error {
+	if err == nil || fault.KindOf(err) != fault.Unsettled {
+		return err
+	}
+	return fault.New(fault.Unsettled, fault.Unknown, "%s; run it again with --id %s", fault.From(err).Message, id)
+}
+
+// Describe says how an accepted command ended.
+func Describe(result config.Result) string {
 	switch {
 	case result.DryRun:
 		return fmt.Sprintf("would be accepted; the configuration is at revision %d", result.Revision)
--- a/pkg/cmdutil/client.go
+++ b/pkg/cmdutil/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/config"
 	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/oplang"
 	"github.com/capersaddle/capersaddle/internal/process"
 )
 
@@ -76,6 +77,24 @@
 	return result, err
 }
 
+// Exec sends a script of the operators' language.
+func (c *Client) Exec(ctx context.Context, script process.Script) (process.Executed, error) {
+	var executed process.Executed
+	err := c.call(ctx, http.MethodPost, "/exec", script, &executed)
+	return executed, err
+}
+
+// Query asks a question of the operators' language.
+func (c *Client) Query(ctx context.Context, text string) (oplang.Table, error) {
+	var table oplang.Table
+	err := c.call(ctx, http.MethodPost, "/query", process.Text{Text: text}, &table)
+	if fault.KindOf(err) == fault.Unsettled && err != nil {
+		// A question changes nothing, so a lost answer needs no settling.
+		err = fault.New(fault.NotReady, fault.NotRun, "the router does not answer; name another with --router")
+	}
+	return table, err
+}
+
 // Republish writes the fleet's configuration to a store that was put back.
 func (c *Client) Republish(ctx context.Context, id, who string) (config.Result, error) {
 	var result config.Result
