--- a/cmd/capersaddle/main.go
+++ b/cmd/capersaddle/main.go
@@ -11,12 +11,14 @@
 )
 
 func main() {
-	os.Exit(run(cmdutil.NewFactory()))
+	os.Exit(run(cmdutil.NewFactory(), os.Args[1:]))
 }
 
-// run gives the exit code of one command.
-func run(f *cmdutil.Factory) int {
-	err := root.NewCmdRoot(f).Execute()
+// run carries out one command and gives its exit code.
+func run(f *cmdutil.Factory, args []string) int {
+	cmd := root.NewCmdRoot(f)
+	cmd.SetArgs(args)
+	err := cmd.Execute()
 	if err != nil {
 		_, _ = fmt.Fprintf(f.IOStreams.ErrOut, "capersaddle: %s\n", fault.From(err).Message)
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -114,6 +114,9 @@
 	told         []*wire.TargetState
 	toldStopping bool
 
+	// clockWarnings counts exchanges that showed clocks too far apart.
+	clockWarnings atomic.Int64
+
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
 	runs   sync.WaitGroup
@@ -218,6 +221,12 @@
 	return loads
 }
 
+// ClockWarnings counts exchanges that showed another host's wall clock too far
+// from this one's.
+func (a *Agent) ClockWarnings() int64 {
+	return a.clockWarnings.Load()
+}
+
 // OwnsKey says whether this agent owns the slot of a workspace's key.
 func (a *Agent) OwnsKey(service, workspace, key string) bool {
 	k, ok := a.keepers[service]
--- a/internal/agent/keeper.go
+++ b/internal/agent/keeper.go
@@ -341,6 +341,7 @@
 		return
 	}
 	promise := reply.GetPromise()
+	k.compareClocks(witness.Agent, sentAt, promise.GetWallMs())
 	if promise.GetGranted() {
 		k.guard.Promised(witness, sentAt)
 	}
@@ -349,6 +350,21 @@
 	}
 }
 
+// compareClocks warns when another host's wall clock is further from this one's
+// than two clocks within the stated error can be. The time of the exchange is
+// given to the other side.
+func (k *keeper) compareClocks(agent string, sentAt time.Duration, theirs int64) {
+	clock := k.agent.options.Clock
+	took := clock.Boot() - sentAt
+	apart := clock.Wall().Sub(time.UnixMilli(theirs)).Abs() - took
+	most := 2 * k.agent.options.Once.ClockError
+	if apart <= most {
+		return
+	}
+	k.agent.clockWarnings.Add(1)
+	k.log.Warn("wall clocks are too far apart: a request could run twice after a take-over", "agent", agent, "apart", apart.Round(time.Millisecond), "most", most)
+}
+
 // ask sends one message to another agent and reads its one reply.
 func (k *keeper) ask(ctx context.Context, agent string, open *wire.Open) (*wire.Reply, error) {
 	address, ok := k.agent.options.Members.LinkAddress(agent)
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -58,13 +58,24 @@
 	return nil
 }
 
-// version is the stored lease's version; zero if there is none.
+// version is the stored lease's version; zero if there is none. A lease of this
+// run that an operator has ended meanwhile makes the guards give their slots
+// up: others may be taking them.
 func (l *longLease) version(ctx context.Context) (uint64, error) {
 	value, err := l.store.Get(ctx, LeaseKey(l.agent))
 	if errors.Is(err, platform.ErrNotFound) {
 		return 0, nil
 	}
-	return value.Version, errors.Wrap(err, "read long lease")
+	if err != nil {
+		return 0, errors.Wrap(err, "read long lease")
+	}
+	var held once.LongLease
+	if json.Unmarshal(value.Data, &held) == nil && held.UntilMS == 0 && !l.renewed.IsZero() {
+		for _, guard := range l.guards {
+			guard.GiveUp()
+		}
+	}
+	return value.Version, nil
 }
 
 // read reads another agent's long lease. One that was never written is over:
--- a/internal/once/lease.go
+++ b/internal/once/lease.go
@@ -135,6 +135,13 @@
 	g.longUntil = max(g.longUntil, sentAt+shorter(g.options.LongLease))
 }
 
+// GiveUp drops all owned slots until the table names this agent anew.
+func (g *Guard) GiveUp() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.giveUp()
+}
+
 // giveUp drops all owned slots until the table names this agent anew.
 func (g *Guard) giveUp() {
 	for number, slot := range g.owned {
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -50,6 +50,7 @@
 	c.node.Serve(p.agent.Handle)
 	c.registerGauges()
 	p.registerLoads()
+	p.registerClock()
 	ops := &operators{common: c, ready: func() bool { return true }}
 	return p, errors.Join(
 		c.kernel.Register("agent", p.agent),
@@ -90,6 +91,13 @@
 	})
 }
 
+// registerClock exports warnings about clocks.
+func (p *agentProcess) registerClock() {
+	metric.Gauge(p.registry, "clock_warnings", "Exchanges that showed wall clocks too far apart.", func() float64 {
+		return float64(p.agent.ClockWarnings())
+	})
+}
+
 // registerGauges exports what routers and agents share.
 func (c *common) registerGauges() {
 	metric.Gauge(c.registry, "config_revision", "Configuration revision in force.", func() float64 {
--- a/internal/process/operators.go
+++ b/internal/process/operators.go
@@ -66,6 +66,7 @@
 			operate.Post("/command", o.serveCommand)
 			operate.Post("/exec", o.serveExec)
 			administer.Post("/republish", o.serveRepublish)
+			administer.Post("/release", o.serveRelease)
 		}
 	})
 	return mux
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/agent"
 	"github.com/capersaddle/capersaddle/internal/config"
+	"github.com/capersaddle/capersaddle/internal/once"
 	"github.com/capersaddle/capersaddle/internal/target"
 	"github.com/capersaddle/capersaddle/internal/target/fakeengine"
 	"github.com/capersaddle/capersaddle/internal/target/fakeservice"
@@ -38,6 +39,9 @@
 		"answer of the service is lost":       serviceAnswerLost,
 		"router restarts during store outage": routerRestart,
 		"planned stop hands the cache on":     func(w *world, is *is.I) { is.Equal(cacheAfterStop(w, is), 1.0) },
+		"operator confirms two dead hosts":    twoDeadHosts,
+		"a host's clock is wrong":             wrongClock,
+		"a router's list lags behind a mark":  laggingList,
 		"placements are followed":             placements,
 		"planned stop keeps the cache": func(w *world, is *is.I) {
 			w.cache.KeepOnLeave = true
@@ -590,3 +594,89 @@
 	w.say("engine", "an order with an old token: %v", err)
 	is.True(err != nil)
 }
+
+// twoDeadHosts: an owner and its witness die together; their slots wait until
+// an operator confirms it.
+func twoDeadHosts(w *world, is *is.I) {
+	w.startAll(0, 3, 1)
+	r := w.routers["router-0"]
+	first := w.newKey("key-0")
+	w.topUp(r, "clinic", first)
+	owner := w.ownerOf(first)
+	witness := w.witnessOf(owner)
+	lost := w.keyOwnedBy(owner, "key-1")
+	w.say("service", "the hosts of %s and its witness die", owner)
+	w.die(w.agents["host-of-"+owner])
+	w.die(w.agents[witness])
+	time.Sleep(time.Minute)
+	is.True(w.topUp(r, "clinic", lost).Code != http.StatusOK)
+	for _, dead := range []string{"host-of-" + owner, witness} {
+		key := agent.LeaseKey(dead)
+		held, err := w.store.Get(w.ctx, key)
+		is.NoErr(err)
+		_, err = w.store.Put(w.ctx, key, []byte("{}"), held.Version)
+		is.NoErr(err)
+	}
+	w.say("operator", "ama confirms that both are dead")
+	time.Sleep(time.Minute)
+	is.Equal(w.topUp(r, "clinic", w.newKey("key-2")).Code, http.StatusOK)
+	w.topUp(r, "clinic", lost)
+	is.Equal(w.effects(lost), 0)
+	is.Equal(w.effects(first), 1)
+}
+
+// witnessOf names the witness of a server's slots.
+func (w *world) witnessOf(server string) string {
+	value, err := w.store.Get(w.ctx, agent.TableKey(service))
+	is.New(w.t).NoErr(err)
+	table, err := once.ParseTable(value.Data, value.Version)
+	is.New(w.t).NoErr(err)
+	for _, slot := range table.Slots {
+		if slot.Owner.Agent == "host-of-"+server {
+			return slot.Witness.Agent
+		}
+	}
+	return ""
+}
+
+// wrongClock: a host's clock is beyond the bound; the agents notice.
+func wrongClock(w *world, is *is.I) {
+	w.startAll(0, 3, 1)
+	before := w.agents["host-of-topup-0"].agent.ClockWarnings()
+	w.say("service", "the clock of topup-0's host is set 5 s ahead")
+	w.mu.Lock()
+	w.agents["host-of-topup-0"].wrong = 5 * time.Second
+	w.mu.Unlock()
+	time.Sleep(5 * time.Second)
+	warned := 0
+	for _, p := range w.agents {
+		if p.agent.ClockWarnings() > 0 {
+			warned++
+		}
+	}
+	is.Equal(before, int64(0))
+	is.True(warned > 0)
+	w.say("operator", "agents warn of clocks too far apart: %t", warned > 0)
+}
+
+// laggingList: a router that hears nothing for 5 s still believes in a target
+// that was marked; the target's agent takes nothing new all the same.
+func laggingList(w *world, is *is.I) {
+	w.startAll(3, 0, 2)
+	r, lagging := w.routers["router-0"], w.routers["router-1"]
+	before := w.chat(lagging, "clinic", "a chat with a home", 2)
+	lagging.setCut(true)
+	_, err := w.command(r, "ama", config.Command{ID: "stop", Changes: []config.Change{set("mark/"+before.placement, config.Mark{Leaving: true})}})
+	is.NoErr(err)
+	time.Sleep(2 * time.Second)
+	runs := len(w.engines[before.placement].Runs())
+	for range 6 {
+		got := w.returning(lagging, "clinic", "a chat with a home", before)
+		is.True(got.done)
+		is.True(got.placement != before.placement)
+		time.Sleep(500 * time.Millisecond)
+	}
+	is.Equal(len(w.engines[before.placement].Runs()), runs)
+	w.quietEngines()
+	w.say("caller", "6 chats through the lagging router, with tokens for %s: whole, from others", before.placement)
+}
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -2,6 +2,8 @@
 package root
 
 import (
+	"strings"
+
 	"github.com/spf13/cobra"
 
 	"github.com/capersaddle/capersaddle/internal/fault"
@@ -13,6 +15,7 @@
 	"github.com/capersaddle/capersaddle/pkg/cmd/member"
 	"github.com/capersaddle/capersaddle/pkg/cmd/query"
 	"github.com/capersaddle/capersaddle/pkg/cmd/router"
+	"github.com/capersaddle/capersaddle/pkg/cmd/slot"
 	"github.com/capersaddle/capersaddle/pkg/cmd/target"
 	"github.com/capersaddle/capersaddle/pkg/cmdutil"
 )
@@ -29,6 +32,8 @@
 5 not to be reached now.`,
 		SilenceErrors: true,
 		SilenceUsage:  true,
+		Args:          cobra.ArbitraryArgs,
+		RunE:          help,
 	}
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return fault.New(fault.BadRequest, fault.NotRun, "%v", err)
@@ -46,6 +51,40 @@
 		config.NewCmdConfig(f),
 		target.NewCmdTarget(f),
 		member.NewCmdMember(f),
+		slot.NewCmdSlot(f),
 	)
+	checkArgs(cmd)
 	return cmd
 }
+
+// help shows the commands, or says that there is none of a name.
+func help(cmd *cobra.Command, args []string) error {
+	if len(args) == 0 {
+		return cmd.Help()
+	}
+	hint := "see " + cmd.CommandPath() + " --help"
+	if near := cmd.SuggestionsFor(args[0]); len(near) > 0 {
+		hint = "did you mean " + strings.Join(near, " or ") + "?"
+	}
+	return fault.New(fault.BadRequest, fault.NotRun, "unknown command %q; %s", args[0], hint)
+}
+
+// checkArgs makes wrong arguments of any command an error of wrong use, and
+// groups of commands answer as the root does.
+func checkArgs(cmd *cobra.Command) {
+	if check := cmd.Args; check != nil {
+		cmd.Args = func(cmd *cobra.Command, args []string) error {
+			if err := check(cmd, args); err != nil {
+				return fault.New(fault.BadRequest, fault.NotRun, "%v; see %s --help", err, cmd.CommandPath())
+			}
+			return nil
+		}
+	}
+	if cmd.RunE == nil && cmd.HasSubCommands() {
+		cmd.Args = cobra.ArbitraryArgs
+		cmd.RunE = help
+	}
+	for _, sub := range cmd.Commands() {
+		checkArgs(sub)
+	}
+}
--- a/pkg/cmdutil/client.go
+++ b/pkg/cmdutil/client.go
@@ -106,6 +106,11 @@
 	return result, err
 }
 
+// Release ends the long lease of an agent that is confirmed dead.
+func (c *Client) Release(ctx context.Context, agent string) error {
+	return c.call(ctx, http.MethodPost, "/release", process.Release{Agent: agent}, &struct{}{})
+}
+
 // Documents reads the configuration in force.
 func (c *Client) Documents(ctx context.Context) (process.Documents, error) {
 	var documents process.Documents
