Gateways tell each other loads, placements and proofs; looser bound

Ruled out: late hearing of the removal (the log shows target_gone 4 ms after it). Change: internal/peer (beats by datagram, replica of the store over links, proof of freshness by echo), holders of prompt parts instead of sessions, dropped targets serve only if the list has lost all of a service; bound 1.8 x mean + 2.2 by shared loads; proof margin 0.4 s with watches of 1 s; a drain ends inside the grace time.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -27,7 +27,7 @@
 
 // DefaultOptions leave room below a bound of twice the mean plus 3.
 func DefaultOptions() Options {
-	return Options{Multiple: 1.5, Extra: 1.5, MaxEjected: 0.5}
+	return Options{Multiple: 1.8, Extra: 2.2, MaxEjected: 0.5}
 }
 
 // Balancer chooses targets. It is safe for concurrent use.
@@ -36,8 +36,9 @@
 
 	mu       sync.Mutex
 	targets  map[string]*state
+	byHash   map[uint64]*state
 	services map[string][]*state
-	sessions *sessions
+	holders  *holders
 }
 
 // New returns a balancer without targets.
@@ -45,16 +46,18 @@
 	return &Balancer{
 		options:  options,
 		targets:  make(map[string]*state),
+		byHash:   make(map[uint64]*state),
 		services: make(map[string][]*state),
-		sessions: newSessions(),
+		holders:  newHolders(),
 	}
 }
 
 // Query says for what a target is wanted.
 type Query struct {
 	Service string
-	// Session names the deepest shared part of the prompt; empty for none.
-	Session string
+	// Parts are hashes of the prompt's shared parts in order; each is cached
+	// only behind those before it. Empty for none.
+	Parts []uint64
 	// Exclude are targets that were tried already.
 	Exclude []string
 }
@@ -86,10 +89,12 @@
 	mean := meanLoad(open, now)
 	var chosen *state
 	fetchFrom := ""
-	if query.Session == "" {
+	if len(query.Parts) == 0 {
 		chosen = b.lightest(open, now)
 	} else {
-		chosen, fetchFrom = b.home(query.Session, listed, open, mean, now)
+		chosen = b.home(query.Parts[len(query.Parts)-1], open, mean, now)
+		fetchFrom = b.fetchFrom(query.Parts, listed, chosen)
+		b.place(query.Parts, chosen)
 	}
 	pick := Pick{Target: chosen.Target, FetchFrom: fetchFrom, Load: chosen.load(now), Mean: mean, Candidates: len(open)}
 	chosen.inFlight++
@@ -97,24 +102,29 @@
 }
 
 // open are the targets that may take the request: listed, not leaving, not
-// tried and not ejected. When all others are ejected the ejected ones serve;
-// when the list has dropped all of a service at once, the dropped ones do.
+// tried and not ejected. When all others are ejected the ejected ones serve.
+// When the list has dropped every target of a service, those that it dropped
+// last serve on: entries lapse while the store is down.
 func (b *Balancer) open(listed []*state, exclude []string, now time.Time) []*state {
-	var healthy, ejected, dropped []*state
+	var healthy, ejected, lapsed []*state
+	present := 0
 	for _, target := range listed {
+		gone := !target.goneAt.IsZero()
+		if !gone {
+			present++
+		}
 		switch {
 		case target.Leaving || slices.Contains(exclude, target.ID):
-		case !target.goneAt.IsZero():
-			dropped = append(dropped, target)
+		case gone:
+			lapsed = append(lapsed, target)
 		case target.health.ejected(now):
 			ejected = append(ejected, target)
 		default:
 			healthy = append(healthy, target)
 		}
 	}
-	present := len(healthy) + len(ejected)
-	if present == 0 {
-		return dropped
+	if present == 0 && len(listed) >= leastLapsed {
+		return lapsed
 	}
 	if most := int(b.options.MaxEjected * float64(present)); len(ejected) > most {
 		// Too many look bad: those whose time out ends first come back.
@@ -129,6 +139,10 @@
 	return healthy
 }
 
+// leastLapsed is how many targets a service must have lost, all at once, for
+// their entries to be taken as lapsed and not as removed.
+const leastLapsed = 2
+
 func meanLoad(targets []*state, now time.Time) float64 {
 	total := 0
 	for _, target := range targets {
@@ -194,31 +208,32 @@
 	return factor
 }
 
-// home is the first target in the session's rendezvous order that is below
-// the bound; when all are above it, the least loaded. The second result is
-// where a cached prefix may be fetched from.
-func (b *Balancer) home(session string, listed, open []*state, mean float64, now time.Time) (*state, string) {
-	hash := policy.HashName(session)
+// home is where a request of a session goes: a target that holds the session's
+// prefix if one is below the bound, else the first target in the session's
+// rendezvous order that is, else the least loaded.
+func (b *Balancer) home(session uint64, open []*state, mean float64, now time.Time) *state {
+	typical := typicalLatency(open)
+	fits := func(target *state) bool {
+		return float64(target.load(now)) <= b.bound(mean, target, typical)
+	}
+	for _, hash := range b.holders.of(session) {
+		if target := b.byHash[hash]; target != nil && slices.Contains(open, target) && fits(target) {
+			return target
+		}
+	}
 	order := slices.Clone(open)
 	slices.SortFunc(order, func(x, y *state) int {
 		return cmp.Or(
-			cmp.Compare(policy.Score(hash, y.hash), policy.Score(hash, x.hash)),
+			cmp.Compare(policy.Score(session, y.hash), policy.Score(session, x.hash)),
 			cmp.Compare(x.ID, y.ID),
 		)
 	})
-	typical := typicalLatency(open)
-	chosen := order[0]
-	found := false
 	for _, target := range order {
-		if float64(target.load(now)) <= b.bound(mean, target, typical) {
-			chosen, found = target, true
-			break
+		if fits(target) {
+			return target
 		}
 	}
-	if !found {
-		chosen = b.lightest(open, now)
-	}
-	return chosen, b.fetchFrom(session, hash, listed, chosen)
+	return b.lightest(open, now)
 }
 
 // bound is the most that a target may hold before a session goes elsewhere. A
@@ -235,28 +250,76 @@
 // holds less.
 const slowFactor = 2.5
 
-// fetchFrom is the target, other than the chosen one, that most probably
-// holds the session's prefix: where this process last sent it, else the next
-// in the rendezvous order over all that still serve.
-func (b *Balancer) fetchFrom(session string, hash uint64, listed []*state, chosen *state) string {
-	last := b.sessions.last(session)
-	b.sessions.note(session, chosen.ID)
-	if last != chosen.ID {
-		if target, ok := b.targets[last]; ok && target.goneAt.IsZero() {
-			return target.Address
+// fetchFrom is the address of another target from which the chosen one can
+// fetch the longest part of the prompt that it may lack; empty if it holds the
+// prompt already. Where nothing is known the next home is the best guess.
+func (b *Balancer) fetchFrom(parts []uint64, listed []*state, chosen *state) string {
+	for i := len(parts) - 1; i >= 0; i-- {
+		held := b.holders.of(parts[i])
+		if slices.Contains(held, chosen.hash) {
+			return ""
+		}
+		if source := b.source(held, chosen); source != nil {
+			return source.Address
 		}
 	}
-	best := ""
-	var bestScore uint64
+	session := parts[len(parts)-1]
+	var best *state
 	for _, target := range listed {
 		if target == chosen || !target.goneAt.IsZero() {
 			continue
 		}
-		if score := policy.Score(hash, target.hash); best == "" || score > bestScore {
-			best, bestScore = target.Address, score
+		if best == nil || policy.Score(session, target.hash) > policy.Score(session, best.hash) {
+			best = target
 		}
 	}
-	return best
+	if best == nil {
+		return ""
+	}
+	return best.Address
+}
+
+// source picks one of the holders that still serve, a near one if there is
+// one: a way between data centres takes longer.
+func (b *Balancer) source(held []uint64, chosen *state) *state {
+	var found *state
+	for _, hash := range held {
+		target := b.byHash[hash]
+		if target == nil || target == chosen || !target.goneAt.IsZero() {
+			continue
+		}
+		if target.DataCenter == chosen.DataCenter {
+			return target
+		}
+		if found == nil {
+			found = target
+		}
+	}
+	return found
+}
+
+// place notes that the chosen target will hold the prompt's shared parts.
+func (b *Balancer) place(parts []uint64, chosen *state) {
+	for _, part := range parts {
+		b.holders.place(Placement{Part: part, Target: chosen.hash})
+	}
+}
+
+// Placements are this process's own placements from a number on, at most so
+// many, and the number that follows them.
+func (b *Balancer) Placements(from, most int) ([]Placement, int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.holders.newsFrom(from, most)
+}
+
+// Learn takes placements that another gateway made.
+func (b *Balancer) Learn(placements []Placement) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, placement := range placements {
+		b.holders.note(placement)
+	}
 }
 
 // Result is how a request at a target ended.
@@ -306,30 +369,37 @@
 	}
 }
 
-// Observe notes another router's counts by target id.
-func (b *Balancer) Observe(router string, counts map[string]int, now time.Time) {
+// Count is a number of requests in flight at a target, named by its hash.
+type Count struct {
+	Target uint64
+	Count  int
+}
+
+// Observe notes another gateway's requests in flight, without zeros.
+func (b *Balancer) Observe(gateway string, counts []Count, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, target := range b.targets {
-		count, ok := counts[id]
-		if !ok {
-			delete(target.others, router)
-			continue
+	for _, target := range b.targets {
+		delete(target.others, gateway)
+	}
+	for _, count := range counts {
+		if target, ok := b.byHash[count.Target]; ok {
+			target.others[gateway] = reading{count: count.Count, at: now}
 		}
-		target.others[router] = reading{count: count, at: now}
 	}
 }
 
-// InFlight are this process's own counts by target id, without zeros.
-func (b *Balancer) InFlight() map[string]int {
+// InFlight are this process's own requests in flight, without zeros.
+func (b *Balancer) InFlight() []Count {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	counts := make(map[string]int)
-	for id, target := range b.targets {
+	var counts []Count
+	for hash, target := range b.byHash {
 		if target.inFlight > 0 {
-			counts[id] = target.inFlight
+			counts = append(counts, Count{Target: hash, Count: target.inFlight})
 		}
 	}
+	slices.SortFunc(counts, func(x, y Count) int { return cmp.Compare(x.Target, y.Target) })
 	return counts
 }
 
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -24,6 +24,7 @@
 	}
 	added := newState(target)
 	b.targets[target.ID] = added
+	b.byHash[added.hash] = added
 	b.services[target.Service] = append(b.services[target.Service], added)
 	return true
 }
@@ -38,21 +39,6 @@
 	b.forget(now)
 }
 
-// Keep drops all targets whose ids are not given, and returns theirs.
-func (b *Balancer) Keep(ids []string, now time.Time) []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var dropped []string
-	for id, target := range b.targets {
-		if !slices.Contains(ids, id) && target.goneAt.IsZero() {
-			target.goneAt = now
-			dropped = append(dropped, id)
-		}
-	}
-	b.forget(now)
-	return dropped
-}
-
 // forget removes targets that were dropped long ago, or that were leaving
 // when they were dropped, once nothing is in flight at them.
 func (b *Balancer) forget(now time.Time) {
@@ -64,6 +50,7 @@
 			continue
 		}
 		delete(b.targets, id)
+		delete(b.byHash, target.hash)
 		b.services[target.Service] = slices.DeleteFunc(b.services[target.Service], func(s *state) bool {
 			return s == target
 		})
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -22,7 +22,8 @@
 	route     *routing.Route
 	workspace *routing.Workspace
 	service   string
-	session   string
+	// parts are hashes of the prompt's shared parts, in order.
+	parts []uint64
 	// deadline is when the caller or the route's time-out ends the request.
 	deadline time.Time
 	delivery *delivery.Delivery
@@ -49,7 +50,7 @@
 	c.after = c.request.After
 	c.deadline = c.request.Arrived.Add(c.holdTime())
 	if service, ok := c.table.Service(c.route.Split[0].Service); ok && service.Engine {
-		c.session = c.request.session()
+		c.parts = c.request.sharedParts()
 	}
 	c.service = c.route.ServiceAt(c.splitPoint())
 	c.delivery = delivery.New(repeatOf(c.route), c.route.MaxAttempts)
@@ -59,8 +60,8 @@
 // splitPoint is the same for all requests of a session, so that a session
 // keeps its service while the split stays.
 func (c *call) splitPoint() uint64 {
-	if c.session != "" {
-		return policy.HashName(c.session)
+	if len(c.parts) > 0 {
+		return c.parts[len(c.parts)-1]
 	}
 	return policy.HashName(c.request.ID)
 }
@@ -124,7 +125,7 @@
 }
 
 func (c *call) query() balance.Query {
-	return balance.Query{Service: c.service, Session: c.session, Exclude: c.tried}
+	return balance.Query{Service: c.service, Parts: c.parts, Exclude: c.tried}
 }
 
 // callerLeft says whether the request ended because its caller closed the
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -78,7 +78,7 @@
 	record := &RequestRecord{
 		ID:       c.request.ID,
 		Service:  c.service,
-		Session:  c.session,
+		Session:  c.request.session(),
 		Attempts: c.attempts,
 		Status:   c.status,
 		Ending:   c.ending,
@@ -100,3 +100,15 @@
 	}
 	return record
 }
+
+// session names the deepest part of the prompt that other requests share;
+// empty for none.
+func (r *Request) session() string {
+	switch len(r.Parts) {
+	case 0:
+		return ""
+	case 1:
+		return r.Parts[0].ID
+	}
+	return r.Parts[len(r.Parts)-2].ID
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -14,6 +14,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/policy"
 )
 
 // Request is one attempt of a caller, whatever front it came by.
@@ -36,6 +37,8 @@
 	Arrived time.Time
 	// Patience is how long the caller will wait; zero is not said.
 	Patience time.Duration
+	// Model is the model that the prompt is for; empty for none.
+	Model string
 	// Parts are the prompt's parts in order, the last one the request's own.
 	Parts []Part
 	// After is the id of the last event that the caller has; empty for none.
@@ -48,15 +51,18 @@
 	Tokens int
 }
 
-// session names the deepest part that other requests share; empty for none.
-func (r *Request) session() string {
-	if len(r.Parts) == 0 {
-		return ""
+// sharedParts are hashes of the parts that other requests for the same model
+// share, in order: all but the last, or the only one.
+func (r *Request) sharedParts() []uint64 {
+	parts := r.Parts
+	if len(parts) > 1 {
+		parts = parts[:len(parts)-1]
 	}
-	if len(r.Parts) == 1 {
-		return r.Parts[0].ID
+	hashes := make([]uint64, 0, len(parts))
+	for _, part := range parts {
+		hashes = append(hashes, policy.HashName(r.Model+"/"+part.ID))
 	}
-	return r.Parts[len(r.Parts)-2].ID
+	return hashes
 }
 
 // Outgoing is one attempt at one target.
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -23,6 +23,7 @@
 	endings       *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
+	replicas      *prometheus.CounterVec
 	badValues     prometheus.Counter
 	configVersion prometheus.Gauge
 
@@ -55,6 +56,10 @@
 			Namespace: namespace, Name: "store_calls_total",
 			Help: "Calls to the platform's store by call and outcome.",
 		}, []string{"call", "outcome"}),
+		replicas: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "replicas_fetched_total",
+			Help: "Fetches of the store's content from other gateways by outcome.",
+		}, []string{"outcome"}),
 		badValues: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "store_values_unreadable_total",
 			Help: "Values of the store that could not be read.",
@@ -65,7 +70,7 @@
 		}),
 		known: make(map[string]bool),
 	}
-	registry.MustRegister(m.took, m.first, m.endings, m.attempts, m.storeCalls, m.badValues, m.configVersion)
+	registry.MustRegister(m.took, m.first, m.endings, m.attempts, m.storeCalls, m.replicas, m.badValues, m.configVersion)
 	return m
 }
 
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -25,6 +25,7 @@
 	EventBadValue   = "store_value_unreadable"
 	EventPeerFound  = "peer_found"
 	EventPeerLost   = "peer_lost"
+	EventReplica    = "replica_fetched"
 	EventStart      = "started"
 	EventDrain      = "draining"
 	EventStop       = "stopped"
--- a/internal/observe/state.go
+++ b/internal/observe/state.go
@@ -65,3 +65,23 @@
 func (o *Observer) TargetGone(id string) {
 	o.log.Info(EventTargetGone, "target", id)
 }
+
+// PeerFound logs another gateway that is heard for the first time, or again.
+func (o *Observer) PeerFound(id, address string) {
+	o.log.Info(EventPeerFound, "peer", id, "address", address)
+}
+
+// PeerLost logs another gateway that is heard no more.
+func (o *Observer) PeerLost(id, address string, silent time.Duration) {
+	o.log.Warn(EventPeerLost, "peer", id, "address", address, "silent_ms", silent.Milliseconds())
+}
+
+// ReplicaFetched logs the fetching of the store's content from a peer.
+func (o *Observer) ReplicaFetched(id string, from, to int64, err error) {
+	o.metrics.replicas.WithLabelValues(outcome(err)).Inc()
+	if err != nil {
+		o.log.Warn(EventReplica, "peer", id, "from", from, "to", to, "reason", err.Error())
+		return
+	}
+	o.log.Info(EventReplica, "peer", id, "from", from, "to", to)
+}
--- /dev/null
+++ b/internal/peer/service.go
@@ -0,0 +1,361 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/freshness"
+	"github.com/capersaddle/capersaddle/internal/link"
+	"github.com/capersaddle/capersaddle/internal/wait"
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+const (
+	// tick is the time between two looks at what there is to tell.
+	tick = 80 * time.Millisecond
+	// beatMost is the longest time between two beats to a peer.
+	beatMost = 320 * time.Millisecond
+	// silentEvery is the time between two beats to an address that is silent.
+	silentEvery = time.Second
+	// mostPlacements and mostKnown bound what one beat carries.
+	mostPlacements = 24
+	mostKnown      = 6
+	// receiveBuffer is the largest datagram that is read, in bytes.
+	receiveBuffer = 4096
+	// sentKept is for how many beats the time of sending is remembered.
+	sentKept = 1024
+	// pullTimeout bounds the fetching of a replica.
+	pullTimeout = time.Second
+	// pullPatience is how long a gateway that asks the store itself waits for
+	// the store's word before it asks a peer that is ahead.
+	pullPatience = 150 * time.Millisecond
+	// staleProof is the age of the proof at which a gateway asks the store
+	// whoever else does.
+	staleProof = 1500 * time.Millisecond
+)
+
+// Replica is the process's copy of what the store holds.
+type Replica interface {
+	// Revision is the store's revision that the copy has reached.
+	Revision() int64
+	// Page is what has changed since a revision.
+	Page(since int64) *wire.ReplicaPage
+	// Absorb takes a peer's page.
+	Absorb(page *wire.ReplicaPage)
+	// Reachable says whether the last call to the store was answered.
+	Reachable() bool
+}
+
+// Watcher is told of peers found and lost, and of replicas fetched.
+type Watcher interface {
+	PeerFound(id, address string)
+	PeerLost(id, address string, silent time.Duration)
+	ReplicaFetched(id string, from, to int64, err error)
+}
+
+// Options are what the service works with.
+type Options struct {
+	// ID names this process.
+	ID string
+	// Address is where it takes beats and links, IP:port.
+	Address string
+	// Seeds are such addresses of other gateways.
+	Seeds []string
+	// Budget is how many bytes a second it sends in beats.
+	Budget   int
+	Replica  Replica
+	Proof    *freshness.Proof
+	Balancer *balance.Balancer
+	Watcher  Watcher
+}
+
+// Service exchanges beats with other gateways.
+type Service struct {
+	options Options
+	conn    *net.UDPConn
+	dialer  link.Dialer
+	life    uint64
+	bucket  *rate.Limiter
+	leaving atomic.Bool
+	urged   chan struct{}
+
+	mu       sync.Mutex
+	table    *table
+	sequence uint64
+	// sentAt is when a beat was sent, by its sequence.
+	sentAt [sentKept]time.Time
+	// lastTold is what the last round of beats told.
+	lastCounts   []balance.Count
+	lastRevision int64
+	lastRound    time.Time
+	// behindSince is when a peer was first seen ahead; zero while none is.
+	behindSince time.Time
+	pulling     bool
+
+	sentBytes     atomic.Int64
+	receivedBytes atomic.Int64
+	cancel        context.CancelFunc
+	wait          sync.WaitGroup
+}
+
+// New returns a service that owns the socket; Start begins its work.
+func New(options Options, conn *net.UDPConn, dialer link.Dialer) *Service {
+	return &Service{
+		options: options,
+		conn:    conn,
+		dialer:  dialer,
+		life:    rand.Uint64(),
+		bucket:  rate.NewLimiter(rate.Limit(options.Budget), max(options.Budget, receiveBuffer)),
+		urged:   make(chan struct{}, 1),
+		table:   newTable(options.ID, options.Seeds, options.Address),
+	}
+}
+
+// Start begins to exchange beats.
+func (s *Service) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.wait.Go(s.receive)
+	s.wait.Go(func() { s.run(ctx) })
+	return nil
+}
+
+// Close ends the exchange and waits.
+func (s *Service) Close() error {
+	s.cancel()
+	err := s.conn.Close()
+	s.wait.Wait()
+	return errors.Wrap(err, "close the peers' socket")
+}
+
+// Leave tells the peers that this process is about to end.
+func (s *Service) Leave() {
+	s.leaving.Store(true)
+	s.Urge()
+}
+
+// Urge has something new told at once.
+func (s *Service) Urge() {
+	select {
+	case s.urged <- struct{}{}:
+	default:
+	}
+}
+
+// Asks says whether this process is to ask the store.
+func (s *Service) Asks() bool {
+	now := time.Now()
+	if !s.options.Proof.Within(staleProof, now) || !s.options.Replica.Reachable() {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.asks(now)
+}
+
+// Live counts the other gateways that were heard lately.
+func (s *Service) Live() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.table.live(time.Now()))
+}
+
+// Traffic is the bytes of beats sent and received so far.
+func (s *Service) Traffic() (sent, received int64) {
+	return s.sentBytes.Load(), s.receivedBytes.Load()
+}
+
+func (s *Service) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.round(time.Now())
+		timer := time.NewTimer(tick)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-s.urged:
+		}
+		timer.Stop()
+	}
+}
+
+// round sends what is due and asks for what is missing.
+func (s *Service) round(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, lost := range s.table.expire(now) {
+		s.options.Watcher.PeerLost(lost.id, lost.address, now.Sub(lost.heardAt))
+	}
+	for _, address := range s.table.silent(now, silentEvery) {
+		s.send(address, s.beat(nil, now))
+	}
+	counts := s.options.Balancer.InFlight()
+	revision := s.options.Replica.Revision()
+	changed := revision != s.lastRevision || !slices.Equal(counts, s.lastCounts)
+	if changed || now.Sub(s.lastRound) >= beatMost {
+		s.lastCounts, s.lastRevision, s.lastRound = counts, revision, now
+		s.tell(now)
+	}
+	s.catchUp(now)
+}
+
+// tell sends a beat to each live peer, as far as the budget goes; who comes
+// first changes from round to round.
+func (s *Service) tell(now time.Time) {
+	live := s.table.live(now)
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	for _, to := range live {
+		if !s.send(to.address, s.beat(to, now)) {
+			return
+		}
+	}
+}
+
+// beat puts a beat together; to is nil for an address that is not known yet.
+func (s *Service) beat(to *peer, now time.Time) *wire.GatewayBeat {
+	s.sequence++
+	s.sentAt[s.sequence%sentKept] = now
+	beat := &wire.GatewayBeat{
+		Id:             s.options.ID,
+		Life:           s.life,
+		Address:        s.options.Address,
+		Sequence:       s.sequence,
+		Revision:       s.options.Replica.Revision(),
+		Leaving:        s.leaving.Load(),
+		StoreReachable: s.options.Replica.Reachable(),
+	}
+	// The revision is read before the age: the proof may only become newer.
+	if age, ok := s.options.Proof.Age(time.Now()); ok {
+		beat.HasProof = true
+		beat.ProofAgeMs = uint32(min(age.Milliseconds()+1, int64(forgetAfter/time.Millisecond)))
+	}
+	if to == nil {
+		return beat
+	}
+	beat.Echo = to.sequence
+	for _, count := range s.lastCounts {
+		beat.Counts = append(beat.Counts, &wire.TargetCount{Target: count.Target, Count: uint32(count.Count)})
+	}
+	placements, next := s.options.Balancer.Placements(to.told, mostPlacements)
+	to.told = next
+	for _, placement := range placements {
+		beat.Placements = append(beat.Placements, &wire.PartPlacement{Part: placement.Part, Target: placement.Target})
+	}
+	beat.Known = s.someAddresses(now, to.address)
+	return beat
+}
+
+// someAddresses are a few addresses of live peers.
+func (s *Service) someAddresses(now time.Time, except string) []string {
+	var addresses []string
+	for _, known := range s.table.live(now) {
+		if known.address != except {
+			addresses = append(addresses, known.address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), mostKnown)]
+}
+
+// send sends one datagram; false if the budget is spent.
+func (s *Service) send(address string, beat *wire.GatewayBeat) bool {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return true
+	}
+	data, err := proto.Marshal(beat)
+	if err != nil {
+		return true
+	}
+	if !s.bucket.AllowN(time.Now(), len(data)) {
+		return false
+	}
+	s.sentBytes.Add(int64(len(data)))
+	// A datagram that can't be sent is as good as lost.
+	_, _ = s.conn.WriteToUDPAddrPort(data, to)
+	return true
+}
+
+func (s *Service) receive() {
+	buffer := make([]byte, receiveBuffer)
+	for {
+		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// A datagram sent to a closed port comes back as an error.
+			if !wait.For(context.Background(), time.Millisecond) {
+				return
+			}
+			continue
+		}
+		s.receivedBytes.Add(int64(n))
+		beat := new(wire.GatewayBeat)
+		if proto.Unmarshal(buffer[:n], beat) != nil || beat.GetId() == "" || beat.GetId() == s.options.ID {
+			continue
+		}
+		s.take(beat, time.Now())
+	}
+}
+
+// take takes over what a beat tells.
+func (s *Service) take(beat *wire.GatewayBeat, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from, change := s.table.take(beat, now)
+	if change == outdated {
+		return
+	}
+	if change == found {
+		s.options.Watcher.PeerFound(from.id, from.address)
+		s.Urge()
+	}
+	s.table.hear(beat.GetKnown(), s.options.Address)
+	s.takeProof(beat)
+	s.options.Balancer.Observe(from.id, countsOf(beat), now)
+	s.options.Balancer.Learn(placementsOf(beat))
+	s.catchUp(now)
+}
+
+// takeProof takes a peer's proof: it held, when it sent the beat, all that the
+// store had accepted up to the age before. It sent the beat after it had got
+// ours, so its proof is for a moment no earlier than the age before our
+// sending.
+func (s *Service) takeProof(beat *wire.GatewayBeat) {
+	echo := beat.GetEcho()
+	if !beat.GetHasProof() || echo == 0 || echo > s.sequence || s.sequence-echo >= sentKept {
+		return
+	}
+	if s.options.Replica.Revision() < beat.GetRevision() {
+		return
+	}
+	age := time.Duration(beat.GetProofAgeMs()) * time.Millisecond
+	s.options.Proof.Note(s.sentAt[echo%sentKept].Add(-age))
+}
+
+func countsOf(beat *wire.GatewayBeat) []balance.Count {
+	counts := make([]balance.Count, 0, len(beat.GetCounts()))
+	for _, count := range beat.GetCounts() {
+		counts = append(counts, balance.Count{Target: count.GetTarget(), Count: int(count.GetCount())})
+	}
+	return counts
+}
+
+func placementsOf(beat *wire.GatewayBeat) []balance.Placement {
+	placements := make([]balance.Placement, 0, len(beat.GetPlacements()))
+	for _, placement := range beat.GetPlacements() {
+		placements = append(placements, balance.Placement{Part: placement.GetPart(), Target: placement.GetTarget()})
+	}
+	return placements
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -16,18 +16,20 @@
 	"github.com/capersaddle/capersaddle/internal/freshness"
 	"github.com/capersaddle/capersaddle/internal/gateway"
 	"github.com/capersaddle/capersaddle/internal/kernel"
+	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/observe"
+	"github.com/capersaddle/capersaddle/internal/peer"
 	"github.com/capersaddle/capersaddle/internal/retrybudget"
 	"github.com/capersaddle/capersaddle/internal/routing"
 	"github.com/capersaddle/capersaddle/internal/settings"
+	"github.com/capersaddle/capersaddle/internal/wire"
 	"github.com/capersaddle/capersaddle/platform"
 )
 
 const (
 	// proofMargin is kept between the age of a proof and the time after which
-	// a key must not be served: for a watch that was told nothing for a
-	// second while the store forgot its history, and for the way to a target.
-	proofMargin = 1300 * time.Millisecond
+	// a key must not be served, for the way to a target.
+	proofMargin = 400 * time.Millisecond
 	// denyFreshness is how old the proof may be when a request is denied.
 	denyFreshness = 4 * time.Second
 	// retryShare of the allowed ratio is what one gateway spends, since the
@@ -36,6 +38,9 @@
 	// leastGateways is how many gateways the retry slack is shared among at
 	// least: more may join at any time.
 	leastGateways = 8
+	// peerBudget is how many bytes a second are sent to other gateways in
+	// beats; the users allow 8 KB for all control.
+	peerBudget = 6000
 	// drainMargin is kept before the end of the grace time.
 	drainMargin = 500 * time.Millisecond
 )
@@ -48,6 +53,7 @@
 	observer  *observe.Observer
 	gateway   *gateway.Gateway
 	feed      *platform.Feed
+	peers     *peer.Service
 	front     *platform.Front
 	callers   *http.Server
 	leaving   atomic.Bool
@@ -69,7 +75,7 @@
 		Events:   p.observer,
 		Options:  gateway.Options{KeyFreshness: keyFreshness(s), DenyFreshness: denyFreshness},
 	}
-	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, store: p.observer.NewStoreDependency()})
+	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, store: p.observer.NewStoreDependency()}, p.asksStore)
 	p.front = &platform.Front{Gateway: p.gateway}
 	services := []struct {
 		name    string
@@ -80,8 +86,8 @@
 		{"ready", s.Ready, &http.Server{Handler: p.readyHandler(), ReadHeaderTimeout: headerTimeout}},
 		{"metrics", s.Metrics, &http.Server{Handler: metricsHandler(registry), ReadHeaderTimeout: headerTimeout}},
 	}
-	if err := errors.Join(p.kernel.Register("sender", sender), p.kernel.Register("feed", p.feed)); err != nil {
-		return nil, err
+	if err := errors.Join(p.kernel.Register("sender", sender), p.joinPeers(), p.kernel.Register("feed", p.feed)); err != nil {
+		return nil, errors.CombineErrors(err, p.kernel.Close())
 	}
 	for _, service := range services {
 		if service.address == "" {
@@ -99,6 +105,56 @@
 	return p, nil
 }
 
+// joinPeers takes the address for other gateways, if there is one.
+func (p *GatewayProcess) joinPeers() error {
+	if p.settings.Peers == "" {
+		return nil
+	}
+	conn, err := listenUDP(p.settings.Peers)
+	if err != nil {
+		return listenFailed("peers", err)
+	}
+	address := conn.LocalAddr().String()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.CombineErrors(listenFailed("peers", err), conn.Close())
+	}
+	hello := &wire.Hello{Version: link.Version, ProcessId: p.settings.ID, Role: p.settings.Role, DataCenter: p.settings.DataCenter}
+	pool := link.NewPool(hello, nil)
+	p.peers = peer.New(peer.Options{
+		ID:       p.settings.ID,
+		Address:  address,
+		Seeds:    p.settings.Seeds,
+		Budget:   peerBudget,
+		Replica:  p.feed,
+		Proof:    p.gateway.Proof,
+		Balancer: p.gateway.Balancer,
+		Watcher:  p.observer,
+	}, conn, pool)
+	server := link.NewServer(listener, hello, nil, p.log, p.peers.Handle)
+	return errors.Join(
+		p.kernel.Register("links out", closer{pool.Close}),
+		p.kernel.Register("links in", closer{server.Close}),
+		p.kernel.Register("peers", p.peers),
+	)
+}
+
+// closer is a service that has begun already.
+type closer struct {
+	close func() error
+}
+
+// Start has nothing to do.
+func (closer) Start(context.Context) error { return nil }
+
+// Close ends the service.
+func (c closer) Close() error { return c.close() }
+
+// asksStore says whether this process is to ask the store now.
+func (p *GatewayProcess) asksStore() bool {
+	return p.peers == nil || p.peers.Asks()
+}
+
 func (p *GatewayProcess) note(name, address string) {
 	switch name {
 	case "callers":
@@ -179,6 +235,9 @@
 func (p *GatewayProcess) Drain(ctx context.Context) error {
 	p.log.Info(observe.EventDrain, "grace_ms", time.Duration(p.settings.Grace).Milliseconds())
 	p.leaving.Store(true)
+	if p.peers != nil {
+		p.peers.Leave()
+	}
 	p.front.CloseConnections()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(p.settings.Grace)-drainMargin)
 	defer cancel()
@@ -188,7 +247,11 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return errors.Wrap(p.callers.Shutdown(ctx), "wait for requests in flight")
+	if err := p.callers.Shutdown(ctx); err != nil {
+		// The grace time is over: what is left is cut by us or by the platform.
+		return errors.CombineErrors(errors.Wrap(err, "wait for requests in flight"), p.callers.Close())
+	}
+	return nil
 }
 
 // Close ends everything and waits.
@@ -209,11 +272,19 @@
 	store   *observe.Dependency
 }
 
+// urge has the other gateways told at once of what is new.
+func (p *GatewayProcess) urge() {
+	if p.peers != nil {
+		p.peers.Urge()
+	}
+}
+
 // Config puts a configuration in force if it is newer.
 func (s *sink) Config(config *routing.Config) {
 	before := s.process.gateway.Version()
 	if s.process.gateway.Apply(config) {
 		s.process.observer.ConfigApplied(config.Version, before, len(config.Routes), len(config.Workspaces))
+		s.process.urge()
 	}
 }
 
@@ -230,13 +301,6 @@
 	s.process.observer.TargetGone(id)
 }
 
-// Only takes the ids of all servers.
-func (s *sink) Only(ids []string) {
-	for _, id := range s.process.gateway.Balancer.Keep(ids, time.Now()) {
-		s.process.observer.TargetGone(id)
-	}
-}
-
 // Current notes that all accepted until then is in force.
 func (s *sink) Current(at time.Time) {
 	s.process.gateway.Proof.Note(at)
