Placements count once an answer shows them; ejection relative to the service

Cause: a target that failed a request was taken as holding its prompt, so that later requests fetched nothing; with nine servers failing alike half of them were left out and their sessions moved.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -94,7 +94,7 @@
 	} else {
 		chosen = b.home(query.Parts[len(query.Parts)-1], open, mean, now)
 		fetchFrom = b.fetchFrom(query.Parts, listed, chosen)
-		b.place(query.Parts, chosen)
+		b.expect(query.Parts, chosen)
 	}
 	pick := Pick{Target: chosen.Target, FetchFrom: fetchFrom, Load: chosen.load(now), Mean: mean, Candidates: len(open)}
 	chosen.inFlight++
@@ -216,8 +216,8 @@
 	fits := func(target *state) bool {
 		return float64(target.load(now)) <= b.bound(mean, target, typical)
 	}
-	for _, hash := range b.holders.of(session) {
-		if target := b.byHash[hash]; target != nil && slices.Contains(open, target) && fits(target) {
+	for _, known := range b.holders.of(session) {
+		if target := b.byHash[known.target]; target != nil && slices.Contains(open, target) && fits(target) {
 			return target
 		}
 	}
@@ -250,78 +250,6 @@
 // holds less.
 const slowFactor = 2.5
 
-// fetchFrom is the address of another target from which the chosen one can
-// fetch the longest part of the prompt that it may lack; empty if it holds the
-// prompt already. Where nothing is known the next home is the best guess.
-func (b *Balancer) fetchFrom(parts []uint64, listed []*state, chosen *state) string {
-	for i := len(parts) - 1; i >= 0; i-- {
-		held := b.holders.of(parts[i])
-		if slices.Contains(held, chosen.hash) {
-			return ""
-		}
-		if source := b.source(held, chosen); source != nil {
-			return source.Address
-		}
-	}
-	session := parts[len(parts)-1]
-	var best *state
-	for _, target := range listed {
-		if target == chosen || !target.goneAt.IsZero() {
-			continue
-		}
-		if best == nil || policy.Score(session, target.hash) > policy.Score(session, best.hash) {
-			best = target
-		}
-	}
-	if best == nil {
-		return ""
-	}
-	return best.Address
-}
-
-// source picks one of the holders that still serve, a near one if there is
-// one: a way between data centres takes longer.
-func (b *Balancer) source(held []uint64, chosen *state) *state {
-	var found *state
-	for _, hash := range held {
-		target := b.byHash[hash]
-		if target == nil || target == chosen || !target.goneAt.IsZero() {
-			continue
-		}
-		if target.DataCenter == chosen.DataCenter {
-			return target
-		}
-		if found == nil {
-			found = target
-		}
-	}
-	return found
-}
-
-// place notes that the chosen target will hold the prompt's shared parts.
-func (b *Balancer) place(parts []uint64, chosen *state) {
-	for _, part := range parts {
-		b.holders.place(Placement{Part: part, Target: chosen.hash})
-	}
-}
-
-// Placements are this process's own placements from a number on, at most so
-// many, and the number that follows them.
-func (b *Balancer) Placements(from, most int) ([]Placement, int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.holders.newsFrom(from, most)
-}
-
-// Learn takes placements that another gateway made.
-func (b *Balancer) Learn(placements []Placement) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, placement := range placements {
-		b.holders.note(placement)
-	}
-}
-
 // Result is how a request at a target ended.
 type Result int
 
@@ -351,7 +279,7 @@
 	case Good:
 		target.health.good()
 	case Bad:
-		return target.health.bad(now)
+		return target.health.bad(now, b.typicalFailures(target))
 	case Unreachable:
 		target.health.unreachable(now)
 		return true
@@ -360,6 +288,21 @@
 	return false
 }
 
+// typicalFailures is the median failure rate of the service's other targets.
+func (b *Balancer) typicalFailures(except *state) float64 {
+	var rates []float64
+	for _, target := range b.services[except.Service] {
+		if target != except && target.goneAt.IsZero() {
+			rates = append(rates, target.health.rate)
+		}
+	}
+	if len(rates) == 0 {
+		return 0
+	}
+	slices.Sort(rates)
+	return rates[len(rates)/2]
+}
+
 // Sample notes how long a target took to the head of its answer.
 func (b *Balancer) Sample(id string, took time.Duration) {
 	b.mu.Lock()
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -11,6 +11,10 @@
 	ejectRate = 0.45
 	// ejectRow is how many failures in a row eject whatever the rate.
 	ejectRow = 3
+	// typicalMost is the failure rate of the others above which failures are
+	// the service's and not the target's; ejectRowMost in a row eject still.
+	typicalMost  = 0.2
+	ejectRowMost = 8
 	// ejectFirst and ejectMost bound the time out.
 	ejectFirst = 1500 * time.Millisecond
 	ejectMost  = 8 * time.Second
@@ -38,13 +42,18 @@
 	h.rate -= failWeight * h.rate
 }
 
-// bad notes a failure and says whether the target is to be left out now.
-func (h *health) bad(now time.Time) bool {
+// bad notes a failure and says whether the target is to be left out now. One
+// that fails no more often than is typical of its service stays: the others
+// would do no better.
+func (h *health) bad(now time.Time, typical float64) bool {
 	h.row++
 	h.rate += failWeight * (1 - h.rate)
 	if h.row < ejectRow && h.rate < ejectRate {
 		return false
 	}
+	if typical > typicalMost && h.row < ejectRowMost {
+		return false
+	}
 	h.eject(now)
 	return true
 }
--- a/internal/balance/holders.go
+++ b/internal/balance/holders.go
@@ -1,6 +1,10 @@
 package balance
 
-import lru "github.com/hashicorp/golang-lru/v2"
+import (
+	"slices"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
 
 const (
 	// mostParts bounds how many parts of prompts are remembered; a forgotten
@@ -19,9 +23,17 @@
 	Target uint64
 }
 
+// holder is a target that holds a part, or soon will.
+type holder struct {
+	target uint64
+	// sure is false until an answer has shown that the target has read the
+	// part.
+	sure bool
+}
+
 // holders remembers which targets hold which parts of prompts.
 type holders struct {
-	cache *lru.Cache[uint64, []uint64]
+	cache *lru.Cache[uint64, []holder]
 	// news are this process's own placements in the order of their making;
 	// the first one has the number first.
 	news  []Placement
@@ -29,44 +41,51 @@
 }
 
 func newHolders() *holders {
-	cache, err := lru.New[uint64, []uint64](mostParts)
+	cache, err := lru.New[uint64, []holder](mostParts)
 	if err != nil {
 		panic(err) // only for a size that is not positive
 	}
 	return &holders{cache: cache}
 }
 
-// of are the targets that hold a part, the first to hold it first.
-func (h *holders) of(part uint64) []uint64 {
-	targets, _ := h.cache.Get(part)
-	return targets
+// of are the targets that hold a part or soon will, the first to come first.
+func (h *holders) of(part uint64) []holder {
+	known, _ := h.cache.Get(part)
+	return known
 }
 
-// note remembers a placement; it returns false if it was known.
-func (h *holders) note(placement Placement) bool {
-	targets, _ := h.cache.Get(placement.Part)
-	for _, target := range targets {
-		if target == placement.Target {
-			return false
-		}
-	}
-	kept := append([]uint64(nil), targets...)
-	if len(kept) >= mostHolders {
-		kept = kept[1:]
+// surely says whether a target is known to hold a part.
+func (h *holders) surely(part, target uint64) bool {
+	return slices.Contains(h.of(part), holder{target: target, sure: true})
+}
+
+// note remembers a placement; it returns false if it was known as surely.
+func (h *holders) note(placement Placement, sure bool) bool {
+	known := slices.Clone(h.of(placement.Part))
+	at := slices.IndexFunc(known, func(k holder) bool { return k.target == placement.Target })
+	switch {
+	case at >= 0 && (known[at].sure || !sure):
+		return false
+	case at >= 0:
+		known[at].sure = true
+	case len(known) >= mostHolders:
+		known = append(known[1:], holder{placement.Target, sure})
+	default:
+		known = append(known, holder{placement.Target, sure})
 	}
-	h.cache.Add(placement.Part, append(kept, placement.Target))
+	h.cache.Add(placement.Part, known)
 	return true
 }
 
-// place notes a placement of this process's own making, as news.
-func (h *holders) place(placement Placement) {
-	if !h.note(placement) {
+// confirm notes a placement that this process has seen to be true, as news.
+func (h *holders) confirm(placement Placement) {
+	if !h.note(placement, true) {
 		return
 	}
 	h.news = append(h.news, placement)
 	if len(h.news) > mostNews {
 		cut := len(h.news) - mostNews
-		h.news = append([]Placement(nil), h.news[cut:]...)
+		h.news = slices.Clone(h.news[cut:])
 		h.first += cut
 	}
 }
@@ -77,20 +96,29 @@
 	from = max(from, h.first)
 	at := min(from-h.first, len(h.news))
 	end := min(at+most, len(h.news))
-	return append([]Placement(nil), h.news[at:end]...), h.first + end
+	return slices.Clone(h.news[at:end]), h.first + end
 }
 
-// forget drops a target that no longer serves a part.
-func (h *holders) forget(part, target uint64) {
-	targets, ok := h.cache.Get(part)
-	if !ok {
-		return
+// withdraw forgets a placement that did not come about.
+func (h *holders) withdraw(placement Placement) {
+	known := h.of(placement.Part)
+	at := slices.Index(known, holder{target: placement.Target})
+	if at >= 0 {
+		h.cache.Add(placement.Part, slices.Delete(slices.Clone(known), at, at+1))
 	}
-	kept := make([]uint64, 0, len(targets))
-	for _, known := range targets {
-		if known != target {
-			kept = append(kept, known)
+}
+
+// all are the sure placements, those used lately last, at most so many.
+func (h *holders) all(most int) []Placement {
+	var placements []Placement
+	keys := h.cache.Keys()
+	for _, part := range keys[max(0, len(keys)-most):] {
+		known, _ := h.cache.Peek(part)
+		for _, k := range known {
+			if k.sure {
+				placements = append(placements, Placement{Part: part, Target: k.target})
+			}
 		}
 	}
-	h.cache.Add(part, kept)
+	return placements
 }
--- /dev/null
+++ b/internal/balance/placements.go
@@ -0,0 +1,110 @@
+package balance
+
+import "github.com/capersaddle/capersaddle/internal/policy"
+
+// fetchFrom is the address of another target from which the chosen one can
+// fetch the longest part of the prompt that it may lack; empty if it holds the
+// prompt already. Where nothing is known the next home is the best guess.
+func (b *Balancer) fetchFrom(parts []uint64, listed []*state, chosen *state) string {
+	for i := len(parts) - 1; i >= 0; i-- {
+		if b.holders.surely(parts[i], chosen.hash) {
+			return ""
+		}
+		if source := b.source(parts[i], chosen); source != nil {
+			return source.Address
+		}
+	}
+	session := parts[len(parts)-1]
+	var best *state
+	for _, target := range listed {
+		if target == chosen || !target.goneAt.IsZero() {
+			continue
+		}
+		if best == nil || policy.Score(session, target.hash) > policy.Score(session, best.hash) {
+			best = target
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.Address
+}
+
+// source picks one of a part's sure holders that still serve, a near one if
+// there is one: a way between data centres takes longer.
+func (b *Balancer) source(part uint64, chosen *state) *state {
+	var found *state
+	for _, known := range b.holders.of(part) {
+		target := b.byHash[known.target]
+		if !known.sure || target == nil || target == chosen || !target.goneAt.IsZero() {
+			continue
+		}
+		if target.DataCenter == chosen.DataCenter {
+			return target
+		}
+		if found == nil {
+			found = target
+		}
+	}
+	return found
+}
+
+// expect notes that the chosen target is about to read the prompt's shared
+// parts, so that other requests of the session follow.
+func (b *Balancer) expect(parts []uint64, chosen *state) {
+	for _, part := range parts {
+		b.holders.note(Placement{Part: part, Target: chosen.hash}, false)
+	}
+}
+
+// Confirm notes that a target has read the shared parts of a prompt.
+func (b *Balancer) Confirm(id string, parts []uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	target, ok := b.targets[id]
+	if !ok {
+		return
+	}
+	for _, part := range parts {
+		b.holders.confirm(Placement{Part: part, Target: target.hash})
+	}
+}
+
+// Withdraw notes that a target has not read the shared parts of a prompt that
+// was sent there.
+func (b *Balancer) Withdraw(id string, parts []uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	target, ok := b.targets[id]
+	if !ok {
+		return
+	}
+	for _, part := range parts {
+		b.holders.withdraw(Placement{Part: part, Target: target.hash})
+	}
+}
+
+// Placements are this process's own placements from a number on, at most so
+// many, and the number that follows them.
+func (b *Balancer) Placements(from, most int) ([]Placement, int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.holders.newsFrom(from, most)
+}
+
+// AllPlacements are the placements known of the parts used last, at most so
+// many parts.
+func (b *Balancer) AllPlacements(most int) []Placement {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.holders.all(most)
+}
+
+// Learn takes placements that another gateway made.
+func (b *Balancer) Learn(placements []Placement) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, placement := range placements {
+		b.holders.note(placement, true)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -25,6 +25,8 @@
 	err     error
 	// refusal is set when the call itself forbade the sending.
 	refusal *fault.Error
+	// confirmed says that the target has read the prompt.
+	confirmed bool
 	// events is how many events were passed on.
 	events int
 
@@ -71,10 +73,19 @@
 		return false
 	}
 	defer func() { _ = answer.Body.Close() }()
-	a.call.gateway.Balancer.Sample(a.pick.Target.ID, time.Since(a.started))
+	a.noteHead(answer)
 	return a.pass(ctx, answer)
 }
 
+// noteHead tells the balancer what the head of an answer shows.
+func (a *attempt) noteHead(answer *Answer) {
+	a.call.gateway.Balancer.Sample(a.pick.Target.ID, time.Since(a.started))
+	if answer.Status < http.StatusBadRequest && len(a.call.parts) > 0 {
+		a.confirmed = true
+		a.call.gateway.Balancer.Confirm(a.pick.Target.ID, a.call.parts)
+	}
+}
+
 // admit checks, right before the first byte is sent, what may have changed
 // since the request was admitted.
 func (a *attempt) admit() error {
@@ -232,6 +243,9 @@
 		a.result = balance.Neutral
 	}
 	now := time.Now()
+	if !a.confirmed && len(a.call.parts) > 0 {
+		a.call.gateway.Balancer.Withdraw(a.pick.Target.ID, a.call.parts)
+	}
 	ejected := a.call.gateway.Balancer.Release(a.pick.Target.ID, a.result, now)
 	record := AttemptRecord{
 		Target:     a.pick.Target.ID,
