--- a/internal/balance/placements.go
+++ b/internal/balance/placements.go
@@ -1,6 +1,15 @@
 package balance
 
-import "github.com/capersaddle/capersaddle/internal/policy"
+import (
+	"cmp"
+
+	"github.com/capersaddle/capersaddle/internal/policy"
+)
+
+// ComparePlacements orders placements by part and target.
+func ComparePlacements(a, b Placement) int {
+	return cmp.Or(cmp.Compare(a.Part, b.Part), cmp.Compare(a.Target, b.Target))
+}
 
 // fetchFrom is the address of another target from which the chosen one can
 // fetch the longest part of the prompt that it may lack; empty if it holds the
--- a/internal/observe/state.go
+++ b/internal/observe/state.go
@@ -20,9 +20,14 @@
 	return &Dependency{observer: o}
 }
 
+// StoreCalled counts a call to the store.
+func (o *Observer) StoreCalled(call string, err error) {
+	o.metrics.storeCalls.WithLabelValues(call, outcome(err)).Inc()
+}
+
 // Called notes the result of one call.
 func (d *Dependency) Called(call string, err error) {
-	d.observer.metrics.storeCalls.WithLabelValues(call, outcome(err)).Inc()
+	d.observer.StoreCalled(call, err)
 	if err != nil {
 		if !d.lost.Swap(true) {
 			d.since.Store(time.Now().UnixNano())
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -164,6 +164,14 @@
 	return s.table.asks(now)
 }
 
+// First says whether this process is the first of those that ask the store,
+// for work that one process is enough for.
+func (s *Service) First() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.options.Replica.Reachable() && s.table.rank(time.Now()) == 0
+}
+
 // Live counts the other gateways that were heard lately.
 func (s *Service) Live() int {
 	s.mu.Lock()
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -182,9 +182,14 @@
 // askers is how many gateways ask the store; the others hear from them.
 const askers = 2
 
-// asks says whether this gateway is among those that ask the store: the first
-// ones, in an order that all share, of those that reach it.
+// asks says whether this gateway is among those that ask the store.
 func (t *table) asks(now time.Time) bool {
+	return t.rank(now) < askers
+}
+
+// rank is how many of the gateways that reach the store come before this one,
+// in an order that all share.
+func (t *table) rank(now time.Time) int {
 	own := askScore(t.self)
 	before := 0
 	for _, known := range t.live(now) {
@@ -195,7 +200,7 @@
 			before++
 		}
 	}
-	return before < askers
+	return before
 }
 
 func askScore(id string) uint64 {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/checkpoint"
 	"github.com/capersaddle/capersaddle/internal/freshness"
 	"github.com/capersaddle/capersaddle/internal/gateway"
 	"github.com/capersaddle/capersaddle/internal/kernel"
@@ -86,7 +87,7 @@
 		{"ready", s.Ready, &http.Server{Handler: p.readyHandler(), ReadHeaderTimeout: headerTimeout}},
 		{"metrics", s.Metrics, &http.Server{Handler: metricsHandler(registry), ReadHeaderTimeout: headerTimeout}},
 	}
-	if err := errors.Join(p.kernel.Register("sender", sender), p.joinPeers(), p.kernel.Register("feed", p.feed)); err != nil {
+	if err := errors.Join(p.kernel.Register("sender", sender), p.joinPeers(), p.kernel.Register("feed", p.feed), p.kernel.Register("checkpoint", p.newSaver())); err != nil {
 		return nil, errors.CombineErrors(err, p.kernel.Close())
 	}
 	for _, service := range services {
@@ -139,6 +140,13 @@
 	)
 }
 
+// newSaver keeps in the store where parts of prompts are cached.
+func (p *GatewayProcess) newSaver() *checkpoint.Saver {
+	turn := func() bool { return p.peers == nil || p.peers.First() }
+	called := func(err error) { p.observer.StoreCalled("checkpoint", err) }
+	return checkpoint.NewSaver(p.gateway.Balancer, p.feed, turn, called)
+}
+
 // closer is a service that has begun already.
 type closer struct {
 	close func() error
@@ -301,6 +309,16 @@
 	s.process.observer.TargetGone(id)
 }
 
+// Checkpoint takes where parts of prompts were cached when it was kept.
+func (s *sink) Checkpoint(data []byte) {
+	placements, err := checkpoint.Decode(data)
+	if err != nil {
+		s.process.observer.BadValue("checkpoint", err)
+		return
+	}
+	s.process.gateway.Balancer.Learn(placements)
+}
+
 // Current notes that all accepted until then is in force.
 func (s *sink) Current(at time.Time) {
 	s.process.gateway.Proof.Note(at)
