--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -3,6 +3,7 @@
 package logsink
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"sync"
@@ -64,16 +65,25 @@
 	}
 }
 
-// Close writes what waits and ends. A writer that is stuck is waited for no
-// longer than the process itself lives: use CloseNow where that matters.
-func (s *Sink) Close() error {
-	s.CloseNow()
-	s.wait.Wait()
-	return nil
+// Close writes what waits and ends. A reader of the log that has stopped
+// reading is waited for no longer than the context lasts.
+func (s *Sink) Close(ctx context.Context) error {
+	s.end()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		s.wait.Wait()
+	}()
+	select {
+	case <-written:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
-// CloseNow ends the queue without waiting for the writer.
-func (s *Sink) CloseNow() {
+// end takes no further lines.
+func (s *Sink) end() {
 	s.once.Do(func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/pkg/cmd/gateway/gateway.go
+++ b/pkg/cmd/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
@@ -66,7 +67,7 @@
 		return err
 	}
 	lines := logsink.New(opts.IO.Out)
-	defer lines.CloseNow()
+	defer closeLog(lines)
 	logger := process.NewLogger(lines, loaded.Log)
 	running, err := process.NewGateway(loaded, logger)
 	if err != nil {
@@ -91,6 +92,15 @@
 	return errors.CombineErrors(err, running.Close())
 }
 
+// logTimeout bounds the wait for the log's last lines.
+const logTimeout = 300 * time.Millisecond
+
+func closeLog(lines *logsink.Sink) {
+	ctx, cancel := context.WithTimeout(context.Background(), logTimeout)
+	defer cancel()
+	_ = lines.Close(ctx)
+}
+
 // reload reads the settings again; what can't be read leaves the old ones in
 // force.
 func reload(file string, running *process.GatewayProcess, logger *log.Logger) {
