--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,250 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/policy"
+)
+
+var start = time.Unix(1000, 0)
+
+func newBalancer(count int) *balance.Balancer {
+	b := balance.New(balance.DefaultOptions())
+	for i := range count {
+		b.Put(target(i))
+	}
+	return b
+}
+
+func target(i int) balance.Target {
+	return balance.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", i), DataCenter: "a"}
+}
+
+func session(i int) balance.Query {
+	return balance.Query{Service: "s", Parts: []uint64{policy.HashName(fmt.Sprint("session", i))}}
+}
+
+func TestASessionKeepsItsTarget(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(9)
+	first, ok := b.Choose(session(1), start)
+	is.True(ok)
+	b.Confirm(first.Target.ID, session(1).Parts)
+	b.Release(first.Target.ID, balance.Good, start)
+	for i := 9; i < 14; i++ {
+		b.Put(target(i)) // added targets take nothing away
+		again, _ := b.Choose(session(1), start)
+		is.Equal(again.Target.ID, first.Target.ID)
+		is.Equal(again.FetchFrom, "") // it holds the prefix already
+		b.Release(again.Target.ID, balance.Good, start)
+	}
+}
+
+func TestOtherGatewaysChooseTheSameHome(t *testing.T) {
+	is := is.New(t)
+	for i := range 50 {
+		one, _ := newBalancer(9).Choose(session(i), start)
+		other, _ := newBalancer(9).Choose(session(i), start)
+		is.Equal(one.Target.ID, other.Target.ID)
+	}
+}
+
+// TestBound: whatever is asked for, no choice goes to a target above the
+// bound while another one is below it.
+func TestBound(t *testing.T) {
+	options := balance.DefaultOptions()
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(2, 12).Draw(t, "targets")
+		b := newBalancer(count)
+		held := make(map[string]int)
+		total := 0
+		for range rapid.IntRange(1, 200).Draw(t, "requests") {
+			if total > 0 && rapid.IntRange(0, 3).Draw(t, "end") == 0 {
+				for id, n := range held {
+					if n > 0 {
+						b.Release(id, balance.Good, start)
+						held[id]--
+						total--
+						break
+					}
+				}
+				continue
+			}
+			pick, _ := b.Choose(session(rapid.IntRange(0, 3).Draw(t, "session")), start)
+			mean := float64(total) / float64(count)
+			if float64(held[pick.Target.ID]) > options.Multiple*mean+options.Extra {
+				t.Fatalf("%s holds %d at a mean of %.2f", pick.Target.ID, held[pick.Target.ID], mean)
+			}
+			if float64(held[pick.Target.ID]+1) > 2*(mean+1/float64(count))+3 {
+				t.Fatalf("%s is sent to with %d at a mean of %.2f", pick.Target.ID, held[pick.Target.ID], mean)
+			}
+			held[pick.Target.ID]++
+			total++
+		}
+	})
+}
+
+func TestLoadsOfOtherGatewaysCount(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(3)
+	home, _ := b.Choose(session(1), start)
+	b.Release(home.Target.ID, balance.Good, start)
+	hash := policy.HashName(home.Target.ID)
+	b.Observe("other", []balance.Count{{Target: hash, Count: 30}}, start)
+	spilled, _ := b.Choose(session(1), start)
+	is.True(spilled.Target.ID != home.Target.ID)
+	b.Release(spilled.Target.ID, balance.Good, start)
+	b.Observe("other", nil, start)
+	back, _ := b.Choose(session(1), start)
+	is.Equal(back.Target.ID, home.Target.ID)
+	b.Release(back.Target.ID, balance.Good, start)
+	b.Observe("other", []balance.Count{{Target: hash, Count: 30}}, start)
+	later, _ := b.Choose(session(1), start.Add(5*time.Second)) // a gateway that is silent counts no more
+	is.Equal(later.Target.ID, home.Target.ID)
+}
+
+func TestASpillFetchesFromAHolder(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(4)
+	home, _ := b.Choose(session(1), start)
+	b.Confirm(home.Target.ID, session(1).Parts)
+	b.Observe("other", []balance.Count{{Target: policy.HashName(home.Target.ID), Count: 30}}, start)
+	spilled, _ := b.Choose(session(1), start)
+	is.True(spilled.Target.ID != home.Target.ID)
+	is.Equal(spilled.FetchFrom, home.Target.Address)
+}
+
+// TestAFailedReadIsNoPlacement: found on trouble-1, where requests that a
+// target had failed counted as read there, and later ones fetched nothing.
+func TestAFailedReadIsNoPlacement(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(4)
+	parts := session(1).Parts
+	holder, _ := b.Choose(session(1), start)
+	b.Confirm(holder.Target.ID, parts)
+	query := session(1)
+	query.Exclude = []string{holder.Target.ID}
+	failed, _ := b.Choose(query, start)
+	b.Withdraw(failed.Target.ID, parts)
+	b.Release(failed.Target.ID, balance.Bad, start)
+	again, _ := b.Choose(query, start)
+	is.Equal(again.FetchFrom, holder.Target.Address)
+}
+
+// TestADroppedTargetGetsNothing: found as DRAIN on scale-1 seed
+// 294954841775, where the one target left had been tried already and the one
+// that the list had dropped was chosen.
+func TestADroppedTargetGetsNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(2)
+	b.Drop("t1", start)
+	query := balance.Query{Service: "s", Exclude: []string{"t0"}}
+	_, ok := b.Choose(query, start.Add(3*time.Second))
+	is.True(!ok)
+	is.True(!b.Has(query, start.Add(3*time.Second)))
+}
+
+func TestLapsedEntriesServeOn(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(3)
+	for i := range 3 {
+		b.Drop(fmt.Sprintf("t%d", i), start)
+	}
+	_, ok := b.Choose(balance.Query{Service: "s"}, start)
+	is.True(ok) // all at once: their entries lapsed while the store was away
+	b.Put(target(1))
+	pick, _ := b.Choose(balance.Query{Service: "s"}, start)
+	is.Equal(pick.Target.ID, "t1") // one is back: the others are gone
+	single := newBalancer(1)
+	single.Drop("t0", start)
+	_, ok = single.Choose(balance.Query{Service: "s"}, start)
+	is.True(!ok)
+}
+
+func TestLeavingTargetsGetNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(2)
+	leaving := target(0)
+	leaving.Leaving = true
+	is.True(b.Put(leaving))
+	is.True(!b.Put(leaving)) // nothing new
+	for range 20 {
+		pick, ok := b.Choose(balance.Query{Service: "s"}, start)
+		is.True(ok)
+		is.Equal(pick.Target.ID, "t1")
+	}
+}
+
+func TestEjection(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(4)
+	for range 3 {
+		b.Release("t0", balance.Bad, start)
+	}
+	for i := range 40 {
+		pick, _ := b.Choose(session(i), start)
+		is.True(pick.Target.ID != "t0")
+		b.Release(pick.Target.ID, balance.Good, start)
+	}
+	seen := false
+	for i := range 40 {
+		pick, _ := b.Choose(session(i+100), start.Add(2*time.Second))
+		seen = seen || pick.Target.ID == "t0"
+		b.Release(pick.Target.ID, balance.Good, start)
+	}
+	is.True(seen) // its time out is over: real requests find out
+}
+
+func TestAServiceThatFailsAlikeIsNotEjected(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(6)
+	ejected := 0
+	for round := range 3 {
+		for i := range 6 {
+			id := fmt.Sprintf("t%d", i)
+			for range 2 {
+				b.Release(id, balance.Good, start)
+				if b.Release(id, balance.Bad, start) && round > 0 {
+					ejected++
+				}
+			}
+		}
+	}
+	is.Equal(ejected, 0)
+}
+
+func TestNeverAllAreEjected(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(3)
+	for i := range 3 {
+		for range 20 {
+			b.Release(fmt.Sprintf("t%d", i), balance.Bad, start)
+		}
+	}
+	_, ok := b.Choose(balance.Query{Service: "s"}, start)
+	is.True(ok)
+}
+
+func TestPlacementsAreToldOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(2)
+	b.Confirm("t0", []uint64{1, 2})
+	b.Confirm("t0", []uint64{1, 2}) // known already
+	news, next := b.Placements(0, 1)
+	is.Equal(len(news), 1)
+	more, last := b.Placements(next, 10)
+	is.Equal(len(more), 1)
+	none, _ := b.Placements(last, 10)
+	is.Equal(len(none), 0)
+	other := newBalancer(2)
+	other.Learn(append(news, more...))
+	own, _ := other.Placements(0, 10)
+	is.Equal(len(own), 0) // what was learned is not told on
+	is.Equal(len(other.AllPlacements(10)), 2)
+}
--- /dev/null
+++ b/internal/emulator/platform.go
@@ -0,0 +1,144 @@
+package emulator
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Route is a route of a configuration, in the protocol's form.
+type Route struct {
+	Name        string `json:"name"`
+	Host        string `json:"host"`
+	Prefix      string `json:"path_prefix"`
+	Kind        string `json:"kind"`
+	Service     string `json:"service"`
+	TimeoutMs   int    `json:"timeout_ms"`
+	LatencyMs   int    `json:"target_latency_ms"`
+	GapMs       int    `json:"target_gap_ms,omitempty"`
+	Priority    int    `json:"priority"`
+	MaxAttempts int    `json:"max_attempts"`
+	Public      bool   `json:"public"`
+	Resumable   bool   `json:"resumable"`
+}
+
+// Service is a service of a configuration.
+type Service struct {
+	Name   string         `json:"name"`
+	Engine map[string]any `json:"engine,omitempty"`
+}
+
+// Tenant is a customer of a configuration.
+type Tenant struct {
+	Name     string   `json:"name"`
+	Keys     []string `json:"api_keys"`
+	Priority int      `json:"priority"`
+}
+
+// Limits bound clients.
+type Limits struct {
+	HeaderBytes int `json:"max_header_bytes"`
+	BodyBytes   int `json:"max_body_bytes"`
+	HeaderMs    int `json:"header_timeout_ms"`
+	IdleMs      int `json:"idle_timeout_ms"`
+}
+
+// Config is the operator's configuration.
+type Config struct {
+	Version  int64     `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Tenants  []Tenant  `json:"tenants"`
+	Limits   Limits    `json:"limits"`
+}
+
+// entry is a server's own entry in the store.
+type entry struct {
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Slots   int    `json:"slots"`
+	State   string `json:"state"`
+}
+
+// Platform is the whole stand-in: a store, its address, and servers.
+type Platform struct {
+	Store    *Store
+	listener net.Listener
+	http     *http.Server
+	wait     sync.WaitGroup
+
+	mu      sync.Mutex
+	servers []*Server
+}
+
+// New serves a store on an address, IP:port; port 0 takes a free one.
+func New(address string) (*Platform, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for the store")
+	}
+	p := &Platform{Store: NewStore(), listener: listener}
+	p.http = &http.Server{Handler: p.Store, ReadHeaderTimeout: time.Minute}
+	p.wait.Go(func() { _ = p.http.Serve(listener) })
+	return p, nil
+}
+
+// StoreAddress is where the store listens.
+func (p *Platform) StoreAddress() string {
+	return p.listener.Addr().String()
+}
+
+// Accept has the operator write a configuration.
+func (p *Platform) Accept(config *Config) error {
+	data, err := json.Marshal(config)
+	if err != nil {
+		return errors.Wrap(err, "encode configuration")
+	}
+	p.Store.Put("op/config", data)
+	return nil
+}
+
+// AddServer starts a server of a service and enters it into the list.
+func (p *Platform) AddServer(service, zone, address string, options ServerOptions) (*Server, error) {
+	server, err := NewServer(address, options)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for a server")
+	}
+	p.mu.Lock()
+	p.servers = append(p.servers, server)
+	p.mu.Unlock()
+	return server, p.Enter(service, zone, "ready", server)
+}
+
+// Enter writes a server's entry with a state.
+func (p *Platform) Enter(service, zone, state string, server *Server) error {
+	data, err := json.Marshal(entry{Service: service, Address: server.Address(), Zone: zone, Slots: 8, State: state})
+	if err != nil {
+		return errors.Wrap(err, "encode a server's entry")
+	}
+	p.Store.Put("servers/"+server.ID(), data)
+	return nil
+}
+
+// Leave removes a server's entry; the server goes on.
+func (p *Platform) Leave(server *Server) {
+	p.Store.Remove("servers/" + server.ID())
+}
+
+// Close ends the store and all servers, and waits.
+func (p *Platform) Close() error {
+	p.mu.Lock()
+	servers := p.servers
+	p.mu.Unlock()
+	err := p.http.Close()
+	p.wait.Wait()
+	for _, server := range servers {
+		err = errors.CombineErrors(err, server.Close())
+	}
+	return err
+}
--- /dev/null
+++ b/internal/emulator/server.go
@@ -0,0 +1,293 @@
+package emulator
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Mode is how a server misbehaves.
+type Mode string
+
+// The modes of a server.
+const (
+	// Sound: it answers as it should.
+	Sound Mode = ""
+	// Error: it runs the request and answers 500.
+	Error Mode = "error"
+	// Shed: it does not run the request and says so.
+	Shed Mode = "shed"
+	// ResetAfter: it runs the request and resets the connection.
+	ResetAfter Mode = "reset"
+	// Mute: it takes the request and says nothing until its caller leaves.
+	Mute Mode = "mute"
+	// CutMiddle: it breaks off in the middle of its answer, inside an event.
+	CutMiddle Mode = "cut"
+	// Unframed: its answer has no length and ends with the connection.
+	Unframed Mode = "unframed"
+	// Foreign: an answer to another request stands before its own.
+	Foreign Mode = "foreign"
+	// Encoded: its answer claims an encoding.
+	Encoded Mode = "encoded"
+	// Garbage: its bytes are no answer.
+	Garbage Mode = "garbage"
+	// Early: it answers before it has read the body.
+	Early Mode = "early"
+)
+
+// Run is one request as a server got it.
+type Run struct {
+	ID     string
+	Method string
+	URI    string
+	Host   string
+	Header http.Header
+	Body   string
+	// After is the event behind which a stream goes on; zero for none.
+	After int
+	// Ran says that the server worked on it.
+	Ran bool
+}
+
+// ServerOptions describe a stand-in server.
+type ServerOptions struct {
+	// ID names this life of the server.
+	ID string
+	// Events is how many events a stream has; zero is a plain service.
+	Events int
+	// Gap is the pause between events.
+	Gap time.Duration
+}
+
+// Server is a stand-in of one server: a plain service or a model server.
+type Server struct {
+	options  ServerOptions
+	listener net.Listener
+	http     *http.Server
+
+	mu    sync.Mutex
+	mode  Mode
+	times int
+	runs  []Run
+	live  int
+	wait  sync.WaitGroup
+}
+
+// NewServer serves on an address, IP:port; port 0 takes a free one.
+func NewServer(address string, options ServerOptions) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{options: options, listener: listener}
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
+	s.wait.Go(func() { _ = s.http.Serve(listener) })
+	return s, nil
+}
+
+// Address is where the server listens.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// ID names this life of the server.
+func (s *Server) ID() string {
+	return s.options.ID
+}
+
+// Close ends the server and all its connections.
+func (s *Server) Close() error {
+	err := s.http.Close()
+	s.wait.Wait()
+	return err
+}
+
+// Misbehave sets how the next so many requests go; negative is all.
+func (s *Server) Misbehave(mode Mode, times int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode, s.times = mode, times
+}
+
+// Runs are the requests got so far.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.runs...)
+}
+
+// Live is how many requests are at the server now.
+func (s *Server) Live() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.live
+}
+
+// enter records a request and gives the mode that it gets.
+func (s *Server) enter(run Run) Mode {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	mode := Sound
+	if s.times != 0 {
+		mode = s.mode
+		s.times--
+	}
+	run.Ran = mode != Shed
+	s.runs = append(s.runs, run)
+	s.live++
+	return mode
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.live--
+}
+
+// ServeHTTP serves one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		w.Header().Set("X-Instance-Id", s.options.ID)
+		return
+	}
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.options.ID {
+		w.Header().Set("X-Instance-Id", s.options.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	id := r.Header.Get("X-Attempt-Id")
+	if id == "" {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	var body []byte
+	s.mu.Lock()
+	early := s.mode == Early && s.times != 0
+	s.mu.Unlock()
+	if !early {
+		body, _ = io.ReadAll(r.Body)
+	}
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	mode := s.enter(Run{ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: string(body), After: after})
+	defer s.leave()
+	w.Header().Set("X-Attempt-Id", id)
+	w.Header().Set("X-Server-Stamp", s.stamp(id))
+	s.answer(w, r, mode, after)
+}
+
+// stamp is the signature of an answer.
+func (s *Server) stamp(id string) string {
+	return s.options.ID + "." + id
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, mode Mode, after int) {
+	switch mode {
+	case Error:
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "the server's own failure")
+		return
+	case Shed:
+		w.Header().Del("X-Server-Stamp")
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Early:
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Mute:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	case Encoded:
+		w.Header().Set("Content-Encoding", "gzip")
+	case ResetAfter, Unframed, Foreign, Garbage:
+		s.raw(w, mode)
+		return
+	}
+	if s.options.Events > 0 {
+		s.stream(w, r, mode, after)
+		return
+	}
+	s.plain(w, mode)
+}
+
+// Body is the whole answer of a plain service.
+const Body = "the whole answer of the server"
+
+func (s *Server) plain(w http.ResponseWriter, mode Mode) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(Body)))
+	if mode == CutMiddle {
+		_, _ = io.WriteString(w, Body[:len(Body)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, Body)
+}
+
+// Event is the text of one event of a stream.
+func Event(number int) string {
+	return fmt.Sprintf("id: %d\ndata: piece %d\n\n", number, number)
+}
+
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, mode Mode, after int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	for number := after + 1; number <= s.options.Events; number++ {
+		if mode == CutMiddle && number == after+1+(s.options.Events-after)/2 {
+			_, _ = io.WriteString(w, Event(number)[:6])
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, Event(number))
+		_ = control.Flush()
+		if !pause(r, s.options.Gap) {
+			return
+		}
+	}
+}
+
+// raw takes the connection over and writes what HTTP libraries don't.
+func (s *Server) raw(w http.ResponseWriter, mode Mode) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	id := w.Header().Get("X-Attempt-Id")
+	switch mode {
+	case ResetAfter:
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	case Unframed:
+		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\n\r\n%s", id, s.stamp(id), s.whole())
+		_ = buffered.Flush()
+	case Foreign:
+		for _, answered := range []string{"another", id} {
+			_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s",
+				answered, s.stamp(answered), len(s.whole()), s.whole())
+		}
+		_ = buffered.Flush()
+	case Garbage:
+		_, _ = io.WriteString(buffered, "\x00\x01 no answer at all\r\n\r\n")
+		_ = buffered.Flush()
+	}
+}
+
+// whole is the body of a whole answer.
+func (s *Server) whole() string {
+	if s.options.Events == 0 {
+		return Body
+	}
+	var text strings.Builder
+	for number := 1; number <= s.options.Events; number++ {
+		text.WriteString(Event(number))
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/emulator/store.go
@@ -0,0 +1,457 @@
+package emulator
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Item is one key of the store, as the protocol shows it.
+type Item struct {
+	Key      string `json:"private_key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Made     int64  `json:"made,omitempty"`
+	Lease    int64  `json:"lease,omitempty"`
+	Gone     bool   `json:"gone,omitempty"`
+}
+
+// StoreFaults are the ways in which the store misbehaves.
+type StoreFaults struct {
+	// Down answers every call with 503.
+	Down bool
+	// Silent answers no call until the fault ends or the caller leaves.
+	Silent bool
+	// LoseAnswers does writes and breaks the connection instead of answering.
+	LoseAnswers bool
+	// Delay is waited before every answer.
+	Delay time.Duration
+	// Garbage answers with bytes that are no JSON.
+	Garbage bool
+}
+
+// Store is the stand-in of the platform's metadata store.
+type Store struct {
+	mu       sync.Mutex
+	items    map[string]Item
+	history  []Item
+	revision int64
+	// compacted is the revision up to which the history is gone.
+	compacted int64
+	leases    map[int64]time.Time
+	lastLease int64
+	changed   chan struct{}
+	faults    StoreFaults
+	// turnedAway are callers' addresses, IP:port or IP, that get 503.
+	turnedAway map[string]bool
+	pageItems  int
+	calls      map[string]int
+}
+
+const (
+	// rangePage is how many items one page of a range holds.
+	rangePage = 500
+	// mostWait bounds a watch.
+	mostWait = 30 * time.Second
+	// mostEntries bounds a transaction.
+	mostEntries = 32
+)
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		items:      make(map[string]Item),
+		leases:     make(map[int64]time.Time),
+		changed:    make(chan struct{}),
+		turnedAway: make(map[string]bool),
+		pageItems:  rangePage,
+		calls:      make(map[string]int),
+	}
+}
+
+// SetPage changes how many items one page of a range holds.
+func (s *Store) SetPage(items int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pageItems = items
+}
+
+// SetFaults changes how the store misbehaves; calls that wait look again.
+func (s *Store) SetFaults(faults StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+	s.wake()
+}
+
+// TurnAway has the calls of an IP address refused, or served again.
+func (s *Store) TurnAway(ip string, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turnedAway[ip] = away
+	s.wake()
+}
+
+// Calls counts the calls so far by path.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.calls)
+}
+
+// Put writes a key as the operator or a server does, and returns the
+// revision that acknowledges it.
+func (s *Store) Put(key string, value []byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.putLocked(key, value, 0)
+	return s.revision
+}
+
+// Remove removes a key, as the operator or a server does.
+func (s *Store) Remove(key string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removeLocked(key)
+	return s.revision
+}
+
+// Get returns a key's item.
+func (s *Store) Get(key string) (Item, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, ok := s.items[key]
+	return found, ok
+}
+
+// Compact forgets the history, so that older watches get 410.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.compacted = s.revision
+	s.wake()
+}
+
+func (s *Store) putLocked(key string, value []byte, lease int64) {
+	s.revision++
+	made := s.revision
+	if known, ok := s.items[key]; ok {
+		made = known.Made
+	}
+	changed := Item{Key: key, Value: slices.Clone(value), Revision: s.revision, Made: made, Lease: lease}
+	s.items[key] = changed
+	s.history = append(s.history, changed)
+	s.wake()
+}
+
+func (s *Store) removeLocked(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.history = append(s.history, Item{Key: key, Revision: s.revision, Gone: true})
+	s.wake()
+}
+
+// wake has all that wait look again; the lock is held.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP serves the store's calls.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !s.enter(w, r) {
+		return
+	}
+	switch {
+	case r.URL.Path == "/capersaddle/kv-key":
+		s.serveKey(w, r)
+	case r.URL.Path == "/capersaddle/kv-range":
+		s.serveRange(w, r)
+	case r.URL.Path == "/capersaddle/kv-watch":
+		s.serveWatch(w, r)
+	case r.URL.Path == "/capersaddle/kv-txn":
+		s.serveTransaction(w, r)
+	case r.URL.Path == "/capersaddle/kv-lease":
+		s.serveLease(w, r)
+	case strings.HasPrefix(r.URL.Path, "/capersaddle/kv-keep/"):
+		s.serveKeep(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// enter counts a call and lets the faults have their way; false means that
+// the call is over.
+func (s *Store) enter(w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	s.calls[r.URL.Path]++
+	s.expireLeases(time.Now())
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		faults, changed := s.faults, s.changed
+		away := s.turnedAway[hostOf(r.RemoteAddr)]
+		s.mu.Unlock()
+		switch {
+		case faults.Silent:
+			select {
+			case <-changed:
+				continue
+			case <-r.Context().Done():
+				return false
+			}
+		case faults.Down || away:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return false
+		case faults.Garbage:
+			_, _ = io.WriteString(w, "<html>not JSON")
+			return false
+		}
+		return pause(r, faults.Delay)
+	}
+}
+
+// pause waits; false if the caller has left.
+func pause(r *http.Request, wait time.Duration) bool {
+	if wait <= 0 {
+		return true
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func hostOf(address string) string {
+	at := strings.LastIndexByte(address, ':')
+	if at < 0 {
+		return address
+	}
+	return address[:at]
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Store) serveKey(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	found, ok := s.items[r.URL.Query().Get("private_key")]
+	at := s.revision
+	s.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, http.StatusOK, struct {
+		Item
+		At int64 `json:"at"`
+	}{found, at})
+}
+
+// rangeAnswer is one page of a range.
+type rangeAnswer struct {
+	Items []Item `json:"items"`
+	More  bool   `json:"more"`
+	At    int64  `json:"at"`
+}
+
+func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	s.mu.Lock()
+	answer := rangeAnswer{Items: []Item{}, At: s.revision}
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if !strings.HasPrefix(key, query.Get("path_prefix")) || key <= query.Get("since_revision") {
+			continue
+		}
+		if len(answer.Items) == s.pageItems {
+			answer.More = true
+			break
+		}
+		answer.Items = append(answer.Items, s.items[key])
+	}
+	s.mu.Unlock()
+	reply(w, http.StatusOK, answer)
+}
+
+// watchAnswer is the answer of a watch.
+type watchAnswer struct {
+	Events []Item `json:"events"`
+	At     int64  `json:"at"`
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	since, _ := strconv.ParseInt(query.Get("since_revision"), 10, 64)
+	millis, _ := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	timer := time.NewTimer(min(time.Duration(millis)*time.Millisecond, mostWait))
+	defer timer.Stop()
+	over := false
+	for {
+		s.mu.Lock()
+		events, gone := s.since(query.Get("path_prefix"), since)
+		at, changed, faults := s.revision, s.changed, s.faults
+		s.mu.Unlock()
+		switch {
+		case faults.Down || faults.Silent:
+			// A waiting watch is cut when the store goes down.
+			panic(http.ErrAbortHandler)
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(events) > 0 || over:
+			reply(w, http.StatusOK, watchAnswer{Events: events, At: at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// since are the changes of a prefix after a revision; the second result says
+// that the history no longer reaches so far.
+func (s *Store) since(prefix string, since int64) ([]Item, bool) {
+	if since < s.compacted {
+		return nil, true
+	}
+	events := []Item{}
+	for _, change := range s.history {
+		if change.Revision > since && strings.HasPrefix(change.Key, prefix) {
+			events = append(events, change)
+		}
+	}
+	return events, false
+}
+
+// transactionBody is a writing call.
+type transactionBody struct {
+	Expected []struct {
+		Key      string `json:"private_key"`
+		Revision int64  `json:"revision"`
+	} `json:"expected_revision"`
+	Put []struct {
+		Key   string `json:"private_key"`
+		Value []byte `json:"value"`
+		Lease int64  `json:"lease"`
+	} `json:"put"`
+	Remove []string `json:"remove"`
+}
+
+func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request) {
+	var body transactionBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if len(body.Expected)+len(body.Put)+len(body.Remove) > mostEntries {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	status, answer := s.transact(&body)
+	lost := s.faults.LoseAnswers
+	s.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, status, answer)
+}
+
+// transact does all of a transaction or nothing; the lock is held.
+func (s *Store) transact(body *transactionBody) (int, any) {
+	current := []Item{}
+	met := true
+	for _, expected := range body.Expected {
+		found := s.items[expected.Key]
+		current = append(current, Item{Key: expected.Key, Value: found.Value, Revision: found.Revision})
+		met = met && found.Revision == expected.Revision
+	}
+	if !met {
+		return http.StatusPreconditionFailed, rangeAnswer{Items: current, At: s.revision}
+	}
+	for _, put := range body.Put {
+		if strings.HasPrefix(put.Key, "op/") || strings.HasPrefix(put.Key, "servers/") {
+			return http.StatusForbidden, struct{}{}
+		}
+		if _, ok := s.leases[put.Lease]; put.Lease != 0 && !ok {
+			return http.StatusNotFound, struct{}{}
+		}
+	}
+	for _, put := range body.Put {
+		s.putLocked(put.Key, put.Value, put.Lease)
+	}
+	for _, key := range body.Remove {
+		s.removeLocked(key)
+	}
+	return http.StatusOK, struct {
+		Revision int64 `json:"revision"`
+	}{s.revision}
+}
+
+// leaseBody is asked for and answered.
+type leaseBody struct {
+	Lease  int64 `json:"lease,omitempty"`
+	Millis int64 `json:"ttl_ms"`
+}
+
+func (s *Store) serveLease(w http.ResponseWriter, r *http.Request) {
+	var body leaseBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.Millis <= 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.lastLease++
+	body.Lease = s.lastLease
+	s.leases[body.Lease] = time.Now().Add(time.Duration(body.Millis) * time.Millisecond)
+	s.mu.Unlock()
+	reply(w, http.StatusOK, body)
+}
+
+func (s *Store) serveKeep(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseInt(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:], 10, 64)
+	s.mu.Lock()
+	_, ok := s.leases[id]
+	s.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, http.StatusOK, leaseBody{Lease: id})
+}
+
+// expireLeases removes the keys of leases that are over; the lock is held.
+func (s *Store) expireLeases(now time.Time) {
+	for id, end := range s.leases {
+		if now.Before(end) {
+			continue
+		}
+		delete(s.leases, id)
+		for _, key := range slices.Sorted(maps.Keys(s.items)) {
+			if s.items[key].Lease == id {
+				s.removeLocked(key)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/events_test.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+)
+
+func TestEvents(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		ids  []string
+		err  error
+	}{
+		"two events":          {"id: 1\ndata: a\n\nid:2\n\n", []string{"1", "2"}, io.EOF},
+		"carriage returns":    {"id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n", []string{"1", "2"}, io.EOF},
+		"without an id":       {": comment\n\ndata: x\n\n", []string{"", ""}, io.EOF},
+		"nothing":             {"", nil, io.EOF},
+		"end inside an event": {"id: 1\n\nid: 2\nda", []string{"1"}, io.ErrUnexpectedEOF},
+		"no empty line":       {"id: 1\n\nid: 2\n", []string{"1"}, io.ErrUnexpectedEOF},
+		"a long line":         {"id: 1\ndata: " + strings.Repeat("x", 3*eventBuffer) + "\n\n", []string{"1"}, io.EOF},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			source := newEvents(iotest.OneByteReader(strings.NewReader(tc.text)))
+			var ids []string
+			var whole bytes.Buffer
+			for {
+				event, id, err := source.next()
+				if err != nil {
+					is.Equal(err, tc.err)
+					break
+				}
+				ids = append(ids, id)
+				whole.Write(event)
+			}
+			is.Equal(ids, tc.ids)
+			is.True(strings.HasPrefix(tc.text, whole.String())) // byte for byte
+		})
+	}
+}
+
+// FuzzEvents: whole events come out byte for byte in order, and what is left
+// is no whole event.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n\nrest"))
+	f.Add([]byte("\n\r\n\r\n\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		source := newEvents(bytes.NewReader(data))
+		var whole []byte
+		for {
+			event, _, err := source.next()
+			if err == io.EOF {
+				if !bytes.Equal(whole, data) {
+					t.Fatalf("a clean end after %d of %d bytes", len(whole), len(data))
+				}
+				return
+			}
+			if err != nil {
+				if !bytes.HasPrefix(data, whole) || len(whole) == len(data) {
+					t.Fatalf("%v after %q of %q", err, whole, data)
+				}
+				return
+			}
+			whole = append(whole, event...)
+		}
+	})
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,385 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/freshness"
+	"github.com/capersaddle/capersaddle/internal/gateway"
+	"github.com/capersaddle/capersaddle/internal/retrybudget"
+	"github.com/capersaddle/capersaddle/internal/routing"
+)
+
+// script is what one target does with one request.
+type script func(ctx context.Context, out *gateway.Outgoing) (*gateway.Answer, *gateway.SendError)
+
+// fakeSender plays scripts in order; the last one stays.
+type fakeSender struct {
+	mu      sync.Mutex
+	scripts []script
+	sent    []*gateway.Outgoing
+}
+
+func (f *fakeSender) Send(ctx context.Context, out *gateway.Outgoing, admit func() error) (*gateway.Answer, *gateway.SendError) {
+	if err := admit(); err != nil {
+		return nil, &gateway.SendError{Err: err}
+	}
+	f.mu.Lock()
+	f.sent = append(f.sent, out)
+	next := f.scripts[0]
+	if len(f.scripts) > 1 {
+		f.scripts = f.scripts[1:]
+	}
+	f.mu.Unlock()
+	return next(ctx, out)
+}
+
+func whole(status int, body string) script {
+	return func(context.Context, *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
+		return &gateway.Answer{Status: status, Header: http.Header{"Stamp": {"x"}}, Size: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)), Signed: true}, nil
+	}
+}
+
+func unsigned(ctx context.Context, out *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
+	answer, err := whole(http.StatusOK, "false")(ctx, out)
+	answer.Signed = false
+	return answer, err
+}
+
+func rejected(ctx context.Context, out *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
+	answer, err := whole(http.StatusServiceUnavailable, "")(ctx, out)
+	answer.NotRun = true
+	return answer, err
+}
+
+func lost(context.Context, *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
+	return nil, &gateway.SendError{Sent: true, Err: io.ErrUnexpectedEOF}
+}
+
+func unreachable(context.Context, *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
+	return nil, &gateway.SendError{Unreachable: true, Err: errors.New("no way there")}
+}
+
+// silent says nothing until the attempt is ended.
+func silent(ctx context.Context, _ *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
+	<-ctx.Done()
+	return nil, &gateway.SendError{Sent: true, Err: ctx.Err()}
+}
+
+// brokenBody gives its text and then an error.
+type brokenBody struct {
+	text io.Reader
+	err  error
+}
+
+func (b *brokenBody) Read(data []byte) (int, error) {
+	n, err := b.text.Read(data)
+	if err == io.EOF {
+		err = b.err
+	}
+	return n, err
+}
+
+func (b *brokenBody) Close() error { return nil }
+
+// stream answers with text, which breaks off with err; io.EOF ends it whole.
+func stream(text string, err error) script {
+	return func(context.Context, *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
+		return &gateway.Answer{Status: http.StatusOK, Size: -1, Signed: true, Body: &brokenBody{strings.NewReader(text), err}}, nil
+	}
+}
+
+// recorder is the caller and the log.
+type recorder struct {
+	status  int
+	body    strings.Builder
+	begins  int
+	refusal *fault.Error
+	aborted bool
+	records []*gateway.RequestRecord
+}
+
+func (r *recorder) Begin(status int, _ http.Header, _ int64) error {
+	r.status = status
+	r.begins++
+	return nil
+}
+
+func (r *recorder) Write(data []byte) error {
+	r.body.Write(data)
+	return nil
+}
+
+func (r *recorder) Refuse(refusal *fault.Error) error {
+	r.refusal = refusal
+	r.status = fault.AnswerOf(refusal.Kind).Status
+	return nil
+}
+
+func (r *recorder) Abort()                                { r.aborted = true }
+func (r *recorder) Request(record *gateway.RequestRecord) { r.records = append(r.records, record) }
+
+func config() *routing.Config {
+	second := time.Second
+	return &routing.Config{
+		Version: 7,
+		Routes: []routing.Route{
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: routing.Once, Timeout: second, TargetLatency: second / 10, MaxAttempts: 2, Split: []routing.Share{{Service: "s", Weight: 1}}},
+			{Name: "get", Host: "h", Prefix: "/get/", Kind: routing.Idempotent, Timeout: second, TargetLatency: second / 10, MaxAttempts: 2, Split: []routing.Share{{Service: "s", Weight: 1}}},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.Stream, Timeout: 10 * second, TargetLatency: second, TargetGap: second / 2, MaxAttempts: 2, Split: []routing.Share{{Service: "s", Weight: 1}}},
+			{Name: "resumable", Host: "h", Prefix: "/resumable/", Kind: routing.Stream, Resumable: true, Timeout: 10 * second, TargetLatency: second, TargetGap: second / 2, MaxAttempts: 2, Split: []routing.Share{{Service: "s", Weight: 1}}},
+			{Name: "public", Host: "h", Prefix: "/public/", Kind: routing.Once, Public: true, MaxAttempts: 1, Split: []routing.Share{{Service: "s", Weight: 1}}},
+		},
+		Services:   []routing.Service{{Name: "s"}},
+		Workspaces: []routing.Workspace{{Name: "w", Keys: []string{"key"}}},
+		Limits:     routing.Limits{BodyBytes: 100},
+	}
+}
+
+type world struct {
+	gateway *gateway.Gateway
+	sender  *fakeSender
+	caller  *recorder
+}
+
+func newWorld(scripts ...script) *world {
+	w := &world{sender: &fakeSender{scripts: scripts}, caller: new(recorder)}
+	w.gateway = &gateway.Gateway{
+		Sender:   w.sender,
+		Balancer: balance.New(balance.DefaultOptions()),
+		Budgets:  retrybudget.New(retrybudget.Options{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}),
+		Proof:    new(freshness.Proof),
+		Events:   w.caller,
+		Options:  gateway.Options{KeyFreshness: 4 * time.Second, DenyFreshness: 4 * time.Second},
+	}
+	w.gateway.Apply(config())
+	w.gateway.Proof.Note(time.Now())
+	for _, id := range []string{"a", "b", "c"} {
+		w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id})
+	}
+	return w
+}
+
+func (w *world) serve(ctx context.Context, path string) {
+	w.gateway.Serve(ctx, &gateway.Request{ID: "r1", Method: "POST", Host: "h", URI: path, Path: path, Key: "key", Arrived: time.Now()}, w.caller)
+}
+
+const (
+	one = "id: 1\ndata: a\n\n"
+	two = "id: 2\ndata: b\n\n"
+)
+
+func TestServe(t *testing.T) {
+	cases := map[string]struct {
+		scripts []script
+		path    string
+		sends   int
+		status  int
+		body    string
+		kind    fault.Kind
+		state   fault.RunState
+		aborted bool
+	}{
+		"a whole answer":                        {[]script{whole(200, "yes")}, "/once/x", 1, 200, "yes", "", "", false},
+		"the target's own refusal":              {[]script{whole(404, "no")}, "/get/x", 1, 404, "no", "", "", false},
+		"not run goes elsewhere":                {[]script{rejected, whole(200, "yes")}, "/once/x", 2, 200, "yes", "", "", false},
+		"unreachable goes elsewhere":            {[]script{unreachable, whole(200, "yes")}, "/once/x", 2, 200, "yes", "", "", false},
+		"all unreachable was not run":           {[]script{unreachable}, "/once/x", 3, 503, "", fault.NoTarget, fault.NotRun, false},
+		"all rejecting was not run":             {[]script{rejected}, "/once/x", 3, 429, "", fault.Overloaded, fault.NotRun, false},
+		"lost at most once":                     {[]script{lost, whole(200, "yes")}, "/once/x", 1, 502, "", fault.TargetFailed, fault.Unknown, false},
+		"lost repeatable":                       {[]script{lost, whole(200, "yes")}, "/get/x", 2, 200, "yes", "", "", false},
+		"failed repeatable":                     {[]script{whole(500, "broken"), whole(200, "yes")}, "/get/x", 2, 200, "yes", "", "", false},
+		"failed twice is relayed":               {[]script{whole(500, "broken")}, "/get/x", 2, 500, "broken", "", "", false},
+		"failed at most once is relayed":        {[]script{whole(500, "broken")}, "/once/x", 1, 500, "broken", "", "", false},
+		"no signature is no answer":             {[]script{unsigned, whole(200, "yes")}, "/get/x", 2, 200, "yes", "", "", false},
+		"no signature at most once":             {[]script{unsigned, whole(200, "yes")}, "/once/x", 1, 502, "", fault.TargetFailed, fault.Unknown, false},
+		"broken body is asked for again":        {[]script{stream("half", io.ErrUnexpectedEOF), whole(200, "yes")}, "/get/x", 2, 200, "yes", "", "", false},
+		"a whole stream":                        {[]script{stream(one+two, io.EOF)}, "/stream/x", 1, 200, one + two, "", "", false},
+		"an empty stream":                       {[]script{stream("", io.EOF)}, "/stream/x", 1, 200, "", "", "", false},
+		"a cut stream is broken off":            {[]script{stream(one+two[:5], io.ErrUnexpectedEOF)}, "/stream/x", 1, 200, one, "", "", true},
+		"an end inside an event is a cut":       {[]script{stream(one+two[:5], io.EOF)}, "/stream/x", 1, 200, one, "", "", true},
+		"a resumable stream goes on":            {[]script{stream(one+two[:5], io.ErrUnexpectedEOF), stream(two, io.EOF)}, "/resumable/x", 2, 200, one + two, "", "", false},
+		"a resumable stream is rejected":        {[]script{stream(one, io.ErrUnexpectedEOF), rejected, stream(two, io.EOF)}, "/resumable/x", 3, 200, one + two, "", "", false},
+		"a resumable stream is cut twice":       {[]script{stream(one, io.ErrUnexpectedEOF)}, "/resumable/x", 2, 200, one + one, "", "", true},
+		"a stream that fails before its events": {[]script{stream("", io.ErrUnexpectedEOF), stream(one, io.EOF)}, "/resumable/x", 2, 200, one, "", "", false},
+		"no route":                              {[]script{whole(200, "yes")}, "/none/x", 0, 404, "", fault.UnknownRoute, fault.NotRun, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(tc.scripts...)
+				w.serve(t.Context(), tc.path)
+				is.Equal(len(w.sender.sent), tc.sends)
+				is.Equal(w.caller.status, tc.status)
+				is.Equal(w.caller.body.String(), tc.body)
+				is.Equal(w.caller.aborted, tc.aborted)
+				is.True(w.caller.begins <= 1)
+				if tc.kind != "" {
+					is.Equal(w.caller.refusal.Kind, tc.kind)
+					is.Equal(w.caller.refusal.State, tc.state)
+				}
+				is.Equal(len(w.caller.records), 1)
+				is.Equal(len(w.caller.records[0].Attempts), tc.sends)
+				is.Equal(len(w.gateway.Balancer.InFlight()), 0) // every choice was released
+			})
+		})
+	}
+}
+
+func TestAResumedStreamSaysWhereItGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(stream(one+two[:5], io.ErrUnexpectedEOF), stream(two, io.EOF))
+		w.serve(t.Context(), "/resumable/x")
+		is.Equal(w.sender.sent[0].After, "")
+		is.Equal(w.sender.sent[1].After, "1")
+		is.True(w.sender.sent[0].Target.ID != w.sender.sent[1].Target.ID)
+	})
+}
+
+func TestSilence(t *testing.T) {
+	cases := map[string]struct {
+		path  string
+		sends int
+		took  time.Duration
+		kind  fault.Kind
+	}{
+		"a repeatable request is left for another": {"/get/x", 2, 60 * time.Millisecond, ""},
+		"a resumable stream too":                   {"/resumable/x", 2, time.Second, ""},
+		"at most once waits to the end":            {"/once/x", 1, time.Second, fault.Deadline},
+		"a stream waits to the end":                {"/stream/x", 1, 10 * time.Second, fault.Deadline},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(silent, whole(200, one))
+				began := time.Now()
+				w.serve(t.Context(), tc.path)
+				is.Equal(len(w.sender.sent), tc.sends)
+				is.Equal(time.Since(began), tc.took)
+				if tc.kind != "" {
+					is.Equal(w.caller.refusal.Kind, tc.kind)
+				}
+			})
+		})
+	}
+}
+
+func TestNoBudgetNoSecondTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(lost)
+		w.gateway.Budgets = retrybudget.New(retrybudget.Options{Window: 10 * time.Second})
+		w.serve(t.Context(), "/get/x")
+		is.Equal(len(w.sender.sent), 1)
+		is.Equal(w.caller.status, http.StatusBadGateway)
+	})
+}
+
+func TestKeysNeedAFreshProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(whole(200, "yes"))
+		time.Sleep(4 * time.Second)
+		w.serve(t.Context(), "/once/x")
+		is.Equal(w.caller.status, 200)
+		time.Sleep(time.Millisecond)
+		w.serve(t.Context(), "/once/x")
+		is.Equal(w.caller.refusal.Kind, fault.StoreAway)
+		is.Equal(w.caller.refusal.State, fault.NotRun)
+		is.True(w.caller.refusal.RetryAfter > 0)
+		w.serve(t.Context(), "/public/x") // needs no key
+		is.Equal(w.caller.status, 200)
+		w.serve(t.Context(), "/none/x") // a newer configuration may have the route
+		is.Equal(w.caller.status, http.StatusServiceUnavailable)
+	})
+}
+
+// TestAPauseBeforeTheSending: a process that stood still between the choice
+// and the sending looks at the clock again.
+func TestAPauseBeforeTheSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(whole(200, "yes"))
+		w.gateway.Sender = pausingSender{w.sender}
+		w.serve(t.Context(), "/once/x")
+		is.Equal(len(w.sender.sent), 0)
+		is.Equal(w.caller.refusal.Kind, fault.StoreAway)
+		is.Equal(w.caller.refusal.State, fault.NotRun)
+	})
+}
+
+// pausingSender stands still for longer than a key may be vouched for.
+type pausingSender struct {
+	*fakeSender
+}
+
+func (p pausingSender) Send(ctx context.Context, out *gateway.Outgoing, admit func() error) (*gateway.Answer, *gateway.SendError) {
+	time.Sleep(5 * time.Second)
+	return p.fakeSender.Send(context.WithoutCancel(ctx), out, admit)
+}
+
+func TestUnknownKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(whole(200, "yes"))
+		w.gateway.Serve(t.Context(), &gateway.Request{ID: "r", Host: "h", Path: "/once/x", Key: "other", Arrived: time.Now()}, w.caller)
+		is.Equal(w.caller.status, http.StatusUnauthorized)
+		is.Equal(len(w.sender.sent), 0)
+	})
+}
+
+func TestNothingKnownIsNoDenial(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(whole(200, "yes"))
+	fresh := &gateway.Gateway{Sender: w.sender, Balancer: w.gateway.Balancer, Budgets: w.gateway.Budgets, Proof: new(freshness.Proof), Events: w.caller}
+	fresh.Serve(t.Context(), &gateway.Request{ID: "r", Host: "h", Path: "/none/", Arrived: time.Now()}, w.caller)
+	is.Equal(w.caller.status, http.StatusServiceUnavailable)
+	is.Equal(w.caller.refusal.State, fault.NotRun)
+}
+
+func TestACallerWhoLeavesEndsTheAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(silent)
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(30*time.Millisecond, cancel)
+		w.serve(ctx, "/get/x")
+		is.Equal(len(w.sender.sent), 1)
+		is.True(w.caller.aborted)
+		is.Equal(w.caller.records[0].Ending, gateway.EndingCallerLeft)
+	})
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(whole(200, ""))
+	older := config()
+	older.Version = 6
+	is.True(!w.gateway.Apply(older))
+	is.True(!w.gateway.Apply(config())) // the same again
+	newer := config()
+	newer.Version = 9
+	is.True(w.gateway.Apply(newer))
+	is.Equal(w.gateway.Version(), int64(9))
+}
+
+func TestBodyOverTheLimit(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(whole(200, ""))
+	w.gateway.Serve(t.Context(), &gateway.Request{ID: "r", Host: "h", Path: "/once/x", Key: "key", Body: make([]byte, 101), Arrived: time.Now()}, w.caller)
+	is.Equal(w.caller.status, http.StatusRequestEntityTooLarge)
+}
