--- /dev/null
+++ b/internal/connpool/pool_test.go
@@ -0,0 +1,36 @@
+package connpool
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestForgottenConnections: once a rested connection was found dead, requests
+// that may not be repeated get only connections that have rested for less.
+func TestForgottenConnections(t *testing.T) {
+	is := is.New(t)
+	p := New(nil)
+	conn := &Conn{IdleFor: 8 * time.Second}
+	is.Equal(p.longestRest(conn, false), 6*time.Second)
+	p.NoteForgotten(&Conn{rested: 100 * time.Millisecond}) // the target itself has failed
+	is.Equal(p.longestRest(conn, false), 6*time.Second)
+	p.NoteForgotten(&Conn{rested: 2 * time.Second})
+	is.Equal(p.longestRest(conn, false), time.Second)
+	is.Equal(p.longestRest(conn, true), 6*time.Second)
+}
+
+func TestSweep(t *testing.T) {
+	is := is.New(t)
+	p := New(nil)
+	one, other := net.Pipe()
+	defer func() { _ = other.Close() }()
+	p.Put(&Conn{Conn: one, Reader: bufio.NewReader(one), target: "s", IdleFor: 4 * time.Second})
+	p.Sweep(time.Now())
+	is.Equal(len(p.idle["s"]), 1)
+	p.Sweep(time.Now().Add(4 * time.Second))
+	is.Equal(len(p.idle), 0)
+}
--- a/platform/socket.go
+++ b/internal/connpool/socket.go
@@ -1,4 +1,4 @@
-package platform
+package connpool
 
 import (
 	"net"
@@ -8,9 +8,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// userTimeoutControl has a connection broken when bytes stay unacknowledged
+// UserTimeout has a connection broken when bytes stay unacknowledged
 // for so long.
-func userTimeoutControl(timeout time.Duration) func(network, address string, conn syscall.RawConn) error {
+func UserTimeout(timeout time.Duration) func(network, address string, conn syscall.RawConn) error {
 	return func(_, _ string, conn syscall.RawConn) error {
 		var failure error
 		err := conn.Control(func(fd uintptr) {
