Beats that fit thirty gateways: compact, paced, urgent changes first

Ruled out: routing (sessions went home as meant). Ways weighed: hubs that sum loads (a hub's own bytes pass 8 KB/s first), smaller beats to all; X-Server-Load alone is too sparse with 12 answers a second. Change: beats name target loads by 4 bytes, leave out who sends them, carry few placements; changes of the store are told to all at once; with more than 8 peers the bound is 1.4 x the mean + 1 and a proof may be 2.2 s old before a gateway asks itself.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -20,6 +20,10 @@
 	// home may hold before the session goes to its next home.
 	Multiple float64
 	Extra    float64
+	// MultipleOfMany and ExtraOfMany are the same where more than a few
+	// gateways share the targets.
+	MultipleOfMany float64
+	ExtraOfMany    float64
 	// MaxEjected is the largest share of a service's targets left out for
 	// their failures.
 	MaxEjected float64
@@ -27,9 +31,13 @@
 
 // DefaultOptions leave room below a bound of twice the mean plus 3.
 func DefaultOptions() Options {
-	return Options{Multiple: 1.8, Extra: 2.2, MaxEjected: 0.5}
+	return Options{Multiple: 1.8, Extra: 2.2, MultipleOfMany: 1.4, ExtraOfMany: 1, MaxEjected: 0.5}
 }
 
+// fewPeers is how many other gateways can tell each other their loads almost
+// at once.
+const fewPeers = 8
+
 // Balancer chooses targets. It is safe for concurrent use.
 type Balancer struct {
 	options Options
@@ -37,8 +45,11 @@
 	mu       sync.Mutex
 	targets  map[string]*state
 	byHash   map[uint64]*state
+	byShort  map[uint32]*state
 	services map[string][]*state
 	holders  *holders
+	// manyPeers says that more than a few other gateways share the targets.
+	manyPeers bool
 }
 
 // New returns a balancer without targets.
@@ -47,6 +58,7 @@
 		options:  options,
 		targets:  make(map[string]*state),
 		byHash:   make(map[uint64]*state),
+		byShort:  make(map[uint32]*state),
 		services: make(map[string][]*state),
 		holders:  newHolders(),
 	}
@@ -240,6 +252,9 @@
 // target that answers much more slowly than the others holds less.
 func (b *Balancer) bound(mean float64, target *state, typical float64) float64 {
 	bound := b.options.Multiple*mean + b.options.Extra
+	if b.manyPeers {
+		bound = b.options.MultipleOfMany*mean + b.options.ExtraOfMany
+	}
 	if slow := slowness(target, typical); slow > slowFactor {
 		bound /= slow / slowFactor
 	}
@@ -312,7 +327,8 @@
 	}
 }
 
-// Count is a number of requests in flight at a target, named by its hash.
+// Count is a number of requests in flight at a target, named by its hash; the
+// upper half of the hash is enough.
 type Count struct {
 	Target uint64
 	Count  int
@@ -326,12 +342,26 @@
 		delete(target.others, gateway)
 	}
 	for _, count := range counts {
-		if target, ok := b.byHash[count.Target]; ok {
+		if target, ok := b.byShort[shortOf(count.Target)]; ok {
 			target.others[gateway] = reading{count: count.Count, at: now}
 		}
 	}
 }
 
+// shortOf is the upper half of a target's hash: gateways name targets by it
+// in what they tell each other of their loads.
+func shortOf(hash uint64) uint32 {
+	return uint32(hash >> 32)
+}
+
+// SetPeers tells how many other gateways share their loads with this one:
+// with more of them words are older, and the bound keeps more room.
+func (b *Balancer) SetPeers(count int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.manyPeers = count > fewPeers
+}
+
 // InFlight are this process's own requests in flight, without zeros.
 func (b *Balancer) InFlight() []Count {
 	b.mu.Lock()
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -25,6 +25,7 @@
 	added := newState(target)
 	b.targets[target.ID] = added
 	b.byHash[added.hash] = added
+	b.byShort[shortOf(added.hash)] = added
 	b.services[target.Service] = append(b.services[target.Service], added)
 	return true
 }
@@ -51,6 +52,7 @@
 		}
 		delete(b.targets, id)
 		delete(b.byHash, target.hash)
+		delete(b.byShort, shortOf(target.hash))
 		b.services[target.Service] = slices.DeleteFunc(b.services[target.Service], func(s *state) bool {
 			return s == target
 		})
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"io"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -35,8 +37,8 @@
 		line, err := e.reader.ReadSlice('\n')
 		e.event = append(e.event, line...)
 		switch {
-		case err == bufio.ErrBufferFull:
-		case err == io.EOF && len(e.event) > 0:
+		case errors.Is(err, bufio.ErrBufferFull):
+		case errors.Is(err, io.EOF) && len(e.event) > 0:
 			return nil, "", io.ErrUnexpectedEOF
 		case err != nil:
 			return nil, "", err
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -55,7 +56,7 @@
 		var whole []byte
 		for {
 			event, _, err := source.next()
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				if !bytes.Equal(whole, data) {
 					t.Fatalf("a clean end after %d of %d bytes", len(whole), len(data))
 				}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,7 +17,7 @@
 	for {
 		a.watch(ctx, a.silenceBetween())
 		event, id, err := source.next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return a.endStream(answer)
 		}
 		if err != nil {
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -29,8 +29,16 @@
 	// silentEvery is the time between two beats to an address that is silent.
 	silentEvery = time.Second
 	// mostPlacements and mostKnown bound what one beat carries.
-	mostPlacements = 24
+	mostPlacements = 16
 	mostKnown      = 6
+	// introduceEvery is how many beats to a peer go by between two that say
+	// who sends them; introduceFirst is how many do at the beginning.
+	introduceEvery = 24
+	introduceFirst = 4
+	// fewPeers is how many peers are told everything at once; with more of
+	// them a beat carries fewer placements and words are older.
+	fewPeers             = 8
+	mostPlacementsOfMany = 4
 	// receiveBuffer is the largest datagram that is read, in bytes.
 	receiveBuffer = 4096
 	// sentKept is for how many beats the time of sending is remembered.
@@ -41,8 +49,9 @@
 	// the store's word before it asks a peer that is ahead.
 	pullPatience = 150 * time.Millisecond
 	// staleProof is the age of the proof at which a gateway asks the store
-	// whoever else does.
-	staleProof = 1500 * time.Millisecond
+	// whoever else does; staleProofOfMany with more than a few peers.
+	staleProof       = 1500 * time.Millisecond
+	staleProofOfMany = 2200 * time.Millisecond
 )
 
 // Replica is the process's copy of what the store holds.
@@ -156,11 +165,15 @@
 // Asks says whether this process is to ask the store.
 func (s *Service) Asks() bool {
 	now := time.Now()
-	if !s.options.Proof.Within(staleProof, now) || !s.options.Replica.Reachable() {
-		return true
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	stale := staleProof
+	if len(s.table.live(now)) > fewPeers {
+		stale = staleProofOfMany
+	}
+	if !s.options.Proof.Within(stale, now) || !s.options.Replica.Reachable() {
+		return true
+	}
 	return s.table.asks(now)
 }
 
@@ -205,25 +218,28 @@
 		s.options.Watcher.PeerLost(lost.id, lost.address, now.Sub(lost.heardAt))
 	}
 	for _, address := range s.table.silent(now, silentEvery) {
-		s.send(address, s.beat(nil, now))
+		s.send(address, s.beat(nil, now), false)
 	}
 	counts := s.options.Balancer.InFlight()
 	revision := s.options.Replica.Revision()
 	changed := revision != s.lastRevision || !slices.Equal(counts, s.lastCounts)
 	if changed || now.Sub(s.lastRound) >= beatMost {
+		urgent := revision != s.lastRevision
 		s.lastCounts, s.lastRevision, s.lastRound = counts, revision, now
-		s.tell(now)
+		s.tell(now, urgent)
 	}
 	s.catchUp(now)
 }
 
 // tell sends a beat to each live peer, as far as the budget goes; who comes
-// first changes from round to round.
-func (s *Service) tell(now time.Time) {
+// first changes from round to round. What is urgent is told to all, and the
+// budget is made up for later.
+func (s *Service) tell(now time.Time, urgent bool) {
 	live := s.table.live(now)
+	s.options.Balancer.SetPeers(len(live))
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 	for _, to := range live {
-		if !s.send(to.address, s.beat(to, now)) {
+		if !s.send(to.address, s.beat(to, now), urgent) {
 			return
 		}
 	}
@@ -234,9 +250,7 @@
 	s.sequence++
 	s.sentAt[s.sequence%sentKept] = now
 	beat := &wire.GatewayBeat{
-		Id:             s.options.ID,
 		Life:           s.life,
-		Address:        s.options.Address,
 		Sequence:       s.sequence,
 		Revision:       s.options.Replica.Revision(),
 		Leaving:        s.leaving.Load(),
@@ -248,19 +262,39 @@
 		beat.ProofAgeMs = uint32(min(age.Milliseconds()+1, int64(forgetAfter/time.Millisecond)))
 	}
 	if to == nil {
+		beat.Id, beat.Address = s.options.ID, s.options.Address
 		return beat
 	}
 	beat.Echo = to.sequence
 	for _, count := range s.lastCounts {
-		beat.Counts = append(beat.Counts, &wire.TargetCount{Target: count.Target, Count: uint32(count.Count)})
+		beat.Targets = append(beat.Targets, shortHash(count.Target))
+		beat.Counts = append(beat.Counts, uint32(count.Count))
+	}
+	s.addPlacements(beat, to, now)
+	if to.beats < introduceFirst || to.beats%introduceEvery == 0 {
+		beat.Id, beat.Address = s.options.ID, s.options.Address
+		beat.Known = s.someAddresses(now, to.address)
+	}
+	to.beats++
+	return beat
+}
+
+// shortHash names a target in a beat by the upper half of its hash.
+func shortHash(hash uint64) uint32 {
+	return uint32(hash >> 32)
+}
+
+// addPlacements tells a peer of placements that it has not been told of.
+func (s *Service) addPlacements(beat *wire.GatewayBeat, to *peer, now time.Time) {
+	most := mostPlacements
+	if len(s.table.live(now)) > fewPeers {
+		most = mostPlacementsOfMany
 	}
-	placements, next := s.options.Balancer.Placements(to.told, mostPlacements)
+	placements, next := s.options.Balancer.Placements(to.told, most)
 	to.told = next
 	for _, placement := range placements {
 		beat.Placements = append(beat.Placements, &wire.PartPlacement{Part: placement.Part, Target: placement.Target})
 	}
-	beat.Known = s.someAddresses(now, to.address)
-	return beat
 }
 
 // someAddresses are a few addresses of live peers.
@@ -275,8 +309,9 @@
 	return addresses[:min(len(addresses), mostKnown)]
 }
 
-// send sends one datagram; false if the budget is spent.
-func (s *Service) send(address string, beat *wire.GatewayBeat) bool {
+// send sends one datagram; false if the budget is spent. An urgent one is sent
+// all the same, and what follows waits for it.
+func (s *Service) send(address string, beat *wire.GatewayBeat, urgent bool) bool {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return true
@@ -285,7 +320,9 @@
 	if err != nil {
 		return true
 	}
-	if !s.bucket.AllowN(time.Now(), len(data)) {
+	if urgent {
+		s.bucket.ReserveN(time.Now(), len(data))
+	} else if !s.bucket.AllowN(time.Now(), len(data)) {
 		return false
 	}
 	s.sentBytes.Add(int64(len(data)))
@@ -310,7 +347,7 @@
 		}
 		s.receivedBytes.Add(int64(n))
 		beat := new(wire.GatewayBeat)
-		if proto.Unmarshal(buffer[:n], beat) != nil || beat.GetId() == "" || beat.GetId() == s.options.ID {
+		if proto.Unmarshal(buffer[:n], beat) != nil || beat.GetLife() == s.life || beat.GetId() == s.options.ID {
 			continue
 		}
 		s.take(beat, time.Now())
@@ -352,10 +389,15 @@
 	s.options.Proof.Note(s.sentAt[echo%sentKept].Add(-age))
 }
 
+// countsOf reads the requests in flight; a list that is longer than the other
+// ends with the shorter.
 func countsOf(beat *wire.GatewayBeat) []balance.Count {
-	counts := make([]balance.Count, 0, len(beat.GetCounts()))
-	for _, count := range beat.GetCounts() {
-		counts = append(counts, balance.Count{Target: count.GetTarget(), Count: int(count.GetCount())})
+	targets := beat.GetTargets()
+	counts := make([]balance.Count, 0, len(targets))
+	for i, count := range beat.GetCounts() {
+		if i < len(targets) {
+			counts = append(counts, balance.Count{Target: uint64(targets[i]) << 32, Count: int(count)})
+		}
 	}
 	return counts
 }
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -191,7 +191,7 @@
 	one.service.bucket.SetBurst(0)
 	sent, _ := one.service.Traffic()
 	one.service.mu.Lock()
-	is.True(!one.service.send("127.0.0.1:9", &wire.GatewayBeat{Id: "one"}))
+	is.True(!one.service.send("127.0.0.1:9", &wire.GatewayBeat{Id: "one"}, false))
 	one.service.mu.Unlock()
 	after, _ := one.service.Traffic()
 	is.True(after-sent < 200) // nothing but what was under way
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -42,6 +42,8 @@
 	lost bool
 	// told is the number of the next placement to tell it.
 	told int
+	// beats counts the beats sent to it.
+	beats int
 }
 
 // table is what a gateway knows of the others. One goroutine at a time uses
@@ -77,8 +79,26 @@
 	outdated
 )
 
-// take notes a beat.
+// byLife finds the peer in one of its lives; nil if it is unknown.
+func (t *table) byLife(life uint64) *peer {
+	for _, known := range t.peers {
+		if known.life == life {
+			return known
+		}
+	}
+	return nil
+}
+
+// take notes a beat. The peer is nil if the beat leaves out who sent it and
+// that is not known.
 func (t *table) take(beat *wire.GatewayBeat, now time.Time) (*peer, change) {
+	if beat.GetId() == "" {
+		known := t.byLife(beat.GetLife())
+		if known == nil {
+			return nil, outdated
+		}
+		beat.Id, beat.Address = known.id, known.address
+	}
 	known, ok := t.peers[beat.GetId()]
 	if ok && known.life == beat.GetLife() && beat.GetSequence() <= known.sequence {
 		return known, outdated
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -41,7 +41,7 @@
 	leastGateways = 8
 	// peerBudget is how many bytes a second are sent to other gateways in
 	// beats; the users allow 8 KB for all control.
-	peerBudget = 6000
+	peerBudget = 7000
 	// drainMargin is kept before the end of the grace time.
 	drainMargin = 500 * time.Millisecond
 )
