--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -12,6 +12,7 @@
 	"io"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -86,16 +87,9 @@
 // a configuration's version, written as version:N.
 func Tell(subject string, lines []Line) *Story {
 	story := &Story{Subject: subject}
-	targets := make(map[string]bool)
+	around := aroundRequest(subject, lines)
 	for _, line := range lines {
-		if line.ID == subject {
-			for _, target := range targetsOf(line.Attempts) {
-				targets[target] = true
-			}
-		}
-	}
-	for _, line := range lines {
-		if concerns(subject, line) || line.ID == "" && targets[line.Target] && line.Event != observe.EventRequest {
+		if concerns(subject, line) || around.has(line) {
 			story.Lines = append(story.Lines, line)
 		}
 	}
@@ -108,6 +102,46 @@
 	return story
 }
 
+const (
+	// before and after a request's end are lines of its targets part of its
+	// story.
+	before = 10 * time.Second
+	after  = 2 * time.Second
+)
+
+// surroundings are the targets of a request and the time around its end.
+type surroundings struct {
+	targets map[string]bool
+	from    time.Time
+	to      time.Time
+}
+
+// aroundRequest finds what surrounds a request; nothing for other subjects.
+func aroundRequest(subject string, lines []Line) *surroundings {
+	around := &surroundings{targets: make(map[string]bool)}
+	for _, line := range lines {
+		if line.ID != subject || line.Event != observe.EventRequest {
+			continue
+		}
+		for _, target := range targetsOf(line.Attempts) {
+			around.targets[target] = true
+		}
+		if end, err := time.Parse(time.RFC3339Nano, line.Time); err == nil {
+			around.from, around.to = end.Add(-before), end.Add(after)
+		}
+	}
+	return around
+}
+
+// has says whether a line tells of one of the targets at the time.
+func (s *surroundings) has(line Line) bool {
+	if line.ID != "" || !s.targets[line.Target] {
+		return false
+	}
+	at, err := time.Parse(time.RFC3339Nano, line.Time)
+	return err == nil && at.After(s.from) && at.Before(s.to)
+}
+
 func concerns(subject string, line Line) bool {
 	if version, ok := strings.CutPrefix(subject, "version:"); ok {
 		return line.Event == observe.EventConfig && fmt.Sprint(line.Version) == version
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -98,3 +98,39 @@
 	m.known[workspace] = true
 	return workspace
 }
+
+// Gauges are read when the metrics are asked for.
+type Gauges struct {
+	// ProofAge is in seconds; -1 for none.
+	ProofAge func() float64
+	Peers    func() float64
+	Sent     func() float64
+	Received func() float64
+	InFlight func() float64
+}
+
+// RegisterGauges adds what a gateway tells of its state.
+func RegisterGauges(registry prometheus.Registerer, gauges Gauges) {
+	registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "proof_age_seconds",
+			Help: "Age of the proof that the configuration is the newest; -1 for none.",
+		}, gauges.ProofAge),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "peers",
+			Help: "Other gateways heard lately.",
+		}, gauges.Peers),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "peer_bytes_sent_total",
+			Help: "Bytes of beats sent to other gateways.",
+		}, gauges.Sent),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "peer_bytes_received_total",
+			Help: "Bytes of beats received from other gateways.",
+		}, gauges.Received),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "in_flight",
+			Help: "This gateway's requests at targets.",
+		}, gauges.InFlight),
+	)
+}
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -33,6 +33,14 @@
 	EventSampled    = "requests_not_logged"
 )
 
+// Events lists the events of the log.
+func Events() []string {
+	return []string{
+		EventRequest, EventConfig, EventTarget, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
+		EventBadValue, EventPeerFound, EventPeerLost, EventReplica, EventStart, EventDrain, EventStop, EventReload, EventSampled,
+	}
+}
+
 const (
 	// mostLines is how many lines a second of requests that went well are
 	// written; the others are counted. Requests that ended badly have a
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -87,6 +87,8 @@
 	Proof    *freshness.Proof
 	Balancer *balance.Balancer
 	Watcher  Watcher
+	// Counted is told, with every round of beats, how many peers are heard.
+	Counted func(peers int)
 }
 
 // Service exchanges beats with other gateways.
@@ -236,7 +238,7 @@
 // budget is made up for later.
 func (s *Service) tell(now time.Time, urgent bool) {
 	live := s.table.live(now)
-	s.options.Balancer.SetPeers(len(live))
+	s.options.Counted(len(live))
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 	for _, to := range live {
 		if !s.send(to.address, s.beat(to, now), urgent) {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -37,8 +37,14 @@
 	// gateways' windows don't begin together.
 	retryShare = 0.85
 	// leastGateways is how many gateways the retry slack is shared among at
-	// least: more may join at any time.
-	leastGateways = 8
+	// least, and gatewaysToCome how many there may be for each one seen: more
+	// may join at any time.
+	leastGateways  = 8
+	gatewaysToCome = 1.3
+	// unknownGateways is how many there are taken to be until a process has
+	// had the time to hear them, knownAfter.
+	unknownGateways = 32
+	knownAfter      = 5 * time.Second
 	// peerBudget is how many bytes a second are sent to other gateways in
 	// beats; the users allow 8 KB for all control.
 	peerBudget = 7000
@@ -59,13 +65,16 @@
 	callers   *http.Server
 	leaving   atomic.Bool
 	addresses Addresses
+	started   time.Time
+	// mostPeers is used by the peers' rounds only.
+	mostPeers int
 }
 
 // NewGateway puts a gateway together from its settings and takes its
 // addresses.
 func NewGateway(s *settings.Gateway, logger *log.Logger) (*GatewayProcess, error) {
 	registry := prometheus.NewRegistry()
-	p := &GatewayProcess{settings: s, kernel: kernel.New(), log: logger.With("process", s.ID)}
+	p := &GatewayProcess{settings: s, started: time.Now(), kernel: kernel.New(), log: logger.With("process", s.ID)}
 	p.observer = observe.New(p.log, observe.NewMetrics(registry))
 	sender := platform.NewSender()
 	p.gateway = &gateway.Gateway{
@@ -78,6 +87,7 @@
 	}
 	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, store: p.observer.NewStoreDependency()}, p.asksStore)
 	p.front = &platform.Front{Gateway: p.gateway}
+	observe.RegisterGauges(registry, p.gauges())
 	services := []struct {
 		name    string
 		address string
@@ -106,6 +116,40 @@
 	return p, nil
 }
 
+// gauges are what the process tells of its state when it is asked.
+func (p *GatewayProcess) gauges() observe.Gauges {
+	traffic := func() (sent, received int64) {
+		if p.peers == nil {
+			return 0, 0
+		}
+		return p.peers.Traffic()
+	}
+	return observe.Gauges{
+		ProofAge: func() float64 {
+			age, known := p.gateway.Proof.Age(time.Now())
+			if !known {
+				return -1
+			}
+			return age.Seconds()
+		},
+		Peers: func() float64 {
+			if p.peers == nil {
+				return 0
+			}
+			return float64(p.peers.Live())
+		},
+		Sent:     func() float64 { sent, _ := traffic(); return float64(sent) },
+		Received: func() float64 { _, received := traffic(); return float64(received) },
+		InFlight: func() float64 {
+			total := 0
+			for _, count := range p.gateway.Balancer.InFlight() {
+				total += count.Count
+			}
+			return float64(total)
+		},
+	}
+}
+
 // joinPeers takes the address for other gateways, if there is one.
 func (p *GatewayProcess) joinPeers() error {
 	if p.settings.Peers == "" {
@@ -132,6 +176,7 @@
 		Proof:    p.gateway.Proof,
 		Balancer: p.gateway.Balancer,
 		Watcher:  p.observer,
+		Counted:  p.countPeers,
 	}, conn, pool)
 	server := link.NewServer(listener, hello, nil, p.log, p.peers.Handle)
 	return errors.Join(
@@ -148,6 +193,18 @@
 	return checkpoint.NewSaver(p.gateway.Balancer, p.feed, turn, called)
 }
 
+// countPeers shares the bounds of all gateways among as many as are heard, or
+// ever were.
+func (p *GatewayProcess) countPeers(peers int) {
+	p.gateway.Balancer.SetPeers(peers)
+	p.mostPeers = max(p.mostPeers, peers)
+	gateways := max(leastGateways, gatewaysToCome*float64(p.mostPeers+1))
+	if time.Since(p.started) < knownAfter {
+		gateways = max(gateways, unknownGateways)
+	}
+	p.gateway.Budgets.SetSlack(p.settings.Retry.Slack / gateways)
+}
+
 // closer is a service that has begun already.
 type closer struct {
 	close func() error
@@ -218,7 +275,7 @@
 func retryOptions(s *settings.Gateway) retrybudget.Options {
 	return retrybudget.Options{
 		Ratio:  retryShare * s.Retry.Ratio,
-		Slack:  s.Retry.Slack / leastGateways,
+		Slack:  s.Retry.Slack / unknownGateways,
 		Window: time.Duration(s.Retry.Window),
 	}
 }
@@ -348,5 +405,5 @@
 	if level, err := log.ParseLevel(s.Log.Level); err == nil && s.Log.Level != "" {
 		p.log.SetLevel(level)
 	}
-	p.gateway.Budgets.SetOptions(retryOptions(s))
+	p.gateway.Budgets.SetRatio(retryShare * s.Retry.Ratio)
 }
--- a/internal/process/reference_test.go
+++ b/internal/process/reference_test.go
@@ -14,7 +14,10 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/capersaddle/capersaddle/internal/gateway"
+	"github.com/capersaddle/capersaddle/internal/observe"
 	"github.com/capersaddle/capersaddle/internal/secure"
 	"github.com/capersaddle/capersaddle/internal/settings"
 )
@@ -68,6 +71,57 @@
 	same(t, "SETTINGS.md", fieldNames(reflect.TypeFor[settings.Settings](), ""))
 }
 
+func TestGatewaySettingsPageIsComplete(t *testing.T) {
+	same(t, "GATEWAY.md", fieldNames(reflect.TypeFor[settings.Gateway](), ""))
+}
+
+// TestLogsPageIsComplete holds the closed list of events against the page.
+func TestLogsPageIsComplete(t *testing.T) {
+	text, err := os.ReadFile("../../docs/LOGS.md")
+	is.New(t).NoErr(err)
+	for _, event := range observe.Events() {
+		if !strings.Contains(string(text), "`"+event+"`") {
+			t.Errorf("docs/LOGS.md does not name %s", event)
+		}
+	}
+}
+
+// TestTheRequestLineHasItsFields fails if the line of a request lacks a field
+// that the page names.
+func TestTheRequestLineHasItsFields(t *testing.T) {
+	var out strings.Builder
+	observer := observe.New(NewLogger(&out, settings.Log{Format: "json"}), observe.NewMetrics(prometheus.NewRegistry()))
+	observer.Request(&gateway.RequestRecord{ID: "r", Ending: gateway.EndingAnswered, Attempts: []gateway.AttemptRecord{{Target: "t", Outcome: "answered", Ejected: true}}})
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.New(t).Equal(len(lines), 2) // the ejection and the request
+	var fields map[string]any
+	is.New(t).NoErr(json.Unmarshal([]byte(lines[1]), &fields))
+	for _, name := range []string{"time", "level", "msg", "id", "ending", "status", "route", "kind", "workspace", "service", "session", "config", "proof_ms", "first_ms", "took_ms", "attempts"} {
+		if _, ok := fields[name]; !ok {
+			t.Errorf("the line of a request lacks %s", name)
+		}
+	}
+}
+
+func TestGatewayMetricsPageIsComplete(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	metrics := observe.NewMetrics(registry)
+	zero := func() float64 { return 0 }
+	observe.RegisterGauges(registry, observe.Gauges{ProofAge: zero, Peers: zero, Sent: zero, Received: zero, InFlight: zero})
+	// A series shows only once it has been used.
+	observer := observe.New(log.New(io.Discard), metrics)
+	observer.Request(&gateway.RequestRecord{First: 1, Attempts: []gateway.AttemptRecord{{}}})
+	observer.StoreCalled("watch", nil)
+	observer.ReplicaFetched("p", 1, 2, nil)
+	families, err := registry.Gather()
+	is.New(t).NoErr(err)
+	var inCode []string
+	for _, family := range families {
+		inCode = append(inCode, family.GetName())
+	}
+	same(t, "METRICS-GATEWAY.md", inCode)
+}
+
 func testSettings(role string) *settings.Settings {
 	s := &settings.Settings{
 		Role: role, ID: role + "-0", DataCenter: "accra-1", Operators: "127.0.0.1:0", Link: "127.0.0.1:0",
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -75,11 +75,18 @@
 	return &Budgets{options: options, byService: make(map[string]*budget)}
 }
 
-// SetOptions changes the bounds; the window's length stays.
-func (b *Budgets) SetOptions(options Options) {
+// SetSlack changes this router's share of the slack.
+func (b *Budgets) SetSlack(slack float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.options.Ratio, b.options.Slack = options.Ratio, options.Slack
+	b.options.Slack = slack
+}
+
+// SetRatio changes how many retries a request earns.
+func (b *Budgets) SetRatio(ratio float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.options.Ratio = ratio
 }
 
 func (b *Budgets) of(service string) *budget {
