--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -228,8 +228,8 @@
 	fits := func(target *state) bool {
 		return float64(target.load(now)) <= b.bound(mean, target, typical)
 	}
-	for _, known := range b.holders.of(session) {
-		if target := b.byHash[known.target]; target != nil && slices.Contains(open, target) && fits(target) {
+	for _, known := range b.holders.of(shortOf(session)) {
+		if target := b.byShort[known.target]; target != nil && slices.Contains(open, target) && fits(target) {
 			return target
 		}
 	}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -234,8 +234,8 @@
 func TestPlacementsAreToldOnce(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer(2)
-	b.Confirm("t0", []uint64{1, 2})
-	b.Confirm("t0", []uint64{1, 2}) // known already
+	b.Confirm("t0", []uint64{1 << 32, 2 << 32})
+	b.Confirm("t0", []uint64{1 << 32, 2 << 32}) // known already
 	news, next := b.Placements(0, 1)
 	is.Equal(len(news), 1)
 	more, last := b.Placements(next, 10)
--- a/internal/balance/holders.go
+++ b/internal/balance/holders.go
@@ -17,15 +17,16 @@
 )
 
 // Placement says that a target holds a part of prompts in its cache; both are
-// named by their hashes.
+// named by the upper halves of their hashes. Two parts of the same name cost a
+// wrong guess at most.
 type Placement struct {
-	Part   uint64
-	Target uint64
+	Part   uint32
+	Target uint32
 }
 
 // holder is a target that holds a part, or soon will.
 type holder struct {
-	target uint64
+	target uint32
 	// sure is false until an answer has shown that the target has read the
 	// part.
 	sure bool
@@ -33,7 +34,7 @@
 
 // holders remembers which targets hold which parts of prompts.
 type holders struct {
-	cache *lru.Cache[uint64, []holder]
+	cache *lru.Cache[uint32, []holder]
 	// news are this process's own placements in the order of their making;
 	// the first one has the number first.
 	news  []Placement
@@ -41,7 +42,7 @@
 }
 
 func newHolders() *holders {
-	cache, err := lru.New[uint64, []holder](mostParts)
+	cache, err := lru.New[uint32, []holder](mostParts)
 	if err != nil {
 		panic(err) // only for a size that is not positive
 	}
@@ -49,13 +50,13 @@
 }
 
 // of are the targets that hold a part or soon will, the first to come first.
-func (h *holders) of(part uint64) []holder {
+func (h *holders) of(part uint32) []holder {
 	known, _ := h.cache.Get(part)
 	return known
 }
 
 // surely says whether a target is known to hold a part.
-func (h *holders) surely(part, target uint64) bool {
+func (h *holders) surely(part, target uint32) bool {
 	return slices.Contains(h.of(part), holder{target: target, sure: true})
 }
 
--- a/internal/balance/placements.go
+++ b/internal/balance/placements.go
@@ -16,10 +16,10 @@
 // prompt already. Where nothing is known the next home is the best guess.
 func (b *Balancer) fetchFrom(parts []uint64, listed []*state, chosen *state) string {
 	for i := len(parts) - 1; i >= 0; i-- {
-		if b.holders.surely(parts[i], chosen.hash) {
+		if b.holders.surely(shortOf(parts[i]), shortOf(chosen.hash)) {
 			return ""
 		}
-		if source := b.source(parts[i], chosen); source != nil {
+		if source := b.source(shortOf(parts[i]), chosen); source != nil {
 			return source.Address
 		}
 	}
@@ -41,10 +41,10 @@
 
 // source picks one of a part's sure holders that still serve, a near one if
 // there is one: a way between data centres takes longer.
-func (b *Balancer) source(part uint64, chosen *state) *state {
+func (b *Balancer) source(part uint32, chosen *state) *state {
 	var found *state
 	for _, known := range b.holders.of(part) {
-		target := b.byHash[known.target]
+		target := b.byShort[known.target]
 		if !known.sure || target == nil || target == chosen || !target.goneAt.IsZero() {
 			continue
 		}
@@ -58,11 +58,15 @@
 	return found
 }
 
+func placementOf(part uint64, target *state) Placement {
+	return Placement{Part: shortOf(part), Target: shortOf(target.hash)}
+}
+
 // expect notes that the chosen target is about to read the prompt's shared
 // parts, so that other requests of the session follow.
 func (b *Balancer) expect(parts []uint64, chosen *state) {
 	for _, part := range parts {
-		b.holders.note(Placement{Part: part, Target: chosen.hash}, false)
+		b.holders.note(placementOf(part, chosen), false)
 	}
 }
 
@@ -75,7 +79,7 @@
 		return
 	}
 	for _, part := range parts {
-		b.holders.confirm(Placement{Part: part, Target: target.hash})
+		b.holders.confirm(placementOf(part, target))
 	}
 }
 
@@ -89,7 +93,7 @@
 		return
 	}
 	for _, part := range parts {
-		b.holders.withdraw(Placement{Part: part, Target: target.hash})
+		b.holders.withdraw(placementOf(part, target))
 	}
 }
 
--- a/internal/checkpoint/checkpoint.go
+++ b/internal/checkpoint/checkpoint.go
@@ -103,7 +103,8 @@
 func Encode(placements []balance.Placement) ([]byte, error) {
 	message := new(wire.PlacementCheckpoint)
 	for _, placement := range placements {
-		message.Placements = append(message.Placements, &wire.PartPlacement{Part: placement.Part, Target: placement.Target})
+		message.Parts = append(message.Parts, placement.Part)
+		message.Holders = append(message.Holders, placement.Target)
 	}
 	data, err := proto.Marshal(message)
 	return data, errors.Wrap(err, "encode checkpoint")
@@ -115,9 +116,13 @@
 	if err := proto.Unmarshal(data, message); err != nil {
 		return nil, errors.Wrap(err, "decode checkpoint")
 	}
-	placements := make([]balance.Placement, 0, len(message.GetPlacements()))
-	for _, placement := range message.GetPlacements() {
-		placements = append(placements, balance.Placement{Part: placement.GetPart(), Target: placement.GetTarget()})
+	parts, targets := message.GetParts(), message.GetHolders()
+	if len(parts) != len(targets) {
+		return nil, errors.Newf("decode checkpoint: %d parts and %d targets", len(parts), len(targets))
+	}
+	placements := make([]balance.Placement, 0, len(parts))
+	for i, part := range parts {
+		placements = append(placements, balance.Placement{Part: part, Target: targets[i]})
 	}
 	return placements, nil
 }
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -29,7 +29,7 @@
 	// silentEvery is the time between two beats to an address that is silent.
 	silentEvery = time.Second
 	// mostPlacements and mostKnown bound what one beat carries.
-	mostPlacements = 16
+	mostPlacements = 32
 	mostKnown      = 6
 	// introduceEvery is how many beats to a peer go by between two that say
 	// who sends them; introduceFirst is how many do at the beginning.
@@ -38,7 +38,7 @@
 	// fewPeers is how many peers are told everything at once; with more of
 	// them a beat carries fewer placements and words are older.
 	fewPeers             = 8
-	mostPlacementsOfMany = 4
+	mostPlacementsOfMany = 10
 	// receiveBuffer is the largest datagram that is read, in bytes.
 	receiveBuffer = 4096
 	// sentKept is for how many beats the time of sending is remembered.
@@ -305,7 +305,8 @@
 	placements, next := s.options.Balancer.Placements(to.told, most)
 	to.told = next
 	for _, placement := range placements {
-		beat.Placements = append(beat.Placements, &wire.PartPlacement{Part: placement.Part, Target: placement.Target})
+		beat.Parts = append(beat.Parts, placement.Part)
+		beat.Holders = append(beat.Holders, placement.Target)
 	}
 }
 
@@ -414,10 +415,15 @@
 	return counts
 }
 
+// placementsOf reads the placements; a list that is longer than the other
+// ends with the shorter.
 func placementsOf(beat *wire.GatewayBeat) []balance.Placement {
-	placements := make([]balance.Placement, 0, len(beat.GetPlacements()))
-	for _, placement := range beat.GetPlacements() {
-		placements = append(placements, balance.Placement{Part: placement.GetPart(), Target: placement.GetTarget()})
+	parts := beat.GetParts()
+	placements := make([]balance.Placement, 0, len(parts))
+	for i, target := range beat.GetHolders() {
+		if i < len(parts) {
+			placements = append(placements, balance.Placement{Part: parts[i], Target: target})
+		}
 	}
 	return placements
 }
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -119,13 +119,13 @@
 	})
 	pick, ok := two.balancer.Choose(balance.Query{Service: "s"}, time.Now())
 	is.True(ok)
-	two.balancer.Confirm(pick.Target.ID, []uint64{42})
+	two.balancer.Confirm(pick.Target.ID, []uint64{42 << 32})
 	until(t, "the load and the placement are known", func() bool {
 		seen, _ := three.balancer.Choose(balance.Query{Service: "s"}, time.Now())
 		three.balancer.Release("t", balance.Neutral, time.Now())
 		return seen.Load == 1 && len(three.balancer.AllPlacements(10)) == 1
 	})
-	is.Equal(three.balancer.AllPlacements(10)[0], balance.Placement{Part: 42, Target: policy.HashName("t")})
+	is.Equal(three.balancer.AllPlacements(10)[0], balance.Placement{Part: 42, Target: uint32(policy.HashName("t") >> 32)})
 }
 
 // TestAPeersProofServes: a gateway that the store turns away goes on by what
