--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,8 @@
 	// DenyFreshness is how old it may be when a request is denied for an
 	// unknown route or key; past it the request is put off instead.
 	DenyFreshness time.Duration
+	// Accompanied says whether other gateways are heard; nil is never.
+	Accompanied func() bool
 }
 
 // Gateway serves requests. It is safe for concurrent use.
@@ -66,6 +68,8 @@
 const (
 	// retryElsewhere: another router can probably serve the request now.
 	retryElsewhere = 20 * time.Millisecond
+	// retryStore: no gateway that is heard can vouch for keys.
+	retryStore = time.Second
 	// retrySoon: the service has no room, or no target, for a moment.
 	retrySoon = 150 * time.Millisecond
 )
@@ -117,7 +121,7 @@
 	if c.gateway.Proof.Within(c.gateway.Options.DenyFreshness, time.Now()) {
 		return denial
 	}
-	return fault.New(fault.StoreAway, fault.NotRun, "the configuration may be out of date: %s", denial.Message).After(retryElsewhere)
+	return fault.New(fault.StoreAway, fault.NotRun, "the configuration may be out of date: %s", denial.Message).After(c.gateway.retryAway())
 }
 
 // checkFresh refuses a request with a key when the key may have been taken
@@ -127,5 +131,15 @@
 	if c.workspace == nil || most == 0 || c.gateway.Proof.Within(most, time.Now()) {
 		return nil
 	}
-	return fault.New(fault.StoreAway, fault.NotRun, "cut off from the configuration for too long to vouch for the key").After(retryElsewhere)
+	return fault.New(fault.StoreAway, fault.NotRun, "cut off from the configuration for too long to vouch for the key").After(c.gateway.retryAway())
+}
+
+// retryAway is when to come back to a gateway whose proof is too old. Another
+// one can serve only if this one is cut off from the others: their proofs
+// would have come with their beats.
+func (g *Gateway) retryAway() time.Duration {
+	if g.Options.Accompanied != nil && g.Options.Accompanied() {
+		return retryStore
+	}
+	return retryElsewhere
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -308,6 +308,24 @@
 	})
 }
 
+// TestWhenToComeBack: to another gateway at once if this one is alone, else
+// when the store may be back: the others' proofs would have come with their
+// beats. Found as "refused again" on trouble-3.
+func TestWhenToComeBack(t *testing.T) {
+	for name, accompanied := range map[string]bool{"alone": false, "among others": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(whole(200, "yes"))
+				w.gateway.Options.Accompanied = func() bool { return accompanied }
+				time.Sleep(5 * time.Second)
+				w.serve(t.Context(), "/once/x")
+				is.Equal(w.caller.refusal.RetryAfter >= 500*time.Millisecond, accompanied)
+			})
+		})
+	}
+}
+
 // TestAPauseBeforeTheSending: a process that stood still between the choice
 // and the sending looks at the clock again.
 func TestAPauseBeforeTheSending(t *testing.T) {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -83,7 +83,7 @@
 		Budgets:  retrybudget.New(retryOptions(s)),
 		Proof:    new(freshness.Proof),
 		Events:   p.observer,
-		Options:  gateway.Options{KeyFreshness: keyFreshness(s), DenyFreshness: denyFreshness},
+		Options:  gateway.Options{KeyFreshness: keyFreshness(s), DenyFreshness: denyFreshness, Accompanied: p.accompanied},
 	}
 	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, store: p.observer.NewStoreDependency()}, p.asksStore)
 	p.front = &platform.Front{Gateway: p.gateway}
@@ -205,6 +205,11 @@
 	p.gateway.Budgets.SetSlack(p.settings.Retry.Slack / gateways)
 }
 
+// accompanied says whether other gateways are heard.
+func (p *GatewayProcess) accompanied() bool {
+	return p.peers != nil && p.peers.Live() > 0
+}
+
 // closer is a service that has begun already.
 type closer struct {
 	close func() error
