Loads go first among many peers; the bound of many at 1.65 x + 2

Change: only each fourth beat carries placements; a peer is lost after 2 s, its load believed for 2.5 s.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -31,7 +31,7 @@
 
 // DefaultOptions leave room below a bound of twice the mean plus 3.
 func DefaultOptions() Options {
-	return Options{Multiple: 1.8, Extra: 2.2, MultipleOfMany: 1.6, ExtraOfMany: 1.6, MaxEjected: 0.5}
+	return Options{Multiple: 1.8, Extra: 2.2, MultipleOfMany: 1.65, ExtraOfMany: 2, MaxEjected: 0.5}
 }
 
 // fewPeers is how many other gateways can tell each other their loads almost
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -57,7 +57,7 @@
 }
 
 // readingLife is how long another router's count is believed.
-const readingLife = 1500 * time.Millisecond
+const readingLife = 2500 * time.Millisecond
 
 func newState(target Target) *state {
 	return &state{Target: target, hash: policy.HashName(target.ID), others: make(map[string]reading)}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -35,10 +35,12 @@
 	// who sends them; introduceFirst is how many do at the beginning.
 	introduceEvery = 24
 	introduceFirst = 4
-	// fewPeers is how many peers are told everything at once; with more of
-	// them a beat carries fewer placements and words are older.
+	// fewPeers is how many peers are told everything at once. With more of
+	// them the loads go first: only each fourth beat to a peer carries
+	// placements, and fewer of them.
 	fewPeers             = 8
-	mostPlacementsOfMany = 10
+	mostPlacementsOfMany = 12
+	placementsEvery      = 4
 	// receiveBuffer is the largest datagram that is read, in bytes.
 	receiveBuffer = 4096
 	// sentKept is for how many beats the time of sending is remembered.
@@ -303,6 +305,9 @@
 func (s *Service) addPlacements(beat *wire.GatewayBeat, to *peer, now time.Time) {
 	most := mostPlacements
 	if len(s.table.live(now)) > fewPeers {
+		if to.beats%placementsEvery != 0 {
+			return
+		}
 		most = mostPlacementsOfMany
 	}
 	placements, next := s.options.Balancer.Placements(to.told, most)
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -18,7 +18,7 @@
 
 const (
 	// lostAfter without a beat a peer counts as lost.
-	lostAfter = 1200 * time.Millisecond
+	lostAfter = 2 * time.Second
 	// forgetAfter without a beat its address is forgotten, unless it is a
 	// seed.
 	forgetAfter = 5 * time.Minute
