--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,11 +14,11 @@
 
 	"github.com/capersaddle/capersaddle/internal/admission"
 	"github.com/capersaddle/capersaddle/internal/config"
+	"github.com/capersaddle/capersaddle/internal/external"
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/member"
 	"github.com/capersaddle/capersaddle/internal/once"
-	"github.com/capersaddle/capersaddle/internal/platform"
 	"github.com/capersaddle/capersaddle/internal/target"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
@@ -47,7 +47,7 @@
 	Once       once.Options
 	Members    *member.List
 	Config     *config.State
-	Store      platform.Store
+	Store      external.Store
 	Dialer     link.Dialer
 	Clock      once.Clock
 	Log        *log.Logger
@@ -62,7 +62,7 @@
 	Placing PlacingOptions
 	// Hosts, when set, is the platform's host list; HostID is this host's
 	// entry there.
-	Hosts  platform.Hosts
+	Hosts  external.Hosts
 	HostID string
 }
 
--- a/internal/agent/keeper.go
+++ b/internal/agent/keeper.go
@@ -11,9 +11,9 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/capersaddle/capersaddle/internal/external"
 	"github.com/capersaddle/capersaddle/internal/member"
 	"github.com/capersaddle/capersaddle/internal/once"
-	"github.com/capersaddle/capersaddle/internal/platform"
 	"github.com/capersaddle/capersaddle/internal/wait"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
@@ -151,7 +151,7 @@
 	defer cancel()
 	store := k.agent.options.Store
 	value, err := store.Get(ctx, TableKey(k.service))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, external.ErrNotFound) {
 		return k.createTable(ctx)
 	}
 	if err != nil {
@@ -177,7 +177,7 @@
 		return err
 	}
 	_, err = k.agent.options.Store.Put(ctx, TableKey(k.service), data, 0)
-	if errors.Is(err, platform.ErrVersion) {
+	if errors.Is(err, external.ErrVersion) {
 		return nil
 	}
 	return errors.Wrap(err, "create slot table")
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -8,8 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/capersaddle/capersaddle/internal/external"
 	"github.com/capersaddle/capersaddle/internal/once"
-	"github.com/capersaddle/capersaddle/internal/platform"
 )
 
 // leaseEvery is the time between two renewals of an agent's long lease.
@@ -22,7 +22,7 @@
 
 // longLease is an agent's one long lease, which all its guards share.
 type longLease struct {
-	store  platform.Store
+	store  external.Store
 	agent  string
 	guards []*once.Guard
 
@@ -63,7 +63,7 @@
 // up: others may be taking them.
 func (l *longLease) version(ctx context.Context) (uint64, error) {
 	value, err := l.store.Get(ctx, LeaseKey(l.agent))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, external.ErrNotFound) {
 		return 0, nil
 	}
 	if err != nil {
@@ -84,7 +84,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	value, err := l.store.Get(ctx, LeaseKey(agent))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, external.ErrNotFound) {
 		return once.LongLease{}, nil
 	}
 	if err != nil {
--- a/internal/agent/storm_test.go
+++ b/internal/agent/storm_test.go
@@ -13,10 +13,10 @@
 
 	"github.com/capersaddle/capersaddle/internal/admission"
 	"github.com/capersaddle/capersaddle/internal/config"
+	"github.com/capersaddle/capersaddle/internal/external/fakestore"
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/member"
 	"github.com/capersaddle/capersaddle/internal/once"
-	"github.com/capersaddle/capersaddle/internal/platform/fakestore"
 	"github.com/capersaddle/capersaddle/internal/target/fakeservice"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
--- a/internal/agent/tend.go
+++ b/internal/agent/tend.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/capersaddle/capersaddle/internal/external"
 	"github.com/capersaddle/capersaddle/internal/member"
-	"github.com/capersaddle/capersaddle/internal/platform"
 	"github.com/capersaddle/capersaddle/internal/wait"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
@@ -189,7 +189,7 @@
 			continue
 		}
 		a.mu.Lock()
-		a.hostLeaving = host.State == platform.HostLeaving
+		a.hostLeaving = host.State == external.HostLeaving
 		a.mu.Unlock()
 	}
 }
--- a/internal/config/command.go
+++ b/internal/config/command.go
@@ -9,8 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/capersaddle/capersaddle/internal/external"
 	"github.com/capersaddle/capersaddle/internal/fault"
-	"github.com/capersaddle/capersaddle/internal/platform"
 	"github.com/capersaddle/capersaddle/internal/wait"
 )
 
@@ -52,7 +52,7 @@
 }
 
 // NewEditor returns an editor for a process that has state in force.
-func NewEditor(store platform.Store, state *State) *Editor {
+func NewEditor(store external.Store, state *State) *Editor {
 	return &Editor{repository: repository{store: store}, state: state}
 }
 
@@ -227,7 +227,7 @@
 		if err == nil {
 			return Result{Revision: next.Revision}, nil
 		}
-		if errors.Is(err, platform.ErrVersion) {
+		if errors.Is(err, external.ErrVersion) {
 			return e.afterVersion(ctx, command)
 		}
 		if ctx.Err() != nil || !wait.For(ctx, settleEvery) {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -17,8 +17,8 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"github.com/capersaddle/capersaddle/internal/external/fakestore"
 	"github.com/capersaddle/capersaddle/internal/fault"
-	"github.com/capersaddle/capersaddle/internal/platform/fakestore"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -10,7 +10,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
-	"github.com/capersaddle/capersaddle/internal/platform"
+	"github.com/capersaddle/capersaddle/internal/external"
 	"github.com/capersaddle/capersaddle/internal/wait"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
@@ -58,7 +58,7 @@
 }
 
 // NewFollower returns a follower; Start begins its work.
-func NewFollower(state *State, store platform.Store, peers Peers, logger *log.Logger) *Follower {
+func NewFollower(state *State, store external.Store, peers Peers, logger *log.Logger) *Follower {
 	return &Follower{state: state, repository: repository{store: store}, peers: peers, log: logger}
 }
 
--- a/internal/config/manifest.go
+++ b/internal/config/manifest.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
-	"github.com/capersaddle/capersaddle/internal/platform"
+	"github.com/capersaddle/capersaddle/internal/external"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -87,13 +87,13 @@
 
 // repository reads and writes the configuration in the store.
 type repository struct {
-	store platform.Store
+	store external.Store
 }
 
 // manifest reads the manifest; an absent one is empty.
 func (r *repository) manifest(ctx context.Context) (Manifest, error) {
 	value, err := r.store.Get(ctx, ManifestKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, external.ErrNotFound) {
 		return Manifest{}, nil
 	}
 	if err != nil {
@@ -102,7 +102,7 @@
 	return parseManifest(value)
 }
 
-func parseManifest(value platform.Value) (Manifest, error) {
+func parseManifest(value external.Value) (Manifest, error) {
 	var manifest Manifest
 	if len(value.Data) > 0 {
 		if err := json.Unmarshal(value.Data, &manifest); err != nil {
@@ -139,7 +139,7 @@
 	}
 	key := bucketKey(bucket, command)
 	_, err = r.store.Put(ctx, key, data, 0)
-	if !errors.Is(err, platform.ErrVersion) {
+	if !errors.Is(err, external.ErrVersion) {
 		return errors.Wrapf(err, "write bucket %d", bucket)
 	}
 	held, err := r.store.Get(ctx, key)
--- a/internal/dev/stack.go
+++ b/internal/dev/stack.go
@@ -19,10 +19,10 @@
 	"github.com/google/uuid"
 
 	"github.com/capersaddle/capersaddle/internal/config"
+	"github.com/capersaddle/capersaddle/internal/external/fakehosts"
+	"github.com/capersaddle/capersaddle/internal/external/fakestore"
+	"github.com/capersaddle/capersaddle/internal/external/fakeweights"
 	"github.com/capersaddle/capersaddle/internal/kernel"
-	"github.com/capersaddle/capersaddle/internal/platform/fakehosts"
-	"github.com/capersaddle/capersaddle/internal/platform/fakestore"
-	"github.com/capersaddle/capersaddle/internal/platform/fakeweights"
 	"github.com/capersaddle/capersaddle/internal/process"
 	"github.com/capersaddle/capersaddle/internal/secure"
 	"github.com/capersaddle/capersaddle/internal/settings"
--- a/internal/platform/fakehosts/hosts.go
+++ b/internal/external/fakehosts/hosts.go
@@ -8,26 +8,26 @@
 	"slices"
 	"sync"
 
-	"github.com/capersaddle/capersaddle/internal/platform"
+	"github.com/capersaddle/capersaddle/internal/external"
 )
 
 // Hosts is the stand-in.
 type Hosts struct {
 	mu    sync.Mutex
-	hosts []platform.Host
+	hosts []external.Host
 }
 
 // New returns a list with the given hosts, all live.
 func New(ids ...string) *Hosts {
 	h := &Hosts{}
 	for _, id := range ids {
-		h.hosts = append(h.hosts, platform.Host{ID: id, Address: "127.0.0.1", State: platform.HostLive})
+		h.hosts = append(h.hosts, external.Host{ID: id, Address: "127.0.0.1", State: external.HostLive})
 	}
 	return h
 }
 
 // SetState changes one host's state.
-func (h *Hosts) SetState(id string, state platform.HostState) {
+func (h *Hosts) SetState(id string, state external.HostState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for i := range h.hosts {
@@ -38,7 +38,7 @@
 }
 
 // List gives the list.
-func (h *Hosts) List(context.Context) ([]platform.Host, error) {
+func (h *Hosts) List(context.Context) ([]external.Host, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return slices.Clone(h.hosts), nil
@@ -54,7 +54,7 @@
 		_ = json.NewEncoder(w).Encode(hosts)
 	})
 	mux.HandleFunc("POST /state", func(w http.ResponseWriter, r *http.Request) {
-		var change platform.Host
+		var change external.Host
 		if err := json.NewDecoder(r.Body).Decode(&change); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
--- a/internal/platform/fakestore/http.go
+++ b/internal/external/fakestore/http.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 
-	"github.com/capersaddle/capersaddle/internal/platform"
+	"github.com/capersaddle/capersaddle/internal/external"
 )
 
 // Handler serves the store over HTTP, and POST /fault to switch faults:
@@ -55,17 +55,17 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValue))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, external.MaxValue))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
 	version, err := s.Put(r.Context(), keyOf(r), data, base)
-	answer(w, platform.Value{Version: version}, err)
+	answer(w, external.Value{Version: version}, err)
 }
 
 func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request) {
-	answer(w, platform.Value{}, s.Delete(r.Context(), keyOf(r)))
+	answer(w, external.Value{}, s.Delete(r.Context(), keyOf(r)))
 }
 
 func (s *Store) serveFault(w http.ResponseWriter, r *http.Request) {
@@ -81,14 +81,14 @@
 	s.LoseAnswers(fault.LoseAnswers)
 }
 
-func answer(w http.ResponseWriter, value platform.Value, err error) {
+func answer(w http.ResponseWriter, value external.Value, err error) {
 	switch {
 	case err == nil:
-		w.Header().Set(platform.VersionHeader, strconv.FormatUint(value.Version, 10))
+		w.Header().Set(external.VersionHeader, strconv.FormatUint(value.Version, 10))
 		_, _ = w.Write(value.Data)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, external.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrVersion):
+	case errors.Is(err, external.ErrVersion):
 		http.Error(w, err.Error(), http.StatusPreconditionFailed)
 	case errors.Is(err, ErrRate):
 		http.Error(w, err.Error(), http.StatusTooManyRequests)
--- a/internal/platform/fakestore/store.go
+++ b/internal/external/fakestore/store.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
-	"github.com/capersaddle/capersaddle/internal/platform"
+	"github.com/capersaddle/capersaddle/internal/external"
 )
 
 // ErrAway is what a call meets during an outage.
@@ -35,7 +35,7 @@
 // Store is the stand-in.
 type Store struct {
 	mu      sync.Mutex
-	values  map[string]platform.Value
+	values  map[string]external.Value
 	changed chan struct{}
 	away    bool
 	slow    time.Duration
@@ -49,7 +49,7 @@
 // New returns an empty store without limits.
 func New() *Store {
 	return &Store{
-		values:  make(map[string]platform.Value),
+		values:  make(map[string]external.Value),
 		changed: make(chan struct{}),
 		reads:   rate.NewLimiter(rate.Inf, 0),
 		writes:  rate.NewLimiter(rate.Inf, 0),
@@ -94,14 +94,14 @@
 }
 
 // Snapshot copies all values, for a later Restore.
-func (s *Store) Snapshot() map[string]platform.Value {
+func (s *Store) Snapshot() map[string]external.Value {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return maps.Clone(s.values)
 }
 
 // Restore puts the store back to an older state.
-func (s *Store) Restore(values map[string]platform.Value) {
+func (s *Store) Restore(values map[string]external.Value) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.values = maps.Clone(values)
@@ -140,15 +140,15 @@
 }
 
 // Get reads a value.
-func (s *Store) Get(ctx context.Context, key string) (platform.Value, error) {
+func (s *Store) Get(ctx context.Context, key string) (external.Value, error) {
 	if err := s.begin(ctx, &s.counts.Reads, s.reads); err != nil {
-		return platform.Value{}, err
+		return external.Value{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	value, ok := s.values[key]
 	if !ok {
-		return platform.Value{}, platform.ErrNotFound
+		return external.Value{}, external.ErrNotFound
 	}
 	return value, nil
 }
@@ -158,16 +158,16 @@
 	if err := s.begin(ctx, &s.counts.Writes, s.writes); err != nil {
 		return 0, err
 	}
-	if len(data) > platform.MaxValue {
-		return 0, errors.Newf("value of %d bytes is over %d", len(data), platform.MaxValue)
+	if len(data) > external.MaxValue {
+		return 0, errors.Newf("value of %d bytes is over %d", len(data), external.MaxValue)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.values[key].Version
 	if known != base {
-		return 0, platform.ErrVersion
+		return 0, external.ErrVersion
 	}
-	s.values[key] = platform.Value{Data: slices.Clone(data), Version: known + 1}
+	s.values[key] = external.Value{Data: slices.Clone(data), Version: known + 1}
 	s.wake()
 	if s.lose > 0 {
 		s.lose--
@@ -189,23 +189,23 @@
 }
 
 // Watch waits until the key's version differs from known.
-func (s *Store) Watch(ctx context.Context, key string, known uint64) (platform.Value, error) {
+func (s *Store) Watch(ctx context.Context, key string, known uint64) (external.Value, error) {
 	if err := s.begin(ctx, &s.counts.Watches, s.reads); err != nil {
-		return platform.Value{}, err
+		return external.Value{}, err
 	}
 	for {
 		s.mu.Lock()
 		value, changed, away := s.values[key], s.changed, s.away
 		s.mu.Unlock()
 		if away {
-			return platform.Value{}, ErrAway
+			return external.Value{}, ErrAway
 		}
 		if value.Version != known {
 			return value, nil
 		}
 		select {
 		case <-ctx.Done():
-			return platform.Value{}, ctx.Err()
+			return external.Value{}, ctx.Err()
 		case <-changed:
 		}
 	}
--- a/internal/platform/httpstore.go
+++ b/internal/external/httpstore.go
@@ -1,4 +1,4 @@
-package platform
+package external
 
 import (
 	"bytes"
--- a/internal/platform/platform.go
+++ b/internal/external/platform.go
@@ -1,7 +1,7 @@
-// Package platform holds what the system asks of the platform: a small
+// Package external holds what the system asks of the platform: a small
 // key-value store, a lagging list of hosts and a weight store. The adapters
 // here are thin; the stand-ins are in the packages beneath.
-package platform
+package external
 
 import (
 	"context"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,10 +12,10 @@
 	"github.com/google/uuid"
 
 	"github.com/capersaddle/capersaddle/internal/config"
+	"github.com/capersaddle/capersaddle/internal/external"
 	"github.com/capersaddle/capersaddle/internal/kernel"
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/member"
-	"github.com/capersaddle/capersaddle/internal/platform"
 	"github.com/capersaddle/capersaddle/internal/secure"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
@@ -40,7 +40,7 @@
 	Seeds []string
 	// Budget is the most bytes a second that membership may send.
 	Budget  int
-	Store   platform.Store
+	Store   external.Store
 	Log     *log.Logger
 	Members member.Options
 	// Keys are nil for links without encryption.
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -8,9 +8,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/capersaddle/capersaddle/internal/agent"
+	"github.com/capersaddle/capersaddle/internal/external"
 	"github.com/capersaddle/capersaddle/internal/metric"
 	"github.com/capersaddle/capersaddle/internal/once"
-	"github.com/capersaddle/capersaddle/internal/platform"
 	"github.com/capersaddle/capersaddle/internal/settings"
 	"github.com/capersaddle/capersaddle/internal/target"
 )
@@ -44,7 +44,7 @@
 		HostID:     s.Host,
 	}
 	if s.Hosts != "" {
-		options.Hosts = &platform.HTTPHosts{Base: s.Hosts, Client: outbound()}
+		options.Hosts = &external.HTTPHosts{Base: s.Hosts, Client: outbound()}
 	}
 	p.agent = agent.New(options)
 	c.node.Serve(p.agent.Handle)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -15,10 +15,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"github.com/capersaddle/capersaddle/internal/external"
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/kernel"
 	"github.com/capersaddle/capersaddle/internal/node"
-	"github.com/capersaddle/capersaddle/internal/platform"
 	"github.com/capersaddle/capersaddle/internal/secure"
 	"github.com/capersaddle/capersaddle/internal/settings"
 )
@@ -74,7 +74,7 @@
 	registry  *prometheus.Registry
 	settings  *settings.Settings
 	log       *log.Logger
-	store     platform.Store
+	store     external.Store
 	operators net.Listener
 	// keys are nil without TLS.
 	keys      *secure.Keys
@@ -110,7 +110,7 @@
 		registry:  prometheus.NewRegistry(),
 		settings:  s,
 		log:       logger.With("process", s.ID),
-		store:     &platform.HTTPStore{Base: s.Store, Client: outbound()},
+		store:     &external.HTTPStore{Base: s.Store, Client: outbound()},
 		operators: operators,
 		addresses: Addresses{
 			Operators: operators.Addr().String(),
--- a/internal/process/release.go
+++ b/internal/process/release.go
@@ -7,9 +7,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/capersaddle/capersaddle/internal/agent"
+	"github.com/capersaddle/capersaddle/internal/external"
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/once"
-	"github.com/capersaddle/capersaddle/internal/platform"
 )
 
 // Release is the body of a call that confirms that an agent is dead.
@@ -42,7 +42,7 @@
 func (o *operators) release(r *http.Request, name string) error {
 	key := agent.LeaseKey(name)
 	held, err := o.store.Get(r.Context(), key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, external.ErrNotFound) {
 		return fault.New(fault.Conflict, fault.NotRun, "%s has no long lease; is the name right?", name)
 	}
 	if err != nil {
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -21,12 +21,12 @@
 	"github.com/capersaddle/capersaddle/internal/admission"
 	"github.com/capersaddle/capersaddle/internal/agent"
 	"github.com/capersaddle/capersaddle/internal/config"
+	"github.com/capersaddle/capersaddle/internal/external"
+	"github.com/capersaddle/capersaddle/internal/external/fakestore"
+	"github.com/capersaddle/capersaddle/internal/external/fakeweights"
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/member"
 	"github.com/capersaddle/capersaddle/internal/once"
-	"github.com/capersaddle/capersaddle/internal/platform"
-	"github.com/capersaddle/capersaddle/internal/platform/fakestore"
-	"github.com/capersaddle/capersaddle/internal/platform/fakeweights"
 	"github.com/capersaddle/capersaddle/internal/router"
 	"github.com/capersaddle/capersaddle/internal/target/fakeengine"
 	"github.com/capersaddle/capersaddle/internal/target/fakeservice"
@@ -388,9 +388,9 @@
 }
 
 // Get reads a value, unless the host is cut off.
-func (s *hostStore) Get(ctx context.Context, key string) (platform.Value, error) {
+func (s *hostStore) Get(ctx context.Context, key string) (external.Value, error) {
 	if s.process.isCut() {
-		return platform.Value{}, fakestore.ErrAway
+		return external.Value{}, fakestore.ErrAway
 	}
 	return s.Store.Get(ctx, key)
 }
@@ -404,9 +404,9 @@
 }
 
 // Watch waits for a change, unless the host is cut off.
-func (s *hostStore) Watch(ctx context.Context, key string, known uint64) (platform.Value, error) {
+func (s *hostStore) Watch(ctx context.Context, key string, known uint64) (external.Value, error) {
 	if s.process.isCut() {
-		return platform.Value{}, fakestore.ErrAway
+		return external.Value{}, fakestore.ErrAway
 	}
 	return s.Store.Watch(ctx, key, known)
 }
--- a/pkg/cmd/fake/fake.go
+++ b/pkg/cmd/fake/fake.go
@@ -13,10 +13,10 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/capersaddle/capersaddle/internal/external/fakehosts"
+	"github.com/capersaddle/capersaddle/internal/external/fakestore"
+	"github.com/capersaddle/capersaddle/internal/external/fakeweights"
 	"github.com/capersaddle/capersaddle/internal/fault"
-	"github.com/capersaddle/capersaddle/internal/platform/fakehosts"
-	"github.com/capersaddle/capersaddle/internal/platform/fakestore"
-	"github.com/capersaddle/capersaddle/internal/platform/fakeweights"
 	"github.com/capersaddle/capersaddle/internal/target/fakeengine"
 	"github.com/capersaddle/capersaddle/internal/target/fakeservice"
 	"github.com/capersaddle/capersaddle/pkg/cmdutil"
