--- /dev/null
+++ b/internal/emulator/store_calls.go
@@ -0,0 +1,217 @@
+package emulator
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+func (s *Store) serveKey(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	found, ok := s.items[r.URL.Query().Get("private_key")]
+	at := s.revision
+	s.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, http.StatusOK, struct {
+		Item
+		At int64 `json:"at"`
+	}{found, at})
+}
+
+// rangeAnswer is one page of a range.
+type rangeAnswer struct {
+	Items []Item `json:"items"`
+	More  bool   `json:"more"`
+	At    int64  `json:"at"`
+}
+
+func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	s.mu.Lock()
+	answer := rangeAnswer{Items: []Item{}, At: s.revision}
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if !strings.HasPrefix(key, query.Get("path_prefix")) || key <= query.Get("since_revision") {
+			continue
+		}
+		if len(answer.Items) == s.pageItems {
+			answer.More = true
+			break
+		}
+		answer.Items = append(answer.Items, s.items[key])
+	}
+	s.mu.Unlock()
+	reply(w, http.StatusOK, answer)
+}
+
+// watchAnswer is the answer of a watch.
+type watchAnswer struct {
+	Events []Item `json:"events"`
+	At     int64  `json:"at"`
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	since, _ := strconv.ParseInt(query.Get("since_revision"), 10, 64)
+	millis, _ := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	timer := time.NewTimer(min(time.Duration(millis)*time.Millisecond, mostWait))
+	defer timer.Stop()
+	over := false
+	for {
+		s.mu.Lock()
+		events, gone := s.since(query.Get("path_prefix"), since)
+		at, changed, faults := s.revision, s.changed, s.faults
+		s.mu.Unlock()
+		switch {
+		case faults.Down || faults.Silent:
+			// A waiting watch is cut when the store goes down.
+			panic(http.ErrAbortHandler)
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(events) > 0 || over:
+			reply(w, http.StatusOK, watchAnswer{Events: events, At: at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// since are the changes of a prefix after a revision; the second result says
+// that the history no longer reaches so far.
+func (s *Store) since(prefix string, since int64) ([]Item, bool) {
+	if since < s.compacted {
+		return nil, true
+	}
+	events := []Item{}
+	for _, change := range s.history {
+		if change.Revision > since && strings.HasPrefix(change.Key, prefix) {
+			events = append(events, change)
+		}
+	}
+	return events, false
+}
+
+// transactionBody is a writing call.
+type transactionBody struct {
+	Expected []struct {
+		Key      string `json:"private_key"`
+		Revision int64  `json:"revision"`
+	} `json:"expected_revision"`
+	Put []struct {
+		Key   string `json:"private_key"`
+		Value []byte `json:"value"`
+		Lease int64  `json:"lease"`
+	} `json:"put"`
+	Remove []string `json:"remove"`
+}
+
+func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request) {
+	var body transactionBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if len(body.Expected)+len(body.Put)+len(body.Remove) > mostEntries {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	status, answer := s.transact(&body)
+	lost := s.faults.LoseAnswers
+	s.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, status, answer)
+}
+
+// transact does all of a transaction or nothing; the lock is held.
+func (s *Store) transact(body *transactionBody) (int, any) {
+	current := []Item{}
+	met := true
+	for _, expected := range body.Expected {
+		found := s.items[expected.Key]
+		current = append(current, Item{Key: expected.Key, Value: found.Value, Revision: found.Revision})
+		met = met && found.Revision == expected.Revision
+	}
+	if !met {
+		return http.StatusPreconditionFailed, rangeAnswer{Items: current, At: s.revision}
+	}
+	for _, put := range body.Put {
+		if strings.HasPrefix(put.Key, "op/") || strings.HasPrefix(put.Key, "servers/") {
+			return http.StatusForbidden, struct{}{}
+		}
+		if _, ok := s.leases[put.Lease]; put.Lease != 0 && !ok {
+			return http.StatusNotFound, struct{}{}
+		}
+	}
+	for _, put := range body.Put {
+		s.putLocked(put.Key, put.Value, put.Lease)
+	}
+	for _, key := range body.Remove {
+		s.removeLocked(key)
+	}
+	return http.StatusOK, struct {
+		Revision int64 `json:"revision"`
+	}{s.revision}
+}
+
+// leaseBody is asked for and answered.
+type leaseBody struct {
+	Lease  int64 `json:"lease,omitempty"`
+	Millis int64 `json:"ttl_ms"`
+}
+
+func (s *Store) serveLease(w http.ResponseWriter, r *http.Request) {
+	var body leaseBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.Millis <= 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.lastLease++
+	body.Lease = s.lastLease
+	s.leases[body.Lease] = time.Now().Add(time.Duration(body.Millis) * time.Millisecond)
+	s.mu.Unlock()
+	reply(w, http.StatusOK, body)
+}
+
+func (s *Store) serveKeep(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseInt(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:], 10, 64)
+	s.mu.Lock()
+	_, ok := s.leases[id]
+	s.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, http.StatusOK, leaseBody{Lease: id})
+}
+
+// expireLeases removes the keys of leases that are over; the lock is held.
+func (s *Store) expireLeases(now time.Time) {
+	for id, end := range s.leases {
+		if now.Before(end) {
+			continue
+		}
+		delete(s.leases, id)
+		for _, key := range slices.Sorted(maps.Keys(s.items)) {
+			if s.items[key].Lease == id {
+				s.removeLocked(key)
+			}
+		}
+	}
+}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -262,96 +261,6 @@
 	}
 }
 
-// beat puts a beat together; to is nil for an address that is not known yet.
-func (s *Service) beat(to *peer, now time.Time) *wire.GatewayBeat {
-	s.sequence++
-	s.sentAt[s.sequence%sentKept] = now
-	beat := &wire.GatewayBeat{
-		Life:           s.life,
-		Sequence:       s.sequence,
-		Revision:       s.options.Replica.Revision(),
-		Leaving:        s.leaving.Load(),
-		StoreReachable: s.options.Replica.Reachable(),
-	}
-	// The revision is read before the age: the proof may only become newer.
-	if age, ok := s.options.Proof.Age(time.Now()); ok {
-		beat.HasProof = true
-		beat.ProofAgeMs = uint32(min(age.Milliseconds()+1, int64(forgetAfter/time.Millisecond)))
-	}
-	if to == nil {
-		beat.Id, beat.Address = s.options.ID, s.options.Address
-		return beat
-	}
-	beat.Echo = to.sequence
-	for _, count := range s.lastCounts {
-		beat.Targets = append(beat.Targets, shortHash(count.Target))
-		beat.Counts = append(beat.Counts, uint32(count.Count))
-	}
-	s.addPlacements(beat, to, now)
-	if to.beats < introduceFirst || to.beats%introduceEvery == 0 {
-		beat.Id, beat.Address = s.options.ID, s.options.Address
-		beat.Known = s.someAddresses(now, to.address)
-	}
-	to.beats++
-	return beat
-}
-
-// shortHash names a target in a beat by the upper half of its hash.
-func shortHash(hash uint64) uint32 {
-	return uint32(hash >> 32)
-}
-
-// addPlacements tells a peer of placements that it has not been told of.
-func (s *Service) addPlacements(beat *wire.GatewayBeat, to *peer, now time.Time) {
-	most := mostPlacements
-	if len(s.table.live(now)) > fewPeers {
-		if to.beats%placementsEvery != 0 {
-			return
-		}
-		most = mostPlacementsOfMany
-	}
-	placements, next := s.options.Balancer.Placements(to.told, most)
-	to.told = next
-	for _, placement := range placements {
-		beat.Parts = append(beat.Parts, placement.Part)
-		beat.Holders = append(beat.Holders, placement.Target)
-	}
-}
-
-// someAddresses are a few addresses of live peers.
-func (s *Service) someAddresses(now time.Time, except string) []string {
-	var addresses []string
-	for _, known := range s.table.live(now) {
-		if known.address != except {
-			addresses = append(addresses, known.address)
-		}
-	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(len(addresses), mostKnown)]
-}
-
-// send sends one datagram; false if the budget is spent. An urgent one is sent
-// all the same, and what follows waits for it.
-func (s *Service) send(address string, beat *wire.GatewayBeat, urgent bool) bool {
-	to, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return true
-	}
-	data, err := proto.Marshal(beat)
-	if err != nil {
-		return true
-	}
-	if urgent {
-		s.bucket.ReserveN(time.Now(), len(data))
-	} else if !s.bucket.AllowN(time.Now(), len(data)) {
-		return false
-	}
-	s.sentBytes.Add(int64(len(data)))
-	// A datagram that can't be sent is as good as lost.
-	_, _ = s.conn.WriteToUDPAddrPort(data, to)
-	return true
-}
-
 func (s *Service) receive() {
 	buffer := make([]byte, receiveBuffer)
 	for {
@@ -374,64 +283,3 @@
 		s.take(beat, time.Now())
 	}
 }
-
-// take takes over what a beat tells.
-func (s *Service) take(beat *wire.GatewayBeat, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	from, change := s.table.take(beat, now)
-	if change == outdated {
-		return
-	}
-	if change == found {
-		s.options.Watcher.PeerFound(from.id, from.address)
-		s.wake()
-	}
-	s.table.hear(beat.GetKnown(), s.options.Address)
-	s.takeProof(beat)
-	s.options.Balancer.Observe(from.id, countsOf(beat), now)
-	s.options.Balancer.Learn(placementsOf(beat))
-	s.catchUp(now)
-}
-
-// takeProof takes a peer's proof: it held, when it sent the beat, all that the
-// store had accepted up to the age before. It sent the beat after it had got
-// ours, so its proof is for a moment no earlier than the age before our
-// sending.
-func (s *Service) takeProof(beat *wire.GatewayBeat) {
-	echo := beat.GetEcho()
-	if !beat.GetHasProof() || echo == 0 || echo > s.sequence || s.sequence-echo >= sentKept {
-		return
-	}
-	if s.options.Replica.Revision() < beat.GetRevision() {
-		return
-	}
-	age := time.Duration(beat.GetProofAgeMs()) * time.Millisecond
-	s.options.Proof.Note(s.sentAt[echo%sentKept].Add(-age))
-}
-
-// countsOf reads the requests in flight; a list that is longer than the other
-// ends with the shorter.
-func countsOf(beat *wire.GatewayBeat) []balance.Count {
-	targets := beat.GetTargets()
-	counts := make([]balance.Count, 0, len(targets))
-	for i, count := range beat.GetCounts() {
-		if i < len(targets) {
-			counts = append(counts, balance.Count{Target: uint64(targets[i]) << 32, Count: int(count)})
-		}
-	}
-	return counts
-}
-
-// placementsOf reads the placements; a list that is longer than the other
-// ends with the shorter.
-func placementsOf(beat *wire.GatewayBeat) []balance.Placement {
-	parts := beat.GetParts()
-	placements := make([]balance.Placement, 0, len(parts))
-	for i, target := range beat.GetHolders() {
-		if i < len(parts) {
-			placements = append(placements, balance.Placement{Part: parts[i], Target: target})
-		}
-	}
-	return placements
-}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -21,7 +21,6 @@
 	"github.com/capersaddle/capersaddle/internal/observe"
 	"github.com/capersaddle/capersaddle/internal/peer"
 	"github.com/capersaddle/capersaddle/internal/retrybudget"
-	"github.com/capersaddle/capersaddle/internal/routing"
 	"github.com/capersaddle/capersaddle/internal/settings"
 	"github.com/capersaddle/capersaddle/internal/wire"
 	"github.com/capersaddle/capersaddle/platform"
@@ -344,66 +343,6 @@
 	return p.addresses
 }
 
-// sink takes what the platform's store holds.
-type sink struct {
-	process *GatewayProcess
-	store   *observe.Dependency
-}
-
-// urge has the other gateways told at once of what is new.
-func (p *GatewayProcess) urge() {
-	if p.peers != nil {
-		p.peers.Urge()
-	}
-}
-
-// Config puts a configuration in force if it is newer.
-func (s *sink) Config(config *routing.Config) {
-	before := s.process.gateway.Version()
-	if s.process.gateway.Apply(config) {
-		s.process.observer.ConfigApplied(config.Version, before, len(config.Routes), len(config.Workspaces))
-		s.process.urge()
-	}
-}
-
-// Target takes a server that was added or changed.
-func (s *sink) Target(target balance.Target) {
-	if s.process.gateway.Balancer.Put(target) {
-		s.process.observer.TargetChanged(target)
-	}
-}
-
-// Gone takes a server whose entry was removed.
-func (s *sink) Gone(id string) {
-	s.process.gateway.Balancer.Drop(id, time.Now())
-	s.process.observer.TargetGone(id)
-}
-
-// Checkpoint takes where parts of prompts were cached when it was kept.
-func (s *sink) Checkpoint(data []byte) {
-	placements, err := checkpoint.Decode(data)
-	if err != nil {
-		s.process.observer.BadValue("checkpoint", err)
-		return
-	}
-	s.process.gateway.Balancer.Learn(placements)
-}
-
-// Current notes that all accepted until then is in force.
-func (s *sink) Current(at time.Time) {
-	s.process.gateway.Proof.Note(at)
-}
-
-// Trouble notes a value that could not be read.
-func (s *sink) Trouble(what string, err error) {
-	s.process.observer.BadValue(what, err)
-}
-
-// Called notes the result of a call to the store.
-func (s *sink) Called(call string, err error) {
-	s.store.Called(call, err)
-}
-
 // Reload takes over the settings that may change while the process runs; the
 // addresses stay as they were at its start.
 func (p *GatewayProcess) Reload(s *settings.Gateway) {
