--- /dev/null
+++ b/internal/observe/observe_test.go
@@ -0,0 +1,77 @@
+package observe_test
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/capersaddle/capersaddle/internal/gateway"
+	"github.com/capersaddle/capersaddle/internal/observe"
+)
+
+func newObserver(out io.Writer) *observe.Observer {
+	return observe.New(log.NewWithOptions(out, log.Options{Formatter: log.JSONFormatter}), observe.NewMetrics(prometheus.NewRegistry()))
+}
+
+func record(ending string) *gateway.RequestRecord {
+	return &gateway.RequestRecord{
+		ID: "9c41d07be2a35f68", Route: "r-2yhvz3p", Kind: "stream", Workspace: "hule930", Service: "huvo11a", Session: "91bd3f06",
+		Config: 12, ProofAge: 900 * time.Millisecond, Status: 200, Ending: ending, First: 40 * time.Millisecond, Took: time.Second,
+		Attempts: []gateway.AttemptRecord{{Target: "i-7f3a91c2", Address: "10.1.64.42:8141", Load: 3, Mean: 2.5, Candidates: 9, Took: time.Second, Events: 55, Outcome: "answered"}},
+	}
+}
+
+// TestLinesAreBounded: under load lines are left out, those that tell of
+// failures last, and how many were is told.
+func TestLinesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	observer := newObserver(&out)
+	for range 1000 {
+		observer.Request(record(gateway.EndingAnswered))
+	}
+	good := strings.Count(out.String(), `"msg":"request"`)
+	is.True(good >= 60 && good < 200)
+	observer.Request(record("target_failed"))
+	is.True(strings.Contains(out.String(), `"ending":"target_failed"`))
+	is.True(strings.Contains(out.String(), `"msg":"requests_not_logged"`))
+}
+
+func TestADependencyIsToldOnceLostAndOnceBack(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	store := newObserver(&out).NewStoreDependency()
+	store.Called("watch", nil)
+	for range 3 {
+		store.Called("watch", errors.New("away"))
+	}
+	store.Called("watch", nil)
+	store.Called("watch", nil)
+	is.Equal(strings.Count(out.String(), `"msg":"store_lost"`), 1)
+	is.Equal(strings.Count(out.String(), `"msg":"store_back"`), 1)
+}
+
+// nowhere takes lines; the logger spares itself the work for io.Discard.
+type nowhere struct{}
+
+func (nowhere) Write(data []byte) (int, error) { return len(data), nil }
+
+// BenchmarkRequest is what logging and counting one request costs. Run it with
+// -benchtime 190x: lines over the bound are counted only.
+func BenchmarkRequest(b *testing.B) {
+	for name, level := range map[string]log.Level{"logged": log.InfoLevel, "counted only": log.ErrorLevel} {
+		b.Run(name, func(b *testing.B) {
+			observer := observe.New(log.NewWithOptions(nowhere{}, log.Options{Formatter: log.JSONFormatter, Level: level}), observe.NewMetrics(prometheus.NewRegistry()))
+			b.ReportAllocs()
+			for b.Loop() {
+				observer.Request(record("relayed"))
+			}
+		})
+	}
+}
