--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -52,6 +52,8 @@
 	After int
 	// Ran says that the server worked on it.
 	Ran bool
+	// At is when it came.
+	At time.Time
 }
 
 // ServerOptions describe a stand-in server.
@@ -174,7 +176,8 @@
 	if s.times != 0 {
 		s.times--
 	}
-	run.Ran = mode != Shed
+	run.Ran = mode != Shed && mode != Early
+	run.At = time.Now()
 	s.runs = append(s.runs, run)
 	s.live++
 	return mode
--- /dev/null
+++ b/internal/soak/schedule_test.go
@@ -0,0 +1,83 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/emulator"
+)
+
+// action is a kind of fault.
+type action string
+
+const (
+	kill        action = "kill"
+	terminate   action = "terminate"
+	pause       action = "pause"
+	hangUp      action = "hang_up"
+	storeDown   action = "store_down"
+	storeSilent action = "store_silent"
+	storeSlow   action = "store_slow"
+	storeLoses  action = "store_loses"
+	compact     action = "compact"
+	change      action = "change"
+	misbehave   action = "misbehave"
+	drainServer action = "drain_server"
+)
+
+var (
+	planned = []action{terminate, hangUp, change, compact}
+	all     = []action{kill, terminate, pause, pause, hangUp, storeDown, storeSilent, storeSlow, storeLoses, compact, change, misbehave, misbehave, drainServer}
+	modes   = []emulator.Mode{emulator.Error, emulator.Shed, emulator.ResetAfter, emulator.Mute, emulator.CutMiddle, emulator.Unframed, emulator.Foreign, emulator.Encoded, emulator.Garbage, emulator.Early}
+)
+
+// event is one fault of a schedule.
+type event struct {
+	at     time.Duration
+	action action
+	// which is the gateway or server that it strikes.
+	which int
+	lasts time.Duration
+	mode  emulator.Mode
+}
+
+func (e event) String() string {
+	return fmt.Sprintf("%v %s which=%d lasts=%v mode=%q", e.at, e.action, e.which, e.lasts, e.mode)
+}
+
+// draw draws a schedule from a seed and nothing else. Every third seed has
+// planned work only, in which nothing may be cut.
+func draw(seed uint64, gateways, servers int, length time.Duration) (schedule []event, calm bool) {
+	source := rand.New(rand.NewPCG(seed, 1))
+	calm = seed%3 == 0
+	actions := all
+	if calm {
+		actions = planned
+	}
+	for range 6 + source.IntN(8) {
+		made := event{
+			at:     time.Duration(source.Int64N(int64(length))),
+			action: actions[source.IntN(len(actions))],
+			which:  source.IntN(gateways),
+			lasts:  200*time.Millisecond + time.Duration(source.Int64N(int64(1500*time.Millisecond))),
+			mode:   modes[source.IntN(len(modes))],
+		}
+		if made.action == misbehave || made.action == drainServer {
+			made.which = source.IntN(servers)
+		}
+		schedule = append(schedule, made)
+	}
+	slices.SortFunc(schedule, func(a, b event) int { return int(a.at - b.at) })
+	return schedule, calm
+}
+
+func describe(schedule []event) string {
+	var text strings.Builder
+	for _, made := range schedule {
+		text.WriteString(made.String() + "\n")
+	}
+	return text.String()
+}
