--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -1,6 +1,15 @@
 package settings
 
-import "time"
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// roleGateway is the role of gateways.
+const roleGateway = "gateway"
 
 // Gateway are the settings of a gateway process.
 type Gateway struct {
@@ -66,11 +75,38 @@
 	return settings, problemsError(problems)
 }
 
+// Check reads and checks a settings file of any role.
+func Check(file string) error {
+	data, err := readFile(file)
+	if err != nil {
+		return err
+	}
+	if roleOf(data) == roleGateway {
+		_, err = LoadGateway(file)
+		return err
+	}
+	_, err = Load(file)
+	return err
+}
+
+// roleOf is the role that a settings file names; empty if it can't be read.
+func roleOf(data []byte) string {
+	standard, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return ""
+	}
+	var named struct {
+		Role string `json:"role"`
+	}
+	_ = json.Unmarshal(standard, &named)
+	return named.Role
+}
+
 // ParseGateway reads a gateway's settings, fills in the defaults and lists
 // what is wrong with them.
 func ParseGateway(file string, data []byte) (*Gateway, []Problem) {
 	settings := new(Gateway)
-	checker, problems := decode(file, data, settings)
+	checker, problems := decode(file, data, settings, "docs/GATEWAY.md")
 	if len(problems) > 0 {
 		return nil, problems
 	}
@@ -88,7 +124,7 @@
 }
 
 func (c *checker) checkGateway(s *Gateway) {
-	if s.Role != "gateway" {
+	if s.Role != roleGateway {
 		c.say("role", s.Role, `found %q; want "gateway"`, s.Role)
 	}
 	c.need("id", s.ID)
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -97,7 +97,7 @@
 // Parse reads settings and lists what is wrong with them.
 func Parse(file string, data []byte) (*Settings, []Problem) {
 	settings := new(Settings)
-	checker, problems := decode(file, data, settings)
+	checker, problems := decode(file, data, settings, "docs/SETTINGS.md")
 	if len(problems) > 0 {
 		return nil, problems
 	}
@@ -106,8 +106,8 @@
 }
 
 // decode reads JSON with comments into a struct of settings and returns a
-// checker for what it holds.
-func decode(file string, data []byte, into any) (*checker, []Problem) {
+// checker for what it holds; page is where the fields are explained.
+func decode(file string, data []byte, into any, page string) (*checker, []Problem) {
 	standard, err := hujson.Standardize(bytes.Clone(data))
 	if err != nil {
 		return nil, []Problem{{File: file, Line: lineInError(err), Text: err.Error()}}
@@ -115,7 +115,7 @@
 	decoder := json.NewDecoder(bytes.NewReader(standard))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
-		return nil, []Problem{decodeProblem(file, standard, err, decoder.InputOffset())}
+		return nil, []Problem{decodeProblem(file, standard, err, decoder.InputOffset(), page)}
 	}
 	return &checker{file: file, text: standard, listens: make(map[string]string)}, nil
 }
@@ -149,10 +149,10 @@
 	return lineAt(text, int64(found[0]))
 }
 
-func decodeProblem(file string, text []byte, err error, offset int64) Problem {
+func decodeProblem(file string, text []byte, err error, offset int64, page string) Problem {
 	if found := unknownField.FindStringSubmatch(err.Error()); found != nil {
 		at := bytes.Index(text, []byte(`"`+found[1]+`"`))
-		return Problem{File: file, Line: lineAt(text, int64(at)), Text: fmt.Sprintf("unknown field %q; docs/SETTINGS.md lists the known ones", found[1])}
+		return Problem{File: file, Line: lineAt(text, int64(at)), Text: fmt.Sprintf("unknown field %q; %s lists the known ones", found[1], page)}
 	}
 	var badTime *durationError
 	if errors.As(err, &badTime) {
