--- a/internal/peer/replica.go
+++ b/internal/peer/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,9 +20,9 @@
 	}
 	if s.behindSince.IsZero() {
 		s.behindSince = now
-		s.patience = s.pullPause(now)
 	}
-	if s.pulling || now.Sub(s.behindSince) < s.patience {
+	asking := s.options.Replica.Reachable() && s.table.asks(now)
+	if s.pulling || asking && now.Sub(s.behindSince) < pullPatience {
 		return
 	}
 	s.pulling = true
@@ -31,34 +30,17 @@
 	s.wait.Go(func() { s.pull(id, address) })
 }
 
-// pullPause is how long this process waits before it fetches what it lacks: a
-// process that asks the store itself gives the store's own word a moment first,
-// and one among many waits for a random time, by when others have it too.
-func (s *Service) pullPause(now time.Time) time.Duration {
-	if s.options.Replica.Reachable() && s.table.asks(now) {
-		return pullPatience
-	}
-	if len(s.table.live(now)) > fewPeers {
-		return rand.N(mostPullPause)
-	}
-	return 0
-}
-
-// ahead is one of the live peers whose replicas have reached a higher revision
-// than this process's own; nil if there is none. Any of them will do: if all
-// took the one furthest ahead, they would come to it at the same time.
+// ahead is the live peer whose replica has reached the highest revision above
+// this process's own; nil if there is none.
 func (s *Service) ahead(now time.Time) *peer {
-	var found []*peer
+	var best *peer
 	own := s.options.Replica.Revision()
 	for _, known := range s.table.live(now) {
-		if known.revision > own {
-			found = append(found, known)
+		if known.revision > own && (best == nil || known.revision > best.revision) {
+			best = known
 		}
 	}
-	if len(found) == 0 {
-		return nil
-	}
-	return found[rand.IntN(len(found))]
+	return best
 }
 
 // pull fetches what has changed from one peer.
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -49,9 +49,6 @@
 	// pullPatience is how long a gateway that asks the store itself waits for
 	// the store's word before it asks a peer that is ahead.
 	pullPatience = 150 * time.Millisecond
-	// mostPullPause bounds the random wait of a gateway among many before it
-	// fetches what it lacks.
-	mostPullPause = 600 * time.Millisecond
 	// staleProof is the age of the proof at which a gateway asks the store
 	// whoever else does; staleProofOfMany with more than a few peers.
 	staleProof       = 1500 * time.Millisecond
@@ -118,9 +115,7 @@
 	lastRound    time.Time
 	// behindSince is when a peer was first seen ahead; zero while none is.
 	behindSince time.Time
-	// patience is how long to wait since then.
-	patience time.Duration
-	pulling  bool
+	pulling     bool
 
 	sentBytes     atomic.Int64
 	receivedBytes atomic.Int64
