--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -309,10 +309,11 @@
 		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\n\r\n%s", id, s.stamp(id), s.whole())
 		_ = buffered.Flush()
 	case Foreign:
-		for _, answered := range []string{"another", id} {
-			_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s",
-				answered, s.stamp(answered), len(s.whole()), s.whole())
-		}
+		// The connection ends behind the second answer, which says so: a
+		// request sent on it again might meet its end.
+		const answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\nConnection: %s\r\nContent-Length: %d\r\n\r\n%s"
+		_, _ = fmt.Fprintf(buffered, answer, "another", s.stamp("another"), "keep-alive", len(s.whole()), s.whole())
+		_, _ = fmt.Fprintf(buffered, answer, id, s.stamp(id), "close", len(s.whole()), s.whole())
 		_ = buffered.Flush()
 	case Garbage:
 		_, _ = io.WriteString(buffered, "\x00\x01 no answer at all\r\n\r\n")
