A gateway is ready only with a proof to vouch for keys by

Ruled out: the servers (all were listed in the same reading). Change: readiness asks for a proof. TestNotReadyWithoutAProof failed first by the old condition.

--- a/internal/process/budget_test.go
+++ b/internal/process/budget_test.go
@@ -1,15 +1,19 @@
 package process
 
 import (
+	"io"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/gateway"
 	"github.com/capersaddle/capersaddle/internal/retrybudget"
+	"github.com/capersaddle/capersaddle/internal/routing"
 	"github.com/capersaddle/capersaddle/internal/settings"
+	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
 // TestTheSlackIsSharedByAllGateways: found as BUDGET on vmt-grid-grown
@@ -44,3 +48,17 @@
 		})
 	}
 }
+
+// TestNotReadyWithoutAProof: found by .ci/run, where a request with a key came
+// between the reading of the configuration and the noting of its proof.
+func TestNotReadyWithoutAProof(t *testing.T) {
+	is := is.New(t)
+	s := &settings.Gateway{Role: "gateway", ID: "g", DataCenter: "dc", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Store: "127.0.0.1:1"}
+	p, err := NewGateway(s, log.New(io.Discard))
+	is.NoErr(err)
+	p.gateway.Apply(&routing.Config{Version: 1})
+	p.feed.Absorb(&wire.ReplicaPage{Revision: 1, Whole: true})
+	is.True(!p.Ready())
+	p.gateway.Proof.Note(time.Now())
+	is.True(p.Ready())
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -265,9 +265,11 @@
 	return mux
 }
 
-// Ready says whether callers may come.
+// Ready says whether callers may come: configuration and servers are known,
+// and there is a proof to vouch for keys by.
 func (p *GatewayProcess) Ready() bool {
-	return !p.leaving.Load() && p.gateway.Table() != nil && p.feed.Loaded()
+	_, proven := p.gateway.Proof.Age(time.Now())
+	return !p.leaving.Load() && p.gateway.Table() != nil && p.feed.Loaded() && proven
 }
 
 func balanceOptions(s *settings.Gateway) balance.Options {
