--- /dev/null
+++ b/internal/balance/health.go
@@ -0,0 +1,80 @@
+package balance
+
+import "time"
+
+// Ejection: a target that fails its requests is left out for a while that
+// grows with each time, and comes back through real requests.
+const (
+	// failWeight is the share of a new result in the moving failure rate.
+	failWeight = 0.2
+	// ejectRate is the failure rate at which a target is left out.
+	ejectRate = 0.45
+	// ejectRow is how many failures in a row eject whatever the rate.
+	ejectRow = 3
+	// ejectFirst and ejectMost bound the time out.
+	ejectFirst = 1500 * time.Millisecond
+	ejectMost  = 8 * time.Second
+	// unreachableFor is the time out after a connection could not be made.
+	unreachableFor = 800 * time.Millisecond
+	// forgiveAfter without an ejection resets the growth.
+	forgiveAfter = 15 * time.Second
+)
+
+// health is the record of one target's results.
+type health struct {
+	// rate is the moving share of failures.
+	rate float64
+	// row counts failures since the last success.
+	row int
+	// ejections counts those since the growth was last reset.
+	ejections    int
+	ejectedUntil time.Time
+	lastEjection time.Time
+}
+
+// good notes a request that the target answered as it should.
+func (h *health) good() {
+	h.row = 0
+	h.rate -= failWeight * h.rate
+}
+
+// bad notes a failure and says whether the target is to be left out now.
+func (h *health) bad(now time.Time) bool {
+	h.row++
+	h.rate += failWeight * (1 - h.rate)
+	if h.row < ejectRow && h.rate < ejectRate {
+		return false
+	}
+	h.eject(now)
+	return true
+}
+
+// unreachable notes that no connection could be made.
+func (h *health) unreachable(now time.Time) {
+	h.row++
+	until := now.Add(unreachableFor)
+	if h.row >= ejectRow {
+		h.eject(now)
+	}
+	if until.After(h.ejectedUntil) {
+		h.ejectedUntil = until
+	}
+}
+
+func (h *health) eject(now time.Time) {
+	if now.Sub(h.lastEjection) > forgiveAfter {
+		h.ejections = 0
+	}
+	out := min(ejectFirst<<min(h.ejections, 4), ejectMost)
+	h.ejections++
+	h.lastEjection = now
+	h.ejectedUntil = now.Add(out)
+	// After its time out one failure is enough to be left out again, and a
+	// few successes clear the record.
+	h.row = ejectRow - 1
+	h.rate = ejectRate / 2
+}
+
+func (h *health) ejected(now time.Time) bool {
+	return now.Before(h.ejectedUntil)
+}
--- /dev/null
+++ b/internal/balance/list.go
@@ -0,0 +1,71 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// forgetAfter is how long a dropped target without requests is kept.
+	forgetAfter = time.Minute
+)
+
+// Put adds a target or takes over what has changed of it; it returns false if
+// nothing was new.
+func (b *Balancer) Put(target Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known, ok := b.targets[target.ID]
+	if ok {
+		changed := known.Target != target || !known.goneAt.IsZero()
+		known.Target = target
+		known.goneAt = time.Time{}
+		return changed
+	}
+	added := newState(target)
+	b.targets[target.ID] = added
+	b.services[target.Service] = append(b.services[target.Service], added)
+	return true
+}
+
+// Drop notes that the list no longer has a target.
+func (b *Balancer) Drop(id string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if target, ok := b.targets[id]; ok && target.goneAt.IsZero() {
+		target.goneAt = now
+	}
+	b.forget(now)
+}
+
+// Keep drops all targets whose ids are not given, and returns theirs.
+func (b *Balancer) Keep(ids []string, now time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var dropped []string
+	for id, target := range b.targets {
+		if !slices.Contains(ids, id) && target.goneAt.IsZero() {
+			target.goneAt = now
+			dropped = append(dropped, id)
+		}
+	}
+	b.forget(now)
+	return dropped
+}
+
+// forget removes targets that were dropped long ago, or that were leaving
+// when they were dropped, once nothing is in flight at them.
+func (b *Balancer) forget(now time.Time) {
+	for id, target := range b.targets {
+		if target.goneAt.IsZero() || target.inFlight > 0 {
+			continue
+		}
+		if !target.Leaving && now.Sub(target.goneAt) < forgetAfter {
+			continue
+		}
+		delete(b.targets, id)
+		b.services[target.Service] = slices.DeleteFunc(b.services[target.Service], func(s *state) bool {
+			return s == target
+		})
+	}
+}
--- /dev/null
+++ b/internal/balance/target.go
@@ -0,0 +1,88 @@
+// Package balance chooses the target of a request, without I/O: by the
+// session's home in a rendezvous order, under a bound on load, around targets
+// that fail or answer slowly. The clock is handed in.
+//
+// Source: docs/design/platform.md, "Choosing a target".
+package balance
+
+import (
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/policy"
+)
+
+// Target is one back end as the server list has it.
+type Target struct {
+	// ID names one life of the target.
+	ID      string
+	Service string
+	// Address is IP:port.
+	Address    string
+	DataCenter string
+	// Slots is how many requests it works on at once; zero is unknown.
+	Slots int
+	// Leaving targets get no new work.
+	Leaving bool
+	// ColdFor is how much longer it stays slow from its start.
+	ColdFor time.Duration
+}
+
+// Load is what a target said of itself in an answer.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// state is what the balancer knows of one target.
+type state struct {
+	Target
+	hash uint64
+	// inFlight are the requests of this process at the target.
+	inFlight int
+	// others are those of other routers, by the router's name.
+	others map[string]reading
+	// latency is the moving mean of the time to an answer's head, in seconds;
+	// zero before the first.
+	latency float64
+	health  health
+	// goneAt is when the list dropped the target; zero while it is listed.
+	goneAt time.Time
+}
+
+// reading is one router's count of its requests at a target.
+type reading struct {
+	count int
+	at    time.Time
+}
+
+// readingLife is how long another router's count is believed.
+const readingLife = 1500 * time.Millisecond
+
+func newState(target Target) *state {
+	return &state{Target: target, hash: policy.HashName(target.ID), others: make(map[string]reading)}
+}
+
+// load is the requests in flight at the target by all that is known.
+func (s *state) load(now time.Time) int {
+	total := s.inFlight
+	for router, reading := range s.others {
+		if now.Sub(reading.at) > readingLife {
+			delete(s.others, router)
+			continue
+		}
+		total += reading.count
+	}
+	return total
+}
+
+// latencyWeight is the share of a new sample in the moving mean.
+const latencyWeight = 0.15
+
+func (s *state) sample(took time.Duration) {
+	if s.latency == 0 {
+		s.latency = took.Seconds()
+		return
+	}
+	s.latency += latencyWeight * (took.Seconds() - s.latency)
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -20,6 +20,7 @@
 	Forbidden      Kind = "forbidden"
 	UnknownModel   Kind = "unknown_model"
 	UnknownService Kind = "unknown_service"
+	UnknownRoute   Kind = "unknown_route"
 	TooLarge       Kind = "body_too_large"
 	NeedsKey       Kind = "idempotency_key_needed"
 	KeyClosed      Kind = "idempotency_key_closed"
@@ -90,6 +91,7 @@
 	Forbidden:      {http.StatusForbidden, ExitRefused, false, "permission_error"},
 	UnknownModel:   {http.StatusNotFound, ExitRefused, false, typeInvalid},
 	UnknownService: {http.StatusNotFound, ExitRefused, false, typeInvalid},
+	UnknownRoute:   {http.StatusNotFound, ExitRefused, false, typeInvalid},
 	TooLarge:       {http.StatusRequestEntityTooLarge, ExitRefused, false, typeInvalid},
 	NeedsKey:       {http.StatusBadRequest, ExitUsage, false, typeInvalid},
 	KeyClosed:      {http.StatusConflict, ExitRefused, false, typeInvalid},
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,273 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/delivery"
+	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/routing"
+)
+
+// attempt is one try of a call at one target.
+type attempt struct {
+	call    *call
+	pick    balance.Pick
+	started time.Time
+	outcome delivery.Outcome
+	result  balance.Result
+	err     error
+	// refusal is set when the call itself forbade the sending.
+	refusal *fault.Error
+	// events is how many events were passed on.
+	events int
+
+	// mu guards the fields that the silence timer shares.
+	mu     sync.Mutex
+	cancel context.CancelFunc
+	timer  *time.Timer
+	over   bool
+	// spent says that the attempt was ended for its silence and that the
+	// retry for it has been taken from the budget.
+	spent bool
+}
+
+func newAttempt(c *call, pick balance.Pick) *attempt {
+	return &attempt{call: c, pick: pick, started: time.Now(), result: balance.Neutral}
+}
+
+const (
+	// silentShare of a route's target latency is how long a target of a
+	// repeatable request may be silent before another one is asked.
+	silentShare = 0.6
+	// silentStreamShare is the same for the first event of a stream.
+	silentStreamShare = 1.0
+	// silentGaps times a route's target gap is the same between events.
+	silentGaps = 2.5
+	// leastSilence bounds the times from below.
+	leastSilence = 30 * time.Millisecond
+	// bufferMost is the largest answer that is read whole before any of it is
+	// passed on, in bytes.
+	bufferMost = 1 << 20
+)
+
+// make sends the request and passes the answer on. It returns true when the
+// caller has the whole answer; otherwise outcome says how it ended.
+func (a *attempt) make(ctx context.Context) bool {
+	attemptCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a.cancel = cancel
+	defer a.stopWatch()
+	a.watch(ctx, a.silenceToHead())
+	answer, failure := a.call.gateway.Sender.Send(attemptCtx, a.outgoing(), a.admit)
+	if failure != nil {
+		a.failed(failure)
+		return false
+	}
+	defer func() { _ = answer.Body.Close() }()
+	a.call.gateway.Balancer.Sample(a.pick.Target.ID, time.Since(a.started))
+	return a.pass(ctx, answer)
+}
+
+// admit checks, right before the first byte is sent, what may have changed
+// since the request was admitted.
+func (a *attempt) admit() error {
+	if stale := a.call.checkFresh(); stale != nil {
+		a.refusal = stale
+		return stale
+	}
+	return nil
+}
+
+func (a *attempt) outgoing() *Outgoing {
+	c := a.call
+	out := &Outgoing{
+		Request:   c.request,
+		Target:    a.pick.Target,
+		Left:      time.Until(c.deadline),
+		Rank:      c.table.Rank(c.workspace, c.route),
+		FetchFrom: a.pick.FetchFrom,
+		After:     c.after,
+		Reuse:     c.route.Repeatable(),
+	}
+	if c.workspace != nil {
+		out.Workspace = c.workspace.Name
+	}
+	return out
+}
+
+// failed turns an attempt without an answer into its outcome.
+func (a *attempt) failed(failure *SendError) {
+	a.err = failure
+	switch {
+	case a.refusal != nil:
+		a.outcome = delivery.Unsent
+	case failure.Unreachable:
+		a.outcome, a.result = delivery.Unsent, balance.Unreachable
+	case !failure.Sent:
+		a.outcome = delivery.Unsent
+	case a.isSpent():
+		a.outcome, a.result = delivery.Silent, balance.Bad
+	case errors.Is(failure, context.DeadlineExceeded):
+		a.outcome, a.result = delivery.Silent, balance.Bad
+	case errors.Is(failure, context.Canceled):
+		a.outcome = delivery.Lost
+	default:
+		a.outcome, a.result = delivery.Lost, balance.Bad
+	}
+	if a.call.delivery.Begun() && failure.Sent {
+		a.outcome = delivery.Cut
+	}
+}
+
+// pass hands the answer on as the route's kind wants it.
+func (a *attempt) pass(ctx context.Context, answer *Answer) bool {
+	switch {
+	case answer.NotRun:
+		a.outcome = delivery.Rejected
+		a.err = errors.Newf("the target did not run it: status %d", answer.Status)
+		return false
+	case answer.Status < http.StatusBadRequest && !answer.Signed:
+		a.outcome, a.result = delivery.Lost, balance.Bad
+		a.err = errors.New("an answer without the target's signature")
+		return false
+	case answer.Status >= http.StatusBadRequest:
+		return a.passFailure(answer)
+	case a.call.route.Kind == routing.Stream:
+		return a.passStream(ctx, answer)
+	}
+	return a.passWhole(answer)
+}
+
+// passFailure keeps a target's own failure, in case nothing better comes. A
+// failure that another target would repeat is passed on at once.
+func (a *attempt) passFailure(answer *Answer) bool {
+	whole, err := readWhole(answer)
+	if err != nil {
+		a.lost(err)
+		return false
+	}
+	a.err = errors.Newf("the target answered %d", answer.Status)
+	if a.call.delivery.Begun() {
+		a.outcome, a.result = delivery.Cut, balance.Bad
+		return false
+	}
+	a.call.failure = whole
+	a.outcome = delivery.Failed
+	if answer.Status < http.StatusInternalServerError {
+		a.result = balance.Good
+		a.call.relay()
+		return true
+	}
+	a.result = balance.Bad
+	return false
+}
+
+// passWhole reads the answer whole, so that one that breaks off can be asked
+// for again, and passes it on. Large answers are passed on as they come.
+func (a *attempt) passWhole(answer *Answer) bool {
+	if answer.Size > bufferMost {
+		return a.passLarge(answer)
+	}
+	whole, err := readWhole(answer)
+	if err != nil {
+		a.lost(err)
+		return false
+	}
+	a.result = balance.Good
+	a.answered(answer)
+	if err := whole.send(a.call.responder); err != nil {
+		a.err = err
+	}
+	return true
+}
+
+func (a *attempt) passLarge(answer *Answer) bool {
+	a.stopWatch()
+	a.answered(answer)
+	a.call.delivery.Begin()
+	if err := a.call.responder.Begin(answer.Status, answer.Header, answer.Size); err != nil {
+		a.callerGone(err)
+		return false
+	}
+	_, err := io.Copy(writerFunc(a.call.responder.Write), answer.Body)
+	if err != nil {
+		a.outcome, a.result, a.err = delivery.Cut, balance.Bad, err
+		return false
+	}
+	a.result = balance.Good
+	return true
+}
+
+// callerGone ends an attempt whose answer could not be passed on.
+func (a *attempt) callerGone(err error) {
+	a.call.gone = true
+	a.outcome, a.err = delivery.Cut, err
+}
+
+// answered notes the head of the answer that the caller gets.
+func (a *attempt) answered(answer *Answer) {
+	a.call.status = answer.Status
+	a.call.firstAfter = time.Since(a.call.request.Arrived)
+}
+
+// lost ends an attempt whose answer broke off before any of it was passed on.
+func (a *attempt) lost(err error) {
+	a.err = err
+	a.outcome, a.result = delivery.Lost, balance.Bad
+	if a.isSpent() || errors.Is(err, context.DeadlineExceeded) {
+		a.outcome = delivery.Silent
+	}
+}
+
+// release tells the balancer how the attempt ended, and keeps its record.
+func (a *attempt) release(ctx context.Context) {
+	if a.call.callerLeft(ctx) {
+		a.result = balance.Neutral
+	}
+	now := time.Now()
+	ejected := a.call.gateway.Balancer.Release(a.pick.Target.ID, a.result, now)
+	record := AttemptRecord{
+		Target:     a.pick.Target.ID,
+		Address:    a.pick.Target.Address,
+		Load:       a.pick.Load,
+		Mean:       a.pick.Mean,
+		Candidates: a.pick.Candidates,
+		FetchFrom:  a.pick.FetchFrom,
+		Took:       now.Sub(a.started),
+		Events:     a.events,
+		Outcome:    outcomeNames[a.outcome],
+		Ejected:    ejected,
+	}
+	if a.err == nil {
+		record.Outcome = EndingAnswered
+	} else {
+		record.Reason = a.err.Error()
+	}
+	a.call.attempts = append(a.call.attempts, record)
+}
+
+// reason says why the attempt brought no answer.
+func (a *attempt) reason() string {
+	if a.err == nil {
+		return "no answer"
+	}
+	return a.err.Error()
+}
+
+// writerFunc makes a function an io.Writer.
+type writerFunc func(data []byte) error
+
+// Write passes all of data on.
+func (f writerFunc) Write(data []byte) (int, error) {
+	if err := f(data); err != nil {
+		return 0, err
+	}
+	return len(data), nil
+}
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/delivery"
+	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/policy"
+	"github.com/capersaddle/capersaddle/internal/routing"
+)
+
+// call is one request while it is served. One goroutine works on it.
+type call struct {
+	gateway   *Gateway
+	request   *Request
+	responder Responder
+	table     *routing.Table
+	route     *routing.Route
+	workspace *routing.Workspace
+	service   string
+	session   string
+	// deadline is when the caller or the route's time-out ends the request.
+	deadline time.Time
+	delivery *delivery.Delivery
+	// tried are the targets that got the request, by id.
+	tried    []string
+	attempts []AttemptRecord
+	// after is the last event that the caller has.
+	after string
+	// failure is the target's answer to relay if nothing better comes.
+	failure *wholeAnswer
+	status  int
+	ending  string
+	// gone says that the caller could not be written to any more.
+	gone bool
+	// firstAfter is the time to the answer's head; zero if there was none.
+	firstAfter time.Duration
+}
+
+// leastTry is the least time left that makes another attempt worth while.
+const leastTry = 10 * time.Millisecond
+
+// prepare works out what all attempts share.
+func (c *call) prepare() {
+	c.after = c.request.After
+	c.deadline = c.request.Arrived.Add(c.holdTime())
+	if service, ok := c.table.Service(c.route.Split[0].Service); ok && service.Engine {
+		c.session = c.request.session()
+	}
+	c.service = c.route.ServiceAt(c.splitPoint())
+	c.delivery = delivery.New(repeatOf(c.route), c.route.MaxAttempts)
+	c.gateway.Budgets.Request(c.service, time.Now())
+}
+
+// splitPoint is the same for all requests of a session, so that a session
+// keeps its service while the split stays.
+func (c *call) splitPoint() uint64 {
+	if c.session != "" {
+		return policy.HashName(c.session)
+	}
+	return policy.HashName(c.request.ID)
+}
+
+// noBound stands for a request that nobody bounds.
+const noBound = time.Hour
+
+func (c *call) holdTime() time.Duration {
+	hold := noBound
+	if c.request.Patience > 0 {
+		hold = c.request.Patience
+	}
+	if c.route.Timeout > 0 {
+		hold = min(hold, c.route.Timeout)
+	}
+	return hold
+}
+
+func repeatOf(route *routing.Route) delivery.Repeat {
+	switch {
+	case route.Kind == routing.Stream && route.Resumable:
+		return delivery.Resumable
+	case route.Kind == routing.Idempotent:
+		return delivery.Repeatable
+	}
+	return delivery.AtMostOnce
+}
+
+// run makes attempts until the delivery says how the request ends.
+func (c *call) run(ctx context.Context) {
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	for {
+		pick, ok := c.gateway.Balancer.Choose(c.query(), time.Now())
+		if !ok {
+			c.finishWithoutTarget()
+			return
+		}
+		c.tried = append(c.tried, pick.Target.ID)
+		attempt := newAttempt(c, pick)
+		done := attempt.make(ctx)
+		attempt.release(ctx)
+		if done {
+			c.ending = EndingAnswered
+			return
+		}
+		if c.gone || c.callerLeft(ctx) {
+			c.ending = EndingCallerLeft
+			c.responder.Abort()
+			return
+		}
+		if attempt.refusal != nil && !c.delivery.MayHaveRun() {
+			c.refuse(attempt.refusal)
+			return
+		}
+		verdict := c.delivery.After(attempt.outcome, func() bool { return attempt.spent || c.spare(ctx) })
+		if !c.follow(verdict, attempt) {
+			return
+		}
+	}
+}
+
+func (c *call) query() balance.Query {
+	return balance.Query{Service: c.service, Session: c.session, Exclude: c.tried}
+}
+
+// callerLeft says whether the request ended because its caller closed the
+// connection, not for the deadline.
+func (c *call) callerLeft(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled)
+}
+
+// spare takes one retry from the budget if there is time and a target for it.
+func (c *call) spare(ctx context.Context) bool {
+	if ctx.Err() != nil || time.Until(c.deadline) < leastTry {
+		return false
+	}
+	if !c.gateway.Balancer.Has(c.query(), time.Now()) {
+		return false
+	}
+	return c.gateway.Budgets.Spend(c.service, time.Now())
+}
+
+// follow carries a verdict out; true means that another attempt follows.
+func (c *call) follow(verdict delivery.Verdict, last *attempt) bool {
+	switch verdict.Step {
+	case delivery.Again, delivery.Resume:
+		return true
+	case delivery.Relay:
+		c.relay()
+	case delivery.Abort:
+		c.ending = EndingCut
+		c.responder.Abort()
+	case delivery.GiveUp:
+		c.giveUp(verdict, last)
+	}
+	return false
+}
+
+// relay passes a target's own failure on.
+func (c *call) relay() {
+	if c.failure == nil {
+		c.refuse(fault.New(fault.TargetFailed, fault.Unknown, "the target failed"))
+		return
+	}
+	c.ending = EndingRelayed
+	c.status = c.failure.status
+	if err := c.failure.send(c.responder); err != nil {
+		c.ending = EndingCallerLeft
+	}
+}
+
+func (c *call) giveUp(verdict delivery.Verdict, last *attempt) {
+	if c.failure != nil {
+		c.relay()
+		return
+	}
+	refusal := fault.New(verdict.Kind, verdict.State, "%s", last.reason())
+	if refusal.State == fault.NotRun && refusal.RetryAfter == 0 {
+		refusal.RetryAfter = retrySoon
+	}
+	c.refuse(refusal)
+}
+
+// finishWithoutTarget ends a request for which no further target is open.
+func (c *call) finishWithoutTarget() {
+	switch {
+	case c.delivery.Begun():
+		c.ending = EndingCut
+		c.responder.Abort()
+	case c.failure != nil:
+		c.relay()
+	case c.delivery.MayHaveRun():
+		c.refuse(fault.New(fault.TargetFailed, fault.Unknown, "no further target is open"))
+	default:
+		c.refuse(fault.New(fault.NoTarget, fault.NotRun, "no target of the service is open").After(retrySoon))
+	}
+}
+
+// refuse gives the caller a final answer of the router's own.
+func (c *call) refuse(refusal *fault.Error) {
+	c.status = fault.AnswerOf(refusal.Kind).Status
+	c.ending = string(refusal.Kind)
+	if err := c.responder.Refuse(refusal); err != nil {
+		c.ending = EndingCallerLeft
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/freshness"
+	"github.com/capersaddle/capersaddle/internal/retrybudget"
+	"github.com/capersaddle/capersaddle/internal/routing"
+)
+
+// Options bound what the gateway does by itself.
+type Options struct {
+	// KeyFreshness is how old the proof of the newest configuration may be
+	// when a request with a key is sent; zero sets no bound.
+	KeyFreshness time.Duration
+	// DenyFreshness is how old it may be when a request is denied for an
+	// unknown route or key; past it the request is put off instead.
+	DenyFreshness time.Duration
+}
+
+// Gateway serves requests. It is safe for concurrent use.
+type Gateway struct {
+	Sender   Sender
+	Balancer *balance.Balancer
+	Budgets  *retrybudget.Budgets
+	Proof    *freshness.Proof
+	Events   Recorder
+	Options  Options
+	// table is nil until a configuration is known.
+	table atomic.Pointer[routing.Table]
+}
+
+// Apply puts a configuration in force. One that is not newer is passed over;
+// the result says whether it was taken.
+func (g *Gateway) Apply(config *routing.Config) bool {
+	next := routing.NewTable(config)
+	for {
+		current := g.table.Load()
+		if current != nil && current.Version() >= config.Version {
+			return false
+		}
+		if g.table.CompareAndSwap(current, next) {
+			return true
+		}
+	}
+}
+
+// Table is the configuration in force; nil until one is known.
+func (g *Gateway) Table() *routing.Table {
+	return g.table.Load()
+}
+
+// Version is that of the configuration in force; zero until one is known.
+func (g *Gateway) Version() int64 {
+	if table := g.table.Load(); table != nil {
+		return table.Version()
+	}
+	return 0
+}
+
+// Times to come back after, in refusals.
+const (
+	// retryElsewhere: another router can probably serve the request now.
+	retryElsewhere = 20 * time.Millisecond
+	// retrySoon: the service has no room, or no target, for a moment.
+	retrySoon = 150 * time.Millisecond
+)
+
+// Serve has a request answered. It returns when the caller has its final
+// answer, or has left.
+func (g *Gateway) Serve(ctx context.Context, request *Request, responder Responder) {
+	call := &call{gateway: g, request: request, responder: responder}
+	if refusal := call.admit(); refusal != nil {
+		call.refuse(refusal)
+	} else {
+		call.run(ctx)
+	}
+	g.Events.Request(call.record())
+}
+
+// admit finds route and workspace, or says why the request can't be served.
+func (c *call) admit() *fault.Error {
+	table := c.gateway.table.Load()
+	if table == nil {
+		return fault.New(fault.NotReady, fault.NotRun, "no configuration is known yet").After(retryElsewhere)
+	}
+	c.table = table
+	route, ok := table.Match(c.request.Host, c.request.Path)
+	if !ok {
+		return c.deny(fault.New(fault.UnknownRoute, fault.NotRun, "no route for this host and path"))
+	}
+	c.route = route
+	if most := table.Limits().BodyBytes; most > 0 && int64(len(c.request.Body)) > most {
+		return fault.New(fault.TooLarge, fault.NotRun, "the body is over %d bytes", most)
+	}
+	if !route.Public {
+		workspace, ok := table.Workspace(c.request.Key)
+		if !ok {
+			return c.deny(fault.New(fault.BadKey, fault.NotRun, "unknown API key"))
+		}
+		c.workspace = workspace
+		if stale := c.checkFresh(); stale != nil {
+			return stale
+		}
+	}
+	c.prepare()
+	return nil
+}
+
+// deny gives a denial, or puts the request off when a newer configuration may
+// allow it.
+func (c *call) deny(denial *fault.Error) *fault.Error {
+	if c.gateway.Proof.Within(c.gateway.Options.DenyFreshness, time.Now()) {
+		return denial
+	}
+	return fault.New(fault.StoreAway, fault.NotRun, "the configuration may be out of date: %s", denial.Message).After(retryElsewhere)
+}
+
+// checkFresh refuses a request with a key when the key may have been taken
+// away since the configuration was last proven to be the newest.
+func (c *call) checkFresh() *fault.Error {
+	most := c.gateway.Options.KeyFreshness
+	if c.workspace == nil || most == 0 || c.gateway.Proof.Within(most, time.Now()) {
+		return nil
+	}
+	return fault.New(fault.StoreAway, fault.NotRun, "cut off from the configuration for too long to vouch for the key").After(retryElsewhere)
+}
--- /dev/null
+++ b/internal/gateway/record.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/delivery"
+)
+
+// Recorder takes what is to be logged and counted. Its methods don't block.
+type Recorder interface {
+	// Request is called once for each request, at its end.
+	Request(record *RequestRecord)
+}
+
+// Endings of a request besides the kinds of refusal.
+const (
+	// EndingAnswered: the caller has a target's whole answer.
+	EndingAnswered = "answered"
+	// EndingRelayed: the caller has a target's own failure.
+	EndingRelayed = "relayed"
+	// EndingCut: the answer was broken off after its begin.
+	EndingCut = "cut"
+	// EndingCallerLeft: the caller left before the end.
+	EndingCallerLeft = "caller_left"
+)
+
+// RequestRecord tells how a request was served and what decided it.
+type RequestRecord struct {
+	ID        string
+	Route     string
+	Kind      string
+	Workspace string
+	Service   string
+	Session   string
+	// Config is the version of the configuration that was used.
+	Config int64
+	// ProofAge is the age of the proof that it was the newest, at the end;
+	// negative if there was none.
+	ProofAge time.Duration
+	Attempts []AttemptRecord
+	// Status is the caller's; zero if it got none.
+	Status int
+	// Ending is one of the constants above or the kind of refusal.
+	Ending string
+	// First is the time to the answer's head.
+	First time.Duration
+	Took  time.Duration
+}
+
+// AttemptRecord tells of one attempt.
+type AttemptRecord struct {
+	Target     string
+	Address    string
+	Load       int
+	Mean       float64
+	Candidates int
+	FetchFrom  string
+	Took       time.Duration
+	Events     int
+	Outcome    string
+	Reason     string
+	// Ejected says that the target was left out for this attempt's result.
+	Ejected bool
+}
+
+var outcomeNames = map[delivery.Outcome]string{
+	delivery.Unsent:   "unsent",
+	delivery.Rejected: "rejected",
+	delivery.Lost:     "lost",
+	delivery.Failed:   "failed",
+	delivery.Silent:   "silent",
+	delivery.Cut:      "cut",
+}
+
+// record sums the call up.
+func (c *call) record() *RequestRecord {
+	now := time.Now()
+	record := &RequestRecord{
+		ID:       c.request.ID,
+		Service:  c.service,
+		Session:  c.session,
+		Attempts: c.attempts,
+		Status:   c.status,
+		Ending:   c.ending,
+		First:    c.firstAfter,
+		Took:     now.Sub(c.request.Arrived),
+		ProofAge: -1,
+	}
+	if age, known := c.gateway.Proof.Age(now); known {
+		record.ProofAge = age
+	}
+	if c.table != nil {
+		record.Config = c.table.Version()
+	}
+	if c.route != nil {
+		record.Route, record.Kind = c.route.Name, string(c.route.Kind)
+	}
+	if c.workspace != nil {
+		record.Workspace = c.workspace.Name
+	}
+	return record
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"context"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/delivery"
+)
+
+// passStream passes whole events on as they come. A resumed stream goes on
+// under the head that the caller already has.
+func (a *attempt) passStream(ctx context.Context, answer *Answer) bool {
+	source := newEvents(answer.Body)
+	for {
+		a.watch(ctx, a.silenceBetween())
+		event, id, err := source.next()
+		if err == io.EOF {
+			return a.endStream(answer)
+		}
+		if err != nil {
+			a.cut(err)
+			return false
+		}
+		if err := a.passEvent(answer, event); err != nil {
+			a.callerGone(err)
+			return false
+		}
+		a.events++
+		if id != "" {
+			a.call.after = id
+		}
+	}
+}
+
+// passEvent sends the head before the first event.
+func (a *attempt) passEvent(answer *Answer, event []byte) error {
+	if err := a.beginStream(answer); err != nil {
+		return err
+	}
+	return a.call.responder.Write(event)
+}
+
+func (a *attempt) beginStream(answer *Answer) error {
+	if a.call.delivery.Begun() {
+		return nil
+	}
+	a.answered(answer)
+	a.call.delivery.Begin()
+	return a.call.responder.Begin(answer.Status, answer.Header, -1)
+}
+
+// endStream ends a stream whose target ended it whole.
+func (a *attempt) endStream(answer *Answer) bool {
+	if err := a.beginStream(answer); err != nil {
+		a.callerGone(err)
+		return false
+	}
+	a.result = balance.Good
+	return true
+}
+
+// cut notes a stream that broke off.
+func (a *attempt) cut(err error) {
+	a.err = errors.Wrapf(err, "after %d events", a.events)
+	a.result = balance.Bad
+	a.outcome = delivery.Lost
+	if a.call.delivery.Begun() {
+		a.outcome = delivery.Cut
+	} else if a.isSpent() {
+		a.outcome = delivery.Silent
+	}
+}
--- /dev/null
+++ b/internal/observe/metrics.go
@@ -0,0 +1,95 @@
+package observe
+
+import (
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/capersaddle/capersaddle/internal/gateway"
+)
+
+const (
+	namespace = "capersaddle_gateway"
+	// mostWorkspaces bounds the label values of workspaces; the rest share
+	// otherWorkspace.
+	mostWorkspaces = 100
+	otherWorkspace = "other"
+)
+
+// Metrics are a gateway's counters and histograms.
+type Metrics struct {
+	took          *prometheus.HistogramVec
+	first         *prometheus.HistogramVec
+	endings       *prometheus.CounterVec
+	attempts      *prometheus.CounterVec
+	storeCalls    *prometheus.CounterVec
+	badValues     prometheus.Counter
+	configVersion prometheus.Gauge
+
+	mu    sync.Mutex
+	known map[string]bool
+}
+
+// NewMetrics registers a gateway's metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "request_seconds",
+			Help:    "Time of requests from arrival to the end of the answer.",
+			Buckets: []float64{0.01, 0.03, 0.1, 0.3, 1, 3, 10},
+		}, []string{"workspace", "kind"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "first_seconds",
+			Help:    "Time of answered requests from arrival to the head of the answer.",
+			Buckets: []float64{0.01, 0.03, 0.1, 0.3, 0.6, 1.2, 5},
+		}, []string{"kind"}),
+		endings: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "requests_total",
+			Help: "Requests by how they ended.",
+		}, []string{"ending"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "attempts_total",
+			Help: "Attempts at targets by service and outcome.",
+		}, []string{"service", "outcome"}),
+		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "store_calls_total",
+			Help: "Calls to the platform's store by call and outcome.",
+		}, []string{"call", "outcome"}),
+		badValues: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "store_values_unreadable_total",
+			Help: "Values of the store that could not be read.",
+		}),
+		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "config_version",
+			Help: "Version of the configuration in force.",
+		}),
+		known: make(map[string]bool),
+	}
+	registry.MustRegister(m.took, m.first, m.endings, m.attempts, m.storeCalls, m.badValues, m.configVersion)
+	return m
+}
+
+func (m *Metrics) request(record *gateway.RequestRecord) {
+	m.endings.WithLabelValues(record.Ending).Inc()
+	m.took.WithLabelValues(m.label(record.Workspace), record.Kind).Observe(record.Took.Seconds())
+	if record.First > 0 {
+		m.first.WithLabelValues(record.Kind).Observe(record.First.Seconds())
+	}
+	for _, attempt := range record.Attempts {
+		m.attempts.WithLabelValues(record.Service, attempt.Outcome).Inc()
+	}
+}
+
+// label bounds the number of workspaces that have series of their own.
+func (m *Metrics) label(workspace string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.known[workspace] {
+		return workspace
+	}
+	if len(m.known) >= mostWorkspaces {
+		return otherWorkspace
+	}
+	m.known[workspace] = true
+	return workspace
+}
--- /dev/null
+++ b/internal/observe/observe.go
@@ -0,0 +1,124 @@
+// Package observe turns what a gateway does into log lines and metrics. The
+// closed list of events and their fields stands in docs/LOGS.md.
+package observe
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/time/rate"
+
+	"github.com/capersaddle/capersaddle/internal/gateway"
+)
+
+// Events of the log.
+const (
+	EventRequest    = "request"
+	EventConfig     = "config_applied"
+	EventTarget     = "target_changed"
+	EventTargetGone = "target_gone"
+	EventEjected    = "target_ejected"
+	EventStoreLost  = "store_lost"
+	EventStoreBack  = "store_back"
+	EventBadValue   = "store_value_unreadable"
+	EventPeerFound  = "peer_found"
+	EventPeerLost   = "peer_lost"
+	EventStart      = "started"
+	EventDrain      = "draining"
+	EventStop       = "stopped"
+	EventReload     = "settings_reloaded"
+	EventSampled    = "requests_not_logged"
+)
+
+const (
+	// mostLines is how many lines a second of requests that went well are
+	// written; the others are counted. Requests that ended badly have a
+	// larger bound of their own.
+	mostLines    = 60
+	mostBadLines = 200
+)
+
+// Observer logs and counts. It is safe for concurrent use.
+type Observer struct {
+	log     *log.Logger
+	metrics *Metrics
+	good    *rate.Limiter
+	bad     *rate.Limiter
+	skipped skipCounter
+}
+
+// New returns an observer.
+func New(logger *log.Logger, metrics *Metrics) *Observer {
+	return &Observer{
+		log:     logger,
+		metrics: metrics,
+		good:    rate.NewLimiter(mostLines, mostLines),
+		bad:     rate.NewLimiter(mostBadLines, mostBadLines),
+	}
+}
+
+// Request logs and counts a request at its end.
+func (o *Observer) Request(record *gateway.RequestRecord) {
+	o.metrics.request(record)
+	for _, attempt := range record.Attempts {
+		if attempt.Ejected {
+			o.log.Warn(EventEjected, "target", attempt.Target, "address", attempt.Address, "service", record.Service, "outcome", attempt.Outcome, "reason", attempt.Reason, "request", record.ID)
+		}
+	}
+	limiter := o.bad
+	if record.Ending == gateway.EndingAnswered {
+		limiter = o.good
+	}
+	if !limiter.Allow() {
+		o.skipped.add()
+		return
+	}
+	if skipped := o.skipped.take(); skipped > 0 {
+		o.log.Warn(EventSampled, "count", skipped)
+	}
+	o.log.Info(EventRequest,
+		"id", record.ID, "ending", record.Ending, "status", record.Status,
+		"route", record.Route, "kind", record.Kind, "workspace", record.Workspace, "service", record.Service,
+		"session", record.Session, "config", record.Config, "proof_ms", wholeMillis(record.ProofAge),
+		"first_ms", wholeMillis(record.First), "took_ms", wholeMillis(record.Took), "attempts", describe(record.Attempts))
+}
+
+func wholeMillis(d time.Duration) int64 {
+	return d.Milliseconds()
+}
+
+// describe writes attempts as target@address=outcome(took,load/mean,...),
+// parted by blanks.
+func describe(attempts []gateway.AttemptRecord) string {
+	var text strings.Builder
+	for i, attempt := range attempts {
+		if i > 0 {
+			text.WriteByte(' ')
+		}
+		text.WriteString(attempt.Target)
+		text.WriteByte('@')
+		text.WriteString(attempt.Address)
+		text.WriteByte('=')
+		text.WriteString(attempt.Outcome)
+		text.WriteString("(took_ms:")
+		text.WriteString(strconv.FormatInt(attempt.Took.Milliseconds(), 10))
+		text.WriteString(",load:")
+		text.WriteString(strconv.Itoa(attempt.Load))
+		text.WriteString(",mean:")
+		text.WriteString(strconv.FormatFloat(attempt.Mean, 'f', 1, 64))
+		text.WriteString(",open:")
+		text.WriteString(strconv.Itoa(attempt.Candidates))
+		if attempt.Events > 0 {
+			text.WriteString(",events:")
+			text.WriteString(strconv.Itoa(attempt.Events))
+		}
+		if attempt.Reason != "" {
+			text.WriteString(",reason:")
+			text.WriteString(strings.ReplaceAll(attempt.Reason, " ", "_"))
+		}
+		text.WriteByte(')')
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/observe/state.go
@@ -0,0 +1,67 @@
+package observe
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+)
+
+// Dependency tells when something that the process depends on is lost and
+// regained, a line each.
+type Dependency struct {
+	observer *Observer
+	lost     atomic.Bool
+	since    atomic.Int64
+}
+
+// NewStoreDependency watches calls to the store.
+func (o *Observer) NewStoreDependency() *Dependency {
+	return &Dependency{observer: o}
+}
+
+// Called notes the result of one call.
+func (d *Dependency) Called(call string, err error) {
+	d.observer.metrics.storeCalls.WithLabelValues(call, outcome(err)).Inc()
+	if err != nil {
+		if !d.lost.Swap(true) {
+			d.since.Store(time.Now().UnixNano())
+			d.observer.log.Warn(EventStoreLost, "call", call, "reason", err.Error())
+		}
+		return
+	}
+	if d.lost.Swap(false) {
+		away := time.Since(time.Unix(0, d.since.Load()))
+		d.observer.log.Info(EventStoreBack, "call", call, "away_ms", away.Milliseconds())
+	}
+}
+
+func outcome(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "answered"
+}
+
+// ConfigApplied logs a configuration that came in force.
+func (o *Observer) ConfigApplied(version, before int64, routes, workspaces int) {
+	o.metrics.configVersion.Set(float64(version))
+	o.log.Info(EventConfig, "version", version, "before", before, "routes", routes, "workspaces", workspaces)
+}
+
+// BadValue logs a value of the store that could not be read; what was known
+// before stays in force.
+func (o *Observer) BadValue(what string, err error) {
+	o.metrics.badValues.Inc()
+	o.log.Error(EventBadValue, "what", what, "reason", err.Error())
+}
+
+// TargetChanged logs a target that was added or changed.
+func (o *Observer) TargetChanged(target balance.Target) {
+	o.log.Info(EventTarget, "target", target.ID, "address", target.Address, "service", target.Service, "data_center", target.DataCenter, "leaving", target.Leaving, "slots", target.Slots)
+}
+
+// TargetGone logs a target that the list no longer has.
+func (o *Observer) TargetGone(id string) {
+	o.log.Info(EventTargetGone, "target", id)
+}
--- /dev/null
+++ b/internal/process/gateway.go
@@ -0,0 +1,262 @@
+package process
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/freshness"
+	"github.com/capersaddle/capersaddle/internal/gateway"
+	"github.com/capersaddle/capersaddle/internal/kernel"
+	"github.com/capersaddle/capersaddle/internal/observe"
+	"github.com/capersaddle/capersaddle/internal/retrybudget"
+	"github.com/capersaddle/capersaddle/internal/routing"
+	"github.com/capersaddle/capersaddle/internal/settings"
+	"github.com/capersaddle/capersaddle/platform"
+)
+
+const (
+	// proofMargin is kept between the age of a proof and the time after which
+	// a key must not be served: for a watch that was told nothing for a
+	// second while the store forgot its history, and for the way to a target.
+	proofMargin = 1300 * time.Millisecond
+	// denyFreshness is how old the proof may be when a request is denied.
+	denyFreshness = 4 * time.Second
+	// retryShare of the allowed ratio is what one gateway spends, since the
+	// gateways' windows don't begin together.
+	retryShare = 0.85
+	// leastGateways is how many gateways the retry slack is shared among at
+	// least: more may join at any time.
+	leastGateways = 8
+	// drainMargin is kept before the end of the grace time.
+	drainMargin = 500 * time.Millisecond
+)
+
+// GatewayProcess is a gateway with all its services.
+type GatewayProcess struct {
+	settings  *settings.Gateway
+	kernel    *kernel.Kernel
+	log       *log.Logger
+	observer  *observe.Observer
+	gateway   *gateway.Gateway
+	feed      *platform.Feed
+	front     *platform.Front
+	callers   *http.Server
+	leaving   atomic.Bool
+	addresses Addresses
+}
+
+// NewGateway puts a gateway together from its settings and takes its
+// addresses.
+func NewGateway(s *settings.Gateway, logger *log.Logger) (*GatewayProcess, error) {
+	registry := prometheus.NewRegistry()
+	p := &GatewayProcess{settings: s, kernel: kernel.New(), log: logger.With("process", s.ID)}
+	p.observer = observe.New(p.log, observe.NewMetrics(registry))
+	sender := platform.NewSender()
+	p.gateway = &gateway.Gateway{
+		Sender:   sender,
+		Balancer: balance.New(balanceOptions(s)),
+		Budgets:  retrybudget.New(retryOptions(s)),
+		Proof:    new(freshness.Proof),
+		Events:   p.observer,
+		Options:  gateway.Options{KeyFreshness: keyFreshness(s), DenyFreshness: denyFreshness},
+	}
+	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, store: p.observer.NewStoreDependency()})
+	p.front = &platform.Front{Gateway: p.gateway}
+	services := []struct {
+		name    string
+		address string
+		server  *http.Server
+	}{
+		{"callers", s.Callers, p.newCallers()},
+		{"ready", s.Ready, &http.Server{Handler: p.readyHandler(), ReadHeaderTimeout: headerTimeout}},
+		{"metrics", s.Metrics, &http.Server{Handler: metricsHandler(registry), ReadHeaderTimeout: headerTimeout}},
+	}
+	if err := errors.Join(p.kernel.Register("sender", sender), p.kernel.Register("feed", p.feed)); err != nil {
+		return nil, err
+	}
+	for _, service := range services {
+		if service.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", service.address)
+		if err != nil {
+			return nil, errors.CombineErrors(listenFailed(service.name, err), p.kernel.Close())
+		}
+		if err := p.kernel.Register(service.name, newServerService(listener, service.server)); err != nil {
+			return nil, err
+		}
+		p.note(service.name, listener.Addr().String())
+	}
+	return p, nil
+}
+
+func (p *GatewayProcess) note(name, address string) {
+	switch name {
+	case "callers":
+		p.addresses.Callers = address
+	case "metrics":
+		p.addresses.Operators = address
+	}
+}
+
+func (p *GatewayProcess) newCallers() *http.Server {
+	idle := newIdleCloser(func() time.Duration {
+		if table := p.gateway.Table(); table != nil {
+			return table.Limits().IdleTimeout
+		}
+		return 0
+	})
+	p.callers = &http.Server{
+		Handler:           p.front,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    headerBytes,
+		ConnState:         idle.connState,
+		ErrorLog:          p.log.With("part", "callers").StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+	return p.callers
+}
+
+func metricsHandler(registry *prometheus.Registry) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
+func (p *GatewayProcess) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.Ready(func(context.Context) bool { return p.Ready() }))
+	return mux
+}
+
+// Ready says whether callers may come.
+func (p *GatewayProcess) Ready() bool {
+	return !p.leaving.Load() && p.gateway.Table() != nil && p.feed.Loaded()
+}
+
+func balanceOptions(s *settings.Gateway) balance.Options {
+	options := balance.DefaultOptions()
+	options.DataCenter = s.DataCenter
+	return options
+}
+
+func retryOptions(s *settings.Gateway) retrybudget.Options {
+	return retrybudget.Options{
+		Ratio:  retryShare * s.Retry.Ratio,
+		Slack:  s.Retry.Slack / leastGateways,
+		Window: time.Duration(s.Retry.Window),
+	}
+}
+
+func keyFreshness(s *settings.Gateway) time.Duration {
+	revocation := time.Duration(s.Revocation)
+	if revocation == 0 {
+		return 0
+	}
+	return max(revocation-proofMargin, revocation/2)
+}
+
+// Start starts all services.
+func (p *GatewayProcess) Start(ctx context.Context) error {
+	if err := p.kernel.Start(ctx); err != nil {
+		return err
+	}
+	p.log.Info(observe.EventStart, "callers", p.addresses.Callers, "ready", p.settings.Ready, "metrics", p.addresses.Operators, "store", p.settings.Store, "data_center", p.settings.DataCenter)
+	return nil
+}
+
+// Drain goes unready, goes on serving until the platform has surely seen it,
+// and then waits for the requests in flight. Every answer asks its caller to
+// use another connection.
+func (p *GatewayProcess) Drain(ctx context.Context) error {
+	p.log.Info(observe.EventDrain, "grace_ms", time.Duration(p.settings.Grace).Milliseconds())
+	p.leaving.Store(true)
+	p.front.CloseConnections()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(p.settings.Grace)-drainMargin)
+	defer cancel()
+	timer := time.NewTimer(unreadyFor)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return errors.Wrap(p.callers.Shutdown(ctx), "wait for requests in flight")
+}
+
+// Close ends everything and waits.
+func (p *GatewayProcess) Close() error {
+	err := p.kernel.Close()
+	p.log.Info(observe.EventStop)
+	return err
+}
+
+// Addresses are where the process listens.
+func (p *GatewayProcess) Addresses() Addresses {
+	return p.addresses
+}
+
+// sink takes what the platform's store holds.
+type sink struct {
+	process *GatewayProcess
+	store   *observe.Dependency
+}
+
+// Config puts a configuration in force if it is newer.
+func (s *sink) Config(config *routing.Config) {
+	before := s.process.gateway.Version()
+	if s.process.gateway.Apply(config) {
+		s.process.observer.ConfigApplied(config.Version, before, len(config.Routes), len(config.Workspaces))
+	}
+}
+
+// Target takes a server that was added or changed.
+func (s *sink) Target(target balance.Target) {
+	if s.process.gateway.Balancer.Put(target) {
+		s.process.observer.TargetChanged(target)
+	}
+}
+
+// Gone takes a server whose entry was removed.
+func (s *sink) Gone(id string) {
+	s.process.gateway.Balancer.Drop(id, time.Now())
+	s.process.observer.TargetGone(id)
+}
+
+// Only takes the ids of all servers.
+func (s *sink) Only(ids []string) {
+	for _, id := range s.process.gateway.Balancer.Keep(ids, time.Now()) {
+		s.process.observer.TargetGone(id)
+	}
+}
+
+// Current notes that all accepted until then is in force.
+func (s *sink) Current(at time.Time) {
+	s.process.gateway.Proof.Note(at)
+}
+
+// Trouble notes a value that could not be read.
+func (s *sink) Trouble(what string, err error) {
+	s.process.observer.BadValue(what, err)
+}
+
+// Called notes the result of a call to the store.
+func (s *sink) Called(call string, err error) {
+	s.store.Called(call, err)
+}
+
+// Reload takes over the settings that may change while the process runs; the
+// addresses stay as they were at its start.
+func (p *GatewayProcess) Reload(s *settings.Gateway) {
+	if level, err := log.ParseLevel(s.Log.Level); err == nil && s.Log.Level != "" {
+		p.log.SetLevel(level)
+	}
+	p.gateway.Budgets.SetOptions(retryOptions(s))
+}
--- a/internal/process/http.go
+++ b/internal/process/http.go
@@ -29,15 +29,17 @@
 
 // newHTTPService owns the listener.
 func newHTTPService(listener net.Listener, handler http.Handler) *httpService {
-	return &httpService{
-		listener: listener,
-		server: &http.Server{
-			Handler:           handler,
-			ReadHeaderTimeout: headerTimeout,
-			MaxHeaderBytes:    headerBytes,
-			IdleTimeout:       idleTimeout,
-		},
-	}
+	return newServerService(listener, &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    headerBytes,
+		IdleTimeout:       idleTimeout,
+	})
+}
+
+// newServerService owns the listener and the server.
+func newServerService(listener net.Listener, server *http.Server) *httpService {
+	return &httpService{listener: listener, server: server}
 }
 
 // Start begins to serve.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -59,7 +59,6 @@
 }
 
 func (c *checker) check(s *Settings) {
-	c.listens = make(map[string]string)
 	if s.Role != "router" && s.Role != "agent" {
 		c.say("role", s.Role, `found %q; want "router" or "agent"`, s.Role)
 	}
--- /dev/null
+++ b/internal/settings/gateway.go
@@ -0,0 +1,117 @@
+package settings
+
+import "time"
+
+// Gateway are the settings of a gateway process.
+type Gateway struct {
+	// Role is "gateway".
+	Role       string `json:"role"`
+	ID         string `json:"id"`
+	DataCenter string `json:"data_center"`
+	// Callers is the address for callers, IP:port.
+	Callers string `json:"callers"`
+	// Ready is the address that says whether callers may come, IP:port.
+	Ready string `json:"ready"`
+	// Metrics serves metrics, IP:port; empty for none.
+	Metrics string `json:"metrics,omitempty"`
+	// Peers is the UDP address for other gateways, IP:port; empty for none.
+	Peers string `json:"peers,omitempty"`
+	// Seeds are peer addresses of other gateways, IP:port.
+	Seeds []string `json:"seeds,omitempty"`
+	// Store is the platform's store, IP:port.
+	Store string `json:"store"`
+	// Revocation is how long after its removal was accepted a key may still
+	// be served; zero sets no bound.
+	Revocation Duration `json:"revocation,omitempty"`
+	// Grace is the time between SIGTERM and the end.
+	Grace Duration    `json:"grace,omitempty"`
+	Load  LoadBound   `json:"load"`
+	Retry RetryBudget `json:"retry"`
+	Log   Log         `json:"log"`
+}
+
+// LoadBound bounds the load of one target.
+type LoadBound struct {
+	// Multiple of the mean load that no target of a service may hold.
+	Multiple float64 `json:"multiple,omitempty"`
+	// Extra requests that it may hold besides.
+	Extra float64 `json:"extra,omitempty"`
+}
+
+// RetryBudget bounds the retries of all gateways together.
+type RetryBudget struct {
+	// Ratio of the requests of a window that may be retries.
+	Ratio float64 `json:"ratio,omitempty"`
+	// Slack is how many a window may hold besides.
+	Slack  float64  `json:"slack,omitempty"`
+	Window Duration `json:"window,omitempty"`
+}
+
+// Defaults of the gateway's settings.
+const (
+	defaultGrace        = 8 * time.Second
+	defaultLoadMultiple = 2
+	defaultLoadExtra    = 3
+	defaultRetryRatio   = 0.2
+	defaultRetryWindow  = 10 * time.Second
+)
+
+// LoadGateway reads and checks a gateway's settings file.
+func LoadGateway(file string) (*Gateway, error) {
+	data, err := readFile(file)
+	if err != nil {
+		return nil, err
+	}
+	settings, problems := ParseGateway(file, data)
+	return settings, problemsError(problems)
+}
+
+// ParseGateway reads a gateway's settings, fills in the defaults and lists
+// what is wrong with them.
+func ParseGateway(file string, data []byte) (*Gateway, []Problem) {
+	settings := new(Gateway)
+	checker, problems := decode(file, data, settings)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	checker.checkGateway(settings)
+	settings.fillIn()
+	return settings, checker.problems
+}
+
+func (s *Gateway) fillIn() {
+	s.Grace = Duration(orTime(s.Grace, defaultGrace))
+	s.Load.Multiple = or(s.Load.Multiple, defaultLoadMultiple)
+	s.Load.Extra = or(s.Load.Extra, defaultLoadExtra)
+	s.Retry.Ratio = or(s.Retry.Ratio, defaultRetryRatio)
+	s.Retry.Window = Duration(orTime(s.Retry.Window, defaultRetryWindow))
+}
+
+func (c *checker) checkGateway(s *Gateway) {
+	if s.Role != "gateway" {
+		c.say("role", s.Role, `found %q; want "gateway"`, s.Role)
+	}
+	c.need("id", s.ID)
+	c.need("data_center", s.DataCenter)
+	c.listen("callers", s.Callers, "tcp")
+	c.listen("ready", s.Ready, "tcp")
+	if s.Metrics != "" {
+		c.listen("metrics", s.Metrics, "tcp")
+	}
+	if s.Peers != "" {
+		c.listen("peers", s.Peers, "udp")
+	}
+	for _, seed := range s.Seeds {
+		c.address("seeds", seed)
+	}
+	c.address("store", s.Store)
+	if s.Load.Multiple != 0 && s.Load.Multiple < 1 {
+		c.say("load.multiple", "", "found %v; want 1 or more", s.Load.Multiple)
+	}
+	if s.Load.Extra < 0 {
+		c.say("load.extra", "", "found %v; want 0 or more", s.Load.Extra)
+	}
+	if s.Retry.Ratio < 0 || s.Retry.Slack < 0 {
+		c.say("retry", "", "found a negative ratio or slack; want 0 or more")
+	}
+}
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -66,36 +66,58 @@
 
 // Load reads and checks a settings file. All problems come in one error.
 func Load(file string) (*Settings, error) {
+	data, err := readFile(file)
+	if err != nil {
+		return nil, err
+	}
+	settings, problems := Parse(file, data)
+	return settings, problemsError(problems)
+}
+
+func readFile(file string) ([]byte, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fault.New(fault.BadSettings, fault.NotRun, "%v", err)
 	}
-	settings, problems := Parse(file, data)
+	return data, nil
+}
+
+// problemsError joins problems to one error; nil for none.
+func problemsError(problems []Problem) error {
 	if len(problems) == 0 {
-		return settings, nil
+		return nil
 	}
 	lines := make([]string, 0, len(problems))
 	for _, problem := range problems {
 		lines = append(lines, problem.String())
 	}
-	return nil, fault.New(fault.BadSettings, fault.NotRun, "%s", strings.Join(lines, "\n"))
+	return fault.New(fault.BadSettings, fault.NotRun, "%s", strings.Join(lines, "\n"))
 }
 
 // Parse reads settings and lists what is wrong with them.
 func Parse(file string, data []byte) (*Settings, []Problem) {
+	settings := new(Settings)
+	checker, problems := decode(file, data, settings)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	checker.check(settings)
+	return settings, checker.problems
+}
+
+// decode reads JSON with comments into a struct of settings and returns a
+// checker for what it holds.
+func decode(file string, data []byte, into any) (*checker, []Problem) {
 	standard, err := hujson.Standardize(bytes.Clone(data))
 	if err != nil {
 		return nil, []Problem{{File: file, Line: lineInError(err), Text: err.Error()}}
 	}
-	settings := new(Settings)
 	decoder := json.NewDecoder(bytes.NewReader(standard))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(settings); err != nil {
+	if err := decoder.Decode(into); err != nil {
 		return nil, []Problem{decodeProblem(file, standard, err, decoder.InputOffset())}
 	}
-	checker := &checker{file: file, text: standard}
-	checker.check(settings)
-	return settings, checker.problems
+	return &checker{file: file, text: standard, listens: make(map[string]string)}, nil
 }
 
 var hujsonLine = regexp.MustCompile(`line (\d+)`)
--- /dev/null
+++ b/pkg/cmd/gateway/gateway.go
@@ -0,0 +1,104 @@
+// Package gateway holds the command that runs a gateway.
+package gateway
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/logsink"
+	"github.com/capersaddle/capersaddle/internal/observe"
+	"github.com/capersaddle/capersaddle/internal/process"
+	"github.com/capersaddle/capersaddle/internal/settings"
+	"github.com/capersaddle/capersaddle/pkg/cmdutil"
+	"github.com/capersaddle/capersaddle/pkg/iostreams"
+)
+
+// EnvSettings names the settings file where no argument does.
+const EnvSettings = "CAPERSADDLE_CONFIG"
+
+// GatewayOptions are the command's options.
+type GatewayOptions struct {
+	IO *iostreams.IOStreams
+
+	File string
+}
+
+// NewCmdGateway returns the command; runF replaces its work in tests.
+func NewCmdGateway(f *cmdutil.Factory, runF func(*GatewayOptions) error) *cobra.Command {
+	opts := &GatewayOptions{IO: f.IOStreams}
+	cmd := &cobra.Command{
+		Use:   "gateway [<settings file>]",
+		Short: "Run a gateway on the users' platform",
+		Long: `Run a gateway from a settings file (JSON with comments), or from the one
+that ` + EnvSettings + ` names. It logs JSON lines to standard output.
+
+On SIGTERM it takes no new callers, waits for what is in flight and ends. On
+SIGHUP it reads the settings file again.`,
+		Example: `  $ capersaddle gateway examples/gateway.json`,
+		Args:    cobra.MaximumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			opts.File = os.Getenv(EnvSettings)
+			if len(args) > 0 {
+				opts.File = args[0]
+			}
+			if opts.File == "" {
+				return fault.New(fault.BadRequest, fault.NotRun, "no settings file; name one, or set %s", EnvSettings)
+			}
+			if runF != nil {
+				return runF(opts)
+			}
+			return gatewayRun(opts)
+		},
+	}
+	return cmd
+}
+
+func gatewayRun(opts *GatewayOptions) error {
+	loaded, err := settings.LoadGateway(opts.File)
+	if err != nil {
+		return err
+	}
+	lines := logsink.New(opts.IO.Out)
+	defer lines.CloseNow()
+	logger := process.NewLogger(lines, loaded.Log)
+	running, err := process.NewGateway(loaded, logger)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := running.Start(ctx); err != nil {
+		return errors.CombineErrors(err, running.Close())
+	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-hangups:
+			reload(opts.File, running, logger)
+		}
+	}
+	err = running.Drain(context.Background())
+	return errors.CombineErrors(err, running.Close())
+}
+
+// reload reads the settings again; what can't be read leaves the old ones in
+// force.
+func reload(file string, running *process.GatewayProcess, logger *log.Logger) {
+	loaded, err := settings.LoadGateway(file)
+	if err != nil {
+		logger.Error(observe.EventReload, "file", file, "taken", false, "reason", err.Error())
+		return
+	}
+	running.Reload(loaded)
+	logger.Info(observe.EventReload, "file", file, "taken", true)
+}
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -12,6 +12,7 @@
 	"github.com/capersaddle/capersaddle/pkg/cmd/dev"
 	"github.com/capersaddle/capersaddle/pkg/cmd/exec"
 	"github.com/capersaddle/capersaddle/pkg/cmd/fake"
+	"github.com/capersaddle/capersaddle/pkg/cmd/gateway"
 	"github.com/capersaddle/capersaddle/pkg/cmd/member"
 	"github.com/capersaddle/capersaddle/pkg/cmd/query"
 	"github.com/capersaddle/capersaddle/pkg/cmd/router"
@@ -45,6 +46,7 @@
 		dev.NewCmdDev(f, nil),
 		router.NewCmdRouter(f, nil),
 		agent.NewCmdAgent(f, nil),
+		gateway.NewCmdGateway(f, nil),
 		fake.NewCmdFake(f, nil),
 		query.NewCmdQuery(f, nil),
 		exec.NewCmdExec(f, nil),
