--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -56,3 +56,12 @@
 		})
 	}
 }
+
+// Forgive clears the targets' records of failures.
+func (b *Balancer) Forgive() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, target := range b.targets {
+		target.health = health{}
+	}
+}
--- /dev/null
+++ b/internal/checkpoint/checkpoint_test.go
@@ -0,0 +1,75 @@
+package checkpoint
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+)
+
+// memoryStore keeps the last checkpoint, or fails.
+type memoryStore struct {
+	data  []byte
+	saves int
+	err   error
+}
+
+func (m *memoryStore) SaveCheckpoint(_ context.Context, data []byte) error {
+	m.saves++
+	if m.err == nil {
+		m.data = data
+	}
+	return m.err
+}
+
+func TestSaveAndLearn(t *testing.T) {
+	is := is.New(t)
+	balancer := balance.New(balance.DefaultOptions())
+	balancer.Put(balance.Target{ID: "t", Service: "s"})
+	store := new(memoryStore)
+	turn, calls := false, 0
+	saver := NewSaver(balancer, store, func() bool { return turn }, func(error) { calls++ })
+	saver.save(t.Context())
+	is.Equal(store.saves, 0) // not this process's turn
+	turn = true
+	saver.save(t.Context())
+	is.Equal(store.saves, 0) // nothing to keep
+	balancer.Confirm("t", []uint64{1, 2})
+	saver.save(t.Context())
+	saver.save(t.Context()) // nothing new
+	is.Equal(store.saves, 1)
+	is.Equal(calls, 1)
+	placements, err := Decode(store.data)
+	is.NoErr(err)
+	other := balance.New(balance.DefaultOptions())
+	other.Learn(placements)
+	is.Equal(len(other.AllPlacements(10)), 2)
+	balancer.Confirm("t", []uint64{3})
+	store.err = errors.New("the store is away")
+	saver.save(t.Context())
+	store.err = nil
+	saver.save(t.Context()) // made up for
+	placements, err = Decode(store.data)
+	is.NoErr(err)
+	is.Equal(len(placements), 3)
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte{1, 2, 3})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		placements, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := Encode(placements)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if read, err := Decode(again); err != nil || len(read) != len(placements) {
+			t.Fatalf("%v, %d of %d", err, len(read), len(placements))
+		}
+	})
+}
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -73,6 +73,7 @@
 	mu    sync.Mutex
 	mode  Mode
 	times int
+	once  *Once
 	runs  []Run
 	live  int
 	wait  sync.WaitGroup
@@ -114,6 +115,40 @@
 	s.mode, s.times = mode, times
 }
 
+// Once is a fault that strikes one request, at the first of several servers
+// that it reaches.
+type Once struct {
+	id string
+
+	mu   sync.Mutex
+	done bool
+}
+
+// NewOnce returns a fault for the request with an id.
+func NewOnce(id string) *Once {
+	return &Once{id: id}
+}
+
+// strikes says whether the fault strikes a request now.
+func (o *Once) strikes(id string) bool {
+	if o == nil || id != o.id {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	struck := !o.done
+	o.done = true
+	return struck
+}
+
+// MisbehaveOnce sets how the request of a fault goes that several servers
+// share.
+func (s *Server) MisbehaveOnce(mode Mode, once *Once) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode, s.times, s.once = mode, 0, once
+}
+
 // Runs are the requests got so far.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -133,8 +168,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	mode := Sound
-	if s.times != 0 {
+	if s.times != 0 || s.once.strikes(run.ID) {
 		mode = s.mode
+	}
+	if s.times != 0 {
 		s.times--
 	}
 	run.Ran = mode != Shed
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,190 @@
+// Package explain puts together, from the log lines of many processes, the
+// story of one request, target or configuration, in order of time, and names
+// the likely cause of a request's end.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/observe"
+)
+
+// mostLine bounds one line, in bytes.
+const mostLine = 1 << 20
+
+// Line is one log line.
+type Line struct {
+	Time    string `json:"time"`
+	Level   string `json:"level"`
+	Event   string `json:"msg"`
+	Process string `json:"process"`
+	// ID is a request's.
+	ID       string `json:"id,omitempty"`
+	Target   string `json:"target,omitempty"`
+	Version  int64  `json:"version,omitempty"`
+	Ending   string `json:"ending,omitempty"`
+	Status   int    `json:"status,omitempty"`
+	Attempts string `json:"attempts,omitempty"`
+	Reason   string `json:"reason,omitempty"`
+	ProofMs  int64  `json:"proof_ms,omitempty"`
+	TookMs   int64  `json:"took_ms,omitempty"`
+	Config   int64  `json:"config,omitempty"`
+	// Raw is the whole line.
+	Raw string `json:"-"`
+}
+
+// Story is what the logs tell of one thing.
+type Story struct {
+	Subject string `json:"subject"`
+	Lines   []Line `json:"lines"`
+	// Cause is the likely cause of the request's end; empty for other
+	// subjects.
+	Cause string `json:"cause,omitempty"`
+	// Unread counts lines that are no log lines.
+	Unread int `json:"unread"`
+}
+
+// Read gathers the lines of logs; whatever stands before the JSON of a line
+// is passed over. Lines that are no log lines are counted.
+func Read(logs io.Reader) (lines []Line, unread int, err error) {
+	scanner := bufio.NewScanner(logs)
+	scanner.Buffer(make([]byte, 0, 1<<16), mostLine)
+	for scanner.Scan() {
+		line, ok := parse(scanner.Bytes())
+		if !ok {
+			unread++
+			continue
+		}
+		lines = append(lines, line)
+	}
+	return lines, unread, errors.Wrap(scanner.Err(), "read logs")
+}
+
+func parse(text []byte) (Line, bool) {
+	at := bytes.IndexByte(text, '{')
+	if at < 0 {
+		return Line{}, false
+	}
+	var line Line
+	if err := json.Unmarshal(text[at:], &line); err != nil || line.Event == "" {
+		return Line{}, false
+	}
+	line.Raw = string(text[at:])
+	return line, true
+}
+
+// Tell puts the story of a subject together: a request's id, a target's id or
+// a configuration's version, written as version:N.
+func Tell(subject string, lines []Line) *Story {
+	story := &Story{Subject: subject}
+	targets := make(map[string]bool)
+	for _, line := range lines {
+		if line.ID == subject {
+			for _, target := range targetsOf(line.Attempts) {
+				targets[target] = true
+			}
+		}
+	}
+	for _, line := range lines {
+		if concerns(subject, line) || line.ID == "" && targets[line.Target] && line.Event != observe.EventRequest {
+			story.Lines = append(story.Lines, line)
+		}
+	}
+	slices.SortStableFunc(story.Lines, func(a, b Line) int { return cmp.Compare(a.Time, b.Time) })
+	for _, line := range story.Lines {
+		if line.ID == subject && line.Event == observe.EventRequest {
+			story.Cause = cause(line)
+		}
+	}
+	return story
+}
+
+func concerns(subject string, line Line) bool {
+	if version, ok := strings.CutPrefix(subject, "version:"); ok {
+		return line.Event == observe.EventConfig && fmt.Sprint(line.Version) == version
+	}
+	return line.ID == subject || line.Target == subject || strings.Contains(line.Attempts, subject+"@")
+}
+
+// targetsOf reads the targets of a line's attempts.
+func targetsOf(attempts string) []string {
+	var targets []string
+	for attempt := range strings.FieldsSeq(attempts) {
+		if target, _, ok := strings.Cut(attempt, "@"); ok {
+			targets = append(targets, target)
+		}
+	}
+	return targets
+}
+
+// causes explains how a request ended, by its ending.
+var causes = map[string]string{
+	"answered":       "the caller has the target's whole answer",
+	"relayed":        "the target itself answered with a failure, and no other attempt was allowed or did better; look at the target's own logs",
+	"cut":            "the target's answer broke off after a part of it was passed on, and the stream can't be resumed, or no target, time or retry budget was left",
+	"caller_left":    "the caller closed its connection before the end",
+	"store_away":     "the process was cut off from the configuration, by itself and through its peers, for longer than a key may be vouched for",
+	"not_ready":      "the process knew no configuration yet",
+	"unknown_route":  "no route of the configuration in force has this host and path",
+	"bad_api_key":    "the key is in no workspace of the configuration in force",
+	"no_target":      "no target of the service could be reached or was open; the request was not run",
+	"overloaded":     "every target that was asked turned the request away unrun",
+	"target_failed":  "the request was sent and its answer was lost or no answer; it may have run, and may not be repeated",
+	"deadline":       "the time ran out while a target was silent; it may have run",
+	"body_too_large": "the body is larger than the configuration allows",
+	"bad_request":    "the request lacks what it must have",
+}
+
+// cause names the likely cause of a request's end.
+func cause(line Line) string {
+	text, ok := causes[line.Ending]
+	if !ok {
+		return "ended as " + line.Ending
+	}
+	if line.Attempts == "" {
+		return text
+	}
+	return text + "; attempts: " + line.Attempts
+}
+
+// Print writes a story for a person.
+func (s *Story) Print(out io.Writer) error {
+	for _, line := range s.Lines {
+		if _, err := fmt.Fprintf(out, "%s %-24s %s\n", line.Time, line.Process, line.summary()); err != nil {
+			return errors.Wrap(err, "print")
+		}
+	}
+	if s.Cause == "" {
+		return nil
+	}
+	_, err := fmt.Fprintf(out, "\nlikely cause: %s\n", s.Cause)
+	return errors.Wrap(err, "print")
+}
+
+// summary is a line's event with what else it says.
+func (l Line) summary() string {
+	if l.Event == observe.EventRequest {
+		return fmt.Sprintf("request %s: %s, status %d, %d ms, configuration %d, proof %d ms old", l.ID, l.Ending, l.Status, l.TookMs, l.Config, l.ProofMs)
+	}
+	var fields map[string]any
+	_ = json.Unmarshal([]byte(l.Raw), &fields)
+	var rest []string
+	for name, value := range fields {
+		switch name {
+		case "time", "level", "msg", "process":
+		default:
+			rest = append(rest, fmt.Sprintf("%s=%v", name, value))
+		}
+	}
+	slices.Sort(rest)
+	return l.Event + " " + strings.Join(rest, " ")
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,61 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/explain"
+)
+
+const logs = `   4.1000 gw-1 {"time":"2026-12-02T10:00:04.1Z","level":"info","msg":"request","process":"gw-1","id":"r1","ending":"target_failed","status":502,"config":7,"proof_ms":300,"took_ms":90,"attempts":"i-1@10.0.0.1:80=lost(took_ms:88,reason:EOF)"}
+not a log line
+{"time":"2026-12-02T10:00:04.05Z","level":"warn","msg":"target_ejected","process":"gw-2","target":"i-1","request":"r0","reason":"EOF"}
+{"time":"2026-12-02T10:00:01Z","level":"info","msg":"config_applied","process":"gw-1","version":7,"before":3}
+{"time":"2026-12-02T10:00:05Z","level":"info","msg":"request","process":"gw-1","id":"r2","ending":"answered","status":200,"attempts":"i-2@10.0.0.2:80=answered(took_ms:5)"}
+`
+
+func TestTell(t *testing.T) {
+	cases := map[string]struct {
+		subject string
+		events  []string
+		cause   string
+	}{
+		"a request":       {"r1", []string{"target_ejected", "request"}, "may not be repeated"},
+		"a target":        {"i-1", []string{"target_ejected", "request"}, ""},
+		"a configuration": {"version:7", []string{"config_applied"}, ""},
+		"nothing":         {"r9", nil, ""},
+	}
+	lines, unread, err := explain.Read(strings.NewReader(logs))
+	if err != nil || unread != 1 {
+		t.Fatalf("%v, %d unread", err, unread)
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			story := explain.Tell(tc.subject, lines)
+			var events []string
+			for _, line := range story.Lines {
+				events = append(events, line.Event)
+			}
+			is.Equal(events, tc.events)
+			is.True(strings.Contains(story.Cause, tc.cause))
+			var out strings.Builder
+			is.NoErr(story.Print(&out))
+		})
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(logs))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		lines, _, err := explain.Read(strings.NewReader(string(data)))
+		if err != nil {
+			return
+		}
+		for _, line := range lines {
+			explain.Tell(line.ID, lines)
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/fuzz_test.go
@@ -0,0 +1,28 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+// FuzzBeat: no datagram, whoever sent it, brings a process down.
+func FuzzBeat(f *testing.F) {
+	data, err := proto.Marshal(&wire.GatewayBeat{Id: "a", Life: 1, Sequence: 2, Echo: 1, HasProof: true, Known: []string{"x"}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		beat := new(wire.GatewayBeat)
+		if proto.Unmarshal(data, beat) != nil {
+			return
+		}
+		service := bareService()
+		service.pulling = true // no links here
+		service.take(beat, time.Unix(1000, 0))
+	})
+}
--- /dev/null
+++ b/internal/peer/service_test.go
@@ -0,0 +1,198 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/freshness"
+	"github.com/capersaddle/capersaddle/internal/link"
+	"github.com/capersaddle/capersaddle/internal/policy"
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+// fakeReplica is a copy of the store with a revision only.
+type fakeReplica struct {
+	mu        sync.Mutex
+	revision  int64
+	reachable bool
+	pages     int
+}
+
+func (f *fakeReplica) Revision() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
+func (f *fakeReplica) Page(int64) *wire.ReplicaPage {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pages++
+	return &wire.ReplicaPage{Revision: f.revision}
+}
+
+func (f *fakeReplica) Absorb(page *wire.ReplicaPage) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = max(f.revision, page.GetRevision())
+}
+
+func (f *fakeReplica) Reachable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reachable
+}
+
+func (f *fakeReplica) set(revision int64, reachable bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision, f.reachable = revision, reachable
+}
+
+// quiet is a watcher that says nothing.
+type quietWatcher struct{}
+
+func (quietWatcher) PeerFound(string, string)                   {}
+func (quietWatcher) PeerLost(string, string, time.Duration)     {}
+func (quietWatcher) ReplicaFetched(string, int64, int64, error) {}
+
+// node is a gateway as far as its peers see it.
+type node struct {
+	service  *Service
+	replica  *fakeReplica
+	proof    *freshness.Proof
+	balancer *balance.Balancer
+}
+
+// newNode listens on a port of loopback and serves links from memory.
+func newNode(t *testing.T, id string, network *link.Memory, seeds ...string) *node {
+	t.Helper()
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{replica: &fakeReplica{reachable: true}, proof: new(freshness.Proof), balancer: balance.New(balance.DefaultOptions())}
+	n.balancer.Put(balance.Target{ID: "t", Service: "s", Address: "t"})
+	n.service = New(Options{
+		ID: id, Address: conn.LocalAddr().String(), Seeds: seeds, Budget: 100_000,
+		Replica: n.replica, Proof: n.proof, Balancer: n.balancer, Watcher: quietWatcher{},
+	}, conn, network.From(id))
+	network.Serve(n.service.options.Address, n.service.Handle)
+	if err := n.service.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = n.service.Close() })
+	return n
+}
+
+// until waits until something holds.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			t.Fatalf("waited in vain until %s", what)
+		}
+	}
+}
+
+func TestPeersTellEachOther(t *testing.T) {
+	is := is.New(t)
+	network := link.NewMemory()
+	one := newNode(t, "one", network)
+	two := newNode(t, "two", network, one.service.options.Address)
+	three := newNode(t, "three", network, one.service.options.Address)
+	until(t, "all know all", func() bool {
+		return one.service.Live() == 2 && two.service.Live() == 2 && three.service.Live() == 2
+	})
+	pick, ok := two.balancer.Choose(balance.Query{Service: "s"}, time.Now())
+	is.True(ok)
+	two.balancer.Confirm(pick.Target.ID, []uint64{42})
+	until(t, "the load and the placement are known", func() bool {
+		seen, _ := three.balancer.Choose(balance.Query{Service: "s"}, time.Now())
+		three.balancer.Release("t", balance.Neutral, time.Now())
+		return seen.Load == 1 && len(three.balancer.AllPlacements(10)) == 1
+	})
+	is.Equal(three.balancer.AllPlacements(10)[0], balance.Placement{Part: 42, Target: policy.HashName("t")})
+}
+
+// TestAPeersProofServes: a gateway that the store turns away goes on by what
+// a peer proves, and gets the store's content from it.
+func TestAPeersProofServes(t *testing.T) {
+	network := link.NewMemory()
+	one := newNode(t, "one", network)
+	two := newNode(t, "two", network, one.service.options.Address)
+	two.replica.set(0, false)
+	one.replica.set(7, true)
+	one.proof.Note(time.Now())
+	until(t, "the replica and a proof have come", func() bool {
+		_, proven := two.proof.Age(time.Now())
+		return two.replica.Revision() == 7 && proven
+	})
+}
+
+// TestNoProofForWhatIsNotHeld: a proof about a revision that this process has
+// not applied proves nothing here.
+func TestNoProofForWhatIsNotHeld(t *testing.T) {
+	is := is.New(t)
+	service := bareService()
+	service.sequence = 3
+	service.sentAt[3] = start
+	beat := &wire.GatewayBeat{Id: "x", Echo: 3, HasProof: true, ProofAgeMs: 200, Revision: 8}
+	service.takeProof(beat)
+	_, proven := service.options.Proof.Age(start)
+	is.True(!proven)
+	beat.Revision = 7
+	service.takeProof(beat)
+	age, _ := service.options.Proof.Age(start.Add(time.Second))
+	is.Equal(age, 1200*time.Millisecond) // from the sending of the question, less the age
+}
+
+// TestAProofNeedsAnEcho: a beat that answers none of this life's may have
+// lain anywhere for any time.
+func TestAProofNeedsAnEcho(t *testing.T) {
+	cases := map[string]uint64{"none": 0, "from the future": 9, "long forgotten": 1}
+	for name, echo := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			service := bareService()
+			service.sequence = 3
+			if name == "long forgotten" {
+				service.sequence = 1 + sentKept
+			}
+			service.takeProof(&wire.GatewayBeat{Id: "x", Echo: echo, HasProof: true, Revision: 7})
+			_, proven := service.options.Proof.Age(start)
+			is.True(!proven)
+		})
+	}
+}
+
+func bareService() *Service {
+	return New(Options{Replica: &fakeReplica{revision: 7, reachable: true}, Proof: new(freshness.Proof), Balancer: balance.New(balance.DefaultOptions()), Watcher: quietWatcher{}}, nil, nil)
+}
+
+// TestTheBudgetBoundsBeats: whatever there is to tell, no more is sent.
+func TestTheBudgetBoundsBeats(t *testing.T) {
+	is := is.New(t)
+	network := link.NewMemory()
+	one := newNode(t, "one", network)
+	one.service.bucket.SetLimit(0)
+	one.service.bucket.SetBurst(0)
+	sent, _ := one.service.Traffic()
+	one.service.mu.Lock()
+	is.True(!one.service.send("127.0.0.1:9", &wire.GatewayBeat{Id: "one"}))
+	one.service.mu.Unlock()
+	after, _ := one.service.Traffic()
+	is.True(after-sent < 200) // nothing but what was under way
+}
--- /dev/null
+++ b/internal/peer/table_test.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+var start = time.Unix(1000, 0)
+
+func beatOf(id string, sequence uint64) *wire.GatewayBeat {
+	return &wire.GatewayBeat{Id: id, Life: 1, Address: "10.0.0.1:" + id, Sequence: sequence, StoreReachable: true}
+}
+
+func TestTake(t *testing.T) {
+	is := is.New(t)
+	known := newTable("self", []string{"10.0.0.1:1"}, "10.0.0.9:9")
+	_, change := known.take(beatOf("1", 5), start)
+	is.Equal(change, found)
+	_, change = known.take(beatOf("1", 6), start)
+	is.Equal(change, unchanged)
+	_, change = known.take(beatOf("1", 6), start) // twice
+	is.Equal(change, outdated)
+	_, change = known.take(beatOf("1", 2), start) // overtaken on the way
+	is.Equal(change, outdated)
+	again := beatOf("1", 1)
+	again.Life = 2
+	_, change = known.take(again, start)
+	is.Equal(change, found) // another life begins to count anew
+}
+
+func TestLossAndReturn(t *testing.T) {
+	is := is.New(t)
+	known := newTable("self", nil, "10.0.0.9:9")
+	known.take(beatOf("1", 1), start)
+	is.Equal(len(known.expire(start.Add(lostAfter))), 0)
+	later := start.Add(lostAfter + time.Millisecond)
+	is.Equal(len(known.expire(later)), 1)
+	is.Equal(len(known.expire(later)), 0) // told once
+	is.Equal(len(known.live(later)), 0)
+	is.Equal(known.silent(later, silentEvery), []string{"10.0.0.1:1"}) // it is still tried
+	_, change := known.take(beatOf("1", 2), later)
+	is.Equal(change, found)
+	is.Equal(len(known.live(later)), 1)
+}
+
+func TestSeedsAreTriedForEver(t *testing.T) {
+	is := is.New(t)
+	known := newTable("self", []string{"10.0.0.1:1", "10.0.0.9:9"}, "10.0.0.9:9")
+	is.Equal(known.silent(start, silentEvery), []string{"10.0.0.1:1"}) // not itself
+	is.Equal(len(known.silent(start, silentEvery)), 0)
+	known.take(beatOf("1", 1), start)
+	known.expire(start.Add(forgetAfter + time.Second))
+	is.Equal(known.silent(start.Add(forgetAfter+2*time.Second), silentEvery), []string{"10.0.0.1:1"})
+}
+
+// TestAskers: among gateways that see each other just so many ask the store,
+// whoever reaches it; and one of them is the first.
+func TestAskers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 30).Draw(t, "gateways")
+		reaches := rapid.SliceOfN(rapid.Bool(), count, count).Draw(t, "reaches")
+		asking, first, reaching := 0, 0, 0
+		for self := range count {
+			known := newTable(fmt.Sprint(self), nil, "")
+			for other := range count {
+				if other != self {
+					beat := beatOf(fmt.Sprint(other), 1)
+					beat.StoreReachable = reaches[other]
+					known.take(beat, start)
+				}
+			}
+			if !reaches[self] {
+				continue
+			}
+			reaching++
+			if known.asks(start) {
+				asking++
+			}
+			if known.rank(start) == 0 {
+				first++
+			}
+		}
+		if asking != min(askers, reaching) || first != min(1, reaching) {
+			t.Fatalf("%d ask and %d are first of %d that reach the store", asking, first, reaching)
+		}
+	})
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -120,6 +120,7 @@
 	if err != nil {
 		return errors.CombineErrors(listenFailed("peers", err), conn.Close())
 	}
+	p.addresses.Link, p.addresses.Beat = address, address
 	hello := &wire.Hello{Version: link.Version, ProcessId: p.settings.ID, Role: p.settings.Role, DataCenter: p.settings.DataCenter}
 	pool := link.NewPool(hello, nil)
 	p.peers = peer.New(peer.Options{
@@ -167,6 +168,8 @@
 	switch name {
 	case "callers":
 		p.addresses.Callers = address
+	case "ready":
+		p.addresses.Ready = address
 	case "metrics":
 		p.addresses.Operators = address
 	}
@@ -269,6 +272,11 @@
 	return err
 }
 
+// Forgive lets targets that were left out for their failures back in at once.
+func (p *GatewayProcess) Forgive() {
+	p.gateway.Balancer.Forgive()
+}
+
 // Addresses are where the process listens.
 func (p *GatewayProcess) Addresses() Addresses {
 	return p.addresses
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -40,6 +40,8 @@
 	Operators string `json:"operators"`
 	Link      string `json:"link"`
 	Beat      string `json:"beat"`
+	// Ready is where a gateway says whether callers may come.
+	Ready string `json:"ready,omitempty"`
 }
 
 // New puts a process together from its settings and takes its addresses.
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -11,6 +11,7 @@
 	"github.com/capersaddle/capersaddle/pkg/cmd/config"
 	"github.com/capersaddle/capersaddle/pkg/cmd/dev"
 	"github.com/capersaddle/capersaddle/pkg/cmd/exec"
+	"github.com/capersaddle/capersaddle/pkg/cmd/explain"
 	"github.com/capersaddle/capersaddle/pkg/cmd/fake"
 	"github.com/capersaddle/capersaddle/pkg/cmd/gateway"
 	"github.com/capersaddle/capersaddle/pkg/cmd/member"
@@ -50,6 +51,7 @@
 		fake.NewCmdFake(f, nil),
 		query.NewCmdQuery(f, nil),
 		exec.NewCmdExec(f, nil),
+		explain.NewCmdExplain(f, nil),
 		config.NewCmdConfig(f),
 		target.NewCmdTarget(f),
 		member.NewCmdMember(f),
