Known red: a count lost at a close, a premise of a test, ports of tests

TestLinksCheckCertificates. Cause: Server.encrypt left a peer uncounted when the server's own context had ended by the time the handshake failed, and took that error from HandshakeContext, which gives the context's end in place of the certificate's fault. Ruled out: the test reading too early (Close waits for the handshake). Change: the handshake runs without a context; a close ends the connection, and only an end of the connection counts as 'went away'. TestABadPeerIsCountedWhileTheServerCloses failed first (0, wanted 1).

TestFreezeAnOwner. Cause: one agent had claimed all 64 slots before it knew another host, so it had no witness yet when it was frozen; nobody may take its slots then (docs/design/once.md, Limits). Ruled out: ports (all processes were up). Change: the test waits until every slot has a witness before it freezes; what it checks afterwards is as before.

TestStopAnAgentInTheMiddleOfAStream stays listed: not seen again. What was suspected is mended all the same: tests drew ports by opening and closing a listener, from the kernel's range of source ports; loopback.Ports draws from blocks below it that one test binary holds.

--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -59,6 +59,9 @@
 	}
 	f.configure("router-0")
 	f.until("top-ups to all slots are served", func() bool { return f.servesTopUps() })
+	// An owner that has claimed slots before it knew another host has no
+	// witness yet: nobody may take its slots over (docs/design/once.md).
+	f.until("every slot has a witness", func() bool { return f.slotsWithWitness("router-0") == slots })
 	first := newKey()
 	ran := f.topUp("router-0", first)
 	is.Equal(ran.status, http.StatusOK)
@@ -148,14 +151,34 @@
 
 // known counts the targets that a router has heard of.
 func (f *fixture) known(id string) int {
-	response, err := http.Post("http://"+f.operators[id]+"/operator/v1/query", "application/json", strings.NewReader(`{"text":"targets"}`))
+	return len(f.query(id, "targets"))
+}
+
+// slots is how many a service has unless its configuration says otherwise.
+const slots = 64
+
+// slotsWithWitness counts the slots whose owner has a witness.
+func (f *fixture) slotsWithWitness(id string) int {
+	const witnessColumn = 3
+	count := 0
+	for _, row := range f.query(id, "slots") {
+		if row[witnessColumn] != "" {
+			count++
+		}
+	}
+	return count
+}
+
+// query asks a router; it returns no rows if the router can't be asked.
+func (f *fixture) query(id, text string) [][]string {
+	response, err := http.Post("http://"+f.operators[id]+"/operator/v1/query", "application/json", strings.NewReader(`{"text":"`+text+`"}`))
 	if err != nil {
-		return 0
+		return nil
 	}
 	defer func() { _ = response.Body.Close() }()
 	var table struct{ Rows [][]string }
 	_ = json.NewDecoder(response.Body).Decode(&table)
-	return len(table.Rows)
+	return table.Rows
 }
 
 // servesTopUps tries so many keys that every slot's owner has had one.
--- a/internal/e2e/processes_test.go
+++ b/internal/e2e/processes_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,6 +21,7 @@
 	"github.com/matryer/is"
 
 	"github.com/capersaddle/capersaddle/internal/config"
+	"github.com/capersaddle/capersaddle/internal/loopback"
 )
 
 const (
@@ -56,6 +56,7 @@
 
 func TestMain(m *testing.M) {
 	code := m.Run()
+	_ = ports.Close()
 	if binary != "" {
 		_ = os.RemoveAll(filepath.Dir(binary))
 	}
@@ -109,12 +110,14 @@
 	admission map[string]any
 }
 
-// freePort takes a port that nobody has now.
+// ports are drawn by all tests of the package.
+var ports loopback.Ports
+
+// freePort gives an address that nobody else gets.
 func (f *fixture) freePort() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.Address()
 	is.New(f.t).NoErr(err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 func newFixture(t testing.TB) *fixture {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -111,19 +112,19 @@
 	}
 }
 
-// encrypt runs the TLS handshake; a peer that fails it is counted and dropped.
+// encrypt runs the TLS handshake; a peer that fails it is counted and dropped,
+// also while the server is being closed.
 func (s *Server) encrypt(conn net.Conn) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(s.ctx, openTimeout)
-	defer cancel()
+	release := context.AfterFunc(s.ctx, func() { _ = conn.Close() })
+	defer release()
+	_ = conn.SetDeadline(time.Now().Add(openTimeout))
 	encrypted := tls.Server(conn, s.tls)
-	err := encrypted.HandshakeContext(ctx)
+	err := encrypted.Handshake()
 	if err == nil {
-		return encrypted, nil
+		return encrypted, conn.SetDeadline(time.Time{})
 	}
 	_ = conn.Close()
-	var network *net.OpError
-	if s.ctx.Err() != nil || errors.Is(err, io.EOF) || errors.As(err, &network) {
-		// The peer went away; that says nothing against it.
+	if wentAway(err) {
 		return nil, err
 	}
 	s.badPeers.Add(1)
@@ -131,6 +132,16 @@
 	return nil, err
 }
 
+// wentAway says whether a handshake ended because the connection did, which
+// says nothing against the peer; one that is silent for too long is none.
+func wentAway(err error) bool {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	var network *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) || errors.As(err, &network)
+}
+
 func (s *Server) track(session *yamux.Session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/link/tls_test.go
+++ b/internal/link/tls_test.go
@@ -1,12 +1,14 @@
 package link
 
 import (
+	"crypto/x509"
 	"io"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/capersaddle/capersaddle/internal/secure"
@@ -90,3 +92,32 @@
 	is.NoErr(server.Close())
 	is.Equal(server.BadPeers(), int64(1))
 }
+
+// TestABadPeerIsCountedWhileTheServerCloses: the peer's certificate is found
+// bad in the moment in which the server is closed. Found as a count of 0 after
+// the caller's own failure, which a test took for the end of the handshake.
+func TestABadPeerIsCountedWhileTheServerCloses(t *testing.T) {
+	is := is.New(t)
+	ours, err := secure.NewAuthority()
+	is.NoErr(err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	config := keysOf(t, ours, secure.RoleAgent, time.Hour).Server(secure.RoleRouter)
+	var server *Server
+	closed := make(chan error, 1)
+	made := make(chan struct{})
+	config.VerifyPeerCertificate = func([][]byte, [][]*x509.Certificate) error {
+		<-made
+		go func() { closed <- server.Close() }()
+		<-server.ctx.Done()
+		return errors.New("a bad certificate")
+	}
+	server = NewServer(listener, hello(), config, log.New(io.Discard), echo)
+	close(made)
+	pool := NewPool(hello(), keysOf(t, ours, secure.RoleRouter, time.Hour).Client(secure.RoleAgent))
+	_, err = Ask(t.Context(), pool, server.Address(), callOf("a"))
+	is.True(err != nil)
+	is.NoErr(pool.Close())
+	is.NoErr(<-closed)
+	is.Equal(server.BadPeers(), int64(1))
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,6 +22,7 @@
 	"github.com/matryer/is"
 
 	"github.com/capersaddle/capersaddle/internal/emulator"
+	"github.com/capersaddle/capersaddle/internal/loopback"
 )
 
 const (
@@ -162,15 +163,17 @@
 	return dir
 }
 
-// freeAddress finds a port that is free for TCP and UDP.
+// ports are drawn by all seeds.
+var ports loopback.Ports
+
+// freeAddress gives an address that nobody else gets.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.Address()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 func (s *soak) begin(gateways int) {
