A request under way is not lost to the end of its connection's rest

Change: inbound.Listener ends resting connections. A connection of which any byte was received, or waits in the socket, is not ended; one that was ended hands no byte on. It takes the place of the idle closer and of Shutdown. Callers' checks of sockets move to internal/socket.

Also: a port left to the system is looked for again when its TCP half is taken (TestBadClients failed so once: 'bind: address already in use').

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/capersaddle/capersaddle/internal/socket"
 )
 
 const (
@@ -129,7 +131,7 @@
 
 // usable says whether a rested connection may carry another request.
 func (c *Conn) usable(longest time.Duration) bool {
-	return c.rested <= longest && c.Reader.Buffered() == 0 && quiet(c.Conn)
+	return c.rested <= longest && c.Reader.Buffered() == 0 && socket.Look(c.Conn) == socket.Nothing
 }
 
 // take gives the connection that rested last, the likeliest to be open.
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -10,19 +9,17 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/checkpoint"
 	"github.com/capersaddle/capersaddle/internal/freshness"
 	"github.com/capersaddle/capersaddle/internal/gateway"
+	"github.com/capersaddle/capersaddle/internal/inbound"
 	"github.com/capersaddle/capersaddle/internal/kernel"
-	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/observe"
 	"github.com/capersaddle/capersaddle/internal/peer"
 	"github.com/capersaddle/capersaddle/internal/retrybudget"
 	"github.com/capersaddle/capersaddle/internal/settings"
-	"github.com/capersaddle/capersaddle/internal/wire"
 	"github.com/capersaddle/capersaddle/platform"
 )
 
@@ -61,7 +58,8 @@
 	feed      *platform.Feed
 	peers     *peer.Service
 	front     *platform.Front
-	callers   *http.Server
+	callers   *inbound.Listener
+	server    *http.Server
 	leaving   atomic.Bool
 	addresses Addresses
 	started   time.Time
@@ -87,30 +85,19 @@
 	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, store: p.observer.NewStoreDependency()}, p.asksStore)
 	p.front = &platform.Front{Gateway: p.gateway}
 	observe.RegisterGauges(registry, p.gauges())
-	services := []struct {
-		name    string
-		address string
-		server  *http.Server
-	}{
-		{"callers", s.Callers, p.newCallers()},
-		{"ready", s.Ready, &http.Server{Handler: p.readyHandler(), ReadHeaderTimeout: headerTimeout}},
-		{"metrics", s.Metrics, &http.Server{Handler: metricsHandler(registry), ReadHeaderTimeout: headerTimeout}},
-	}
-	if err := errors.Join(p.kernel.Register("sender", sender), p.joinPeers(), p.kernel.Register("feed", p.feed), p.kernel.Register("checkpoint", p.newSaver())); err != nil {
-		return nil, errors.CombineErrors(err, p.kernel.Close())
-	}
-	for _, service := range services {
-		if service.address == "" {
-			continue
-		}
-		listener, err := net.Listen("tcp", service.address)
-		if err != nil {
-			return nil, errors.CombineErrors(listenFailed(service.name, err), p.kernel.Close())
-		}
-		if err := p.kernel.Register(service.name, newServerService(listener, service.server)); err != nil {
-			return nil, err
+	steps := []func() error{
+		func() error { return p.kernel.Register("sender", sender) },
+		p.joinPeers,
+		func() error { return p.kernel.Register("feed", p.feed) },
+		func() error { return p.kernel.Register("checkpoint", p.newSaver()) },
+		p.serveCallers,
+		p.serveReady,
+		func() error { return p.serveMetrics(registry) },
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, errors.CombineErrors(err, p.kernel.Close())
 		}
-		p.note(service.name, listener.Addr().String())
 	}
 	return p, nil
 }
@@ -149,42 +136,6 @@
 	}
 }
 
-// joinPeers takes the address for other gateways, if there is one.
-func (p *GatewayProcess) joinPeers() error {
-	if p.settings.Peers == "" {
-		return nil
-	}
-	conn, err := listenUDP(p.settings.Peers)
-	if err != nil {
-		return listenFailed("peers", err)
-	}
-	address := conn.LocalAddr().String()
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.CombineErrors(listenFailed("peers", err), conn.Close())
-	}
-	p.addresses.Link, p.addresses.Beat = address, address
-	hello := &wire.Hello{Version: link.Version, ProcessId: p.settings.ID, Role: p.settings.Role, DataCenter: p.settings.DataCenter}
-	pool := link.NewPool(hello, nil)
-	p.peers = peer.New(peer.Options{
-		ID:       p.settings.ID,
-		Address:  address,
-		Seeds:    p.settings.Seeds,
-		Budget:   peerBudget,
-		Replica:  p.feed,
-		Proof:    p.gateway.Proof,
-		Balancer: p.gateway.Balancer,
-		Watcher:  p.observer,
-		Counted:  p.countPeers,
-	}, conn, pool)
-	server := link.NewServer(listener, hello, nil, p.log, p.peers.Handle)
-	return errors.Join(
-		p.kernel.Register("links out", closer{pool.Close}),
-		p.kernel.Register("links in", closer{server.Close}),
-		p.kernel.Register("peers", p.peers),
-	)
-}
-
 // newSaver keeps in the store where parts of prompts are cached.
 func (p *GatewayProcess) newSaver() *checkpoint.Saver {
 	turn := func() bool { return p.peers == nil || p.peers.First() }
@@ -192,23 +143,6 @@
 	return checkpoint.NewSaver(p.gateway.Balancer, p.feed, turn, called)
 }
 
-// countPeers shares the bounds of all gateways among as many as are heard, or
-// ever were.
-func (p *GatewayProcess) countPeers(peers int) {
-	p.gateway.Balancer.SetPeers(peers)
-	p.mostPeers = max(p.mostPeers, peers)
-	gateways := max(leastGateways, gatewaysToCome*float64(p.mostPeers+1))
-	if time.Since(p.started) < knownAfter {
-		gateways = max(gateways, unknownGateways)
-	}
-	p.gateway.Budgets.SetSlack(p.settings.Retry.Slack / gateways)
-}
-
-// accompanied says whether other gateways are heard.
-func (p *GatewayProcess) accompanied() bool {
-	return p.peers != nil && p.peers.Live() > 0
-}
-
 // closer is a service that has begun already.
 type closer struct {
 	close func() error
@@ -220,51 +154,6 @@
 // Close ends the service.
 func (c closer) Close() error { return c.close() }
 
-// asksStore says whether this process is to ask the store now.
-func (p *GatewayProcess) asksStore() bool {
-	return p.peers == nil || p.peers.Asks()
-}
-
-func (p *GatewayProcess) note(name, address string) {
-	switch name {
-	case "callers":
-		p.addresses.Callers = address
-	case "ready":
-		p.addresses.Ready = address
-	case "metrics":
-		p.addresses.Operators = address
-	}
-}
-
-func (p *GatewayProcess) newCallers() *http.Server {
-	idle := newIdleCloser(func() time.Duration {
-		if table := p.gateway.Table(); table != nil {
-			return table.Limits().IdleTimeout
-		}
-		return 0
-	})
-	p.callers = &http.Server{
-		Handler:           p.front,
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    headerBytes,
-		ConnState:         idle.connState,
-		ErrorLog:          p.log.With("part", "callers").StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
-	}
-	return p.callers
-}
-
-func metricsHandler(registry *prometheus.Registry) http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-	return mux
-}
-
-func (p *GatewayProcess) readyHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc(platform.Ready(func(context.Context) bool { return p.Ready() }))
-	return mux
-}
-
 // Ready says whether callers may come: configuration and servers are known,
 // and there is a proof to vouch for keys by.
 func (p *GatewayProcess) Ready() bool {
@@ -321,9 +210,9 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if err := p.callers.Shutdown(ctx); err != nil {
+	if err := p.callers.Drain(ctx); err != nil {
 		// The grace time is over: what is left is cut by us or by the platform.
-		return errors.CombineErrors(errors.Wrap(err, "wait for requests in flight"), p.callers.Close())
+		return errors.CombineErrors(err, p.server.Close())
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/process/gateway_http.go
@@ -0,0 +1,74 @@
+package process
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/capersaddle/capersaddle/internal/inbound"
+	"github.com/capersaddle/capersaddle/platform"
+)
+
+// idleLimit is how long a caller's connection may rest by the configuration in
+// force; zero is without bound.
+func (p *GatewayProcess) idleLimit() time.Duration {
+	if table := p.gateway.Table(); table != nil {
+		return table.Limits().IdleTimeout
+	}
+	return 0
+}
+
+// serveCallers takes the callers' address.
+func (p *GatewayProcess) serveCallers() error {
+	listener, err := net.Listen("tcp", p.settings.Callers)
+	if err != nil {
+		return listenFailed("callers", err)
+	}
+	p.addresses.Callers = listener.Addr().String()
+	p.callers = inbound.Listen(listener, p.idleLimit)
+	p.server = &http.Server{
+		Handler:           p.front,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    headerBytes,
+		ConnState:         p.callers.ConnState,
+		ErrorLog:          p.log.With("part", "callers").StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+	return p.kernel.Register("callers", newServerService(p.callers, p.server))
+}
+
+// serveReady takes the address at which the platform asks whether callers may
+// come.
+func (p *GatewayProcess) serveReady() error {
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.Ready(func(context.Context) bool { return p.Ready() }))
+	address, err := p.serveHTTP("ready", p.settings.Ready, mux)
+	p.addresses.Ready = address
+	return err
+}
+
+// serveMetrics takes the address for metrics, if there is one.
+func (p *GatewayProcess) serveMetrics(registry *prometheus.Registry) error {
+	if p.settings.Metrics == "" {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	address, err := p.serveHTTP("metrics", p.settings.Metrics, mux)
+	p.addresses.Operators = address
+	return err
+}
+
+// serveHTTP takes an address for a handler and returns where it listens.
+func (p *GatewayProcess) serveHTTP(name, address string, handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", listenFailed(name, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	return listener.Addr().String(), p.kernel.Register(name, newServerService(listener, server))
+}
--- /dev/null
+++ b/internal/process/gateway_peers.go
@@ -0,0 +1,65 @@
+package process
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/link"
+	"github.com/capersaddle/capersaddle/internal/peer"
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+// joinPeers takes the address for other gateways, if there is one.
+func (p *GatewayProcess) joinPeers() error {
+	if p.settings.Peers == "" {
+		return nil
+	}
+	conn, listener, err := listenBoth(p.settings.Peers)
+	if err != nil {
+		return listenFailed("peers", err)
+	}
+	address := conn.LocalAddr().String()
+	p.addresses.Link, p.addresses.Beat = address, address
+	hello := &wire.Hello{Version: link.Version, ProcessId: p.settings.ID, Role: p.settings.Role, DataCenter: p.settings.DataCenter}
+	pool := link.NewPool(hello, nil)
+	p.peers = peer.New(peer.Options{
+		ID:       p.settings.ID,
+		Address:  address,
+		Seeds:    p.settings.Seeds,
+		Budget:   peerBudget,
+		Replica:  p.feed,
+		Proof:    p.gateway.Proof,
+		Balancer: p.gateway.Balancer,
+		Watcher:  p.observer,
+		Counted:  p.countPeers,
+	}, conn, pool)
+	server := link.NewServer(listener, hello, nil, p.log, p.peers.Handle)
+	return errors.Join(
+		p.kernel.Register("links out", closer{pool.Close}),
+		p.kernel.Register("links in", closer{server.Close}),
+		p.kernel.Register("peers", p.peers),
+	)
+}
+
+// countPeers shares the bounds of all gateways among as many as are heard, or
+// ever were.
+func (p *GatewayProcess) countPeers(peers int) {
+	p.gateway.Balancer.SetPeers(peers)
+	p.mostPeers = max(p.mostPeers, peers)
+	gateways := max(leastGateways, gatewaysToCome*float64(p.mostPeers+1))
+	if time.Since(p.started) < knownAfter {
+		gateways = max(gateways, unknownGateways)
+	}
+	p.gateway.Budgets.SetSlack(p.settings.Retry.Slack / gateways)
+}
+
+// accompanied says whether other gateways are heard.
+func (p *GatewayProcess) accompanied() bool {
+	return p.peers != nil && p.peers.Live() > 0
+}
+
+// asksStore says whether this process is to ask the store now.
+func (p *GatewayProcess) asksStore() bool {
+	return p.peers == nil || p.peers.Asks()
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -162,6 +162,36 @@
 	return net.ListenUDP("udp", parsed)
 }
 
+// anyPortTries is how often a free port is looked for that serves both TCP and
+// UDP, when the address leaves the port to the system.
+const anyPortTries = 16
+
+// listenBoth takes one address for both UDP and TCP.
+func listenBoth(address string) (*net.UDPConn, net.Listener, error) {
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, nil, err
+	}
+	tries := 1
+	if port == "0" {
+		tries = anyPortTries
+	}
+	for {
+		conn, err := listenUDP(address)
+		if err != nil {
+			return nil, nil, err
+		}
+		listener, err := net.Listen("tcp", conn.LocalAddr().String())
+		if err == nil {
+			return conn, listener, nil
+		}
+		_ = conn.Close()
+		if tries--; tries == 0 {
+			return nil, nil, err
+		}
+	}
+}
+
 func listenFailed(field string, err error) *fault.Error {
 	return fault.New(fault.BadSettings, fault.NotRun, "field %q: %v; choose another port or end the process that holds it", field, err)
 }
