--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -32,6 +32,8 @@
 	Workspace string
 	Service   string
 	Session   string
+	// Prompt are the prompt's parts; nil if it names none.
+	Prompt []Part
 	// Config is the version of the configuration that was used.
 	Config int64
 	// ProofAge is the age of the proof that it was the newest, at the end;
@@ -79,6 +81,7 @@
 		ID:       c.request.ID,
 		Service:  c.service,
 		Session:  c.request.session(),
+		Prompt:   c.request.Parts,
 		Attempts: c.attempts,
 		Status:   c.status,
 		Ending:   c.ending,
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -90,7 +90,7 @@
 	o.log.Info(EventRequest,
 		"id", record.ID, "ending", record.Ending, "status", record.Status,
 		"route", record.Route, "kind", record.Kind, "workspace", record.Workspace, "service", record.Service,
-		"session", record.Session, "config", record.Config, "proof_ms", wholeMillis(record.ProofAge),
+		"session", record.Session, "prompt", describePrompt(record.Prompt), "config", record.Config, "proof_ms", wholeMillis(record.ProofAge),
 		"first_ms", wholeMillis(record.First), "took_ms", wholeMillis(record.Took), "attempts", describe(record.Attempts))
 }
 
@@ -98,6 +98,20 @@
 	return d.Milliseconds()
 }
 
+// describePrompt writes the parts of a prompt as id:tokens, parted by commas.
+func describePrompt(parts []gateway.Part) string {
+	var text strings.Builder
+	for i, part := range parts {
+		if i > 0 {
+			text.WriteByte(',')
+		}
+		text.WriteString(part.ID)
+		text.WriteByte(':')
+		text.WriteString(strconv.Itoa(part.Tokens))
+	}
+	return text.String()
+}
+
 // describe writes attempts as target@address=outcome(took,load/mean,...),
 // parted by blanks.
 func describe(attempts []gateway.AttemptRecord) string {
@@ -119,6 +133,10 @@
 		text.WriteString(strconv.FormatFloat(attempt.Mean, 'f', 1, 64))
 		text.WriteString(",open:")
 		text.WriteString(strconv.Itoa(attempt.Candidates))
+		if attempt.FetchFrom != "" {
+			text.WriteString(",fetch:")
+			text.WriteString(attempt.FetchFrom)
+		}
 		if attempt.Events > 0 {
 			text.WriteString(",events:")
 			text.WriteString(strconv.Itoa(attempt.Events))
