--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -81,7 +81,7 @@
 func (s *site) close() {
 	_ = s.server.Close()
 	time.Sleep(slowly) // until the slowest handler has seen it
-	<-s.served
+	_ = <-s.served
 }
 
 // caller is one connection.
