Long prompts are read once, kept near, and moved less

Ruled out: evictions (all sessions fit into one engine), lost placements.

Change: fills (a long part that is being read is waited for, here and at peers), a higher bound for long prompts and a lower one for short ones, spills into a holder's data centre first, fetches from targets whose entry has just been removed.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -16,22 +16,43 @@
 type Options struct {
 	// DataCenter is this process's own; ties go to targets in it.
 	DataCenter string
-	// Multiple times the mean load, plus Extra, is the most that a session's
-	// home may hold before the session goes to its next home.
-	Multiple float64
-	Extra    float64
-	// MultipleOfMany and ExtraOfMany are the same where more than a few
-	// gateways share the targets.
-	MultipleOfMany float64
-	ExtraOfMany    float64
+	// Short and Long bound what a session's home may hold before the session
+	// goes to its next home, for sessions with a short and with a long prompt.
+	// A long one costs more to move, so short ones make room for it.
+	Short, Long Bound
+	// ShortOfMany and LongOfMany are the same where more than a few gateways
+	// share the targets.
+	ShortOfMany, LongOfMany Bound
 	// MaxEjected is the largest share of a service's targets left out for
 	// their failures.
 	MaxEjected float64
 }
 
+// Bound is Multiple times the mean load of a service's targets plus Extra, in
+// requests.
+type Bound struct {
+	Multiple float64
+	Extra    float64
+}
+
+// at is the bound at a mean load.
+func (b Bound) at(mean float64) float64 {
+	return b.Multiple*mean + b.Extra
+}
+
+// longPrompt is from how many tokens in the parts that it shares a prompt is
+// long.
+const longPrompt = 4000
+
 // DefaultOptions leave room below a bound of twice the mean plus 3.
 func DefaultOptions() Options {
-	return Options{Multiple: 1.8, Extra: 2.2, MultipleOfMany: 1.65, ExtraOfMany: 2, MaxEjected: 0.5}
+	return Options{
+		Short:       Bound{1.6, 1.6},
+		Long:        Bound{1.9, 2.6},
+		ShortOfMany: Bound{1.5, 1.6},
+		LongOfMany:  Bound{1.65, 2},
+		MaxEjected:  0.5,
+	}
 }
 
 // fewPeers is how many other gateways can tell each other their loads almost
@@ -48,6 +69,7 @@
 	byShort  map[uint32]*state
 	services map[string][]*state
 	holders  *holders
+	fills    fills
 	// manyPeers says that more than a few other gateways share the targets.
 	manyPeers bool
 }
@@ -61,6 +83,7 @@
 		byShort:  make(map[uint32]*state),
 		services: make(map[string][]*state),
 		holders:  newHolders(),
+		fills:    make(fills),
 	}
 }
 
@@ -70,10 +93,21 @@
 	// Parts are hashes of the prompt's shared parts in order; each is cached
 	// only behind those before it. Empty for none.
 	Parts []uint64
+	// Tokens are the lengths of the parts, in the same order; nil if unknown.
+	Tokens []int
 	// Exclude are targets that were tried already.
 	Exclude []string
 }
 
+// long says whether the parts that the prompt shares are long together.
+func (q Query) long() bool {
+	total := 0
+	for _, tokens := range q.Tokens {
+		total += tokens
+	}
+	return total >= longPrompt
+}
+
 // Pick is a choice.
 type Pick struct {
 	Target Target
@@ -104,8 +138,9 @@
 	if len(query.Parts) == 0 {
 		chosen = b.lightest(open, now)
 	} else {
-		chosen = b.home(query.Parts[len(query.Parts)-1], open, mean, now)
-		fetchFrom = b.fetchFrom(query.Parts, listed, chosen)
+		chosen = b.home(query, open, mean, now)
+		fetchFrom = b.fetchFrom(query.Parts, listed, chosen, now)
+		b.noteFills(query, chosen, now)
 		b.expect(query.Parts, chosen)
 	}
 	pick := Pick{Target: chosen.Target, FetchFrom: fetchFrom, Load: chosen.load(now), Mean: mean, Candidates: len(open)}
@@ -222,41 +257,78 @@
 
 // home is where a request of a session goes: a target that holds the session's
 // prefix if one is below the bound, else the first target in the session's
-// rendezvous order that is, else the least loaded.
-func (b *Balancer) home(session uint64, open []*state, mean float64, now time.Time) *state {
+// rendezvous order that is, else the least loaded. Targets in a holder's data
+// centre come first in that order: to move a prefix between data centres costs
+// twice as much.
+func (b *Balancer) home(query Query, open []*state, mean float64, now time.Time) *state {
+	session := query.Parts[len(query.Parts)-1]
 	typical := typicalLatency(open)
+	bound := b.boundOf(query).at(mean)
 	fits := func(target *state) bool {
-		return float64(target.load(now)) <= b.bound(mean, target, typical)
+		return float64(target.load(now)) <= lessForSlow(bound, target, typical)
 	}
+	near := make(map[string]bool)
 	for _, known := range b.holders.of(shortOf(session)) {
-		if target := b.byShort[known.target]; target != nil && slices.Contains(open, target) && fits(target) {
+		target := b.byShort[known.target]
+		if target == nil {
+			continue
+		}
+		if slices.Contains(open, target) && fits(target) {
 			return target
 		}
+		near[target.DataCenter] = true
 	}
-	order := slices.Clone(open)
+	for _, target := range rendezvousOrder(session, open, near) {
+		if fits(target) {
+			return target
+		}
+	}
+	return b.lightest(open, now)
+}
+
+// rendezvousOrder is the session's order of the targets, those in near data
+// centres first.
+func rendezvousOrder(session uint64, targets []*state, near map[string]bool) []*state {
+	order := slices.Clone(targets)
 	slices.SortFunc(order, func(x, y *state) int {
 		return cmp.Or(
+			compareFirst(near[x.DataCenter], near[y.DataCenter]),
 			cmp.Compare(policy.Score(session, y.hash), policy.Score(session, x.hash)),
 			cmp.Compare(x.ID, y.ID),
 		)
 	})
-	for _, target := range order {
-		if fits(target) {
-			return target
-		}
+	return order
+}
+
+// compareFirst puts what holds before what doesn't.
+func compareFirst(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return -1
 	}
-	return b.lightest(open, now)
+	return 1
 }
 
-// bound is the most that a target may hold before a session goes elsewhere. A
-// target that answers much more slowly than the others holds less.
-func (b *Balancer) bound(mean float64, target *state, typical float64) float64 {
-	bound := b.options.Multiple*mean + b.options.Extra
-	if b.manyPeers {
-		bound = b.options.MultipleOfMany*mean + b.options.ExtraOfMany
+// boundOf is the bound on a target's load for a session.
+func (b *Balancer) boundOf(query Query) Bound {
+	switch {
+	case b.manyPeers && query.long():
+		return b.options.LongOfMany
+	case b.manyPeers:
+		return b.options.ShortOfMany
+	case query.long():
+		return b.options.Long
 	}
+	return b.options.Short
+}
+
+// lessForSlow lowers the bound for a target that answers much more slowly than
+// the others.
+func lessForSlow(bound float64, target *state, typical float64) float64 {
 	if slow := slowness(target, typical); slow > slowFactor {
-		bound /= slow / slowFactor
+		return bound * slowFactor / slow
 	}
 	return bound
 }
--- /dev/null
+++ b/internal/balance/fills.go
@@ -0,0 +1,112 @@
+package balance
+
+import "time"
+
+const (
+	// longFill is from how many tokens the reading of a part is worth waiting
+	// for: a second reading beside it takes as long again, for both.
+	longFill = 1500
+	// fillLife is how long another gateway's word of a fill is believed.
+	fillLife = 800 * time.Millisecond
+	// mostFill bounds how long a fill of this process is waited for, in case
+	// nobody ends it.
+	mostFill = 5 * time.Second
+)
+
+// fill is the reading of a part of prompts that no target holds yet.
+type fill struct {
+	target uint32
+	// done is closed when the part has been read, or will not be.
+	done chan struct{}
+	// until is when the fill is given up.
+	until time.Time
+	// own says that it is for a request of this process.
+	own bool
+}
+
+// fills are the parts that are being read, by the upper halves of their
+// hashes.
+type fills map[uint32]*fill
+
+// begin notes that a target is about to read a part.
+func (f fills) begin(placement Placement, until time.Time, own bool) {
+	if known, ok := f[placement.Part]; ok {
+		if known.target == placement.Target {
+			known.until = until
+		}
+		return
+	}
+	f[placement.Part] = &fill{target: placement.Target, done: make(chan struct{}), until: until, own: own}
+}
+
+// end notes that a part has been read, or that its target will not read it.
+func (f fills) end(placement Placement, read bool) {
+	known, ok := f[placement.Part]
+	if !ok || !read && known.target != placement.Target {
+		return
+	}
+	close(known.done)
+	delete(f, placement.Part)
+}
+
+// expire gives up the fills whose time is over.
+func (f fills) expire(now time.Time) {
+	for part, known := range f {
+		if now.After(known.until) {
+			close(known.done)
+			delete(f, part)
+		}
+	}
+}
+
+// Filling says whether a long part of the query's prompt is being read by a
+// target for another request, here or at another gateway; the channel is
+// closed when that is over. A request that waits for it finds the part cached.
+func (b *Balancer) Filling(query Query, now time.Time) (done <-chan struct{}, filling bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fills.expire(now)
+	for _, part := range query.Parts {
+		if known, ok := b.fills[shortOf(part)]; ok {
+			return known.done, true
+		}
+	}
+	return nil, false
+}
+
+// noteFills begins fills for the long parts that no target holds; b.mu is
+// held.
+func (b *Balancer) noteFills(query Query, chosen *state, now time.Time) {
+	for i, part := range query.Parts {
+		if i >= len(query.Tokens) || query.Tokens[i] < longFill || b.holders.held(shortOf(part)) {
+			continue
+		}
+		b.fills.begin(placementOf(part, chosen), now.Add(mostFill), true)
+	}
+}
+
+// Fills are the parts that targets are reading for requests of this process.
+func (b *Balancer) Fills() []Placement {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var placements []Placement
+	for part, known := range b.fills {
+		if known.own {
+			placements = append(placements, Placement{Part: part, Target: known.target})
+		}
+	}
+	return placements
+}
+
+// LearnFills takes another gateway's word of what targets are reading.
+func (b *Balancer) LearnFills(placements []Placement, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, placement := range placements {
+		if b.holders.held(placement.Part) {
+			continue
+		}
+		b.holders.note(placement, false)
+		b.fills.begin(placement, now.Add(fillLife), false)
+	}
+}
--- a/internal/balance/holders.go
+++ b/internal/balance/holders.go
@@ -60,6 +60,11 @@
 	return slices.Contains(h.of(part), holder{target: target, sure: true})
 }
 
+// held says whether any target is known to hold a part.
+func (h *holders) held(part uint32) bool {
+	return slices.ContainsFunc(h.of(part), func(k holder) bool { return k.sure })
+}
+
 // note remembers a placement; it returns false if it was known as surely.
 func (h *holders) note(placement Placement, sure bool) bool {
 	known := slices.Clone(h.of(placement.Part))
--- a/internal/balance/placements.go
+++ b/internal/balance/placements.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"time"
 
 	"github.com/capersaddle/capersaddle/internal/policy"
 )
@@ -14,12 +15,12 @@
 // fetchFrom is the address of another target from which the chosen one can
 // fetch the longest part of the prompt that it may lack; empty if it holds the
 // prompt already. Where nothing is known the next home is the best guess.
-func (b *Balancer) fetchFrom(parts []uint64, listed []*state, chosen *state) string {
+func (b *Balancer) fetchFrom(parts []uint64, listed []*state, chosen *state, now time.Time) string {
 	for i := len(parts) - 1; i >= 0; i-- {
 		if b.holders.surely(shortOf(parts[i]), shortOf(chosen.hash)) {
 			return ""
 		}
-		if source := b.source(shortOf(parts[i]), chosen); source != nil {
+		if source := b.source(shortOf(parts[i]), chosen, now); source != nil {
 			return source.Address
 		}
 	}
@@ -39,13 +40,17 @@
 	return best.Address
 }
 
+// lingerFor is how long after its entry was dropped a target is taken to serve
+// what it holds: one that ends as planned does so for a while.
+const lingerFor = 2500 * time.Millisecond
+
 // source picks one of a part's sure holders that still serve, a near one if
 // there is one: a way between data centres takes longer.
-func (b *Balancer) source(part uint32, chosen *state) *state {
+func (b *Balancer) source(part uint32, chosen *state, now time.Time) *state {
 	var found *state
 	for _, known := range b.holders.of(part) {
 		target := b.byShort[known.target]
-		if !known.sure || target == nil || target == chosen || !target.goneAt.IsZero() {
+		if !known.sure || target == nil || target == chosen || target.goneFor(now) > lingerFor {
 			continue
 		}
 		if target.DataCenter == chosen.DataCenter {
@@ -80,6 +85,7 @@
 	}
 	for _, part := range parts {
 		b.holders.confirm(placementOf(part, target))
+		b.fills.end(placementOf(part, target), true)
 	}
 }
 
@@ -94,6 +100,7 @@
 	}
 	for _, part := range parts {
 		b.holders.withdraw(placementOf(part, target))
+		b.fills.end(placementOf(part, target), false)
 	}
 }
 
@@ -119,5 +126,6 @@
 	defer b.mu.Unlock()
 	for _, placement := range placements {
 		b.holders.note(placement, true)
+		b.fills.end(placement, true)
 	}
 }
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -76,6 +76,14 @@
 	return total
 }
 
+// goneFor is how long ago the list dropped the target; zero while it is listed.
+func (s *state) goneFor(now time.Time) time.Duration {
+	if s.goneAt.IsZero() {
+		return 0
+	}
+	return now.Sub(s.goneAt)
+}
+
 // latencyWeight is the share of a new sample in the moving mean.
 const latencyWeight = 0.15
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -24,6 +24,8 @@
 	service   string
 	// parts are hashes of the prompt's shared parts, in order.
 	parts []uint64
+	// tokens are the lengths of the parts.
+	tokens []int
 	// deadline is when the caller or the route's time-out ends the request.
 	deadline time.Time
 	delivery *delivery.Delivery
@@ -42,6 +44,10 @@
 	firstAfter time.Duration
 }
 
+// fillShare of the route's target latency is how long a request waits at most
+// for the reading of a part of its prompt for another one.
+const fillShare = 0.5
+
 // leastTry is the least time left that makes another attempt worth while.
 const leastTry = 10 * time.Millisecond
 
@@ -50,7 +56,7 @@
 	c.after = c.request.After
 	c.deadline = c.request.Arrived.Add(c.holdTime())
 	if service, ok := c.table.Service(c.route.Split[0].Service); ok && service.Engine {
-		c.parts = c.request.sharedParts()
+		c.parts, c.tokens = c.request.sharedParts()
 	}
 	c.service = c.route.ServiceAt(c.splitPoint())
 	c.delivery = delivery.New(repeatOf(c.route), c.route.MaxAttempts)
@@ -94,6 +100,7 @@
 func (c *call) run(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	c.awaitFill(ctx)
 	for {
 		pick, ok := c.gateway.Balancer.Choose(c.query(), time.Now())
 		if !ok {
@@ -124,8 +131,31 @@
 	}
 }
 
+// awaitFill waits while a long part of the prompt is being read for another
+// request, so that it is not read twice side by side.
+func (c *call) awaitFill(ctx context.Context) {
+	if len(c.parts) == 0 {
+		return
+	}
+	limit := time.NewTimer(time.Duration(fillShare * float64(c.route.TargetLatency)))
+	defer limit.Stop()
+	for {
+		done, filling := c.gateway.Balancer.Filling(c.query(), time.Now())
+		if !filling {
+			return
+		}
+		select {
+		case <-done:
+		case <-limit.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (c *call) query() balance.Query {
-	return balance.Query{Service: c.service, Parts: c.parts, Exclude: c.tried}
+	return balance.Query{Service: c.service, Parts: c.parts, Tokens: c.tokens, Exclude: c.tried}
 }
 
 // callerLeft says whether the request ended because its caller closed the
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -52,17 +52,18 @@
 }
 
 // sharedParts are hashes of the parts that other requests for the same model
-// share, in order: all but the last, or the only one.
-func (r *Request) sharedParts() []uint64 {
+// share, in order, and their lengths in tokens: all but the last, or the only
+// one.
+func (r *Request) sharedParts() (hashes []uint64, tokens []int) {
 	parts := r.Parts
 	if len(parts) > 1 {
 		parts = parts[:len(parts)-1]
 	}
-	hashes := make([]uint64, 0, len(parts))
 	for _, part := range parts {
 		hashes = append(hashes, policy.HashName(r.Model+"/"+part.ID))
+		tokens = append(tokens, part.Tokens)
 	}
-	return hashes
+	return hashes, tokens
 }
 
 // Outgoing is one attempt at one target.
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -36,6 +36,10 @@
 		beat.Targets = append(beat.Targets, shortHash(count.Target))
 		beat.Counts = append(beat.Counts, uint32(count.Count))
 	}
+	for _, placement := range s.lastFills {
+		beat.FillParts = append(beat.FillParts, placement.Part)
+		beat.FillTargets = append(beat.FillTargets, placement.Target)
+	}
 	s.addPlacements(beat, to, now)
 	if to.beats < introduceFirst || to.beats%introduceEvery == 0 {
 		beat.Id, beat.Address = s.options.ID, s.options.Address
@@ -116,7 +120,8 @@
 	s.table.hear(beat.GetKnown(), s.options.Address)
 	s.takeProof(beat)
 	s.options.Balancer.Observe(from.id, countsOf(beat), now)
-	s.options.Balancer.Learn(placementsOf(beat))
+	s.options.Balancer.Learn(placementsOf(beat.GetParts(), beat.GetHolders()))
+	s.options.Balancer.LearnFills(placementsOf(beat.GetFillParts(), beat.GetFillTargets()), now)
 	s.catchUp(now)
 }
 
@@ -149,12 +154,11 @@
 	return counts
 }
 
-// placementsOf reads the placements; a list that is longer than the other
-// ends with the shorter.
-func placementsOf(beat *wire.GatewayBeat) []balance.Placement {
-	parts := beat.GetParts()
+// placementsOf puts parts and their targets together; a list that is longer
+// than the other ends with the shorter.
+func placementsOf(parts, targets []uint32) []balance.Placement {
 	placements := make([]balance.Placement, 0, len(parts))
-	for i, target := range beat.GetHolders() {
+	for i, target := range targets {
 		if i < len(parts) {
 			placements = append(placements, balance.Placement{Part: parts[i], Target: target})
 		}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -113,6 +113,7 @@
 	sentAt [sentKept]time.Time
 	// lastTold is what the last round of beats told.
 	lastCounts   []balance.Count
+	lastFills    []balance.Placement
 	lastRevision int64
 	lastRound    time.Time
 	// behindSince is when a peer was first seen ahead; zero while none is.
@@ -241,6 +242,7 @@
 	changed := revision != s.lastRevision || !slices.Equal(counts, s.lastCounts)
 	if changed || urgent || now.Sub(s.lastRound) >= beatMost {
 		s.lastCounts, s.lastRevision, s.lastRound = counts, revision, now
+		s.lastFills = s.options.Balancer.Fills()
 		s.tell(now, urgent)
 	}
 	s.catchUp(now)
