--- a/internal/balance/fills_test.go
+++ b/internal/balance/fills_test.go
@@ -43,16 +43,20 @@
 		fills  bool
 		over   bool
 	}{
-		"under way":           {tokens: manyTokens, fills: true},
-		"short":               {tokens: 100},
-		"no lengths told":     {tokens: -1},
-		"held elsewhere":      {tokens: manyTokens, held: true},
-		"read":                {tokens: manyTokens, fills: true, over: true, end: func(b *balance.Balancer, q balance.Query, p balance.Pick) { b.Confirm(p.Target.ID, q.Parts) }},
-		"failed":              {tokens: manyTokens, fills: true, over: true, end: func(b *balance.Balancer, q balance.Query, p balance.Pick) { b.Withdraw(p.Target.ID, q.Parts) }},
-		"failed at another":   {tokens: manyTokens, fills: true, end: func(b *balance.Balancer, q balance.Query, _ balance.Pick) { b.Withdraw("t8", q.Parts) }},
-		"read, says a peer":   {tokens: manyTokens, fills: true, over: true, end: func(b *balance.Balancer, q balance.Query, p balance.Pick) { b.Learn([]balance.Placement{placementOf(q, p)}) }},
-		"nobody ends it":      {tokens: manyTokens, fills: true, over: true, end: func(b *balance.Balancer, q balance.Query, _ balance.Pick) { b.Filling(q, start.Add(time.Minute)) }},
-		"also told by a peer": {tokens: manyTokens, fills: true, end: func(b *balance.Balancer, q balance.Query, p balance.Pick) { b.LearnFills([]balance.Placement{placementOf(q, p)}, start) }},
+		"under way":         {tokens: manyTokens, fills: true},
+		"short":             {tokens: 100},
+		"no lengths told":   {tokens: -1},
+		"held elsewhere":    {tokens: manyTokens, held: true},
+		"read":              {tokens: manyTokens, fills: true, over: true, end: func(b *balance.Balancer, q balance.Query, p balance.Pick) { b.Confirm(p.Target.ID, q.Parts) }},
+		"failed":            {tokens: manyTokens, fills: true, over: true, end: func(b *balance.Balancer, q balance.Query, p balance.Pick) { b.Withdraw(p.Target.ID, q.Parts) }},
+		"failed at another": {tokens: manyTokens, fills: true, end: func(b *balance.Balancer, q balance.Query, _ balance.Pick) { b.Withdraw("t8", q.Parts) }},
+		"read, says a peer": {tokens: manyTokens, fills: true, over: true, end: func(b *balance.Balancer, q balance.Query, p balance.Pick) {
+			b.Learn([]balance.Placement{placementOf(q, p)})
+		}},
+		"nobody ends it": {tokens: manyTokens, fills: true, over: true, end: func(b *balance.Balancer, q balance.Query, _ balance.Pick) { b.Filling(q, start.Add(time.Minute)) }},
+		"also told by a peer": {tokens: manyTokens, fills: true, end: func(b *balance.Balancer, q balance.Query, p balance.Pick) {
+			b.LearnFills([]balance.Placement{placementOf(q, p)}, start)
+		}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -53,14 +53,14 @@
 	pipes    *pipes
 	listener *inbound.Listener
 	server   *http.Server
-	served   chan error
+	served   chan struct{}
 	limit    time.Duration
 }
 
 const slowly = 2 * time.Second
 
 func newSite() *site {
-	s := &site{pipes: newPipes(), served: make(chan error, 1), limit: 4 * time.Second}
+	s := &site{pipes: newPipes(), served: make(chan struct{}), limit: 4 * time.Second}
 	s.listener = inbound.Listen(s.pipes, func() time.Duration { return s.limit })
 	s.server = &http.Server{
 		ConnState: s.listener.ConnState,
@@ -74,14 +74,17 @@
 			_, _ = io.WriteString(w, "yes")
 		}),
 	}
-	go func() { s.served <- s.server.Serve(s.listener) }()
+	go func() {
+		defer close(s.served)
+		_ = s.server.Serve(s.listener) // ends when the server is closed
+	}()
 	return s
 }
 
 func (s *site) close() {
 	_ = s.server.Close()
 	time.Sleep(slowly) // until the slowest handler has seen it
-	_ = <-s.served
+	<-s.served
 }
 
 // caller is one connection.
