--- /dev/null
+++ b/internal/balance/choose.go
@@ -0,0 +1,233 @@
+package balance
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/policy"
+)
+
+// Choose picks a target and counts one request at it, which Release ends.
+// It returns false if the service has no target that may take work.
+func (b *Balancer) Choose(query Query, now time.Time) (Pick, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	listed := b.services[query.Service]
+	open := b.open(listed, query.Exclude, now)
+	if len(open) == 0 {
+		return Pick{}, false
+	}
+	mean := meanLoad(open, now)
+	var chosen *state
+	fetchFrom := ""
+	if len(query.Parts) == 0 {
+		chosen = b.lightest(open, now)
+	} else {
+		chosen = b.home(query, open, mean, now)
+		fetchFrom = b.fetchFrom(query.Parts, listed, chosen, now)
+		b.noteFills(query, chosen, now)
+		b.expect(query.Parts, chosen)
+	}
+	pick := Pick{Target: chosen.Target, FetchFrom: fetchFrom, Load: chosen.load(now), Mean: mean, Candidates: len(open)}
+	chosen.inFlight++
+	return pick, true
+}
+
+// open are the targets that may take the request: listed, not leaving, not
+// tried and not ejected. When all others are ejected the ejected ones serve.
+// When the list has dropped every target of a service, those that it dropped
+// last serve on: entries lapse while the store is down.
+func (b *Balancer) open(listed []*state, exclude []string, now time.Time) []*state {
+	var healthy, ejected, lapsed []*state
+	present := 0
+	for _, target := range listed {
+		gone := !target.goneAt.IsZero()
+		if !gone {
+			present++
+		}
+		switch {
+		case target.Leaving || slices.Contains(exclude, target.ID):
+		case gone:
+			lapsed = append(lapsed, target)
+		case target.health.ejected(now):
+			ejected = append(ejected, target)
+		default:
+			healthy = append(healthy, target)
+		}
+	}
+	if present == 0 && len(listed) >= leastLapsed {
+		return lapsed
+	}
+	if most := int(b.options.MaxEjected * float64(present)); len(ejected) > most {
+		// Too many look bad: those whose time out ends first come back.
+		slices.SortFunc(ejected, func(x, y *state) int {
+			return x.health.ejectedUntil.Compare(y.health.ejectedUntil)
+		})
+		healthy = append(healthy, ejected[:len(ejected)-most]...)
+	}
+	if len(healthy) == 0 {
+		return ejected
+	}
+	return healthy
+}
+
+// leastLapsed is how many targets a service must have lost, all at once, for
+// their entries to be taken as lapsed and not as removed.
+const leastLapsed = 2
+
+func meanLoad(targets []*state, now time.Time) float64 {
+	total := 0
+	for _, target := range targets {
+		total += target.load(now)
+	}
+	return float64(total) / float64(len(targets))
+}
+
+// lightest is the target with the least expected wait: requests in flight,
+// weighed by how slowly it answers. Ties go to this data centre.
+func (b *Balancer) lightest(open []*state, now time.Time) *state {
+	typical := typicalLatency(open)
+	best, bestCost := open[0], math.Inf(1)
+	start := rand.IntN(len(open))
+	for i := range open {
+		target := open[(start+i)%len(open)]
+		cost := float64(target.load(now)+1) * slowness(target, typical)
+		if target.DataCenter != b.options.DataCenter {
+			cost += farCost
+		}
+		if cost < bestCost {
+			best, bestCost = target, cost
+		}
+	}
+	return best
+}
+
+const (
+	// farCost breaks ties in favour of the near.
+	farCost = 0.05
+	// coldFactor is how much slower a target is taken to be from its start.
+	coldFactor = 1.6
+	// mostSlowness bounds the weight of one target's delay.
+	mostSlowness = 8
+)
+
+// typicalLatency is the median of the targets' moving means; zero if none is
+// known.
+func typicalLatency(targets []*state) float64 {
+	var known []float64
+	for _, target := range targets {
+		if target.latency > 0 {
+			known = append(known, target.latency)
+		}
+	}
+	if len(known) == 0 {
+		return 0
+	}
+	slices.Sort(known)
+	return known[len(known)/2]
+}
+
+// slowness is how many times as long as typical a target takes, at least a
+// half.
+func slowness(target *state, typical float64) float64 {
+	factor := 1.0
+	if target.latency > 0 && typical > 0 {
+		factor = min(max(target.latency/typical, 0.5), mostSlowness)
+	}
+	if target.ColdFor > 0 {
+		factor *= coldFactor
+	}
+	return factor
+}
+
+// home is where a request of a session goes: a target that holds the session's
+// prefix if one is below the bound, else the first target in the session's
+// rendezvous order that is, else the least loaded. Targets in a holder's data
+// centre come first in that order: to move a prefix between data centres costs
+// twice as much.
+func (b *Balancer) home(query Query, open []*state, mean float64, now time.Time) *state {
+	session := query.Parts[len(query.Parts)-1]
+	typical := typicalLatency(open)
+	bound := b.boundOf(query).at(mean)
+	fits := func(target *state) bool {
+		return float64(target.load(now)) <= lessForSlow(bound, target, typical)
+	}
+	near := make(map[string]bool)
+	for _, known := range b.holders.of(shortOf(session)) {
+		target := b.byShort[known.target]
+		if target == nil {
+			continue
+		}
+		if slices.Contains(open, target) && fits(target) {
+			return target
+		}
+		near[target.DataCenter] = true
+	}
+	for _, target := range rendezvousOrder(session, open, near) {
+		if fits(target) {
+			return target
+		}
+	}
+	return b.lightest(open, now)
+}
+
+// rendezvousOrder is the session's order of the targets, those in near data
+// centres first.
+func rendezvousOrder(session uint64, targets []*state, near map[string]bool) []*state {
+	order := slices.Clone(targets)
+	slices.SortFunc(order, func(x, y *state) int {
+		return cmp.Or(
+			compareFirst(near[x.DataCenter], near[y.DataCenter]),
+			cmp.Compare(policy.Score(session, y.hash), policy.Score(session, x.hash)),
+			cmp.Compare(x.ID, y.ID),
+		)
+	})
+	return order
+}
+
+// compareFirst puts what holds before what doesn't.
+func compareFirst(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return -1
+	}
+	return 1
+}
+
+// boundOf is the bound on a target's load for a session.
+func (b *Balancer) boundOf(query Query) Bound {
+	switch {
+	case b.manyPeers && query.long():
+		return b.options.LongOfMany
+	case b.manyPeers:
+		return b.options.ShortOfMany
+	case query.long():
+		return b.options.Long
+	}
+	return b.options.Short
+}
+
+// lessForSlow lowers the bound for a target that answers much more slowly than
+// the others.
+func lessForSlow(bound float64, target *state, typical float64) float64 {
+	if slow := slowness(target, typical); slow > slowFactor {
+		return bound * slowFactor / slow
+	}
+	return bound
+}
+
+// slowFactor is the delay, against the typical one, above which a target
+// holds less.
+const slowFactor = 2.5
+
+// Has says whether Choose would find a target.
+func (b *Balancer) Has(query Query, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.open(b.services[query.Service], query.Exclude, now)) > 0
+}
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Ejection: a target that fails its requests is left out for a while that
 // grows with each time, and comes back through real requests.
@@ -87,3 +90,56 @@
 func (h *health) ejected(now time.Time) bool {
 	return now.Before(h.ejectedUntil)
 }
+
+// Result is how a request at a target ended.
+type Result int
+
+// The results.
+const (
+	// Good: answered as it should be.
+	Good Result = iota
+	// Bad: failed, broke off, or gave bytes that are no answer.
+	Bad
+	// Unreachable: no connection could be made.
+	Unreachable
+	// Neutral says nothing of the target.
+	Neutral
+)
+
+// Release ends a request that Choose counted. It returns true if the target
+// was ejected for the result.
+func (b *Balancer) Release(id string, result Result, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	target, ok := b.targets[id]
+	if !ok {
+		return false
+	}
+	target.inFlight--
+	switch result {
+	case Good:
+		target.health.good()
+	case Bad:
+		return target.health.bad(now, b.typicalFailures(target))
+	case Unreachable:
+		target.health.unreachable(now)
+		return true
+	case Neutral:
+	}
+	return false
+}
+
+// typicalFailures is the median failure rate of the service's other targets.
+func (b *Balancer) typicalFailures(except *state) float64 {
+	var rates []float64
+	for _, target := range b.services[except.Service] {
+		if target != except && target.goneAt.IsZero() {
+			rates = append(rates, target.health.rate)
+		}
+	}
+	if len(rates) == 0 {
+		return 0
+	}
+	slices.Sort(rates)
+	return rates[len(rates)/2]
+}
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -67,3 +68,14 @@
 		target.health = health{}
 	}
 }
+
+// Targets are the known targets in the order of their ids.
+func (b *Balancer) Targets() []Target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var targets []Target
+	for _, id := range slices.Sorted(maps.Keys(b.targets)) {
+		targets = append(targets, b.targets[id].Target)
+	}
+	return targets
+}
