--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -117,11 +117,16 @@
 
 // Enter writes a server's entry with a state.
 func (p *Platform) Enter(service, zone, state string, server *Server) error {
-	data, err := json.Marshal(entry{Service: service, Address: server.Address(), Zone: zone, Slots: 8, State: state})
+	return p.EnterAt(service, zone, state, server.ID(), server.Address())
+}
+
+// EnterAt writes the entry of a server that is reached at an address, IP:port.
+func (p *Platform) EnterAt(service, zone, state, id, address string) error {
+	data, err := json.Marshal(entry{Service: service, Address: address, Zone: zone, Slots: 8, State: state})
 	if err != nil {
 		return errors.Wrap(err, "encode a server's entry")
 	}
-	p.Store.Put("servers/"+server.ID(), data)
+	p.Store.Put("servers/"+id, data)
 	return nil
 }
 
