The second asker stays half a watch behind the first

Ruled out: longer watches (the bound of 2 s for a configuration would rest on two askers not failing together). Change: whoever asks second rests half a watch after a change; others ask from 1.8 s on (2.6 s among many); an asker that is silent for 0.9 s (1.5 s) is replaced, before it counts as lost, so that a configuration is in force in time when both askers die.

--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -51,8 +51,8 @@
 	pullPatience = 150 * time.Millisecond
 	// staleProof is the age of the proof at which a gateway asks the store
 	// whoever else does; staleProofOfMany with more than a few peers.
-	staleProof       = 1500 * time.Millisecond
-	staleProofOfMany = 2200 * time.Millisecond
+	staleProof       = 1800 * time.Millisecond
+	staleProofOfMany = 2600 * time.Millisecond
 )
 
 // Replica is the process's copy of what the store holds.
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -203,6 +203,14 @@
 	return slices.Compact(due)
 }
 
+// askerSilent is how long an asker may be silent before the next one asks in
+// its place; askerSilentOfMany with more than a few peers, who hear each other
+// less often. It is shorter than lostAfter: a call too many costs little.
+const (
+	askerSilent       = 900 * time.Millisecond
+	askerSilentOfMany = 1500 * time.Millisecond
+)
+
 // askers is how many gateways ask the store; the others hear from them.
 const askers = 2
 
@@ -216,8 +224,13 @@
 func (t *table) rank(now time.Time) int {
 	own := askScore(t.self)
 	before := 0
-	for _, known := range t.live(now) {
-		if known.leaving || !known.reachesStore {
+	live := t.live(now)
+	silent := askerSilent
+	if len(live) > fewPeers {
+		silent = askerSilentOfMany
+	}
+	for _, known := range live {
+		if known.leaving || !known.reachesStore || now.Sub(known.heardAt) > silent {
 			continue
 		}
 		if askScore(known.id) > own {
--- a/internal/peer/table_test.go
+++ b/internal/peer/table_test.go
@@ -123,3 +123,36 @@
 		})
 	}
 }
+
+// TestASilentAskerIsReplaced: whoever is next asks the store in the place of
+// one that has said nothing for a while, before it counts as lost.
+func TestASilentAskerIsReplaced(t *testing.T) {
+	cases := map[string]struct {
+		others int
+		silent time.Duration
+		asks   bool
+	}{
+		"few, heard":   {askers, 500 * time.Millisecond, false},
+		"few, silent":  {askers, askerSilent + time.Millisecond, true},
+		"many, heard":  {fewPeers + askers, askerSilent + time.Millisecond, false},
+		"many, silent": {fewPeers + askers, askerSilentOfMany + time.Millisecond, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			known := newTable("self", nil, "")
+			added := 0
+			for number := 0; added < tc.others; number++ {
+				id := fmt.Sprint(number)
+				if askScore(id) <= askScore("self") {
+					continue // it would not ask before this one
+				}
+				beat := beatOf(id, 1)
+				beat.Life = uint64(number + 2)
+				known.take(beat, start)
+				added++
+			}
+			is.Equal(known.asks(start.Add(tc.silent)), tc.asks)
+		})
+	}
+}
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -8,6 +8,7 @@
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/peer"
 	"github.com/capersaddle/capersaddle/internal/wire"
+	"github.com/capersaddle/capersaddle/platform"
 )
 
 // joinPeers takes the address for other gateways, if there is one.
@@ -59,7 +60,13 @@
 	return p.peers != nil && p.peers.Live() > 0
 }
 
-// asksStore says whether this process is to ask the store now.
-func (p *GatewayProcess) asksStore() bool {
-	return p.peers == nil || p.peers.Asks()
+// storeRole is this process's part in asking the store.
+func (p *GatewayProcess) storeRole() platform.Role {
+	switch {
+	case p.peers == nil || p.peers.First():
+		return platform.AsksFirst
+	case p.peers.Asks():
+		return platform.AsksToo
+	}
+	return platform.Hears
 }
