--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -30,11 +30,14 @@
 	// the store, and between all gateways and one server.
 	storeLink  action = "store_link"
 	serverLink action = "server_link"
+	// changeUnseen takes a key away while no gateway hears of it, for longer
+	// than keys may be vouched for.
+	changeUnseen action = "change_unseen"
 )
 
 var (
 	planned = []action{terminate, hangUp, change, compact}
-	all     = []action{kill, terminate, pause, pause, hangUp, storeDown, storeSilent, storeSlow, storeLoses, compact, change, misbehave, misbehave, drainServer, storeLink, storeLink, serverLink, serverLink}
+	all     = []action{kill, terminate, pause, pause, hangUp, storeDown, storeSilent, storeSlow, storeLoses, compact, change, misbehave, misbehave, drainServer, storeLink, storeLink, serverLink, serverLink, changeUnseen}
 	modes   = []emulator.Mode{emulator.Error, emulator.Shed, emulator.ResetAfter, emulator.Mute, emulator.CutMiddle, emulator.Unframed, emulator.Foreign, emulator.Encoded, emulator.Garbage, emulator.Early}
 )
 
--- a/internal/soak/system_test.go
+++ b/internal/soak/system_test.go
@@ -202,6 +202,8 @@
 		s.platform.Store.Compact()
 	case change:
 		s.change()
+	case changeUnseen:
+		s.changeUnseen()
 	case misbehave:
 		s.servers[number].Misbehave(made.mode, 4)
 	case drainServer:
@@ -236,6 +238,15 @@
 	}
 }
 
+// changeUnseen changes the configuration while the store answers nobody.
+func (s *soak) changeUnseen() {
+	const longer = revocation + 1500*time.Millisecond
+	s.platform.Store.SetFaults(emulator.StoreFaults{Silent: true})
+	s.change()
+	time.Sleep(longer)
+	s.platform.Store.SetFaults(emulator.StoreFaults{})
+}
+
 // accept writes the next configuration. Only the first one has the workspace
 // "gone".
 func (s *soak) accept() {
