Proofs and urgent word go down a tree; placements worth telling are told

Cause, of the tree: at 300 gateways each peer is told every 4 s, and after 2 s of silence it counted as lost; so most gateways took themselves for askers, and all asked the store. At 30, the two askers told each change to 28 others by whole beats. By the logs gateways did not know of holders that had answered others up to 9 s before: news of placements, root parts that every target has among them, came faster than 12 in each fourth beat. Ruled out: lost datagrams, the order of a session's targets. TestTheTreeReachesAll, TestManyPeersAreNotLost, TestAQuestionIsAnsweredAtOnce and others are of new code.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -101,6 +101,15 @@
 	return total >= longPrompt
 }
 
+// tokensOf is the length of a part; of unknown lengths the least is taken that
+// others are told of.
+func (q Query) tokensOf(part int) int {
+	if part < len(q.Tokens) {
+		return q.Tokens[part]
+	}
+	return leastNews
+}
+
 // Pick is a choice.
 type Pick struct {
 	Target Target
--- a/internal/balance/holders.go
+++ b/internal/balance/holders.go
@@ -14,6 +14,9 @@
 	mostHolders = 4
 	// mostNews bounds the placements that wait to be told to other gateways.
 	mostNews = 2048
+	// leastNews is from how many tokens a part is worth telling of: shorter ones
+	// are read as fast as they are fetched, and there are many.
+	leastNews = 400
 )
 
 // Placement says that a target holds a part of prompts in its cache; both are
@@ -83,9 +86,10 @@
 	return true
 }
 
-// confirm notes a placement that this process has seen to be true, as news.
-func (h *holders) confirm(placement Placement) {
-	if !h.note(placement, true) {
+// confirm notes a placement that this process has seen to be true, as news if
+// others have use for it: the part is long, and not known at many targets yet.
+func (h *holders) confirm(placement Placement, tokens int) {
+	if !h.note(placement, true) || tokens < leastNews || len(h.of(placement.Part)) == mostHolders {
 		return
 	}
 	h.news = append(h.news, placement)
--- a/internal/balance/placements.go
+++ b/internal/balance/placements.go
@@ -75,16 +75,16 @@
 	}
 }
 
-// Confirm notes that a target has read the shared parts of a prompt.
-func (b *Balancer) Confirm(id string, parts []uint64) {
+// Confirm notes that a target has read the shared parts of a query's prompt.
+func (b *Balancer) Confirm(id string, query Query) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	target, ok := b.targets[id]
 	if !ok {
 		return
 	}
-	for _, part := range parts {
-		b.holders.confirm(placementOf(part, target))
+	for i, part := range query.Parts {
+		b.holders.confirm(placementOf(part, target), query.tokensOf(i))
 		b.fills.end(placementOf(part, target), true)
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -82,7 +82,7 @@
 	a.call.gateway.Balancer.Sample(a.pick.Target.ID, time.Since(a.started))
 	if answer.Status < http.StatusBadRequest && len(a.call.parts) > 0 {
 		a.confirmed = true
-		a.call.gateway.Balancer.Confirm(a.pick.Target.ID, a.call.parts)
+		a.call.gateway.Balancer.Confirm(a.pick.Target.ID, a.call.query())
 	}
 }
 
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -11,8 +11,8 @@
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
-// beat puts a beat together; to is nil for an address that is not known yet.
-func (s *Service) beat(to *peer, now time.Time) *wire.GatewayBeat {
+// head puts together what every beat says of its sender.
+func (s *Service) head(now time.Time) *wire.GatewayBeat {
 	s.sequence++
 	s.sentAt[s.sequence%sentKept] = now
 	beat := &wire.GatewayBeat{
@@ -27,6 +27,23 @@
 		beat.HasProof = true
 		beat.ProofAgeMs = uint32(min(age.Milliseconds()+1, int64(forgetAfter/time.Millisecond)))
 	}
+	return beat
+}
+
+// brief puts a beat together that says nothing of loads.
+func (s *Service) brief(to *peer, now time.Time) *wire.GatewayBeat {
+	beat := s.head(now)
+	beat.Echo = to.sequence
+	beat.Brief = true
+	if to.beats < introduceFirst {
+		beat.Id, beat.Address = s.options.ID, s.options.Address
+	}
+	return beat
+}
+
+// beat puts a beat together; to is nil for an address that is not known yet.
+func (s *Service) beat(to *peer, now time.Time) *wire.GatewayBeat {
+	beat := s.head(now)
 	if to == nil {
 		beat.Id, beat.Address = s.options.ID, s.options.Address
 		return beat
@@ -58,9 +75,6 @@
 func (s *Service) addPlacements(beat *wire.GatewayBeat, to *peer, now time.Time) {
 	most := mostPlacements
 	if len(s.table.live(now)) > fewPeers {
-		if to.beats%placementsEvery != 0 {
-			return
-		}
 		most = mostPlacementsOfMany
 	}
 	placements, next := s.options.Balancer.Placements(to.told, most)
@@ -119,9 +133,14 @@
 	}
 	s.table.hear(beat.GetKnown(), s.options.Address)
 	s.takeProof(beat)
-	s.options.Balancer.Observe(from.id, countsOf(beat), now)
-	s.options.Balancer.Learn(placementsOf(beat.GetParts(), beat.GetHolders()))
-	s.options.Balancer.LearnFills(placementsOf(beat.GetFillParts(), beat.GetFillTargets()), now)
+	if !beat.GetBrief() {
+		s.options.Balancer.Observe(from.id, countsOf(beat), now)
+		s.options.Balancer.Learn(placementsOf(beat.GetParts(), beat.GetHolders()))
+		s.options.Balancer.LearnFills(placementsOf(beat.GetFillParts(), beat.GetFillTargets()), now)
+	}
+	if beat.GetWantsProof() {
+		s.send(from.address, s.brief(from, now), true)
+	}
 	s.catchUp(now)
 }
 
--- a/internal/peer/replica.go
+++ b/internal/peer/replica.go
@@ -35,11 +35,15 @@
 const avoidFor = 2 * time.Second
 
 // ahead is the live peer whose replica has reached the highest revision above
-// this process's own; nil if there is none. One that did not answer lately
-// comes after all others.
+// this process's own, the parent before all others; nil if there is none. One
+// that did not answer lately comes last.
 func (s *Service) ahead(now time.Time) *peer {
-	var best *peer
 	own := s.options.Replica.Revision()
+	best := s.table.parent(now)
+	if best != nil && best.revision > own && now.Sub(best.failedAt) >= avoidFor {
+		return best
+	}
+	best = nil
 	for _, known := range s.table.live(now) {
 		if known.revision > own && (best == nil || better(known, best, now)) {
 			best = known
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -34,12 +34,10 @@
 	// who sends them; introduceFirst is how many do at the beginning.
 	introduceEvery = 24
 	introduceFirst = 4
-	// fewPeers is how many peers are told everything at once. With more of
-	// them the loads go first: only each fourth beat to a peer carries
-	// placements, and fewer of them.
+	// fewPeers is how many peers are told everything at once; with more of
+	// them a beat carries fewer placements, so that loads are told more often.
 	fewPeers             = 8
-	mostPlacementsOfMany = 12
-	placementsEvery      = 4
+	mostPlacementsOfMany = 8
 	// receiveBuffer is the largest datagram that is read, in bytes.
 	receiveBuffer = 4096
 	// sentKept is for how many beats the time of sending is remembered.
@@ -119,6 +117,8 @@
 	// behindSince is when a peer was first seen ahead; zero while none is.
 	behindSince time.Time
 	pulling     bool
+	// askedAt is when the parent was last asked for its proof.
+	askedAt time.Time
 
 	sentBytes     atomic.Int64
 	receivedBytes atomic.Int64
@@ -135,7 +135,7 @@
 		life:    rand.Uint64(),
 		bucket:  rate.NewLimiter(rate.Limit(options.Budget), max(options.Budget, receiveBuffer)),
 		urged:   make(chan struct{}, 1),
-		table:   newTable(options.ID, options.Seeds, options.Address),
+		table:   newTable(options.ID, options.Seeds, options.Address, options.Budget),
 	}
 }
 
@@ -163,8 +163,7 @@
 }
 
 // Urge has a change of the store that must be in force soon told at once to
-// all, if this process is among those that hear of it first: the others would
-// only repeat it to each other, and have no room left for their loads.
+// those who hear of the store's changes from this process.
 func (s *Service) Urge() {
 	s.urgent.Store(true)
 	s.wake()
@@ -236,9 +235,10 @@
 	for _, address := range s.table.silent(now, silentEvery) {
 		s.send(address, s.beat(nil, now), false)
 	}
+	s.askParent(now)
 	counts := s.options.Balancer.InFlight()
 	revision := s.options.Replica.Revision()
-	urgent := s.urgent.Swap(false) && s.table.asks(now)
+	urgent := s.urgent.Swap(false) && s.passOn(now)
 	changed := revision != s.lastRevision || !slices.Equal(counts, s.lastCounts)
 	if changed || urgent || now.Sub(s.lastRound) >= beatMost {
 		s.lastCounts, s.lastRevision, s.lastRound = counts, revision, now
@@ -248,6 +248,36 @@
 	s.catchUp(now)
 }
 
+// askParent asks the parent for its proof, if there is one and it is time.
+func (s *Service) askParent(now time.Time) {
+	if now.Sub(s.askedAt) < proofEvery {
+		return
+	}
+	parent := s.table.parent(now)
+	if parent == nil {
+		return
+	}
+	s.askedAt = now
+	parent.unanswered++
+	question := s.brief(parent, now)
+	question.WantsProof = true
+	s.send(parent.address, question, true)
+}
+
+// passOn tells the children of what is urgent, if there are many peers. It
+// returns true if all are to be told instead, by one of those who ask the
+// store: the others would only repeat it to each other, and have no room left
+// for their loads.
+func (s *Service) passOn(now time.Time) bool {
+	if len(s.table.live(now)) <= fewPeers {
+		return s.table.asks(now)
+	}
+	for _, child := range s.table.children(now) {
+		s.send(child.address, s.brief(child, now), true)
+	}
+	return false
+}
+
 // tell sends a beat to each live peer, as far as the budget goes; who has
 // waited longest comes first. What is urgent is told to all, and the budget is
 // made up for later.
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -12,13 +12,16 @@
 	"slices"
 	"time"
 
-	"github.com/capersaddle/capersaddle/internal/policy"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
 const (
-	// lostAfter without a beat a peer counts as lost.
-	lostAfter = 2 * time.Second
+	// lostAfter without a beat a peer counts as lost; later where there are so
+	// many that each is told less often: after beatsMissed beats.
+	lostAfter   = 2 * time.Second
+	beatsMissed = 3
+	// usualBeat is the usual size of a beat, in bytes.
+	usualBeat = 110
 	// forgetAfter without a beat its address is forgotten, unless it is a
 	// seed.
 	forgetAfter = 5 * time.Minute
@@ -48,6 +51,8 @@
 	beats int
 	// failedAt is when a pull from it last failed.
 	failedAt time.Time
+	// unanswered counts the questions to it since it was last heard.
+	unanswered int
 }
 
 // table is what a gateway knows of the others. One goroutine at a time uses
@@ -59,10 +64,12 @@
 	// beat was sent there.
 	addresses map[string]time.Time
 	seeds     []string
+	// budget is how many bytes a second each gateway sends in beats.
+	budget int
 }
 
-func newTable(self string, seeds []string, own string) *table {
-	t := &table{self: self, peers: make(map[string]*peer), addresses: make(map[string]time.Time)}
+func newTable(self string, seeds []string, own string, budget int) *table {
+	t := &table{self: self, budget: max(budget, 1), peers: make(map[string]*peer), addresses: make(map[string]time.Time)}
 	for _, seed := range seeds {
 		if seed != own {
 			t.seeds = append(t.seeds, seed)
@@ -119,6 +126,7 @@
 	}
 	known.address = beat.GetAddress()
 	known.heardAt = now
+	known.unanswered = 0
 	known.sequence = beat.GetSequence()
 	known.revision = beat.GetRevision()
 	known.reachesStore = beat.GetStoreReachable()
@@ -152,11 +160,22 @@
 	return false
 }
 
+// beatInterval is how long it takes a gateway to tell each of its peers once.
+func (t *table) beatInterval() time.Duration {
+	return time.Duration(len(t.peers)*usualBeat) * time.Second / time.Duration(t.budget)
+}
+
+// lostAfter is how long a peer may be silent before it counts as lost.
+func (t *table) lostAfter() time.Duration {
+	return max(lostAfter, beatsMissed*t.beatInterval())
+}
+
 // live are the peers that were heard lately, in the order of their ids.
 func (t *table) live(now time.Time) []*peer {
 	var peers []*peer
+	longest := t.lostAfter()
 	for _, known := range t.peers {
-		if now.Sub(known.heardAt) <= lostAfter {
+		if now.Sub(known.heardAt) <= longest {
 			peers = append(peers, known)
 		}
 	}
@@ -168,9 +187,10 @@
 // have been for long.
 func (t *table) expire(now time.Time) []*peer {
 	var lost []*peer
+	longest := t.lostAfter()
 	for id, known := range t.peers {
 		silent := now.Sub(known.heardAt)
-		if silent > lostAfter && !known.lost {
+		if silent > longest && !known.lost {
 			known.lost = true
 			lost = append(lost, known)
 		}
@@ -202,44 +222,3 @@
 	slices.Sort(due)
 	return slices.Compact(due)
 }
-
-// askerSilent is how long an asker may be silent before the next one asks in
-// its place; askerSilentOfMany with more than a few peers, who hear each other
-// less often. It is shorter than lostAfter: a call too many costs little.
-const (
-	askerSilent       = 900 * time.Millisecond
-	askerSilentOfMany = 1500 * time.Millisecond
-)
-
-// askers is how many gateways ask the store; the others hear from them.
-const askers = 2
-
-// asks says whether this gateway is among those that ask the store.
-func (t *table) asks(now time.Time) bool {
-	return t.rank(now) < askers
-}
-
-// rank is how many of the gateways that reach the store come before this one,
-// in an order that all share.
-func (t *table) rank(now time.Time) int {
-	own := askScore(t.self)
-	before := 0
-	live := t.live(now)
-	silent := askerSilent
-	if len(live) > fewPeers {
-		silent = askerSilentOfMany
-	}
-	for _, known := range live {
-		if known.leaving || !known.reachesStore || now.Sub(known.heardAt) > silent {
-			continue
-		}
-		if askScore(known.id) > own {
-			before++
-		}
-	}
-	return before
-}
-
-func askScore(id string) uint64 {
-	return policy.Score(policy.HashName("store"), policy.HashName(id))
-}
--- /dev/null
+++ b/internal/peer/tree_test.go
@@ -0,0 +1,207 @@
+package peer
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/freshness"
+	"github.com/capersaddle/capersaddle/internal/policy"
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+// tables are what each of so many gateways knows, if each has heard all.
+func tables(count int) map[string]*table {
+	made := make(map[string]*table, count)
+	for self := range count {
+		id := fmt.Sprint(self)
+		made[id] = newTable(id, nil, "", 7000)
+		for other := range count {
+			if other != self {
+				beat := beatOf(fmt.Sprint(other), 1)
+				beat.Life = uint64(other + 2)
+				made[id].take(beat, start)
+			}
+		}
+	}
+	return made
+}
+
+// TestTheTreeReachesAll: among gateways that see each other, all hear from
+// those who ask the store, over few steps, and nobody tells more than fanOut.
+func TestTheTreeReachesAll(t *testing.T) {
+	for _, count := range []int{fewPeers + 2, 30, 100, 370} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			is := is.New(t)
+			all := tables(count)
+			parents := make(map[string]string)
+			asking := 0
+			for id, known := range all {
+				if parent := known.parent(start); parent != nil {
+					parents[id] = parent.id
+				} else {
+					asking++
+					is.True(known.asks(start))
+				}
+			}
+			is.Equal(asking, askers)
+			children := make(map[string]int)
+			for id, parent := range parents {
+				children[parent]++
+				steps := 0
+				for above := id; above != ""; above = parents[above] {
+					steps++
+				}
+				is.True(steps <= 3) // itself, one that passes on, one that asks
+			}
+			for id, known := range all {
+				is.True(children[id] <= fanOut)
+				is.Equal(len(known.children(start)), children[id]) // both sides agree
+			}
+		})
+	}
+}
+
+// TestNobodyIsHisOwnAncestor: whatever a gateway believes of the others, its
+// parent stands before it in the order that all share.
+func TestNobodyIsHisOwnAncestor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		known := newTable("self", nil, "", 7000)
+		for other := range rapid.IntRange(0, 60).Draw(t, "peers") {
+			beat := beatOf(fmt.Sprint(other), 1)
+			beat.Life = uint64(other + 2)
+			beat.StoreReachable = rapid.Bool().Draw(t, "reaches")
+			beat.Leaving = rapid.Bool().Draw(t, "leaving")
+			heard := start.Add(-time.Duration(rapid.IntRange(0, 20000).Draw(t, "silent_ms")) * time.Millisecond)
+			known.take(beat, heard)
+			known.peers[fmt.Sprint(other)].unanswered = rapid.IntRange(0, 4).Draw(t, "unanswered")
+		}
+		parent := known.parent(start)
+		if parent == nil {
+			return
+		}
+		if askScore(parent.id) <= askScore("self") || parent.leaving || !parent.reachesStore || parent.unanswered >= mostUnanswered {
+			t.Fatalf("parent is %+v", parent)
+		}
+		for _, child := range known.children(start) {
+			if askScore(child.id) >= askScore("self") {
+				t.Fatalf("child is %+v", child)
+			}
+		}
+	})
+}
+
+// TestASilentParentIsPassedOver: a parent that leaves questions unanswered is
+// replaced long before it counts as lost.
+func TestASilentParentIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	known := tables(300)["17"]
+	first := known.parent(start)
+	first.unanswered = mostUnanswered
+	second := known.parent(start)
+	is.True(second != nil && second != first)
+	beat := beatOf(first.id, 2)
+	beat.Life = first.life
+	known.take(beat, start)
+	is.Equal(known.parent(start), first) // heard again
+}
+
+// TestManyPeersAreNotLost: with 300 peers each is told every few seconds only;
+// after 2 s of silence most of them counted as lost, and each gateway asked
+// the store itself (sweep of vmt-grid-grown at 300 machines).
+func TestManyPeersAreNotLost(t *testing.T) {
+	cases := map[string]struct {
+		peers  int
+		silent time.Duration
+		live   bool
+	}{
+		"few":                    {3, lostAfter, true},
+		"few, silent":            {3, lostAfter + time.Millisecond, false},
+		"many, between two":      {300, 5 * time.Second, true},
+		"many, silent for three": {300, 20 * time.Second, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			known := tables(tc.peers + 1)["0"]
+			is.New(t).Equal(len(known.live(start.Add(tc.silent))) > 0, tc.live)
+		})
+	}
+}
+
+// treeNode is a service on a socket of its own that others' beats are handed
+// to by hand.
+func treeNode(t *testing.T, id string, revision int64) *Service {
+	t.Helper()
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	s := New(Options{
+		ID: id, Address: conn.LocalAddr().String(), Budget: 7000, Replica: &fakeReplica{revision: revision, reachable: true},
+		Proof: new(freshness.Proof), Balancer: balance.New(balance.DefaultOptions()), Watcher: quietWatcher{}, Counted: func(int) {},
+	}, conn, nil)
+	s.pulling = true // no links here
+	return s
+}
+
+// received reads one beat from a service's socket.
+func received(t *testing.T, s *Service) *wire.GatewayBeat {
+	t.Helper()
+	buffer := make([]byte, receiveBuffer)
+	_ = s.conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+	n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	beat := new(wire.GatewayBeat)
+	if err := proto.Unmarshal(buffer[:n], beat); err != nil {
+		t.Fatal(err)
+	}
+	return beat
+}
+
+// TestAQuestionIsAnsweredAtOnce: the answer brings a proof and the revision,
+// and leaves what was told of loads as it was, also when the budget is spent.
+func TestAQuestionIsAnsweredAtOnce(t *testing.T) {
+	is := is.New(t)
+	parent, child := treeNode(t, "parent", 9), treeNode(t, "child", 9)
+	parent.bucket = rate.NewLimiter(0, 0)
+	parent.options.Proof.Note(time.Now())
+	now := time.Now()
+	hello := child.beat(nil, now)
+	parent.take(hello, now)
+	parent.options.Balancer.Put(balance.Target{ID: "t", Service: "s"})
+	parent.options.Balancer.Observe("child", []balance.Count{{Target: policy.HashName("t"), Count: 3}}, now)
+	greeting := parent.beat(nil, now)
+	child.take(greeting, now)
+	question := child.brief(child.table.peers["parent"], now)
+	question.WantsProof = true
+	parent.take(question, now)
+	answer := received(t, child)
+	is.True(answer.GetBrief())
+	child.take(answer, now)
+	_, proven := child.options.Proof.Age(now)
+	is.True(proven)
+	pick, _ := parent.options.Balancer.Choose(balance.Query{Service: "s"}, now)
+	is.Equal(pick.Load, 3)
+}
+
+// TestUrgentWordGoesDownTheTree: among many, each is told once, by its parent.
+func TestUrgentWordGoesDownTheTree(t *testing.T) {
+	is := is.New(t)
+	for _, count := range []int{30, 100} {
+		told := 0
+		for _, known := range tables(count) {
+			told += len(known.children(start))
+		}
+		is.Equal(told, count-askers)
+	}
+}
