Few peers are told of all placements; the stand-in sends unsigned and half streams

Change: the limits hold among many only. Two ways to misbehave for the stand-in's servers, so that the soak meets them.

--- a/internal/balance/holders.go
+++ b/internal/balance/holders.go
@@ -86,10 +86,10 @@
 	return true
 }
 
-// confirm notes a placement that this process has seen to be true, as news if
-// others have use for it: the part is long, and not known at many targets yet.
-func (h *holders) confirm(placement Placement, tokens int) {
-	if !h.note(placement, true) || tokens < leastNews || len(h.of(placement.Part)) == mostHolders {
+// confirm notes a placement that this process has seen to be true, and keeps it
+// as news if it is worth telling others.
+func (h *holders) confirm(placement Placement, worthTelling bool) {
+	if !h.note(placement, true) || !worthTelling {
 		return
 	}
 	h.news = append(h.news, placement)
--- a/internal/balance/placements.go
+++ b/internal/balance/placements.go
@@ -84,11 +84,18 @@
 		return
 	}
 	for i, part := range query.Parts {
-		b.holders.confirm(placementOf(part, target), query.tokensOf(i))
+		b.holders.confirm(placementOf(part, target), b.worthTelling(part, query.tokensOf(i)))
 		b.fills.end(placementOf(part, target), true)
 	}
 }
 
+// worthTelling says whether others are to be told that a target holds a part;
+// b.mu is held. Few peers are told all; among many there is room only for long
+// parts that are not known at several targets yet.
+func (b *Balancer) worthTelling(part uint64, tokens int) bool {
+	return !b.manyPeers || tokens >= leastNews && len(b.holders.of(shortOf(part))) < mostHolders
+}
+
 // Withdraw notes that a target has not read the shared parts of a prompt that
 // was sent there.
 func (b *Balancer) Withdraw(id string, parts []uint64) {
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -246,7 +246,11 @@
 		panic(http.ErrAbortHandler)
 	case Encoded:
 		w.Header().Set("Content-Encoding", "gzip")
-	case ResetAfter, Unframed, Foreign, Garbage:
+	case Unsigned:
+		w.Header().Del("X-Server-Stamp")
+		_, _ = io.WriteString(w, "not the server's")
+		return
+	case ResetAfter, Unframed, EndInside, Foreign, Garbage:
 		s.raw(w, mode)
 		return
 	}
@@ -305,8 +309,12 @@
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
-	case Unframed:
-		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\n\r\n%s", id, s.stamp(id), s.whole())
+	case Unframed, EndInside:
+		body := s.whole()
+		if mode == EndInside && s.options.Events > 0 {
+			body = Event(1) + Event(2)[:6]
+		}
+		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\n\r\n%s", id, s.stamp(id), body)
 		_ = buffered.Flush()
 	case Foreign:
 		// The connection ends behind the second answer, which says so: a
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -38,7 +38,7 @@
 var (
 	planned = []action{terminate, hangUp, change, compact}
 	all     = []action{kill, terminate, pause, pause, hangUp, storeDown, storeSilent, storeSlow, storeLoses, compact, change, misbehave, misbehave, drainServer, storeLink, storeLink, serverLink, serverLink, changeUnseen}
-	modes   = []emulator.Mode{emulator.Error, emulator.Shed, emulator.ResetAfter, emulator.Mute, emulator.CutMiddle, emulator.Unframed, emulator.Foreign, emulator.Encoded, emulator.Garbage, emulator.Early}
+	modes   = []emulator.Mode{emulator.Error, emulator.Shed, emulator.ResetAfter, emulator.Mute, emulator.CutMiddle, emulator.Unframed, emulator.Foreign, emulator.Encoded, emulator.Garbage, emulator.Early, emulator.Unsigned, emulator.EndInside}
 )
 
 var conditions = []condition{delayed, silenced, oneWay, reset}
