--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -36,6 +36,10 @@
 	Encoded Mode = "encoded"
 	// Garbage: its bytes are no answer.
 	Garbage Mode = "garbage"
+	// Unsigned: its answer lacks its signature.
+	Unsigned Mode = "unsigned"
+	// EndInside: its stream, without framing, ends inside an event.
+	EndInside Mode = "end_inside"
 	// Early: it answers before it has read the body.
 	Early Mode = "early"
 )
