One view of the peers a round; fewer scans a beat and a choice

Change: a view of the table for 80 ms at most; peers found by the number of their life; loads kept by who told them; the first target in a session's order is searched, not sorted.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -61,6 +61,8 @@
 	byHash   map[uint64]*state
 	byShort  map[uint32]*state
 	services map[string][]*state
+	// observed are the targets of which each other gateway has told a count.
+	observed map[string][]*state
 	holders  *holders
 	fills    fills
 	// manyPeers says that more than a few other gateways share the targets.
@@ -75,6 +77,7 @@
 		byHash:   make(map[uint64]*state),
 		byShort:  make(map[uint32]*state),
 		services: make(map[string][]*state),
+		observed: make(map[string][]*state),
 		holders:  newHolders(),
 		fills:    make(fills),
 	}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -248,3 +248,21 @@
 	is.Equal(len(own), 0) // what was learned is not told on
 	is.Equal(len(other.AllPlacements(10)), 2)
 }
+
+// BenchmarkChoose chooses among many targets, and takes others' loads.
+func BenchmarkChoose(b *testing.B) {
+	for _, count := range []int{9, 54, 1900} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			balancer := newBalancer(count)
+			counts := []balance.Count{{Target: policy.HashName("t1"), Count: 2}, {Target: policy.HashName("t2"), Count: 1}}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				pick, _ := balancer.Choose(session(i%100), start)
+				balancer.Release(pick.Target.ID, balance.Good, start)
+				balancer.Observe("other", counts, start)
+			}
+		})
+	}
+}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -166,37 +166,28 @@
 		}
 		near[target.DataCenter] = true
 	}
-	for _, target := range rendezvousOrder(session, open, near) {
-		if fits(target) {
-			return target
+	var best *state
+	for _, target := range open {
+		if fits(target) && (best == nil || comesFirst(session, target, best, near)) {
+			best = target
 		}
 	}
-	return b.lightest(open, now)
-}
-
-// rendezvousOrder is the session's order of the targets, those in near data
-// centres first.
-func rendezvousOrder(session uint64, targets []*state, near map[string]bool) []*state {
-	order := slices.Clone(targets)
-	slices.SortFunc(order, func(x, y *state) int {
-		return cmp.Or(
-			compareFirst(near[x.DataCenter], near[y.DataCenter]),
-			cmp.Compare(policy.Score(session, y.hash), policy.Score(session, x.hash)),
-			cmp.Compare(x.ID, y.ID),
-		)
-	})
-	return order
+	if best == nil {
+		return b.lightest(open, now)
+	}
+	return best
 }
 
-// compareFirst puts what holds before what doesn't.
-func compareFirst(x, y bool) int {
-	switch {
-	case x == y:
-		return 0
-	case x:
-		return -1
+// comesFirst says whether one target comes before another in the session's
+// order: those in near data centres first, then by rendezvous.
+func comesFirst(session uint64, target, other *state, near map[string]bool) bool {
+	if near[target.DataCenter] != near[other.DataCenter] {
+		return near[target.DataCenter]
 	}
-	return 1
+	return cmp.Or(
+		cmp.Compare(policy.Score(session, other.hash), policy.Score(session, target.hash)),
+		cmp.Compare(target.ID, other.ID),
+	) < 0
 }
 
 // boundOf is the bound on a target's load for a session.
--- a/internal/balance/loads.go
+++ b/internal/balance/loads.go
@@ -17,14 +17,17 @@
 func (b *Balancer) Observe(gateway string, counts []Count, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, target := range b.targets {
+	for _, target := range b.observed[gateway] {
 		delete(target.others, gateway)
 	}
+	observed := b.observed[gateway][:0]
 	for _, count := range counts {
 		if target, ok := b.byShort[shortOf(count.Target)]; ok {
 			target.others[gateway] = reading{count: count.Count, at: now}
+			observed = append(observed, target)
 		}
 	}
+	b.observed[gateway] = observed
 }
 
 // shortOf is the upper half of a target's hash: gateways name targets by it
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -74,7 +74,7 @@
 // addPlacements tells a peer of placements that it has not been told of.
 func (s *Service) addPlacements(beat *wire.GatewayBeat, to *peer, now time.Time) {
 	most := mostPlacements
-	if len(s.table.live(now)) > fewPeers {
+	if s.look(now).many {
 		most = mostPlacementsOfMany
 	}
 	placements, next := s.options.Balancer.Placements(to.told, most)
@@ -88,7 +88,7 @@
 // someAddresses are a few addresses of live peers.
 func (s *Service) someAddresses(now time.Time, except string) []string {
 	var addresses []string
-	for _, known := range s.table.live(now) {
+	for _, known := range s.look(now).live {
 		if known.address != except {
 			addresses = append(addresses, known.address)
 		}
@@ -128,6 +128,7 @@
 		return
 	}
 	if change == found {
+		s.seen = nil
 		s.options.Watcher.PeerFound(from.id, from.address)
 		s.wake()
 	}
@@ -141,7 +142,9 @@
 	if beat.GetWantsProof() {
 		s.send(from.address, s.brief(from, now), true)
 	}
-	s.catchUp(now)
+	if beat.GetRevision() > s.options.Replica.Revision() {
+		s.catchUp(now)
+	}
 }
 
 // takeProof takes a peer's proof: it held, when it sent the beat, all that the
--- a/internal/peer/replica.go
+++ b/internal/peer/replica.go
@@ -21,7 +21,7 @@
 	if s.behindSince.IsZero() {
 		s.behindSince = now
 	}
-	asking := s.options.Replica.Reachable() && s.table.asks(now)
+	asking := s.options.Replica.Reachable() && s.look(now).asks()
 	if s.pulling || asking && now.Sub(s.behindSince) < pullPatience {
 		return
 	}
@@ -39,12 +39,12 @@
 // that did not answer lately comes last.
 func (s *Service) ahead(now time.Time) *peer {
 	own := s.options.Replica.Revision()
-	best := s.table.parent(now)
+	best := s.look(now).parent()
 	if best != nil && best.revision > own && now.Sub(best.failedAt) >= avoidFor {
 		return best
 	}
 	best = nil
-	for _, known := range s.table.live(now) {
+	for _, known := range s.look(now).live {
 		if known.revision > own && (best == nil || better(known, best, now)) {
 			best = known
 		}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -104,8 +104,11 @@
 	urgent atomic.Bool
 	urged  chan struct{}
 
-	mu       sync.Mutex
-	table    *table
+	mu    sync.Mutex
+	table *table
+	// seen is the last view of the table; nil once it shows no longer what is
+	// known.
+	seen     *view
 	sequence uint64
 	// sentAt is when a beat was sent, by its sequence.
 	sentAt [sentKept]time.Time
@@ -177,19 +180,32 @@
 	}
 }
 
+// viewLife is how long a view of the table is used: among many peers, beats
+// come more often than their standing changes.
+const viewLife = tick
+
+// look gives a view of the table; s.mu is held.
+func (s *Service) look(now time.Time) *view {
+	if s.seen == nil || now.Sub(s.seen.at) >= viewLife || now.Before(s.seen.at) {
+		s.seen = s.table.look(now)
+	}
+	return s.seen
+}
+
 // Asks says whether this process is to ask the store.
 func (s *Service) Asks() bool {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	seen := s.look(now)
 	stale := staleProof
-	if len(s.table.live(now)) > fewPeers {
+	if seen.many {
 		stale = staleProofOfMany
 	}
 	if !s.options.Proof.Within(stale, now) || !s.options.Replica.Reachable() {
 		return true
 	}
-	return s.table.asks(now)
+	return seen.asks()
 }
 
 // First says whether this process is the first of those that ask the store,
@@ -197,14 +213,14 @@
 func (s *Service) First() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.options.Replica.Reachable() && s.table.rank(time.Now()) == 0
+	return s.options.Replica.Reachable() && s.look(time.Now()).rank == 0
 }
 
 // Live counts the other gateways that were heard lately.
 func (s *Service) Live() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.table.live(time.Now()))
+	return len(s.look(time.Now()).live)
 }
 
 // Traffic is the bytes of beats sent and received so far.
@@ -230,6 +246,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, lost := range s.table.expire(now) {
+		s.seen = nil
 		s.options.Watcher.PeerLost(lost.id, lost.address, now.Sub(lost.heardAt))
 	}
 	for _, address := range s.table.silent(now, silentEvery) {
@@ -253,7 +270,7 @@
 	if now.Sub(s.askedAt) < proofEvery {
 		return
 	}
-	parent := s.table.parent(now)
+	parent := s.look(now).parent()
 	if parent == nil {
 		return
 	}
@@ -269,10 +286,11 @@
 // store: the others would only repeat it to each other, and have no room left
 // for their loads.
 func (s *Service) passOn(now time.Time) bool {
-	if len(s.table.live(now)) <= fewPeers {
-		return s.table.asks(now)
+	seen := s.look(now)
+	if !seen.many {
+		return seen.asks()
 	}
-	for _, child := range s.table.children(now) {
+	for _, child := range seen.children() {
 		s.send(child.address, s.brief(child, now), true)
 	}
 	return false
@@ -282,7 +300,7 @@
 // waited longest comes first. What is urgent is told to all, and the budget is
 // made up for later.
 func (s *Service) tell(now time.Time, urgent bool) {
-	live := s.table.live(now)
+	live := slices.Clone(s.look(now).live)
 	s.options.Counted(len(live))
 	slices.SortStableFunc(live, func(a, b *peer) int { return a.toldAt.Compare(b.toldAt) })
 	for _, to := range live {
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -220,11 +220,11 @@
 				if askScore(beat.GetId()) > askScore("self") == (tc.before > 0) {
 					service.table.take(beat, now)
 				}
-				if service.table.rank(now) == tc.before {
+				if service.table.look(now).rank == tc.before {
 					break
 				}
 			}
-			is.Equal(service.table.rank(now), tc.before)
+			is.Equal(service.table.look(now).rank, tc.before)
 			service.bucket.AllowN(now, receiveBuffer) // the budget is spent
 			sent, _ := service.Traffic()
 			service.Urge()
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -51,6 +51,8 @@
 	beats int
 	// failedAt is when a pull from it last failed.
 	failedAt time.Time
+	// askScore is its place in the order of those who ask the store.
+	askScore uint64
 	// unanswered counts the questions to it since it was last heard.
 	unanswered int
 }
@@ -60,6 +62,8 @@
 type table struct {
 	self  string
 	peers map[string]*peer
+	// lives are the same by the number of their present life.
+	lives map[uint64]*peer
 	// addresses are those of gateways that were never heard, by when the last
 	// beat was sent there.
 	addresses map[string]time.Time
@@ -69,7 +73,7 @@
 }
 
 func newTable(self string, seeds []string, own string, budget int) *table {
-	t := &table{self: self, budget: max(budget, 1), peers: make(map[string]*peer), addresses: make(map[string]time.Time)}
+	t := &table{self: self, budget: max(budget, 1), peers: make(map[string]*peer), lives: make(map[uint64]*peer), addresses: make(map[string]time.Time)}
 	for _, seed := range seeds {
 		if seed != own {
 			t.seeds = append(t.seeds, seed)
@@ -90,21 +94,11 @@
 	outdated
 )
 
-// byLife finds the peer in one of its lives; nil if it is unknown.
-func (t *table) byLife(life uint64) *peer {
-	for _, known := range t.peers {
-		if known.life == life {
-			return known
-		}
-	}
-	return nil
-}
-
 // take notes a beat. The peer is nil if the beat leaves out who sent it and
 // that is not known.
 func (t *table) take(beat *wire.GatewayBeat, now time.Time) (*peer, change) {
 	if beat.GetId() == "" {
-		known := t.byLife(beat.GetLife())
+		known := t.lives[beat.GetLife()]
 		if known == nil {
 			return nil, outdated
 		}
@@ -116,8 +110,11 @@
 	}
 	result := unchanged
 	if !ok || known.life != beat.GetLife() {
-		known = &peer{id: beat.GetId(), life: beat.GetLife()}
-		t.peers[beat.GetId()] = known
+		if ok {
+			delete(t.lives, known.life)
+		}
+		known = &peer{id: beat.GetId(), life: beat.GetLife(), askScore: askScore(beat.GetId())}
+		t.peers[known.id], t.lives[known.life] = known, known
 		result = found
 	}
 	if known.lost {
@@ -196,6 +193,7 @@
 		}
 		if silent > forgetAfter {
 			delete(t.peers, id)
+			delete(t.lives, known.life)
 			if slices.Contains(t.seeds, known.address) {
 				t.addresses[known.address] = time.Time{}
 			}
--- a/internal/peer/table_test.go
+++ b/internal/peer/table_test.go
@@ -79,10 +79,10 @@
 				continue
 			}
 			reaching++
-			if known.asks(start) {
+			if known.look(start).asks() {
 				asking++
 			}
-			if known.rank(start) == 0 {
+			if known.look(start).rank == 0 {
 				first++
 			}
 		}
@@ -152,7 +152,7 @@
 				known.take(beat, start)
 				added++
 			}
-			is.Equal(known.asks(start.Add(tc.silent)), tc.asks)
+			is.Equal(known.look(start.Add(tc.silent)).asks(), tc.asks)
 		})
 	}
 }
--- a/internal/peer/tree.go
+++ b/internal/peer/tree.go
@@ -33,43 +33,45 @@
 	askerSilentOfMany = 1500 * time.Millisecond
 )
 
-// askSilence is how long an asker may be silent now.
-func (t *table) askSilence(now time.Time) time.Duration {
-	if len(t.live(now)) > fewPeers {
-		return max(askerSilentOfMany, beatsMissed*t.beatInterval())
-	}
-	return askerSilent
+// view is what the table shows at one moment: the parts of it that many
+// decisions rest on, worked out once.
+type view struct {
+	at time.Time
+	// live are the peers that were heard lately, in the order of their ids.
+	live []*peer
+	// many says that there are too many to tell all of them everything.
+	many bool
+	// candidates are the live peers that may ask the store or pass on what it
+	// says, in the order that all gateways share.
+	candidates []*peer
+	// rank is how many of them come before this gateway.
+	rank int
 }
 
-// candidates are the live peers that may ask the store or pass on what it
-// says, in the order that all gateways share.
-func (t *table) candidates(now time.Time) []*peer {
-	silence := t.askSilence(now)
-	candidates := slices.DeleteFunc(t.live(now), func(known *peer) bool {
+// look works out a view.
+func (t *table) look(now time.Time) *view {
+	v := &view{at: now, live: t.live(now)}
+	v.many = len(v.live) > fewPeers
+	silence := askerSilent
+	if v.many {
+		silence = max(askerSilentOfMany, beatsMissed*t.beatInterval())
+	}
+	v.candidates = slices.DeleteFunc(slices.Clone(v.live), func(known *peer) bool {
 		return known.leaving || !known.reachesStore || known.unanswered >= mostUnanswered || now.Sub(known.heardAt) > silence
 	})
-	slices.SortFunc(candidates, func(a, b *peer) int {
-		return cmp.Or(cmp.Compare(askScore(b.id), askScore(a.id)), cmp.Compare(a.id, b.id))
+	slices.SortFunc(v.candidates, func(a, b *peer) int {
+		return cmp.Or(cmp.Compare(b.askScore, a.askScore), cmp.Compare(a.id, b.id))
 	})
-	return candidates
+	own := askScore(t.self)
+	for v.rank < len(v.candidates) && v.candidates[v.rank].askScore > own {
+		v.rank++
+	}
+	return v
 }
 
 // asks says whether this gateway is among those that ask the store.
-func (t *table) asks(now time.Time) bool {
-	return t.rank(now) < askers
-}
-
-// rank is how many of the gateways that reach the store come before this one,
-// in an order that all share.
-func (t *table) rank(now time.Time) int {
-	return t.rankIn(t.candidates(now))
-}
-
-func (t *table) rankIn(candidates []*peer) int {
-	own := askScore(t.self)
-	return len(candidates) - len(slices.DeleteFunc(slices.Clone(candidates), func(known *peer) bool {
-		return askScore(known.id) > own
-	}))
+func (v *view) asks() bool {
+	return v.rank < askers
 }
 
 func askScore(id string) uint64 {
@@ -90,30 +92,24 @@
 
 // parent is the peer from which this gateway hears what the store says; nil
 // if it asks the store itself, or the peers are few and all hear all.
-func (t *table) parent(now time.Time) *peer {
-	if len(t.live(now)) <= fewPeers {
+func (v *view) parent() *peer {
+	if !v.many {
 		return nil
 	}
-	candidates := t.candidates(now)
-	parent := parentRank(t.rankIn(candidates))
-	if parent < 0 || parent >= len(candidates) {
+	place := parentRank(v.rank)
+	if place < 0 || place >= len(v.candidates) {
 		return nil
 	}
-	return candidates[parent]
+	return v.candidates[place]
 }
 
 // children are the peers that hear from this gateway what the store says.
-func (t *table) children(now time.Time) []*peer {
-	candidates := t.candidates(now)
-	own := t.rankIn(candidates)
+func (v *view) children() []*peer {
 	var children []*peer
-	for place, known := range candidates {
-		rank := place
-		if place >= own {
-			rank++ // this gateway stands before it
-		}
-		if parentRank(rank) == own {
-			children = append(children, known)
+	for place := v.rank; place < len(v.candidates); place++ {
+		// This gateway stands before all of them.
+		if parentRank(place+1) == v.rank {
+			children = append(children, v.candidates[place])
 		}
 	}
 	return children
--- a/internal/peer/tree_test.go
+++ b/internal/peer/tree_test.go
@@ -44,11 +44,11 @@
 			parents := make(map[string]string)
 			asking := 0
 			for id, known := range all {
-				if parent := known.parent(start); parent != nil {
+				if parent := known.look(start).parent(); parent != nil {
 					parents[id] = parent.id
 				} else {
 					asking++
-					is.True(known.asks(start))
+					is.True(known.look(start).asks())
 				}
 			}
 			is.Equal(asking, askers)
@@ -63,7 +63,7 @@
 			}
 			for id, known := range all {
 				is.True(children[id] <= fanOut)
-				is.Equal(len(known.children(start)), children[id]) // both sides agree
+				is.Equal(len(known.look(start).children()), children[id]) // both sides agree
 			}
 		})
 	}
@@ -83,14 +83,14 @@
 			known.take(beat, heard)
 			known.peers[fmt.Sprint(other)].unanswered = rapid.IntRange(0, 4).Draw(t, "unanswered")
 		}
-		parent := known.parent(start)
+		parent := known.look(start).parent()
 		if parent == nil {
 			return
 		}
 		if askScore(parent.id) <= askScore("self") || parent.leaving || !parent.reachesStore || parent.unanswered >= mostUnanswered {
 			t.Fatalf("parent is %+v", parent)
 		}
-		for _, child := range known.children(start) {
+		for _, child := range known.look(start).children() {
 			if askScore(child.id) >= askScore("self") {
 				t.Fatalf("child is %+v", child)
 			}
@@ -103,14 +103,14 @@
 func TestASilentParentIsPassedOver(t *testing.T) {
 	is := is.New(t)
 	known := tables(300)["17"]
-	first := known.parent(start)
+	first := known.look(start).parent()
 	first.unanswered = mostUnanswered
-	second := known.parent(start)
+	second := known.look(start).parent()
 	is.True(second != nil && second != first)
 	beat := beatOf(first.id, 2)
 	beat.Life = first.life
 	known.take(beat, start)
-	is.Equal(known.parent(start), first) // heard again
+	is.Equal(known.look(start).parent(), first) // heard again
 }
 
 // TestManyPeersAreNotLost: with 300 peers each is told every few seconds only;
@@ -200,7 +200,7 @@
 	for _, count := range []int{30, 100} {
 		told := 0
 		for _, known := range tables(count) {
-			told += len(known.children(start))
+			told += len(known.look(start).children())
 		}
 		is.Equal(told, count-askers)
 	}
