--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -38,6 +38,8 @@
 	failure *wholeAnswer
 	status  int
 	ending  string
+	// waited is how long it waited for a part of its prompt to be read.
+	waited time.Duration
 	// gone says that the caller could not be written to any more.
 	gone bool
 	// firstAfter is the time to the answer's head; zero if there was none.
@@ -137,6 +139,8 @@
 	if len(c.parts) == 0 {
 		return
 	}
+	began := time.Now()
+	defer func() { c.waited = time.Since(began) }()
 	limit := time.NewTimer(time.Duration(fillShare * float64(c.route.TargetLatency)))
 	defer limit.Stop()
 	for {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -356,6 +357,12 @@
 				}
 				wait.Wait()
 				is.Equal(sentAfter, []time.Duration{0, tc.starts})
+				var waited []time.Duration
+				for _, record := range w.caller.records {
+					waited = append(waited, record.Waited)
+				}
+				slices.Sort(waited)
+				is.Equal(waited, []time.Duration{0, tc.starts})
 			})
 		})
 	}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -40,6 +40,9 @@
 	// negative if there was none.
 	ProofAge time.Duration
 	Attempts []AttemptRecord
+	// Waited is how long it waited, before its first attempt, for a part of its
+	// prompt to be read for another request.
+	Waited time.Duration
 	// Status is the caller's; zero if it got none.
 	Status int
 	// Ending is one of the constants above or the kind of refusal.
@@ -83,6 +86,7 @@
 		Session:  c.request.session(),
 		Prompt:   c.request.Parts,
 		Attempts: c.attempts,
+		Waited:   c.waited,
 		Status:   c.status,
 		Ending:   c.ending,
 		First:    c.firstAfter,
