Whole pages leave out what the asking gateway holds

Cause: since a copy that has read the whole store gives whole pages to whoever is behind that reading, each asker's reading anew (a forgotten history) would have sent every target's entry to all: 750 KB at 3,000 targets, to each of 300 gateways. Change: items that the asking copy holds come without their value, and say so; who does not hold one asks for everything. TestAWholePageLeavesOutWhatIsHeld.

--- a/internal/replica/page.go
+++ b/internal/replica/page.go
@@ -13,10 +13,10 @@
 func (c *Copy) Pull() *wire.ReplicaPull {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	pull := &wire.ReplicaPull{Since: c.revision, Packs: true}
 	if c.doubtful {
-		return pull
+		return &wire.ReplicaPull{Packs: true}
 	}
+	pull := &wire.ReplicaPull{Since: c.revision, Packs: true}
 	for _, key := range slices.Sorted(maps.Keys(c.records)) {
 		known := c.records[key]
 		if len(known.Value) >= largeValue {
@@ -27,7 +27,8 @@
 }
 
 // Page answers a pull: what has changed since its revision, and all there is
-// where removals since then may be unknown here.
+// where removals since then may be unknown here, without the values that the
+// asking copy holds.
 func (c *Copy) Page(pull *wire.ReplicaPull) *wire.ReplicaPage {
 	held := make(map[string]int64, len(pull.GetHeld()))
 	for _, value := range pull.GetHeld() {
@@ -43,10 +44,13 @@
 			continue
 		}
 		item := &wire.ReplicaItem{Key: key, Revision: known.Revision, Gone: known.Gone}
-		if pull.GetPacks() {
-			known.pack(item, held[key])
-		} else {
+		switch {
+		case !pull.GetPacks():
 			item.Value = known.Value
+		case known.Revision <= since:
+			item.Kept = true
+		default:
+			known.pack(item, held[key])
 		}
 		page.Items = append(page.Items, item)
 	}
@@ -61,7 +65,8 @@
 		return
 	}
 	if held >= r.Revision {
-		return // the asking one has it
+		item.Kept = true
+		return
 	}
 	if held > 0 {
 		at := slices.IndexFunc(r.patches, func(p patch) bool { return p.from == held })
@@ -127,6 +132,8 @@
 	}
 	var err error
 	switch {
+	case packed.GetKept():
+		err = errNotHeld
 	case len(packed.GetPatches()) > 0:
 		item.Value, item.by, err = known.apply(packed.GetPatches(), item.Revision)
 	case len(packed.GetPacked()) > 0:
@@ -135,6 +142,8 @@
 	return item, err
 }
 
+var errNotHeld = errors.New("the page leaves out a value that is not held here")
+
 var errOtherBase = errors.New("the change is of another value than the one held")
 
 // apply makes the value of a revision out of the record's own, which may be
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -43,7 +43,7 @@
 	// readable is false once a value could not be read, until a whole reading.
 	readable bool
 	// doubtful says that a page could not be unpacked: the next pull asks for
-	// whole values.
+	// everything, whole.
 	doubtful bool
 }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -172,6 +172,29 @@
 	is.Equal(behind.values, map[string]string{"large": string(large(1))})
 }
 
+// TestAWholePageLeavesOutWhatIsHeld: three thousand targets would be sent to
+// each gateway after every reading of the whole store.
+func TestAWholePageLeavesOutWhatIsHeld(t *testing.T) {
+	is := is.New(t)
+	behind, began := newKept(), newKept()
+	var items []replica.Item
+	for i := range int64(100) {
+		items = append(items, put(fmt.Sprintf("target-%d", i), []byte(strings.Repeat("x", 300)), i+1))
+	}
+	behind.Change(items, 100)
+	began.Replace(append(items, put("added", []byte("1"), 102)), 102)
+	size := pass(t, began, behind)
+	is.True(size < 100*40)
+	is.Equal(behind.values, began.values)
+	other := newKept() // a page that leaves out what is not held here
+	page := began.Page(behind.Pull())
+	page.Items = append(page.Items, &wire.ReplicaItem{Key: "unknown", Revision: 50, Kept: true})
+	is.True(other.Absorb(page) != nil)
+	is.Equal(other.Pull().GetSince(), int64(0))
+	pass(t, began, other)
+	is.Equal(other.values, began.values)
+}
+
 // TestForgottenRemovals: once removals were forgotten, who is behind them gets
 // a whole page.
 func TestForgottenRemovals(t *testing.T) {
