Bounds of other deployments hold

Cause: found by reading the settings against their use, since the system must serve deployments nobody here has seen. load.multiple and load.extra were read, checked and documented, and used by nothing: the balancer's bounds were figures for twice the mean plus 3. A proof was old at 1.8 s or 2.6 s whatever the bounds for a configuration and a leaving target were. A grace time of 3 s or less was spent unready, and cut all that was in flight. TestTheDeploymentsBoundsHold, TestTimeIsLeftForWhatIsInFlight, TestTheTemplateOfTheDeployment (all and none of the bounds).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -37,17 +37,36 @@
 // long.
 const longPrompt = 4000
 
-// DefaultOptions leave room below a bound of twice the mean plus 3.
-func DefaultOptions() Options {
+// Shares of the bound that no target may be above which a balancer keeps
+// itself, since it sees others' loads late; later among many.
+var (
+	shareShort       = Bound{0.8, 0.53}
+	shareLong        = Bound{0.95, 0.87}
+	shareShortOfMany = Bound{0.75, 0.53}
+	shareLongOfMany  = Bound{0.825, 0.67}
+)
+
+// of is a share of a bound.
+func (b Bound) of(whole Bound) Bound {
+	return Bound{Multiple: b.Multiple * whole.Multiple, Extra: b.Extra * whole.Extra}
+}
+
+// OptionsFor leave room below a bound that no target may be above.
+func OptionsFor(whole Bound) Options {
 	return Options{
-		Short:       Bound{1.6, 1.6},
-		Long:        Bound{1.9, 2.6},
-		ShortOfMany: Bound{1.5, 1.6},
-		LongOfMany:  Bound{1.65, 2},
+		Short:       shareShort.of(whole),
+		Long:        shareLong.of(whole),
+		ShortOfMany: shareShortOfMany.of(whole),
+		LongOfMany:  shareLongOfMany.of(whole),
 		MaxEjected:  0.5,
 	}
 }
 
+// DefaultOptions leave room below twice the mean plus 3.
+func DefaultOptions() Options {
+	return OptionsFor(Bound{Multiple: 2, Extra: 3})
+}
+
 // fewPeers is how many other gateways can tell each other their loads almost
 // at once.
 const fewPeers = 8
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -47,10 +47,6 @@
 	// pullPatience is how long a gateway that asks the store itself waits for
 	// the store's word before it asks a peer that is ahead.
 	pullPatience = 150 * time.Millisecond
-	// staleProof is the age of the proof at which a gateway asks the store
-	// whoever else does; staleProofOfMany with more than a few peers.
-	staleProof       = 1800 * time.Millisecond
-	staleProofOfMany = 2600 * time.Millisecond
 )
 
 // Replica is the process's copy of what the store holds.
@@ -88,6 +84,9 @@
 	Proof    *freshness.Proof
 	Balancer *balance.Balancer
 	Watcher  Watcher
+	// Stale is the age of the proof at which this process asks the store whoever
+	// else does.
+	Stale time.Duration
 	// Counted is told, with every round of beats, how many peers are heard.
 	Counted func(peers int)
 }
@@ -197,15 +196,10 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	seen := s.look(now)
-	stale := staleProof
-	if seen.many {
-		stale = staleProofOfMany
-	}
-	if !s.options.Proof.Within(stale, now) || !s.options.Replica.Reachable() {
+	if !s.options.Proof.Within(s.options.Stale, now) || !s.options.Replica.Reachable() {
 		return true
 	}
-	return seen.asks()
+	return s.look(now).asks()
 }
 
 // First says whether this process is the first of those that ask the store,
--- a/internal/process/budget_test.go
+++ b/internal/process/budget_test.go
@@ -94,3 +94,38 @@
 		})
 	}
 }
+
+// TestTheDeploymentsBoundsHold: bounds of other deployments than those at
+// hand; the load bound used to be read and not used.
+func TestTheDeploymentsBoundsHold(t *testing.T) {
+	cases := map[string]struct {
+		load         settings.LoadBound
+		apply, leave time.Duration
+		stale        time.Duration
+	}{
+		"usual":       {settings.LoadBound{Multiple: 2, Extra: 3}, 2 * time.Second, 2 * time.Second, 1800 * time.Millisecond},
+		"low load":    {settings.LoadBound{Multiple: 1.3, Extra: 2}, 3 * time.Second, 3 * time.Second, 2700 * time.Millisecond},
+		"fast leave":  {settings.LoadBound{Multiple: 3, Extra: 1}, 3 * time.Second, time.Second, 900 * time.Millisecond},
+		"fast change": {settings.LoadBound{Multiple: 1, Extra: 1}, time.Second, 5 * time.Second, 900 * time.Millisecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &settings.Gateway{Load: tc.load, Apply: settings.Duration(tc.apply), Leave: settings.Duration(tc.leave)}
+			is.Equal(staleAfter(s), tc.stale)
+			options := balanceOptions(s)
+			for _, own := range []balance.Bound{options.Short, options.Long, options.ShortOfMany, options.LongOfMany} {
+				is.True(own.Multiple <= tc.load.Multiple && own.Multiple >= tc.load.Multiple/2)
+				is.True(own.Extra < tc.load.Extra)
+			}
+		})
+	}
+}
+
+// TestTimeIsLeftForWhatIsInFlight: also where the grace time is short.
+func TestTimeIsLeftForWhatIsInFlight(t *testing.T) {
+	is := is.New(t)
+	is.Equal(unreadyOf(8*time.Second), unreadyFor)
+	is.Equal(unreadyOf(20*time.Second), unreadyFor)
+	is.Equal(unreadyOf(3*time.Second), 1200*time.Millisecond)
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -162,7 +162,7 @@
 }
 
 func balanceOptions(s *settings.Gateway) balance.Options {
-	options := balance.DefaultOptions()
+	options := balance.OptionsFor(balance.Bound{Multiple: s.Load.Multiple, Extra: s.Load.Extra})
 	options.DataCenter = s.DataCenter
 	return options
 }
@@ -204,7 +204,7 @@
 	p.front.CloseConnections()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(p.settings.Grace)-drainMargin)
 	defer cancel()
-	timer := time.NewTimer(unreadyFor)
+	timer := time.NewTimer(unreadyOf(time.Duration(p.settings.Grace)))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -217,6 +217,13 @@
 	return nil
 }
 
+// unreadyOf is how long of the grace time an unready gateway still takes
+// callers: most of it is left for what is in flight.
+func unreadyOf(grace time.Duration) time.Duration {
+	const share = 0.4
+	return min(unreadyFor, time.Duration(share*float64(grace)))
+}
+
 // Close ends everything and waits.
 func (p *GatewayProcess) Close() error {
 	err := p.kernel.Close()
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/peer"
+	"github.com/capersaddle/capersaddle/internal/settings"
 	"github.com/capersaddle/capersaddle/internal/wire"
 	"github.com/capersaddle/capersaddle/platform"
 )
@@ -34,6 +35,7 @@
 		Balancer: p.gateway.Balancer,
 		Watcher:  p.observer,
 		Counted:  p.countPeers,
+		Stale:    staleAfter(p.settings),
 	}, conn, pool)
 	server := link.NewServer(listener, hello, nil, p.log, p.peers.Handle)
 	return errors.Join(
@@ -60,6 +62,13 @@
 	return p.peers != nil && p.peers.Live() > 0
 }
 
+// staleAfter is the age of the proof at which a gateway asks the store itself:
+// in time for what may be new there to be in force.
+func staleAfter(s *settings.Gateway) time.Duration {
+	const share = 0.9
+	return time.Duration(share * float64(min(s.Apply, s.Leave)))
+}
+
 // storeRole is this process's part in asking the store.
 func (p *GatewayProcess) storeRole() platform.Role {
 	switch {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -32,6 +32,10 @@
 	// Revocation is how long after its removal was accepted a key may still
 	// be served; zero sets no bound.
 	Revocation Duration `json:"revocation,omitempty"`
+	// Apply is how long after its acceptance a configuration must be in force.
+	Apply Duration `json:"apply,omitempty"`
+	// Leave is how long after its word a leaving target may get new work.
+	Leave Duration `json:"leave,omitempty"`
 	// Grace is the time between SIGTERM and the end.
 	Grace Duration    `json:"grace,omitempty"`
 	Load  LoadBound   `json:"load"`
@@ -58,6 +62,8 @@
 
 // Defaults of the gateway's settings.
 const (
+	defaultApply        = 2 * time.Second
+	defaultLeave        = 2 * time.Second
 	defaultGrace        = 8 * time.Second
 	defaultLoadMultiple = 2
 	defaultLoadExtra    = 3
@@ -116,6 +122,8 @@
 }
 
 func (s *Gateway) fillIn() {
+	s.Apply = Duration(orTime(s.Apply, defaultApply))
+	s.Leave = Duration(orTime(s.Leave, defaultLeave))
 	s.Grace = Duration(orTime(s.Grace, defaultGrace))
 	s.Load.Multiple = or(s.Load.Multiple, defaultLoadMultiple)
 	s.Load.Extra = or(s.Load.Extra, defaultLoadExtra)
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -1,7 +1,9 @@
 package settings_test
 
 import (
+	"maps"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -50,25 +52,80 @@
 	}
 }
 
+var (
+	section = regexp.MustCompile(`(?s)\{\{#([\w.]+)\}\}(.*?)\{\{/[\w.]+\}\}`)
+	gap     = regexp.MustCompile(`\{\{([\w.]+)\}\}`)
+)
+
+// fill fills the gaps of a template as the platform's page says, as far as
+// ours uses it: a section stands if its field is given.
+func fill(t *testing.T, template string, fields map[string]string) string {
+	t.Helper()
+	template = strings.ReplaceAll(template, `{{#seeds}}"{{.}}"{{,}}{{/seeds}}`, `"127.0.0.1:9"`)
+	template = section.ReplaceAllStringFunc(template, func(found string) string {
+		parts := section.FindStringSubmatch(found)
+		if _, given := fields[parts[1]]; !given {
+			return ""
+		}
+		return parts[2]
+	})
+	return gap.ReplaceAllStringFunc(template, func(found string) string {
+		name := gap.FindStringSubmatch(found)[1]
+		value, given := fields[name]
+		if !given {
+			t.Errorf("the template needs %q", name)
+		}
+		return value
+	})
+}
+
+// TestTheTemplateOfTheDeployment: every field that the template writes is one
+// that the settings know, and a deployment may leave bounds out.
 func TestTheTemplateOfTheDeployment(t *testing.T) {
-	is := is.New(t)
+	places := map[string]string{
+		"listen.frontend": "127.0.0.1:1", "listen.ready": "127.0.0.1:2", "listen.control": "127.0.0.1:4",
+		"platform.address": "127.0.0.1:3", "ip_address": "127.0.0.1", "internal_ports.0": "5",
+		"node_name": "n", "zone": "z",
+	}
+	bounds := map[string]string{
+		"bounds.strict_revocation": "true", "bounds.revocation_ms": "6000", "bounds.grace_period_s": "9",
+		"bounds.capacity_multiple": "1.5", "bounds.config_apply_ms": "3000", "bounds.drain_timeout_ms": "1500",
+		"bounds.retry_budget_ratio": "0.1", "bounds.retry_slack": "54", "bounds.retry_window_s": "12",
+	}
 	text, err := os.ReadFile("../../deploy/gateway.json")
-	is.NoErr(err)
-	is.True(len(text) < 64<<10)
-	// Every field that the template writes is one that the settings know.
-	filled := strings.NewReplacer(
-		"{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", `"127.0.0.1:9"`,
-		"{{#bounds.strict_revocation}}", "", "{{/bounds.strict_revocation}}", "",
-		"{{listen.frontend}}", "127.0.0.1:1", "{{listen.ready}}", "127.0.0.1:2", "{{listen.control}}", "127.0.0.1:4",
-		"{{platform.address}}", "127.0.0.1:3", "{{ip_address}}:{{internal_ports.0}}", "127.0.0.1:5",
-		"{{bounds.revocation_ms}}", "5000", "{{bounds.grace_period_s}}", "8", "{{bounds.capacity_multiple}}", "2",
-		"{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_slack}}", "54", "{{bounds.retry_window_s}}", "10",
-		"{{node_name}}", "n", "{{zone}}", "z",
-	).Replace(string(text))
-	read, problems := settings.ParseGateway("gateway.json", []byte(filled))
-	is.Equal(problems, nil)
-	is.Equal(time.Duration(read.Revocation), 5*time.Second)
-	is.Equal(read.Retry.Slack, 54.0)
+	is.New(t).NoErr(err)
+	cases := map[string]struct {
+		bounds map[string]string
+		want   settings.Gateway
+	}{
+		"all": {bounds, settings.Gateway{
+			Revocation: settings.Duration(6 * time.Second), Grace: settings.Duration(9 * time.Second),
+			Apply: settings.Duration(3 * time.Second), Leave: settings.Duration(1500 * time.Millisecond),
+			Load:  settings.LoadBound{Multiple: 1.5, Extra: 3},
+			Retry: settings.RetryBudget{Ratio: 0.1, Slack: 54, Window: settings.Duration(12 * time.Second)},
+		}},
+		"none": {nil, settings.Gateway{
+			Grace: settings.Duration(8 * time.Second), Apply: settings.Duration(2 * time.Second), Leave: settings.Duration(2 * time.Second),
+			Load:  settings.LoadBound{Multiple: 2, Extra: 3},
+			Retry: settings.RetryBudget{Ratio: 0.2, Window: settings.Duration(10 * time.Second)},
+		}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(len(text) < 64<<10)
+			fields := maps.Clone(places)
+			maps.Copy(fields, tc.bounds)
+			read, problems := settings.ParseGateway("gateway.json", []byte(fill(t, string(text), fields)))
+			is.Equal(problems, nil)
+			is.Equal(read.Revocation, tc.want.Revocation)
+			is.Equal(read.Grace, tc.want.Grace)
+			is.Equal(read.Apply, tc.want.Apply)
+			is.Equal(read.Leave, tc.want.Leave)
+			is.Equal(read.Load, tc.want.Load)
+			is.Equal(read.Retry, tc.want.Retry)
+		})
+	}
 }
 
 func FuzzParseGateway(f *testing.F) {
