Entries that lapsed and did not come back are gone after 2 s

When the list had dropped all targets of a service at once they served on for a minute; the users say that lapsed entries are back within about 2 s of the store's return, and that one missing then is to be taken as gone. Change: 2 s at most, and less than a leaving target may get new work. TestLapsedEntriesServeOn failed first with its new line.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -19,6 +19,9 @@
 	// MaxEjected is the largest share of a service's targets left out for
 	// their failures.
 	MaxEjected float64
+	// Lapse is how long targets serve on when the list has dropped all of their
+	// service at once; those that have not come back by then are gone.
+	Lapse time.Duration
 }
 
 // Bound is Multiple times the mean load of a service's targets plus Extra, in
@@ -51,6 +54,10 @@
 	return Bound{Multiple: b.Multiple * whole.Multiple, Extra: b.Extra * whole.Extra}
 }
 
+// MostLapse is how long after the store's return an entry that lapsed with it
+// may be missing, by the users' word.
+const MostLapse = 2 * time.Second
+
 // OptionsFor leave room below a bound that no target may be above.
 func OptionsFor(whole Bound) Options {
 	return Options{
@@ -59,6 +66,7 @@
 		ShortOfMany: shareShortOfMany.of(whole),
 		LongOfMany:  shareLongOfMany.of(whole),
 		MaxEjected:  0.5,
+		Lapse:       MostLapse,
 	}
 }
 
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -158,6 +158,8 @@
 	}
 	_, ok := b.Choose(balance.Query{Service: "s"}, start)
 	is.True(ok) // all at once: their entries lapsed while the store was away
+	_, ok = b.Choose(balance.Query{Service: "s"}, start.Add(balance.MostLapse+time.Millisecond))
+	is.True(!ok) // still missing: they are gone
 	b.Put(target(1))
 	pick, _ := b.Choose(balance.Query{Service: "s"}, start)
 	is.Equal(pick.Target.ID, "t1") // one is back: the others are gone
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -38,8 +38,8 @@
 
 // open are the targets that may take the request: listed, not leaving, not
 // tried and not ejected. When all others are ejected the ejected ones serve.
-// When the list has dropped every target of a service, those that it dropped
-// last serve on: entries lapse while the store is down.
+// When the list has dropped every target of a service, they serve on for a
+// while: entries lapse while the store is down, and come back soon after it.
 func (b *Balancer) open(listed []*state, exclude []string, now time.Time) []*state {
 	var healthy, ejected, lapsed []*state
 	present := 0
@@ -50,8 +50,9 @@
 		}
 		switch {
 		case target.Leaving || slices.Contains(exclude, target.ID):
-		case gone:
+		case gone && target.goneFor(now) <= b.options.Lapse:
 			lapsed = append(lapsed, target)
+		case gone:
 		case target.health.ejected(now):
 			ejected = append(ejected, target)
 		default:
--- a/internal/process/budget_test.go
+++ b/internal/process/budget_test.go
@@ -114,6 +114,7 @@
 			s := &settings.Gateway{Load: tc.load, Apply: settings.Duration(tc.apply), Leave: settings.Duration(tc.leave)}
 			is.Equal(staleAfter(s), tc.stale)
 			options := balanceOptions(s)
+			is.True(options.Lapse <= balance.MostLapse && options.Lapse < tc.leave)
 			for _, own := range []balance.Bound{options.Short, options.Long, options.ShortOfMany, options.LongOfMany} {
 				is.True(own.Multiple <= tc.load.Multiple && own.Multiple >= tc.load.Multiple/2)
 				is.True(own.Extra < tc.load.Extra)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -164,6 +164,9 @@
 func balanceOptions(s *settings.Gateway) balance.Options {
 	options := balance.OptionsFor(balance.Bound{Multiple: s.Load.Multiple, Extra: s.Load.Extra})
 	options.DataCenter = s.DataCenter
+	// What lapsed may also have left, and then gets no new work for long.
+	const leaveShare = 0.85
+	options.Lapse = min(balance.MostLapse, time.Duration(leaveShare*float64(s.Leave)))
 	return options
 }
 
