Nothing is sent for a caller who left while waiting for a fill

Cause: read on the way to the landing: after the wait the request was sent on a connection that was broken off at once. Change: the call ends there. TestWhoLeavesWhileWaitingIsNotSent failed first (the call was not ended as left).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -103,6 +103,10 @@
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	c.awaitFill(ctx)
+	if c.callerLeft(ctx) {
+		c.leave()
+		return
+	}
 	for {
 		pick, ok := c.gateway.Balancer.Choose(c.query(), time.Now())
 		if !ok {
@@ -118,8 +122,7 @@
 			return
 		}
 		if c.gone || c.callerLeft(ctx) {
-			c.ending = EndingCallerLeft
-			c.responder.Abort()
+			c.leave()
 			return
 		}
 		if attempt.refusal != nil && !c.delivery.MayHaveRun() {
@@ -168,6 +171,12 @@
 	return errors.Is(ctx.Err(), context.Canceled)
 }
 
+// leave ends a request whose caller is gone.
+func (c *call) leave() {
+	c.ending = EndingCallerLeft
+	c.responder.Abort()
+}
+
 // spare takes one retry from the budget if there is time and a target for it.
 func (c *call) spare(ctx context.Context) bool {
 	if ctx.Err() != nil || time.Until(c.deadline) < leastTry {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -368,6 +368,34 @@
 	}
 }
 
+// TestWhoLeavesWhileWaitingIsNotSent: nothing is sent for a caller who has left
+// while his prompt was being read for another.
+func TestWhoLeavesWhileWaitingIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(silent, whole(200, one))
+		w.gateway.Apply(engineConfig())
+		parts := []gateway.Part{{ID: "shared", Tokens: 8000}, {ID: "own", Tokens: 10}}
+		serve := func(ctx context.Context, id string) *recorder {
+			caller := new(recorder)
+			w.gateway.Serve(ctx, &gateway.Request{ID: id, Host: "h", Path: "/stream/x", Key: "key", Arrived: time.Now(), Parts: parts}, caller)
+			return caller
+		}
+		first, leaveFirst := context.WithCancel(t.Context())
+		var wait sync.WaitGroup
+		wait.Go(func() { serve(first, "r1") })
+		synctest.Wait()
+		second, leaveSecond := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, leaveSecond)
+		is.True(serve(second, "r2").aborted)
+		is.Equal(len(w.sender.sent), 1)
+		is.Equal(w.caller.records[0].Ending, gateway.EndingCallerLeft)
+		is.Equal(len(w.caller.records[0].Attempts), 0)
+		leaveFirst()
+		wait.Wait()
+	})
+}
+
 // engineConfig is config with a service that caches prompts.
 func engineConfig() *routing.Config {
 	made := config()
