--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,14 +55,25 @@
 	listener *inbound.Listener
 	server   *http.Server
 	served   chan struct{}
-	limit    time.Duration
+	// limit is a time.Duration that the server reads at any moment.
+	limit atomic.Int64
 }
 
-const slowly = 2 * time.Second
+// setLimit changes the bound on rests that begin from now on.
+func (s *site) setLimit(limit time.Duration) {
+	synctest.Wait() // until the rests that are due have begun
+	s.limit.Store(int64(limit))
+}
+
+const (
+	slowly     = 2 * time.Second
+	usualLimit = 4 * time.Second
+)
 
 func newSite() *site {
-	s := &site{pipes: newPipes(), served: make(chan struct{}), limit: 4 * time.Second}
-	s.listener = inbound.Listen(s.pipes, func() time.Duration { return s.limit })
+	s := &site{pipes: newPipes(), served: make(chan struct{})}
+	s.limit.Store(int64(usualLimit))
+	s.listener = inbound.Listen(s.pipes, func() time.Duration { return time.Duration(s.limit.Load()) })
 	s.server = &http.Server{
 		ConnState: s.listener.ConnState,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -133,10 +145,10 @@
 func TestARequestUnderWayIsServed(t *testing.T) {
 	drain := func(s *site) { go func() { _ = s.listener.Drain(context.Background()) }() }
 	cases := map[string]func(s *site){
-		"the rest ends":                func(s *site) { time.Sleep(s.limit) },
+		"the rest ends":                func(*site) { time.Sleep(usualLimit) },
 		"the process is to end":        drain,
-		"the rest ends, then a drain":  func(s *site) { time.Sleep(s.limit); drain(s) },
-		"a drain, and the rest's time": func(s *site) { drain(s); time.Sleep(s.limit) },
+		"the rest ends, then a drain":  func(s *site) { time.Sleep(usualLimit); drain(s) },
+		"a drain, and the rest's time": func(s *site) { drain(s); time.Sleep(usualLimit) },
 	}
 	for name, meanwhile := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -166,14 +178,14 @@
 		is.NoErr(resting.ask())
 		is.NoErr(busy.ask())
 		time.Sleep(3 * time.Second)
-		is.NoErr(busy.ask())        // taken up again in time
-		s.limit = 10 * time.Second  // a later configuration
-		time.Sleep(2 * time.Second) // the first one's rest is over
+		is.NoErr(busy.ask())         // taken up again in time
+		s.setLimit(10 * time.Second) // a later configuration
+		time.Sleep(2 * time.Second)  // the first one's rest is over
 		is.True(resting.ask() != nil)
 		is.NoErr(busy.ask())
 		time.Sleep(9 * time.Second)
 		is.NoErr(busy.ask()) // rests under the later one
-		s.limit = 0
+		s.setLimit(0)
 		is.NoErr(busy.ask())
 		time.Sleep(time.Hour)
 		is.NoErr(busy.ask()) // no bound
