Admission: a full service refuses early, the most urgent waits first

Cause: the gateway decided only where a request goes.

Change: internal/admission.Limiter stands before each service. The balancer says how much room the targets have (slots told, plus a queue of a quarter of the wanted time, by the learned time that requests stay); a request beyond that waits a tenth of its target latency at most, by rank, workspaces taking turns, no rank below half of the mean share, and is refused with a time to come back that follows from the pace of admissions. Retries stop while anybody waits. A full target is passed over. Refusals take no stack trace and close their connection.

What is left in a surge is capacity, second refusals and processor time.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -1,6 +1,7 @@
-// Package admission is one target's gate at its agent: the bound on load, the
-// queues behind it and the drain. It does no I/O. The gate counts what it
-// admits exactly, so the bound holds whatever routers believe.
+// Package admission decides whether, when and in which order requests go to
+// targets. It does no I/O. Gate stands at one target's agent: it counts what it
+// admits exactly, so its bound holds whatever routers believe. Limiter stands
+// at a gateway before all targets of a service.
 package admission
 
 import (
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -175,11 +175,26 @@
 // class at most as many rounds as its own lane is long, and all urgent ones
 // before a deferrable one.
 func (q *queues) ahead(ticket Ticket) int {
-	c := q.classOf(ticket)
-	own := 0
+	count := q.classOf(ticket).before(ticket, 0)
+	if ticket.Deferrable {
+		count += q.urgent.count
+	}
+	return count
+}
+
+// ahead counts who is served before a waiter that has just been queued.
+func (c *class) ahead(w *waiter) int {
+	return c.before(w.ticket, 1)
+}
+
+// before counts who is served before a request of a workspace behind which no
+// other waits; queued is how many places of its lane are its own.
+func (c *class) before(ticket Ticket, queued int) int {
+	own := -queued
 	if l, ok := c.lanes[ticket.Workspace]; ok {
-		own = l.waiters.Len()
+		own += l.waiters.Len()
 	}
+	own = max(own, 0)
 	share := max(ticket.Share, 1)
 	rounds := own/share + 1
 	count := own
@@ -190,8 +205,5 @@
 		weight := max(l.waiters.Front().Value.(*waiter).ticket.Share, 1)
 		count += min(l.waiters.Len(), rounds*weight)
 	}
-	if ticket.Deferrable {
-		count += q.urgent.count
-	}
 	return count
 }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -92,6 +92,8 @@
 	observed map[string][]*state
 	holders  *holders
 	fills    fills
+	// pacings are those of services, by name.
+	pacings map[string]*pacing
 	// manyPeers says that more than a few other gateways share the targets.
 	manyPeers bool
 }
@@ -107,6 +109,7 @@
 		observed: make(map[string][]*state),
 		holders:  newHolders(),
 		fills:    make(fills),
+		pacings:  make(map[string]*pacing),
 	}
 }
 
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -21,6 +21,8 @@
 		return Pick{}, false
 	}
 	mean := meanLoad(open, now)
+	candidates := len(open)
+	open = withRoom(open, b.pacings[query.Service].headroom(), now)
 	var chosen *state
 	fetchFrom := ""
 	if len(query.Parts) == 0 {
@@ -31,7 +33,7 @@
 		b.noteFills(query, chosen, now)
 		b.expect(query.Parts, chosen)
 	}
-	pick := Pick{Target: chosen.Target, FetchFrom: fetchFrom, Load: chosen.load(now), Mean: mean, Candidates: len(open)}
+	pick := Pick{Target: chosen.Target, FetchFrom: fetchFrom, Load: chosen.load(now), Mean: mean, Candidates: candidates}
 	chosen.inFlight++
 	return pick, true
 }
--- /dev/null
+++ b/internal/balance/room.go
@@ -0,0 +1,113 @@
+package balance
+
+import "time"
+
+const (
+	// holdWeight is the share of a new request in the moving means of how long
+	// requests stay at a target and how soon their callers want an answer.
+	holdWeight = 0.02
+	// queueShare of the time within which callers want an answer may be spent
+	// in a target's own queue.
+	queueShare = 0.25
+	// leastHeadroom is the number of requests for each of its slots up to which
+	// a target has room, at least; mostHeadroom at most.
+	leastHeadroom = 1.0
+	mostHeadroom  = 3.0
+	// firstHeadroom holds until requests of the service have ended.
+	firstHeadroom = 1.25
+)
+
+// pacing is how long a service's requests stay at a target, and how soon their
+// callers want an answer: moving means over requests, in seconds; zero before
+// the first.
+type pacing struct {
+	hold   float64
+	wanted float64
+}
+
+// headroom is the number of requests for each of its slots up to which a target
+// has room: those beyond the slots wait there, for no longer than a share of
+// the time within which callers want an answer.
+func (p *pacing) headroom() float64 {
+	if p == nil || p.hold <= 0 || p.wanted <= 0 {
+		return firstHeadroom
+	}
+	return min(max(1+queueShare*p.wanted/p.hold, leastHeadroom), mostHeadroom)
+}
+
+// NoteHold notes how long a request that was answered stayed at a target, and
+// within which time its caller wanted the answer or its first event; zero if
+// nothing is known of that.
+func (b *Balancer) NoteHold(service string, took, wanted time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known, ok := b.pacings[service]
+	if !ok {
+		b.pacings[service] = &pacing{hold: took.Seconds(), wanted: wanted.Seconds()}
+		return
+	}
+	known.hold += holdWeight * (took.Seconds() - known.hold)
+	known.wanted += holdWeight * (wanted.Seconds() - known.wanted)
+}
+
+// NoteSlots notes how many requests a target said it works on at once, for
+// targets whose listing does not say.
+func (b *Balancer) NoteSlots(id string, slots int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if target, ok := b.targets[id]; ok && target.Slots == 0 {
+		target.saidSlots = slots
+	}
+}
+
+// Room is how many more requests the open targets of a service can take, at
+// most so many. Where no target is open, or one has slots unknown, nothing
+// bounds it.
+func (b *Balancer) Room(service string, most int, now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	open := b.open(b.services[service], nil, now)
+	if len(open) == 0 {
+		return most
+	}
+	headroom := b.pacings[service].headroom()
+	room := 0
+	for _, target := range open {
+		if room += target.room(headroom, now, most); room >= most {
+			return most
+		}
+	}
+	return room
+}
+
+// slots is how many requests the target works on at once; zero if unknown.
+func (s *state) slots() int {
+	if s.Slots > 0 {
+		return s.Slots
+	}
+	return s.saidSlots
+}
+
+// room is how many more requests the target can take at a headroom; unbounded
+// if its slots are unknown.
+func (s *state) room(headroom float64, now time.Time, unbounded int) int {
+	slots := s.slots()
+	if slots == 0 {
+		return unbounded
+	}
+	return max(int(headroom*float64(slots))-s.load(now), 0)
+}
+
+// withRoom are the targets that can take one more request; all if none can.
+func withRoom(targets []*state, headroom float64, now time.Time) []*state {
+	roomy := make([]*state, 0, len(targets))
+	for _, target := range targets {
+		if target.room(headroom, now, 1) > 0 {
+			roomy = append(roomy, target)
+		}
+	}
+	if len(roomy) == 0 {
+		return targets
+	}
+	return roomy
+}
--- /dev/null
+++ b/internal/balance/room_test.go
@@ -0,0 +1,93 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/policy"
+)
+
+func withSlots(count, slots int) *balance.Balancer {
+	b := balance.New(balance.DefaultOptions())
+	for i := range count {
+		made := target(i)
+		made.Slots = slots
+		b.Put(made)
+	}
+	return b
+}
+
+func TestRoom(t *testing.T) {
+	cases := map[string]struct {
+		slots        int
+		hold, wanted time.Duration
+		taken        int
+		want         int
+	}{
+		"nothing known of the times": {slots: 8, want: 20},
+		"long requests wait little":  {slots: 8, hold: 2 * time.Second, wanted: 400 * time.Millisecond, want: 16},
+		"short ones may wait":        {slots: 8, hold: 20 * time.Millisecond, wanted: 100 * time.Millisecond, want: 36},
+		"never more than three each": {slots: 8, hold: time.Millisecond, wanted: time.Second, want: 48},
+		"what runs counts":           {slots: 8, hold: 2 * time.Second, wanted: 400 * time.Millisecond, taken: 5, want: 11},
+		"slots unknown":              {want: 100},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := withSlots(2, tc.slots)
+			if tc.hold > 0 {
+				b.NoteHold("s", tc.hold, tc.wanted)
+			}
+			for range tc.taken {
+				_, ok := b.Choose(balance.Query{Service: "s"}, start)
+				is.True(ok)
+			}
+			is.Equal(b.Room("s", 100, start), tc.want)
+		})
+	}
+}
+
+func TestRoomWithoutTargets(t *testing.T) {
+	is := is.New(t)
+	is.Equal(balance.New(balance.DefaultOptions()).Room("s", 7, start), 7) // the choice says that none is open
+}
+
+func TestSlotsThatTargetsTell(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(1)
+	b.NoteSlots("t0", 4)
+	is.Equal(b.Room("s", 100, start), 5)
+	b.NoteSlots("unknown", 4)
+}
+
+// TestAFullTargetIsPassedOver: a session's holder that is full gets no more
+// while others have room.
+func TestAFullTargetIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	b := withSlots(3, 4)
+	home, _ := b.Choose(session(1), start)
+	b.Confirm(home.Target.ID, session(1))
+	b.Observe("other", []balance.Count{{Target: policy.HashName(home.Target.ID), Count: 4}}, start)
+	spilled, _ := b.Choose(session(1), start)
+	is.True(spilled.Target.ID != home.Target.ID)
+}
+
+// BenchmarkRoom asks for room among targets of which most are full.
+func BenchmarkRoom(b *testing.B) {
+	for _, count := range []int{50, 1900} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			balancer := withSlots(count, 1)
+			for range count {
+				balancer.Choose(balance.Query{Service: "s"}, start)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				balancer.Room("s", 10, start)
+			}
+		})
+	}
+}
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -46,6 +46,9 @@
 	// zero before the first.
 	latency float64
 	health  health
+	// saidSlots is how many requests the target said it works on at once; zero
+	// if it did not.
+	saidSlots int
 	// goneAt is when the list dropped the target; zero while it is listed.
 	goneAt time.Time
 }
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -3,6 +3,7 @@
 package fault
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -151,9 +152,10 @@
 	return string(e.Kind) + ": " + e.Message
 }
 
-// New returns an Error with a formatted message.
+// New returns an Error with a formatted message. It takes no stack trace: under
+// overload most requests end here.
 func New(kind Kind, state RunState, format string, args ...any) *Error {
-	return &Error{Kind: kind, State: state, Message: errors.Newf(format, args...).Error()}
+	return &Error{Kind: kind, State: state, Message: fmt.Sprintf(format, args...)}
 }
 
 // After sets when to come back and returns the error itself.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -80,6 +80,9 @@
 // noteHead tells the balancer what the head of an answer shows.
 func (a *attempt) noteHead(answer *Answer) {
 	a.call.gateway.Balancer.Sample(a.pick.Target.ID, time.Since(a.started))
+	if answer.Load != nil {
+		a.call.gateway.Balancer.NoteSlots(a.pick.Target.ID, answer.Load.Slots)
+	}
 	if answer.Status < http.StatusBadRequest && len(a.call.parts) > 0 {
 		a.confirmed = true
 		a.call.gateway.Balancer.Confirm(a.pick.Target.ID, a.call.query())
@@ -246,6 +249,9 @@
 	if !a.confirmed && len(a.call.parts) > 0 {
 		a.call.gateway.Balancer.Withdraw(a.pick.Target.ID, a.call.parts)
 	}
+	if a.result == balance.Good {
+		a.call.gateway.Balancer.NoteHold(a.call.service, now.Sub(a.started), a.call.route.TargetLatency)
+	}
 	ejected := a.call.gateway.Balancer.Release(a.pick.Target.ID, a.result, now)
 	record := AttemptRecord{
 		Target:     a.pick.Target.ID,
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/capersaddle/capersaddle/internal/admission"
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/delivery"
 	"github.com/capersaddle/capersaddle/internal/fault"
@@ -38,6 +39,10 @@
 	failure *wholeAnswer
 	status  int
 	ending  string
+	// turn is its admission to the service; nil for none.
+	turn *admission.Turn
+	// queued is how long it waited for its turn.
+	queued time.Duration
 	// waited is how long it waited for a part of its prompt to be read.
 	waited time.Duration
 	// gone says that the caller could not be written to any more.
@@ -102,6 +107,12 @@
 func (c *call) run(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	refusal := c.awaitTurn(ctx)
+	defer c.endTurn()
+	if refusal != nil && !c.callerLeft(ctx) {
+		c.refuse(refusal)
+		return
+	}
 	c.awaitFill(ctx)
 	if c.callerLeft(ctx) {
 		c.leave()
@@ -109,6 +120,7 @@
 	}
 	for {
 		pick, ok := c.gateway.Balancer.Choose(c.query(), time.Now())
+		c.endTurn()
 		if !ok {
 			c.finishWithoutTarget()
 			return
@@ -117,6 +129,7 @@
 		attempt := newAttempt(c, pick)
 		done := attempt.make(ctx)
 		attempt.release(ctx)
+		c.gateway.admitWaiting(c.service)
 		if done {
 			c.ending = EndingAnswered
 			return
@@ -185,6 +198,9 @@
 	if !c.gateway.Balancer.Has(c.query(), time.Now()) {
 		return false
 	}
+	if !c.delivery.Begun() && !c.gateway.hasRoom(c.service) {
+		return false
+	}
 	return c.gateway.Budgets.Spend(c.service, time.Now())
 }
 
@@ -224,7 +240,7 @@
 	}
 	refusal := fault.New(verdict.Kind, verdict.State, "%s", last.reason())
 	if refusal.State == fault.NotRun && refusal.RetryAfter == 0 {
-		refusal.RetryAfter = retrySoon
+		refusal.RetryAfter = c.comeBack()
 	}
 	c.refuse(refusal)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/capersaddle/capersaddle/internal/admission"
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/freshness"
@@ -29,6 +30,8 @@
 	Sender   Sender
 	Balancer *balance.Balancer
 	Budgets  *retrybudget.Budgets
+	// Limiters bound what is sent to each service; nil for no bound.
+	Limiters *admission.Limiters
 	Proof    *freshness.Proof
 	Events   Recorder
 	Options  Options
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -40,6 +40,8 @@
 	// negative if there was none.
 	ProofAge time.Duration
 	Attempts []AttemptRecord
+	// Queued is how long it waited for its turn at the service.
+	Queued time.Duration
 	// Waited is how long it waited, before its first attempt, for a part of its
 	// prompt to be read for another request.
 	Waited time.Duration
@@ -86,6 +88,7 @@
 		Session:  c.request.session(),
 		Prompt:   c.request.Parts,
 		Attempts: c.attempts,
+		Queued:   c.queued,
 		Waited:   c.waited,
 		Status:   c.status,
 		Ending:   c.ending,
--- /dev/null
+++ b/internal/gateway/turn_test.go
@@ -0,0 +1,148 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/admission"
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/gateway"
+	"github.com/capersaddle/capersaddle/internal/policy"
+)
+
+// newFullWorld is a world with one target of one slot.
+func newFullWorld(scripts ...script) *world {
+	w := newWorld(scripts...)
+	w.gateway.Limiters = admission.NewLimiters(admission.DefaultLimiterOptions())
+	for _, id := range []string{"a", "b", "c"} {
+		w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id, Leaving: id != "a", Slots: 1})
+	}
+	return w
+}
+
+// after answers once some time has passed.
+func after(wait time.Duration, status int, body string) script {
+	return func(ctx context.Context, _ *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return nil, &gateway.SendError{Sent: true, Err: ctx.Err()}
+		}
+		return &gateway.Answer{Status: status, Size: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)), Signed: true}, nil
+	}
+}
+
+// serveAs serves a request of its own caller.
+func (w *world) serveAs(ctx context.Context, path string) *recorder {
+	caller := new(recorder)
+	w.gateway.Serve(ctx, &gateway.Request{ID: path, Method: "POST", Host: "h", URI: path, Path: path, Key: "key", Arrived: time.Now()}, caller)
+	return caller
+}
+
+// TestAFullServiceRefuses: while the target's slot is taken a request waits for
+// a tenth of its target latency and is then refused, never sent, with a time
+// to come back that its caller can keep.
+func TestAFullServiceRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newFullWorld(after(500*time.Millisecond, http.StatusOK, "yes"))
+		go w.serve(t.Context(), "/once/first")
+		synctest.Wait()
+		began := time.Now()
+		refused := w.serveAs(t.Context(), "/once/second")
+		is.Equal(time.Since(began), 10*time.Millisecond)
+		is.Equal(refused.refusal.Kind, fault.Overloaded)
+		is.Equal(refused.refusal.State, fault.NotRun)
+		is.True(refused.refusal.RetryAfter > 0 && refused.refusal.RetryAfter <= time.Second/3)
+		is.Equal(len(w.sender.sent), 1)
+		time.Sleep(time.Second)
+		is.Equal(w.caller.status, http.StatusOK)
+	})
+}
+
+// TestAFreedSlotGoesToWhoWaits: the next in line is sent as soon as the request
+// before has ended.
+func TestAFreedSlotGoesToWhoWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newFullWorld(after(5*time.Millisecond, http.StatusOK, "yes"))
+		go w.serve(t.Context(), "/once/first")
+		synctest.Wait()
+		began := time.Now()
+		second := w.serveAs(t.Context(), "/once/second")
+		is.Equal(second.status, http.StatusOK)
+		is.Equal(time.Since(began), 10*time.Millisecond) // 5 in the queue, 5 at the target
+	})
+}
+
+// TestOtherGatewaysMakeRoom: when another gateway reports less load, those who
+// wait here are sent.
+func TestOtherGatewaysMakeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newFullWorld(stream(one, io.EOF))
+		w.gateway.Balancer.Observe("other", []balance.Count{{Target: hashOf("a"), Count: 9}}, time.Now())
+		done := make(chan *recorder, 1)
+		go func() { done <- w.serveAs(t.Context(), "/stream/x") }()
+		synctest.Wait()
+		is.Equal(len(w.sender.sent), 0)
+		w.gateway.Balancer.Observe("other", nil, time.Now())
+		w.gateway.AdmitWaiting()
+		is.Equal((<-done).status, http.StatusOK)
+	})
+}
+
+// TestACallerLeavesTheQueue: its place is given up and nothing is sent.
+func TestACallerLeavesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newFullWorld(after(time.Second/2, http.StatusOK, "yes"))
+		go w.serve(t.Context(), "/once/first")
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		time.AfterFunc(3*time.Millisecond, cancel)
+		left := w.serveAs(ctx, "/once/second")
+		is.True(left.aborted)
+		is.Equal(left.refusal, nil)
+		is.Equal(w.gateway.Limiters.Of("s").Wants(), 0)
+		is.Equal(len(w.sender.sent), 1)
+		time.Sleep(time.Second)
+	})
+}
+
+// TestRetriesStopFirst: with the targets full, a request that was turned away
+// isn't sent to another one, and is told when to come back.
+func TestRetriesStopFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newFullWorld(rejected, whole(http.StatusOK, "yes"))
+		w.gateway.Balancer.Put(balance.Target{ID: "b", Service: "s", Address: "b", Slots: 1})
+		w.gateway.Balancer.Observe("other", []balance.Count{{Target: hashOf("b"), Count: 2}, {Target: hashOf("a"), Count: 1}}, time.Now())
+		w.gateway.Balancer.NoteHold("s", time.Millisecond, time.Second) // three requests a slot
+		got := w.serveAs(t.Context(), "/once/x")
+		is.Equal(got.status, http.StatusOK) // there is room: it goes elsewhere
+		w.sender.scripts = []script{func(ctx context.Context, out *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
+			w.gateway.Balancer.Observe("other", []balance.Count{{Target: hashOf("a"), Count: 9}, {Target: hashOf("b"), Count: 9}}, time.Now())
+			return rejected(ctx, out)
+		}}
+		sent := len(w.sender.sent)
+		got = w.serveAs(t.Context(), "/once/x")
+		is.Equal(len(w.sender.sent), sent+1)
+		is.Equal(got.refusal.Kind, fault.Overloaded)
+		is.Equal(got.refusal.State, fault.NotRun)
+		is.True(got.refusal.RetryAfter > 0)
+	})
+}
+
+// hashOf is the hash by which gateways name a target to each other.
+func hashOf(id string) uint64 {
+	return policy.HashName(id)
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/capersaddle/capersaddle/internal/admission"
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/checkpoint"
 	"github.com/capersaddle/capersaddle/internal/freshness"
@@ -78,6 +79,7 @@
 		Sender:   sender,
 		Balancer: balance.New(balanceOptions(s)),
 		Budgets:  retrybudget.New(retryOptions(s)),
+		Limiters: admission.NewLimiters(admission.DefaultLimiterOptions()),
 		Proof:    new(freshness.Proof),
 		Events:   p.observer,
 		Options:  gateway.Options{KeyFreshness: keyFreshness(s), DenyFreshness: denyFreshness, Accompanied: p.accompanied},
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -55,6 +55,7 @@
 		gateways = max(gateways, unknownGateways)
 	}
 	p.gateway.Budgets.SetSlack(p.settings.Retry.Slack / gateways)
+	p.gateway.AdmitWaiting()
 }
 
 // accompanied says whether other gateways are heard.
