A gateway that lacks processor time blames no target and takes no new callers

Change: internal/lag notices by its own timers that the process is late (twice in a row, so that a pause is none); failures of attempts say nothing of targets meanwhile. Beats carry the lag; a late gateway is unready while another one is in time, and its answers close their connections.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -242,7 +242,7 @@
 
 // release tells the balancer how the attempt ended, and keeps its record.
 func (a *attempt) release(ctx context.Context) {
-	if a.call.callerLeft(ctx) {
+	if a.call.callerLeft(ctx) || a.isOwnDelay() {
 		a.result = balance.Neutral
 	}
 	now := time.Now()
@@ -273,6 +273,13 @@
 	a.call.attempts = append(a.call.attempts, record)
 }
 
+// isOwnDelay says whether the attempt failed while this process itself was late:
+// its time limits then say nothing of the target.
+func (a *attempt) isOwnDelay() bool {
+	late := a.call.gateway.Options.Late
+	return a.result != balance.Good && late != nil && late()
+}
+
 // reason says why the attempt brought no answer.
 func (a *attempt) reason() string {
 	if a.err == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,9 @@
 	DenyFreshness time.Duration
 	// Accompanied says whether other gateways are heard; nil is never.
 	Accompanied func() bool
+	// Late says whether this process lacks processor time now, so that its own
+	// time limits pass before it has read what a target sent; nil is never.
+	Late func() bool
 	// OthersKnow says whether another gateway that is heard knows a
 	// configuration; nil is always.
 	OthersKnow func() bool
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -287,6 +287,23 @@
 	}
 }
 
+// TestOwnDelayBlamesNoTarget: found on a day with slow gateways, which left out
+// one target after the other because their own time limits passed.
+func TestOwnDelayBlamesNoTarget(t *testing.T) {
+	for name, late := range map[string]bool{"in time": false, "late": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(unreachable)
+			w.gateway.Options.Late = func() bool { return late }
+			w.serve(t.Context(), "/once/x")
+			is.Equal(w.caller.refusal.Kind, fault.NoTarget)
+			for _, attempt := range w.caller.records[0].Attempts {
+				is.Equal(attempt.Ejected, !late)
+			}
+		})
+	}
+}
+
 func TestNoBudgetNoSecondTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- /dev/null
+++ b/internal/lag/lag_test.go
@@ -0,0 +1,55 @@
+package lag_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/lag"
+)
+
+func TestLate(t *testing.T) {
+	cases := map[string]struct {
+		late []time.Duration
+		want bool
+	}{
+		"in time":           {[]time.Duration{0, time.Millisecond, 3 * time.Millisecond}, false},
+		"one late timer":    {[]time.Duration{100 * time.Millisecond}, false},
+		"stopped for long":  {[]time.Duration{8 * time.Second, 0}, false},
+		"late twice":        {repeat(30*time.Millisecond, 2), true},
+		"in time once":      {append(repeat(30*time.Millisecond, 2), 0), true},
+		"in time for long":  {append(repeat(time.Second, 100), repeat(0, 24)...), false},
+		"late now and then": {[]time.Duration{0, 60 * time.Millisecond, 0, 60 * time.Millisecond}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			monitor := lag.New()
+			for _, late := range tc.late {
+				monitor.Note(late)
+			}
+			is.Equal(monitor.Late(), tc.want)
+		})
+	}
+}
+
+func repeat(late time.Duration, times int) []time.Duration {
+	all := make([]time.Duration, times)
+	for i := range all {
+		all[i] = late
+	}
+	return all
+}
+
+func TestAnIdleProcessIsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		monitor := lag.New()
+		is.NoErr(monitor.Start(t.Context()))
+		time.Sleep(time.Minute)
+		is.Equal(monitor.Lag(), time.Duration(0))
+		is.NoErr(monitor.Close())
+	})
+}
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -30,6 +30,8 @@
 	EventDrain      = "draining"
 	EventStop       = "stopped"
 	EventReload     = "settings_reloaded"
+	EventLate       = "process_late"
+	EventInTime     = "process_in_time"
 	EventSampled    = "requests_not_logged"
 )
 
@@ -37,7 +39,7 @@
 func Events() []string {
 	return []string{
 		EventRequest, EventConfig, EventTarget, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
-		EventBadValue, EventPeerFound, EventPeerLost, EventReplica, EventStart, EventDrain, EventStop, EventReload, EventSampled,
+		EventBadValue, EventPeerFound, EventPeerLost, EventReplica, EventStart, EventDrain, EventStop, EventReload, EventLate, EventInTime, EventSampled,
 	}
 }
 
--- a/internal/observe/state.go
+++ b/internal/observe/state.go
@@ -54,6 +54,16 @@
 	o.log.Info(EventConfig, "version", version, "before", before, "routes", routes, "workspaces", workspaces)
 }
 
+// Lateness logs that the process begins or ceases to lack processor time; while
+// it does and another gateway does not, it takes no new callers.
+func (o *Observer) Lateness(late, othersInTime bool, lag time.Duration) {
+	event := EventInTime
+	if late {
+		event = EventLate
+	}
+	o.log.Warn(event, "lag_ms", wholeMillis(lag), "others_in_time", othersInTime)
+}
+
 // BadValue logs a value of the store that could not be read; what was known
 // before stays in force.
 func (o *Observer) BadValue(what string, err error) {
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -22,6 +22,9 @@
 		Leaving:        s.leaving.Load(),
 		StoreReachable: s.options.Replica.Reachable(),
 	}
+	if s.options.Lag != nil {
+		beat.LagMs = uint32(s.options.Lag().Milliseconds())
+	}
 	// The revision is read before the age: the proof may only become newer.
 	if age, ok := s.options.Proof.Age(time.Now()); ok {
 		beat.HasProof = true
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -85,6 +85,8 @@
 	// Stale is the age of the proof at which this process asks the store whoever
 	// else does.
 	Stale time.Duration
+	// Lag is how late this process's timers fire; nil is not at all.
+	Lag func() time.Duration
 	// Counted is told, with every round of beats, how many peers are heard.
 	Counted func(peers int)
 }
@@ -223,6 +225,16 @@
 	return slices.ContainsFunc(s.look(time.Now()).live, func(known *peer) bool { return known.revision > 0 })
 }
 
+// InTime says whether a gateway that takes callers, other than this one, runs
+// with less lag than a bound.
+func (s *Service) InTime(bound time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.look(time.Now()).live, func(known *peer) bool {
+		return !known.leaving && known.revision > 0 && known.lag < bound
+	})
+}
+
 // Traffic is the bytes of beats sent and received so far.
 func (s *Service) Traffic() (sent, received int64) {
 	return s.sentBytes.Load(), s.receivedBytes.Load()
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -41,6 +41,8 @@
 	// reachesStore says that its last call to the store was answered.
 	reachesStore bool
 	leaving      bool
+	// lag is how late its timers fired when it sent its last beat.
+	lag time.Duration
 	// lost says that its loss has been told.
 	lost bool
 	// told is the number of the next placement to tell it.
@@ -128,6 +130,7 @@
 	known.revision = beat.GetRevision()
 	known.reachesStore = beat.GetStoreReachable()
 	known.leaving = beat.GetLeaving()
+	known.lag = time.Duration(beat.GetLagMs()) * time.Millisecond
 	known.proofAge = -1
 	if beat.GetHasProof() {
 		known.proofAge = time.Duration(beat.GetProofAgeMs()) * time.Millisecond
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/capersaddle/capersaddle/internal/gateway"
 	"github.com/capersaddle/capersaddle/internal/inbound"
 	"github.com/capersaddle/capersaddle/internal/kernel"
+	"github.com/capersaddle/capersaddle/internal/lag"
 	"github.com/capersaddle/capersaddle/internal/observe"
 	"github.com/capersaddle/capersaddle/internal/peer"
 	"github.com/capersaddle/capersaddle/internal/retrybudget"
@@ -51,13 +52,16 @@
 
 // GatewayProcess is a gateway with all its services.
 type GatewayProcess struct {
-	settings  *settings.Gateway
-	kernel    *kernel.Kernel
-	log       *log.Logger
-	observer  *observe.Observer
-	gateway   *gateway.Gateway
-	feed      *platform.Feed
-	peers     *peer.Service
+	settings *settings.Gateway
+	kernel   *kernel.Kernel
+	log      *log.Logger
+	observer *observe.Observer
+	gateway  *gateway.Gateway
+	feed     *platform.Feed
+	peers    *peer.Service
+	lag      *lag.Monitor
+	// late is what the log last said of the lag.
+	late      atomic.Bool
 	front     *platform.Front
 	callers   *inbound.Listener
 	server    *http.Server
@@ -74,6 +78,7 @@
 	registry := prometheus.NewRegistry()
 	p := &GatewayProcess{settings: s, started: time.Now(), kernel: kernel.New(), log: logger.With("process", s.ID)}
 	p.observer = observe.New(p.log, observe.NewMetrics(registry))
+	p.lag = lag.New()
 	sender := platform.NewSender()
 	p.gateway = &gateway.Gateway{
 		Sender:   sender,
@@ -82,12 +87,13 @@
 		Limiters: admission.NewLimiters(admission.DefaultLimiterOptions()),
 		Proof:    new(freshness.Proof),
 		Events:   p.observer,
-		Options:  gateway.Options{KeyFreshness: keyFreshness(s), DenyFreshness: denyFreshness, Accompanied: p.accompanied, OthersKnow: p.othersKnow},
+		Options:  gateway.Options{KeyFreshness: keyFreshness(s), DenyFreshness: denyFreshness, Accompanied: p.accompanied, OthersKnow: p.othersKnow, Late: p.lag.Late},
 	}
 	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, store: p.observer.NewStoreDependency(), urge: p.urge}, p.storeRole)
 	p.front = &platform.Front{Gateway: p.gateway}
 	observe.RegisterGauges(registry, p.gauges())
 	steps := []func() error{
+		func() error { return p.kernel.Register("lag", p.lag) },
 		func() error { return p.kernel.Register("sender", sender) },
 		p.joinPeers,
 		func() error { return p.kernel.Register("feed", p.feed) },
@@ -157,10 +163,10 @@
 func (c closer) Close() error { return c.close() }
 
 // Ready says whether callers may come: configuration and servers are known,
-// and there is a proof to vouch for keys by.
+// there is a proof to vouch for keys by, and the process gets to run.
 func (p *GatewayProcess) Ready() bool {
 	_, proven := p.gateway.Proof.Age(time.Now())
-	return !p.leaving.Load() && p.gateway.Table() != nil && p.feed.Loaded() && proven
+	return !p.leaving.Load() && p.gateway.Table() != nil && p.feed.Loaded() && proven && !p.checkLate()
 }
 
 func balanceOptions(s *settings.Gateway) balance.Options {
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/capersaddle/capersaddle/internal/lag"
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/peer"
 	"github.com/capersaddle/capersaddle/internal/settings"
@@ -35,6 +36,7 @@
 		Balancer: p.gateway.Balancer,
 		Watcher:  p.observer,
 		Counted:  p.countPeers,
+		Lag:      p.lag.Lag,
 		Stale:    staleAfter(p.settings),
 	}, conn, pool)
 	server := link.NewServer(listener, hello, nil, p.log, p.peers.Handle)
@@ -69,6 +71,27 @@
 	return p.peers == nil || p.peers.Knows()
 }
 
+// inTimeShare of the lag at which a process is late is how much another one may
+// have that is to take its callers.
+const inTimeShare = 0.5
+
+// othersInTime says whether another gateway has processor time to spare.
+func (p *GatewayProcess) othersInTime() bool {
+	return p.peers != nil && p.peers.InTime(time.Duration(inTimeShare*float64(lag.Bound)))
+}
+
+// checkLate says whether this process is to take no new callers because it
+// lacks processor time and another one does not. While it is so, answers ask
+// their callers to use another connection.
+func (p *GatewayProcess) checkLate() bool {
+	late, othersInTime := p.lag.Late(), p.othersInTime()
+	if p.late.Swap(late) != late {
+		p.observer.Lateness(late, othersInTime, p.lag.Lag())
+	}
+	p.front.MoveConnections(late && othersInTime)
+	return late && othersInTime
+}
+
 // staleAfter is the age of the proof at which a gateway asks the store itself:
 // in time for what may be new there to be in force.
 func staleAfter(s *settings.Gateway) time.Duration {
