Paths between data centres on which streams halt are avoided

Change: the balancer keeps, by data centre, the share of streams that halted between two events for more than half of the wanted pause. Over 0.3, and three times the best path's, the targets behind it are passed over while others are below the bound. The share halves every 2 s, so the path is tried again.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -94,6 +94,8 @@
 	fills    fills
 	// pacings are those of services, by name.
 	pacings map[string]*pacing
+	// paths are the ways to data centres, by name.
+	paths map[string]*path
 	// manyPeers says that more than a few other gateways share the targets.
 	manyPeers bool
 }
@@ -110,6 +112,7 @@
 		holders:  newHolders(),
 		fills:    make(fills),
 		pacings:  make(map[string]*pacing),
+		paths:    make(map[string]*path),
 	}
 }
 
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -23,6 +23,7 @@
 	mean := meanLoad(open, now)
 	candidates := len(open)
 	open = withRoom(open, b.pacings[query.Service].headroom(), now)
+	open = b.overGoodPaths(open, b.boundOf(query).at(mean), now)
 	var chosen *state
 	fetchFrom := ""
 	if len(query.Parts) == 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,9 +15,13 @@
 // under the head that the caller already has.
 func (a *attempt) passStream(ctx context.Context, answer *Answer) bool {
 	source := newEvents(answer.Body)
+	halted := false
+	defer func() { a.call.gateway.Balancer.NoteStream(a.pick.Target.ID, halted, time.Now()) }()
 	for {
 		a.watch(ctx, a.silenceBetween())
+		asked := time.Now()
 		event, id, err := source.next()
+		halted = halted || a.events > 0 && a.isHalt(time.Since(asked))
 		if errors.Is(err, io.EOF) {
 			return a.endStream(answer)
 		}
@@ -35,6 +40,17 @@
 	}
 }
 
+// haltShare of the longest pause that callers want is how long a pause counts
+// as a halt.
+const haltShare = 0.5
+
+// isHalt says whether a pause between two events is one that a target which
+// works does not make by itself.
+func (a *attempt) isHalt(pause time.Duration) bool {
+	wanted := a.call.route.TargetGap
+	return wanted > 0 && pause > time.Duration(haltShare*float64(wanted))
+}
+
 // passEvent sends the head before the first event.
 func (a *attempt) passEvent(answer *Answer, event []byte) error {
 	if err := a.beginStream(answer); err != nil {
