--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -38,7 +38,14 @@
 	Reason   string `json:"reason,omitempty"`
 	ProofMs  int64  `json:"proof_ms,omitempty"`
 	TookMs   int64  `json:"took_ms,omitempty"`
-	Config   int64  `json:"config,omitempty"`
+	FirstMs  int64  `json:"first_ms,omitempty"`
+	WantedMs int64  `json:"wanted_ms,omitempty"`
+	QueuedMs int64  `json:"queued_ms,omitempty"`
+	WaitedMs int64  `json:"waited_ms,omitempty"`
+	Route    string `json:"route,omitempty"`
+	// Count is that of requests which were not logged.
+	Count  int   `json:"count,omitempty"`
+	Config int64 `json:"config,omitempty"`
 	// Raw is the whole line.
 	Raw string `json:"-"`
 }
@@ -171,7 +178,7 @@
 	"unknown_route":  "no route of the configuration in force has this host and path",
 	"bad_api_key":    "the key is in no workspace of the configuration in force",
 	"no_target":      "no target of the service could be reached or was open; the request was not run",
-	"overloaded":     "every target that was asked turned the request away unrun",
+	"overloaded":     "the targets of the service were full, or every one that was asked turned the request away; it was not run",
 	"target_failed":  "the request was sent and its answer was lost or no answer; it may have run, and may not be repeated",
 	"deadline":       "the time ran out while a target was silent; it may have run",
 	"body_too_large": "the body is larger than the configuration allows",
--- /dev/null
+++ b/internal/explain/summary.go
@@ -0,0 +1,174 @@
+package explain
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/gateway"
+	"github.com/capersaddle/capersaddle/internal/observe"
+)
+
+// Summary counts the requests of logs that were not answered in time, by
+// reason.
+type Summary struct {
+	// Requests are those that have a line; NotLogged are those left out to bound
+	// the log, of which nothing more is known.
+	Requests  int `json:"requests"`
+	NotLogged int `json:"not_logged"`
+	// Losses are summed over all the time; the largest come first.
+	Losses []Loss `json:"losses"`
+	// Spans are the same for each span of time, in order.
+	Spans []Span `json:"spans"`
+}
+
+// Span is what was lost in one span of time.
+type Span struct {
+	From     time.Time `json:"from"`
+	Requests int       `json:"requests"`
+	Losses   []Loss    `json:"losses"`
+}
+
+// Loss counts the requests of a route that ended badly or late for one reason.
+type Loss struct {
+	Route  string `json:"route"`
+	Reason string `json:"reason"`
+	Count  int    `json:"count"`
+}
+
+// Reasons of answers that came late; the others are the endings of requests.
+const (
+	lateQueued   = "late: waited for room"
+	lateFill     = "late: waited for its prompt to be read"
+	lateAttempts = "late: an earlier attempt failed"
+	lateTarget   = "late: the target took long"
+)
+
+// lossKey names a kind of loss.
+type lossKey struct {
+	route, reason string
+}
+
+// tally counts losses.
+type tally struct {
+	requests int
+	losses   map[lossKey]int
+}
+
+func newTally() *tally {
+	return &tally{losses: make(map[lossKey]int)}
+}
+
+func (t *tally) add(line Line) {
+	t.requests++
+	if reason := lossReason(line); reason != "" {
+		t.losses[lossKey{line.Route, reason}]++
+	}
+}
+
+// sorted are the losses, the largest first.
+func (t *tally) sorted() []Loss {
+	losses := make([]Loss, 0, len(t.losses))
+	for key, count := range t.losses {
+		losses = append(losses, Loss{Route: key.route, Reason: key.reason, Count: count})
+	}
+	slices.SortFunc(losses, func(a, b Loss) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Reason, b.Reason))
+	})
+	return losses
+}
+
+// Summarize sums the requests of logs up, as a whole and by spans of time.
+func Summarize(lines []Line, every time.Duration) *Summary {
+	whole := newTally()
+	spans := make(map[time.Time]*tally)
+	summary := new(Summary)
+	for _, line := range lines {
+		switch line.Event {
+		case observe.EventSampled:
+			summary.NotLogged += line.Count
+		case observe.EventRequest:
+			whole.add(line)
+			spanOf(spans, line, every).add(line)
+		}
+	}
+	summary.Requests, summary.Losses = whole.requests, whole.sorted()
+	for from, counted := range spans {
+		summary.Spans = append(summary.Spans, Span{From: from, Requests: counted.requests, Losses: counted.sorted()})
+	}
+	slices.SortFunc(summary.Spans, func(a, b Span) int { return a.From.Compare(b.From) })
+	return summary
+}
+
+// spanOf is the tally of the span in which a request arrived; lines whose time
+// can't be read share the zero one.
+func spanOf(spans map[time.Time]*tally, line Line, every time.Duration) *tally {
+	from := time.Time{}
+	if ended, err := time.Parse(time.RFC3339Nano, line.Time); err == nil {
+		from = ended.Add(-time.Duration(line.TookMs) * time.Millisecond).Truncate(every)
+	}
+	if spans[from] == nil {
+		spans[from] = newTally()
+	}
+	return spans[from]
+}
+
+// lossReason says why a request was not answered in time; empty if it was.
+func lossReason(line Line) string {
+	if line.Ending != gateway.EndingAnswered {
+		return line.Ending
+	}
+	if line.WantedMs == 0 || line.FirstMs <= line.WantedMs {
+		return ""
+	}
+	switch {
+	case line.QueuedMs*2 > line.FirstMs:
+		return lateQueued
+	case line.WaitedMs*2 > line.FirstMs:
+		return lateFill
+	case len(strings.Fields(line.Attempts)) > 1:
+		return lateAttempts
+	}
+	return lateTarget
+}
+
+// mostShown bounds how many losses of one span are printed.
+const mostShown = 4
+
+// Print writes the summary for a person.
+func (s *Summary) Print(out io.Writer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if _, err := io.WriteString(table, s.text()); err != nil {
+		return errors.Wrap(err, "print")
+	}
+	return errors.Wrap(table.Flush(), "print")
+}
+
+// text is the summary with cells parted by tabs.
+func (s *Summary) text() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%d requests in the logs, %d more not logged\n\nroute\treason\trequests\n", s.Requests, s.NotLogged)
+	for _, loss := range s.Losses {
+		fmt.Fprintf(&text, "%s\t%s\t%d\n", loss.Route, loss.Reason, loss.Count)
+	}
+	text.WriteString("\nfrom\trequests\tlost most\n")
+	for _, span := range s.Spans {
+		fmt.Fprintf(&text, "%s\t%d\t%s\n", span.From.Format("15:04:05.0"), span.Requests, span.most())
+	}
+	return text.String()
+}
+
+// most names the largest losses of the span.
+func (s *Span) most() string {
+	var shown []string
+	for _, loss := range s.Losses[:min(mostShown, len(s.Losses))] {
+		shown = append(shown, fmt.Sprintf("%d %s (%s)", loss.Count, loss.Reason, loss.Route))
+	}
+	return strings.Join(shown, ", ")
+}
--- /dev/null
+++ b/internal/explain/summary_test.go
@@ -0,0 +1,65 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/explain"
+)
+
+// requestLine is a log line of a request that ended at a second of a minute.
+func requestLine(second, fields string) string {
+	return `frontend-1 {"time":"2026-12-02T10:00:` + second + `Z","msg":"request","process":"g","route":"chat",` + fields + "}\n"
+}
+
+func TestSummaryReasons(t *testing.T) {
+	cases := map[string]struct {
+		fields string
+		want   string // empty for no loss
+	}{
+		"in time":              {`"ending":"answered","wanted_ms":300,"first_ms":299`, ""},
+		"no wanted time":       {`"ending":"answered","first_ms":5000`, ""},
+		"refused":              {`"ending":"overloaded","wanted_ms":300`, "overloaded"},
+		"late for the queue":   {`"ending":"answered","wanted_ms":300,"first_ms":400,"queued_ms":250`, "late: waited for room"},
+		"late for a reading":   {`"ending":"answered","wanted_ms":300,"first_ms":400,"waited_ms":250`, "late: waited for its prompt to be read"},
+		"late for an attempt":  {`"ending":"answered","wanted_ms":300,"first_ms":400,"attempts":"a@x=silent(took_ms:300) b@y=answered(took_ms:90)"`, "late: an earlier attempt failed"},
+		"late for its target":  {`"ending":"answered","wanted_ms":300,"first_ms":400,"attempts":"b@y=answered(took_ms:390)"`, "late: the target took long"},
+		"broken off midstream": {`"ending":"cut","wanted_ms":300,"first_ms":80`, "cut"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			lines, _, err := explain.Read(strings.NewReader(requestLine("01.5", tc.fields)))
+			is.NoErr(err)
+			summary := explain.Summarize(lines, time.Second)
+			is.Equal(summary.Requests, 1)
+			if tc.want == "" {
+				is.Equal(len(summary.Losses), 0)
+				return
+			}
+			is.Equal(summary.Losses, []explain.Loss{{Route: "chat", Reason: tc.want, Count: 1}})
+		})
+	}
+}
+
+func TestSummaryBySpans(t *testing.T) {
+	is := is.New(t)
+	text := requestLine("01.5", `"ending":"overloaded"`) + requestLine("01.9", `"ending":"overloaded"`) +
+		requestLine("05.1", `"ending":"deadline","took_ms":600`) + requestLine("07.0", `"ending":"answered"`) +
+		`{"time":"2026-12-02T10:00:02Z","msg":"requests_not_logged","process":"g","count":7}` + "\n"
+	lines, _, err := explain.Read(strings.NewReader(text))
+	is.NoErr(err)
+	summary := explain.Summarize(lines, 2*time.Second)
+	is.Equal(summary.Requests, 4)
+	is.Equal(summary.NotLogged, 7)
+	is.Equal(summary.Losses[0], explain.Loss{Route: "chat", Reason: "overloaded", Count: 2})
+	is.Equal(len(summary.Spans), 3)
+	is.Equal(summary.Spans[1].From.Second(), 4) // by its arrival, not its end
+	var out strings.Builder
+	is.NoErr(summary.Print(&out))
+	is.True(strings.Contains(out.String(), "4 requests in the logs, 7 more not logged"))
+	is.True(strings.Contains(out.String(), "2 overloaded (chat)"))
+}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -49,6 +49,9 @@
 	Status int
 	// Ending is one of the constants above or the kind of refusal.
 	Ending string
+	// Wanted is the time within which the route's callers want the answer or its
+	// first event; zero if the route does not say.
+	Wanted time.Duration
 	// First is the time to the answer's head.
 	First time.Duration
 	Took  time.Duration
@@ -103,7 +106,7 @@
 		record.Config = c.table.Version()
 	}
 	if c.route != nil {
-		record.Route, record.Kind = c.route.Name, string(c.route.Kind)
+		record.Route, record.Kind, record.Wanted = c.route.Name, string(c.route.Kind), c.route.TargetLatency
 	}
 	if c.workspace != nil {
 		record.Workspace = c.workspace.Name
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -107,6 +107,10 @@
 	Sent     func() float64
 	Received func() float64
 	InFlight func() float64
+	// Waiting counts the requests that wait for room at their service.
+	Waiting func() float64
+	// Lag is how late this process's timers fire, in seconds.
+	Lag func() float64
 }
 
 // RegisterGauges adds what a gateway tells of its state.
@@ -132,5 +136,13 @@
 			Namespace: namespace, Name: "in_flight",
 			Help: "This gateway's requests at targets.",
 		}, gauges.InFlight),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "waiting",
+			Help: "Requests that wait for room at their service.",
+		}, gauges.Waiting),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "lag_seconds",
+			Help: "How late this process's own timers fire.",
+		}, gauges.Lag),
 	)
 }
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -134,6 +134,12 @@
 		},
 		Sent:     func() float64 { sent, _ := traffic(); return float64(sent) },
 		Received: func() float64 { _, received := traffic(); return float64(received) },
+		Waiting: func() float64 {
+			total := 0
+			p.gateway.Limiters.Each(func(_ string, limiter *admission.Limiter) { total += limiter.Waiting() })
+			return float64(total)
+		},
+		Lag: func() float64 { return p.lag.Lag().Seconds() },
 		InFlight: func() float64 {
 			total := 0
 			for _, count := range p.gateway.Balancer.InFlight() {
--- a/internal/process/reference_test.go
+++ b/internal/process/reference_test.go
@@ -107,7 +107,7 @@
 	registry := prometheus.NewRegistry()
 	metrics := observe.NewMetrics(registry)
 	zero := func() float64 { return 0 }
-	observe.RegisterGauges(registry, observe.Gauges{ProofAge: zero, Peers: zero, Sent: zero, Received: zero, InFlight: zero})
+	observe.RegisterGauges(registry, observe.Gauges{ProofAge: zero, Peers: zero, Sent: zero, Received: zero, InFlight: zero, Waiting: zero, Lag: zero})
 	// A series shows only once it has been used.
 	observer := observe.New(log.New(io.Discard), metrics)
 	observer.Request(&gateway.RequestRecord{First: 1, Attempts: []gateway.AttemptRecord{{}}})
--- a/pkg/cmd/explain/explain.go
+++ b/pkg/cmd/explain/explain.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
@@ -23,25 +24,34 @@
 	Subject string
 	Files   []string
 	JSON    bool
+	// Summary sums all requests up instead of telling one story.
+	Summary bool
+	// Every is the length of the spans of a summary.
+	Every time.Duration
 }
 
 // NewCmdExplain returns the command; runF replaces its work in tests.
 func NewCmdExplain(f *cmdutil.Factory, runF func(*ExplainOptions) error) *cobra.Command {
 	opts := &ExplainOptions{IO: f.IOStreams}
 	cmd := &cobra.Command{
-		Use:   "explain <id> [<log file>...]",
+		Use:   "explain {<id> | --summary} [<log file>...]",
 		Short: "Tell from logs what became of a request, target or configuration",
 		Long: `Put together, from the log lines of many processes, the story of one
 request (its attempt id), target (its id) or configuration (version:N), in order
 of time, and name the likely cause of a request's end.
 
+With --summary, say instead which requests were not answered in time and why,
+summed by route and reason, as a whole and by spans of time.
+
 Without files the logs come from standard input. Whatever stands before the JSON
 of a line is passed over.`,
 		Example: `  $ capersaddle explain 9c41d07be2a35f68 gateway-*.log
-  $ capersaddle explain version:12 --json < all.log`,
-		Args: cobra.MinimumNArgs(1),
+  $ capersaddle explain version:12 --json < all.log
+  $ capersaddle explain --summary --every 5s gateway-*.log`,
 		RunE: func(_ *cobra.Command, args []string) error {
-			opts.Subject, opts.Files = args[0], args[1:]
+			if err := takeArgs(opts, args); err != nil {
+				return err
+			}
 			if runF != nil {
 				return runF(opts)
 			}
@@ -49,27 +59,65 @@
 		},
 	}
 	cmd.Flags().BoolVar(&opts.JSON, "json", false, "print JSON")
+	cmd.Flags().BoolVar(&opts.Summary, "summary", false, "sum up which requests were not answered in time, and why")
+	cmd.Flags().DurationVar(&opts.Every, "every", defaultEvery, "length of the spans of a summary")
 	return cmd
 }
 
+// defaultEvery is short enough to tell what a fault did from what came after.
+const defaultEvery = 2 * time.Second
+
+// takeArgs takes the subject, unless all is summed up, and the files.
+func takeArgs(opts *ExplainOptions, args []string) error {
+	if opts.Every <= 0 {
+		return fault.New(fault.BadRequest, fault.NotRun, "--every %s: want more than zero", opts.Every)
+	}
+	if opts.Summary {
+		opts.Files = args
+		return nil
+	}
+	if len(args) == 0 {
+		return fault.New(fault.BadRequest, fault.NotRun, "no id of a request, target or configuration; or ask for --summary")
+	}
+	opts.Subject, opts.Files = args[0], args[1:]
+	return nil
+}
+
 func explainRun(opts *ExplainOptions) error {
 	lines, unread, err := readAll(opts)
 	if err != nil {
 		return err
 	}
+	if opts.Summary {
+		return printSummary(opts, explain.Summarize(lines, opts.Every))
+	}
 	story := explain.Tell(opts.Subject, lines)
 	story.Unread = unread
 	if len(story.Lines) == 0 {
 		return fault.New(fault.BadRequest, fault.NotRun, "no line of %d tells of %q; look at the logs of all gateways of the time, and at requests_not_logged", len(lines), opts.Subject)
 	}
 	if opts.JSON {
-		encoder := json.NewEncoder(opts.IO.Out)
-		encoder.SetIndent("", "  ")
-		return errors.Wrap(encoder.Encode(story), "print")
+		return printJSON(opts.IO.Out, story)
 	}
 	return story.Print(opts.IO.Out)
 }
 
+func printSummary(opts *ExplainOptions, summary *explain.Summary) error {
+	if summary.Requests == 0 {
+		return fault.New(fault.BadRequest, fault.NotRun, "the logs hold no request; give those of gateways")
+	}
+	if opts.JSON {
+		return printJSON(opts.IO.Out, summary)
+	}
+	return summary.Print(opts.IO.Out)
+}
+
+func printJSON(out io.Writer, value any) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(value), "print")
+}
+
 func readAll(opts *ExplainOptions) ([]explain.Line, int, error) {
 	if len(opts.Files) == 0 {
 		return explain.Read(opts.IO.In)
