Targets of the checkpoint wait until the list is known whole

In a reading the checkpoint comes before the list of servers, so for the milliseconds in which the list came in, the targets of the checkpoint, also those that had left since, were all there was.

Change: the sink keeps the checkpoint's targets by until the feed says that its first whole reading has been taken; pages of other gateways bring none back.

--- /dev/null
+++ b/internal/process/gateway_begin_test.go
@@ -0,0 +1,53 @@
+package process
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/checkpoint"
+	"github.com/capersaddle/capersaddle/internal/settings"
+)
+
+// TestTargetsOfTheCheckpointWaitForTheList: found as DRAIN on trouble-2 of
+// mmd-cuenca. A target that has left since the checkpoint was written gets
+// nothing while the list comes in; if most of the list is missing when it is
+// known whole, the entries have lapsed and the targets serve.
+func TestTargetsOfTheCheckpointWaitForTheList(t *testing.T) {
+	targetOf := func(id string) balance.Target {
+		return balance.Target{ID: id, Service: "s", Address: "10.0.0.1:80"}
+	}
+	cases := map[string]struct {
+		listed []string
+		open   bool // whether another target than those listed may get work
+	}{
+		"the list is whole":        {[]string{"a", "b", "c"}, false},
+		"most entries have lapsed": {[]string{"a"}, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			made, err := NewGateway(&settings.Gateway{ID: "g", DataCenter: "z", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Store: "127.0.0.1:1"}, NewLogger(t.Output(), settings.Log{Format: "json"}))
+			is.NoErr(err)
+			t.Cleanup(func() { _ = made.kernel.Close() })
+			s := &sink{process: made, urge: func() {}}
+			data, err := checkpoint.Encode(checkpoint.Content{Targets: []balance.Target{targetOf("a"), targetOf("b"), targetOf("left")}})
+			is.NoErr(err)
+			balancer := made.gateway.Balancer
+			s.Checkpoint(data)
+			is.Equal(len(balancer.Targets()), 0) // nothing may be sent yet
+			for _, id := range tc.listed {
+				s.Target(targetOf(id))
+			}
+			is.Equal(len(balancer.Targets()), len(tc.listed))
+			s.Begun()
+			exclude := tc.listed
+			_, ok := balancer.Choose(balance.Query{Service: "s", Exclude: exclude}, s.process.started)
+			is.Equal(ok, tc.open)
+			before := len(balancer.Targets())
+			s.Checkpoint(data) // later ones say nothing new of targets
+			is.Equal(len(balancer.Targets()), before)
+		})
+	}
+}
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"sync"
 	"time"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
@@ -15,6 +16,13 @@
 	store   *observe.Dependency
 	// urge has the other gateways told at once of what must be in force soon.
 	urge func()
+
+	// mu guards kept, the targets of the last checkpoint, and begun, which says
+	// that they have been used: Begun takes them from the feed, and pages of
+	// other gateways bring them too.
+	mu    sync.Mutex
+	kept  []balance.Target
+	begun bool
 }
 
 // urge has the other gateways told at once of what is new.
@@ -51,22 +59,36 @@
 	s.urge()
 }
 
-// Checkpoint takes where parts of prompts were cached when it was kept and, at
-// the beginning, the targets there were: their entries may have lapsed.
+// Begun takes the targets of the last checkpoint that the list lacks: their
+// entries may have lapsed.
+func (s *sink) Begun() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.process.gateway.Balancer.Restore(s.kept, time.Now())
+	s.kept, s.begun = nil, true
+}
+
+// Checkpoint takes where parts of prompts were cached when it was kept. Until
+// the list is known whole, the targets there were are put by: one that left
+// since then is not in the list, and may be sent nothing.
 func (s *sink) Checkpoint(data []byte) {
 	kept, err := checkpoint.Decode(data)
 	if err != nil {
 		s.process.observer.BadValue("checkpoint", err)
 		return
 	}
-	// The copy of the store is locked here; until it has been read whole once,
-	// there is no proof.
-	if _, read := s.process.gateway.Proof.Age(time.Now()); !read {
-		s.process.gateway.Balancer.Restore(kept.Targets, time.Now())
-	}
+	s.putBy(kept.Targets)
 	s.process.gateway.Balancer.Learn(kept.Placements)
 }
 
+func (s *sink) putBy(targets []balance.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.begun {
+		s.kept = targets
+	}
+}
+
 // Current notes that all accepted until then is in force.
 func (s *sink) Current(at time.Time) {
 	s.process.gateway.Proof.Note(at)
