--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -50,6 +50,8 @@
 	// turnedAway are callers' addresses, IP:port or IP, that get 503.
 	turnedAway map[string]bool
 	pageItems  int
+	// waiting counts the calls that are not answered yet.
+	waiting int
 	// hanging is how many further calls are never answered.
 	hanging int
 	calls   map[string]int
@@ -99,6 +101,13 @@
 	s.hanging = count
 }
 
+// Waiting counts the calls that faults keep waiting.
+func (s *Store) Waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting
+}
+
 // TurnAway has the calls of an IP address refused, or served again.
 func (s *Store) TurnAway(ip string, away bool) {
 	s.mu.Lock()
@@ -204,12 +213,18 @@
 func (s *Store) enter(w http.ResponseWriter, r *http.Request) bool {
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
+	s.waiting++
 	s.expireLeases(time.Now())
 	hangs := s.hanging > 0
 	if hangs {
 		s.hanging--
 	}
 	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.waiting--
+	}()
 	if hangs {
 		<-r.Context().Done()
 		return false
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -68,6 +68,9 @@
 	leaving   atomic.Bool
 	addresses Addresses
 	started   time.Time
+	// peerKnewAt is when another gateway was first found to hold the store's
+	// content, while this one held nothing; used by the feed only.
+	peerKnewAt time.Time
 	// mostPeers is used by the peers' rounds only.
 	mostPeers int
 }
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -99,9 +99,28 @@
 	return time.Duration(share * float64(min(s.Apply, s.Leave)))
 }
 
+// peerPatience is how long a process that begins waits for the store's content
+// from another gateway which holds it: a packed copy is a tenth of what the
+// store sends, and takes 0.04 s on a link of 10 Mbit/s.
+const peerPatience = 600 * time.Millisecond
+
+// awaitsPeer says whether this process holds nothing yet and is about to get
+// the store's content from another gateway.
+func (p *GatewayProcess) awaitsPeer() bool {
+	if p.peers == nil || p.feed.Loaded() || !p.peers.Knows() {
+		return false
+	}
+	if p.peerKnewAt.IsZero() {
+		p.peerKnewAt = time.Now()
+	}
+	return time.Since(p.peerKnewAt) < peerPatience
+}
+
 // storeRole is this process's part in asking the store.
 func (p *GatewayProcess) storeRole() platform.Role {
 	switch {
+	case p.awaitsPeer():
+		return platform.Hears
 	case p.peers == nil || p.peers.First():
 		return platform.AsksFirst
 	case p.peers.Asks():
