--- a/internal/balance/paths.go
+++ b/internal/balance/paths.go
@@ -14,7 +14,7 @@
 	haltHalfLife = 2 * time.Second
 	// haltMost is the share from which a path is avoided, if another one has
 	// less than a third of it.
-	haltMost  = 0.3
+	haltMost  = 0.45
 	haltRatio = 3.0
 )
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -21,7 +21,6 @@
 		a.watch(ctx, a.silenceBetween())
 		asked := time.Now()
 		event, id, err := source.next()
-		halted = halted || a.events > 0 && a.isHalt(time.Since(asked))
 		if errors.Is(err, io.EOF) {
 			return a.endStream(answer)
 		}
@@ -29,6 +28,8 @@
 			a.cut(err)
 			return false
 		}
+		// A pause before the end of a stream that broke off is its target's.
+		halted = halted || a.events > 0 && a.isHalt(time.Since(asked))
 		if err := a.passEvent(answer, event); err != nil {
 			a.callerGone(err)
 			return false
