--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -69,7 +69,7 @@
 					}
 					w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id, DataCenter: place})
 				}
-				for i := range 12 {
+				for i := range 40 {
 					for range 3 { // one of three goes to each target
 						w.serveAs(t.Context(), fmt.Sprintf("/stream/%d", i))
 					}
