--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -19,8 +19,9 @@
 	// MaxEjected is the largest share of a service's targets left out for
 	// their failures.
 	MaxEjected float64
-	// Lapse is how long targets serve on when the list has dropped all of their
-	// service at once; those that have not come back by then are gone.
+	// Lapse is how long targets keep serving after the entries of half of their
+	// service or more have disappeared; those that are not registered again by
+	// then have left.
 	Lapse time.Duration
 }
 
@@ -55,7 +56,7 @@
 }
 
 // MostLapse is how long after the store's return an entry that lapsed with it
-// may be missing, by the users' word.
+// may be missing; the users' platform states it.
 const MostLapse = 2 * time.Second
 
 // OptionsFor leave room below a bound that no target may be above.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -41,9 +41,9 @@
 
 // open are the targets that may take the request: listed, not leaving, not
 // tried and not ejected. When all others are ejected the ejected ones serve.
-// When the list has dropped half of a service's targets or more within a while,
-// these serve on for so long: entries lapse while the store is down, and come
-// back soon after it.
+// When the entries of half of a service's targets or more have disappeared, these
+// targets keep serving for a while: entries lapse while the store is down, and
+// are registered again soon after it is back.
 func (b *Balancer) open(listed []*state, exclude []string, now time.Time) []*state {
 	var healthy, ejected, lapsed []*state
 	present := 0
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -48,9 +48,9 @@
 }
 
 // Restore adds targets that took work when a checkpoint was written and that
-// the list does not show: their entries may have lapsed. They are taken to have
-// been dropped now, and serve for as long as lapsed ones do. Targets that are
-// known are left as they are.
+// are not registered: their entries may have lapsed. They count as deregistered
+// now, and serve for as long as lapsed ones do. Known targets are left as they
+// are.
 func (b *Balancer) Restore(targets []Target, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -50,13 +50,13 @@
 	known.wanted += holdWeight * (wanted.Seconds() - known.wanted)
 }
 
-// NoteSlots notes how many requests a target said it works on at once, for
-// targets whose listing does not say.
+// NoteSlots records how many requests a target reports to work on at once, for
+// targets whose entry does not state it.
 func (b *Balancer) NoteSlots(id string, slots int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if target, ok := b.targets[id]; ok && target.Slots == 0 {
-		target.saidSlots = slots
+		target.reportedSlots = slots
 	}
 }
 
@@ -85,7 +85,7 @@
 	if s.Slots > 0 {
 		return s.Slots
 	}
-	return s.saidSlots
+	return s.reportedSlots
 }
 
 // room is how many more requests the target can take at a headroom; unbounded
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -46,9 +46,9 @@
 	// zero before the first.
 	latency float64
 	health  health
-	// saidSlots is how many requests the target said it works on at once; zero
-	// if it did not.
-	saidSlots int
+	// reportedSlots is how many requests the target reports in its answers to
+	// work on at once; zero if it does not.
+	reportedSlots int
 	// goneAt is when the list dropped the target; zero while it is listed.
 	goneAt time.Time
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,8 +26,8 @@
 	// Late says whether this process lacks processor time now, so that its own
 	// time limits pass before it has read what a target sent; nil is never.
 	Late func() bool
-	// OthersKnow says whether another gateway that is heard knows a
-	// configuration; nil is always.
+	// OthersKnow says whether another live gateway has a configuration; nil is
+	// always.
 	OthersKnow func() bool
 }
 
@@ -77,7 +77,7 @@
 const (
 	// retryElsewhere: another router can probably serve the request now.
 	retryElsewhere = 20 * time.Millisecond
-	// retryStore: no gateway that is heard can vouch for keys, or knows a
+	// retryStore: no live gateway can vouch for keys, or none has a
 	// configuration. Outages of the store last seconds; callers who have less
 	// time come back sooner by themselves.
 	retryStore = time.Second
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -217,16 +217,15 @@
 	return len(s.look(time.Now()).live)
 }
 
-// Knows says whether another gateway that was heard lately holds what the store
-// held at some time.
+// Knows says whether another live gateway has a copy of the store's content.
 func (s *Service) Knows() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.ContainsFunc(s.look(time.Now()).live, func(known *peer) bool { return known.revision > 0 })
 }
 
-// InTime says whether a gateway that takes callers, other than this one, runs
-// with less lag than a bound.
+// InTime says whether another live gateway that takes callers has less lag than
+// a bound.
 func (s *Service) InTime(bound time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -104,8 +104,8 @@
 // store sends, and takes 0.04 s on a link of 10 Mbit/s.
 const peerPatience = 600 * time.Millisecond
 
-// awaitsPeer says whether this process holds nothing yet and is about to get
-// the store's content from another gateway.
+// awaitsPeer says whether this process has no copy of the store yet and is about
+// to fetch one from another gateway.
 func (p *GatewayProcess) awaitsPeer() bool {
 	if p.peers == nil || p.feed.Loaded() || !p.peers.Knows() {
 		return false
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -59,8 +59,8 @@
 	s.urge()
 }
 
-// Begun takes the targets of the last checkpoint that the list lacks: their
-// entries may have lapsed.
+// Begun takes over the targets of the last checkpoint that are not registered:
+// their entries may have lapsed.
 func (s *sink) Begun() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -68,20 +68,20 @@
 	s.kept, s.begun = nil, true
 }
 
-// Checkpoint takes where parts of prompts were cached when it was kept. Until
-// the list is known whole, the targets there were are put by: one that left
-// since then is not in the list, and may be sent nothing.
+// Checkpoint takes over where parts of prompts were cached when it was written.
+// Its targets are kept aside until all entries are known: one that has left since
+// is not registered, and must get no work.
 func (s *sink) Checkpoint(data []byte) {
 	kept, err := checkpoint.Decode(data)
 	if err != nil {
 		s.process.observer.BadValue("checkpoint", err)
 		return
 	}
-	s.putBy(kept.Targets)
+	s.keepAside(kept.Targets)
 	s.process.gateway.Balancer.Learn(kept.Placements)
 }
 
-func (s *sink) putBy(targets []balance.Target) {
+func (s *sink) keepAside(targets []balance.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.begun {
