--- a/internal/gateway/turn_test.go
+++ b/internal/gateway/turn_test.go
@@ -64,6 +64,7 @@
 		is.True(refused.refusal.RetryAfter > 0 && refused.refusal.RetryAfter <= time.Second/3)
 		is.Equal(len(w.sender.sent), 1)
 		time.Sleep(time.Second)
+		synctest.Wait() // the first caller's answer is written
 		is.Equal(w.caller.status, http.StatusOK)
 	})
 }
