--- a/internal/admission/limiter_test.go
+++ b/internal/admission/limiter_test.go
@@ -239,7 +239,7 @@
 		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
 			limiter := admission.NewLimiter(admission.DefaultLimiterOptions())
 			for i := range waiting {
-				limiter.Offer(entry(fmt.Sprint(i%10), i%3), 0, epoch)
+				limiter.Offer(entry(fmt.Sprint(i%10), 1+i%3), 0, epoch)
 			}
 			b.ReportAllocs()
 			for b.Loop() {
