--- a/internal/gateway/turn_test.go
+++ b/internal/gateway/turn_test.go
@@ -120,7 +120,7 @@
 }
 
 // TestRetriesStopFirst: with the targets full, a request that was turned away
-// isn't sent to another one, and is told when to come back.
+// isn't sent to another one, and its refusal names when to come back.
 func TestRetriesStopFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
