A duration that is not UTF-8 in the settings is a problem, no panic

The line of a bad value is found by a pattern made of the value; a pattern of bytes that are not UTF-8 does not compile, and MustCompile panicked. An old fault, found by chance of the fuzzer, not by load.

Change: such a value has no line; the problem still names the field.

--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -139,9 +139,13 @@
 
 var unknownField = regexp.MustCompile(`unknown field "([^"]+)"`)
 
-// lineOfValue finds the first field that has a raw value; zero if none.
+// lineOfValue finds the first field that has a raw value; zero if there is none,
+// or if the value is not UTF-8 and no pattern can hold it.
 func lineOfValue(text []byte, raw string) int {
-	field := regexp.MustCompile(`:\s*` + regexp.QuoteMeta(raw) + `\s*[,}\]]`)
+	field, err := regexp.Compile(`:\s*` + regexp.QuoteMeta(raw) + `\s*[,}\]]`)
+	if err != nil {
+		return 0
+	}
 	found := field.FindIndex(text)
 	if found == nil {
 		return 0
