A choice looks at each target once and allocates nothing

Ruled out: an index ordered by load (changes with each request and report; the choice needs the session's order as well).

Change: reports are kept by gateway and summed into their targets as they come; the first of them to get too old is known, so that choices do not look at the others. The median latency is worked out again after new samples of a 16th of the targets. Lists are used again; what every choice reads of a target stands in one cache line; room is counted no further than it is asked for. A holder that is known already is not copied.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -88,13 +88,16 @@
 	targets  map[string]*state
 	byHash   map[uint64]*state
 	byShort  map[uint32]*state
-	services map[string][]*state
-	// observed are the targets of which each other gateway has told a count.
-	observed map[string][]*state
-	holders  *holders
-	fills    fills
-	// pacings are those of services, by name.
-	pacings map[string]*pacing
+	services map[string]*service
+	// reports are the other gateways' requests in flight, by the gateway's id;
+	// the first of them gets too old at reportsEnd, zero for none.
+	reports    map[string]*report
+	reportsEnd time.Time
+	holders    *holders
+	fills      fills
+	// choices counts the choices made.
+	choices uint64
+	scratch scratch
 	// paths are the ways to data centres, by name.
 	paths map[string]*path
 	// manyPeers says that more than a few other gateways share the targets.
@@ -108,11 +111,10 @@
 		targets:  make(map[string]*state),
 		byHash:   make(map[uint64]*state),
 		byShort:  make(map[uint32]*state),
-		services: make(map[string][]*state),
-		observed: make(map[string][]*state),
+		services: make(map[string]*service),
+		reports:  make(map[string]*report),
 		holders:  newHolders(),
 		fills:    make(fills),
-		pacings:  make(map[string]*pacing),
 		paths:    make(map[string]*path),
 	}
 }
@@ -167,6 +169,7 @@
 	defer b.mu.Unlock()
 	if target, ok := b.targets[id]; ok {
 		target.sample(took)
+		b.serviceOf(target.Service).samples++
 	}
 }
 
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -320,18 +320,46 @@
 
 // BenchmarkChoose chooses among many targets, and takes others' loads.
 func BenchmarkChoose(b *testing.B) {
-	for _, count := range []int{9, 54, 1900} {
+	for _, count := range []int{22, 165, 1900, 7500} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			balancer := newBalancer(count)
-			counts := []balance.Count{{Target: policy.HashName("t1"), Count: 2}, {Target: policy.HashName("t2"), Count: 1}}
+			reportLoads(balancer, 103, count)
+			queries := make([]balance.Query, 100)
+			for i := range queries {
+				queries[i] = session(i)
+			}
 			b.ReportAllocs()
 			i := 0
 			for b.Loop() {
 				i++
-				pick, _ := balancer.Choose(session(i%100), start)
+				pick, _ := balancer.Choose(queries[i%len(queries)], start)
+				balancer.Sample(pick.Target.ID, time.Millisecond)
 				balancer.Release(pick.Target.ID, balance.Good, start)
-				balancer.Observe("other", counts, start)
 			}
 		})
 	}
 }
+
+// reportLoads has gateways report some requests at targets each.
+func reportLoads(balancer *balance.Balancer, gateways, targets int) {
+	const each = 10
+	for gateway := range gateways {
+		var counts []balance.Count
+		for i := range each {
+			name := fmt.Sprintf("t%d", (gateway*each+i)%targets)
+			counts = append(counts, balance.Count{Target: policy.HashName(name), Count: 1})
+		}
+		balancer.Observe(fmt.Sprintf("gateway-%d", gateway), counts, start)
+	}
+}
+
+// BenchmarkObserve is what a beat's loads cost among a hundred gateways.
+func BenchmarkObserve(b *testing.B) {
+	balancer := newBalancer(165)
+	reportLoads(balancer, 103, 165)
+	counts := []balance.Count{{Target: policy.HashName("t1"), Count: 2}, {Target: policy.HashName("t2"), Count: 1}}
+	b.ReportAllocs()
+	for b.Loop() {
+		balancer.Observe("gateway-1", counts, start)
+	}
+}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -15,26 +15,27 @@
 func (b *Balancer) Choose(query Query, now time.Time) (Pick, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	listed := b.services[query.Service]
-	open := b.open(listed, query.Exclude, now)
+	b.expireReports(now)
+	known := b.serviceOf(query.Service)
+	open := b.open(known.targets, query.Exclude, now)
 	if len(open) == 0 {
 		return Pick{}, false
 	}
-	mean := meanLoad(open, now)
+	mean := meanLoad(open)
 	candidates := len(open)
-	open = withRoom(open, b.pacings[query.Service].headroom(), now)
+	open = b.withRoom(open, known.pacing.headroom())
 	open = b.overGoodPaths(open, b.boundOf(query).at(mean), now)
 	var chosen *state
 	fetchFrom := ""
 	if len(query.Parts) == 0 {
-		chosen = b.lightest(open, now)
+		chosen = b.lightest(open, known.typicalLatency())
 	} else {
-		chosen = b.home(query, open, mean, now)
-		fetchFrom = b.fetchFrom(query.Parts, listed, chosen, now)
+		chosen = b.home(query, open, mean, known.typicalLatency())
+		fetchFrom = b.fetchFrom(query.Parts, known.targets, chosen, now)
 		b.noteFills(query, chosen, now)
 		b.expect(query.Parts, chosen)
 	}
-	pick := Pick{Target: chosen.Target, FetchFrom: fetchFrom, Load: chosen.load(now), Mean: mean, Candidates: candidates}
+	pick := Pick{Target: chosen.Target, FetchFrom: fetchFrom, Load: chosen.load(), Mean: mean, Candidates: candidates}
 	chosen.inFlight++
 	return pick, true
 }
@@ -43,11 +44,16 @@
 // tried and not ejected. When all others are ejected the ejected ones serve.
 // When the entries of half of a service's targets or more have disappeared, these
 // targets keep serving for a while: entries lapse while the store is down, and
-// are registered again soon after it is back.
+// are registered again soon after it is back. b.mu is held.
 func (b *Balancer) open(listed []*state, exclude []string, now time.Time) []*state {
-	var healthy, ejected, lapsed []*state
+	healthy, ejected, lapsed := b.scratch.healthy[:0], b.scratch.ejected[:0], b.scratch.lapsed[:0]
 	present := 0
 	for _, target := range listed {
+		if !target.aside && len(exclude) == 0 {
+			present++
+			healthy = append(healthy, target)
+			continue
+		}
 		gone := !target.goneAt.IsZero()
 		if !gone {
 			present++
@@ -60,6 +66,7 @@
 		case target.health.ejected(now):
 			ejected = append(ejected, target)
 		default:
+			target.aside = false
 			healthy = append(healthy, target)
 		}
 	}
@@ -74,6 +81,7 @@
 		})
 		healthy = append(healthy, ejected[:len(ejected)-most]...)
 	}
+	b.scratch.healthy, b.scratch.ejected, b.scratch.lapsed = healthy, ejected, lapsed
 	if len(healthy) == 0 {
 		return ejected
 	}
@@ -84,23 +92,22 @@
 // time, for their entries to be taken as lapsed and not as removed.
 const leastLapsed = 2
 
-func meanLoad(targets []*state, now time.Time) float64 {
+func meanLoad(targets []*state) float64 {
 	total := 0
 	for _, target := range targets {
-		total += target.load(now)
+		total += target.load()
 	}
 	return float64(total) / float64(len(targets))
 }
 
 // lightest is the target with the least expected wait: requests in flight,
 // weighed by how slowly it answers. Ties go to this data centre.
-func (b *Balancer) lightest(open []*state, now time.Time) *state {
-	typical := typicalLatency(open)
+func (b *Balancer) lightest(open []*state, typical float64) *state {
 	best, bestCost := open[0], math.Inf(1)
 	start := rand.IntN(len(open))
 	for i := range open {
 		target := open[(start+i)%len(open)]
-		cost := float64(target.load(now)+1) * slowness(target, typical)
+		cost := float64(target.load()+1) * slowness(target, typical)
 		if target.DataCenter != b.options.DataCenter {
 			cost += farCost
 		}
@@ -120,22 +127,6 @@
 	mostSlowness = 8
 )
 
-// typicalLatency is the median of the targets' moving means; zero if none is
-// known.
-func typicalLatency(targets []*state) float64 {
-	var known []float64
-	for _, target := range targets {
-		if target.latency > 0 {
-			known = append(known, target.latency)
-		}
-	}
-	if len(known) == 0 {
-		return 0
-	}
-	slices.Sort(known)
-	return known[len(known)/2]
-}
-
 // slowness is how many times as long as typical a target takes, at least a
 // half.
 func slowness(target *state, typical float64) float64 {
@@ -153,47 +144,63 @@
 // prefix if one is below the bound, else the first target in the session's
 // rendezvous order that is, else the least loaded. Targets in a holder's data
 // centre come first in that order: to move a prefix between data centres costs
-// twice as much.
-func (b *Balancer) home(query Query, open []*state, mean float64, now time.Time) *state {
+// twice as much. b.mu is held.
+func (b *Balancer) home(query Query, open []*state, mean, typical float64) *state {
 	session := query.Parts[len(query.Parts)-1]
-	typical := typicalLatency(open)
 	bound := b.boundOf(query).at(mean)
-	fits := func(target *state) bool {
-		return float64(target.load(now)) <= lessForSlow(bound, target, typical)
+	b.choices++
+	for _, target := range open {
+		target.choice = b.choices
 	}
-	near := make(map[string]bool)
+	near := b.scratch.near[:0]
 	for _, known := range b.holders.of(shortOf(session)) {
 		target := b.byShort[known.target]
 		if target == nil {
 			continue
 		}
-		if slices.Contains(open, target) && fits(target) {
+		if target.choice == b.choices && fits(target, bound, typical) {
 			return target
 		}
-		near[target.DataCenter] = true
+		near = append(near, target.DataCenter)
 	}
-	var best *state
+	b.scratch.near = near
+	var best preference
 	for _, target := range open {
-		if fits(target) && (best == nil || comesFirst(session, target, best, near)) {
-			best = target
+		if !fits(target, bound, typical) {
+			continue
+		}
+		next := preference{target: target, near: slices.Contains(near, target.DataCenter), score: policy.Score(session, target.hash)}
+		if best.target == nil || next.before(best) {
+			best = next
 		}
 	}
-	if best == nil {
-		return b.lightest(open, now)
+	if best.target == nil {
+		return b.lightest(open, typical)
 	}
-	return best
+	return best.target
 }
 
-// comesFirst says whether one target comes before another in the session's
-// order: those in near data centres first, then by rendezvous.
-func comesFirst(session uint64, target, other *state, near map[string]bool) bool {
-	if near[target.DataCenter] != near[other.DataCenter] {
-		return near[target.DataCenter]
+// preference is a target's place in a session's order.
+type preference struct {
+	target *state
+	// near says that it is in the data centre of a target that holds the
+	// session's prefix.
+	near  bool
+	score uint64
+}
+
+// before says whether one target comes before another in the session's order:
+// those in near data centres first, then by rendezvous.
+func (p preference) before(other preference) bool {
+	if p.near != other.near {
+		return p.near
 	}
-	return cmp.Or(
-		cmp.Compare(policy.Score(session, other.hash), policy.Score(session, target.hash)),
-		cmp.Compare(target.ID, other.ID),
-	) < 0
+	return cmp.Or(cmp.Compare(other.score, p.score), cmp.Compare(p.target.ID, other.target.ID)) < 0
+}
+
+// fits says whether a target's load is below a bound, less for a slow target.
+func fits(target *state, bound, typical float64) bool {
+	return float64(target.load()) <= lessForSlow(bound, target, typical)
 }
 
 // boundOf is the bound on a target's load for a session.
@@ -226,5 +233,5 @@
 func (b *Balancer) Has(query Query, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.open(b.services[query.Service], query.Exclude, now)) > 0
+	return len(b.open(b.serviceOf(query.Service).targets, query.Exclude, now)) > 0
 }
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -116,6 +116,9 @@
 		return false
 	}
 	target.inFlight--
+	if result == Bad || result == Unreachable {
+		target.aside = true
+	}
 	switch result {
 	case Good:
 		target.health.good()
@@ -132,7 +135,7 @@
 // typicalFailures is the median failure rate of the service's other targets.
 func (b *Balancer) typicalFailures(except *state) float64 {
 	var rates []float64
-	for _, target := range b.services[except.Service] {
+	for _, target := range b.serviceOf(except.Service).targets {
 		if target != except && target.goneAt.IsZero() {
 			rates = append(rates, target.health.rate)
 		}
--- a/internal/balance/holders.go
+++ b/internal/balance/holders.go
@@ -70,11 +70,13 @@
 
 // note remembers a placement; it returns false if it was known as surely.
 func (h *holders) note(placement Placement, sure bool) bool {
-	known := slices.Clone(h.of(placement.Part))
+	known := h.of(placement.Part)
 	at := slices.IndexFunc(known, func(k holder) bool { return k.target == placement.Target })
-	switch {
-	case at >= 0 && (known[at].sure || !sure):
+	if at >= 0 && (known[at].sure || !sure) {
 		return false
+	}
+	known = slices.Clone(known)
+	switch {
 	case at >= 0:
 		known[at].sure = true
 	case len(known) >= mostHolders:
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -20,6 +20,7 @@
 	if ok {
 		changed := known.Target != target || !known.goneAt.IsZero()
 		known.Target = target
+		known.aside = true
 		known.goneAt = time.Time{}
 		return changed
 	}
@@ -33,7 +34,9 @@
 	b.targets[target.ID] = added
 	b.byHash[added.hash] = added
 	b.byShort[shortOf(added.hash)] = added
-	b.services[target.Service] = append(b.services[target.Service], added)
+	known := b.serviceOf(target.Service)
+	known.targets = append(known.targets, added)
+	known.samples++
 	return added
 }
 
@@ -43,6 +46,7 @@
 	defer b.mu.Unlock()
 	if target, ok := b.targets[id]; ok && target.goneAt.IsZero() {
 		target.goneAt = now
+		target.aside = true
 	}
 	b.forget(now)
 }
@@ -75,7 +79,8 @@
 		delete(b.targets, id)
 		delete(b.byHash, target.hash)
 		delete(b.byShort, shortOf(target.hash))
-		b.services[target.Service] = slices.DeleteFunc(b.services[target.Service], func(s *state) bool {
+		known := b.serviceOf(target.Service)
+		known.targets = slices.DeleteFunc(known.targets, func(s *state) bool {
 			return s == target
 		})
 	}
--- a/internal/balance/paths.go
+++ b/internal/balance/paths.go
@@ -55,6 +55,9 @@
 // overGoodPaths are the targets that are not behind a bad path and that are
 // below a bound; all if there are none such. b.mu is held.
 func (b *Balancer) overGoodPaths(targets []*state, bound float64, now time.Time) []*state {
+	if !b.anyBadPath(now) {
+		return targets
+	}
 	worst, best := 0.0, 1.0
 	for _, target := range targets {
 		share := b.paths[target.DataCenter].share(now)
@@ -64,14 +67,25 @@
 		return targets
 	}
 	most := max(haltMost, haltRatio*best)
-	good := make([]*state, 0, len(targets))
+	good := b.scratch.good[:0]
 	for _, target := range targets {
-		if b.paths[target.DataCenter].share(now) < most && float64(target.load(now)) <= bound {
+		if b.paths[target.DataCenter].share(now) < most && float64(target.load()) <= bound {
 			good = append(good, target)
 		}
 	}
+	b.scratch.good = good
 	if len(good) == 0 {
 		return targets
 	}
 	return good
 }
+
+// anyBadPath says whether streams halt on the way to some data centre.
+func (b *Balancer) anyBadPath(now time.Time) bool {
+	for _, known := range b.paths {
+		if known.share(now) >= haltMost {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/balance/placements.go
+++ b/internal/balance/placements.go
@@ -26,12 +26,13 @@
 	}
 	session := parts[len(parts)-1]
 	var best *state
+	var bestScore uint64
 	for _, target := range listed {
 		if target == chosen || !target.goneAt.IsZero() {
 			continue
 		}
-		if best == nil || policy.Score(session, target.hash) > policy.Score(session, best.hash) {
-			best = target
+		if score := policy.Score(session, target.hash); best == nil || score > bestScore {
+			best, bestScore = target, score
 		}
 	}
 	if best == nil {
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -41,13 +41,13 @@
 func (b *Balancer) NoteHold(service string, took, wanted time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	known, ok := b.pacings[service]
-	if !ok {
-		b.pacings[service] = &pacing{hold: took.Seconds(), wanted: wanted.Seconds()}
+	known := b.serviceOf(service)
+	if known.pacing == nil {
+		known.pacing = &pacing{hold: took.Seconds(), wanted: wanted.Seconds()}
 		return
 	}
-	known.hold += holdWeight * (took.Seconds() - known.hold)
-	known.wanted += holdWeight * (wanted.Seconds() - known.wanted)
+	known.pacing.hold += holdWeight * (took.Seconds() - known.pacing.hold)
+	known.pacing.wanted += holdWeight * (wanted.Seconds() - known.pacing.wanted)
 }
 
 // NoteSlots records how many requests a target reports to work on at once, for
@@ -66,14 +66,39 @@
 func (b *Balancer) Room(service string, most int, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	open := b.open(b.services[service], nil, now)
+	b.expireReports(now)
+	known := b.serviceOf(service)
+	headroom := known.pacing.headroom()
+	if plainRoom(known.targets, headroom, most) >= most {
+		return most
+	}
+	open := b.open(known.targets, nil, now)
 	if len(open) == 0 {
 		return most
 	}
-	headroom := b.pacings[service].headroom()
+	return roomOf(open, headroom, most)
+}
+
+// plainRoom is the room of the targets that were open at the last choice and to
+// which nothing has happened since. Where it is enough the others need no look.
+func plainRoom(listed []*state, headroom float64, most int) int {
 	room := 0
-	for _, target := range open {
-		if room += target.room(headroom, now, most); room >= most {
+	for _, target := range listed {
+		if target.aside {
+			continue
+		}
+		if room += target.room(headroom, most); room >= most {
+			return most
+		}
+	}
+	return room
+}
+
+// roomOf is the room of targets, at most so many.
+func roomOf(targets []*state, headroom float64, most int) int {
+	room := 0
+	for _, target := range targets {
+		if room += target.room(headroom, most); room >= most {
 			return most
 		}
 	}
@@ -90,22 +115,24 @@
 
 // room is how many more requests the target can take at a headroom; unbounded
 // if its slots are unknown.
-func (s *state) room(headroom float64, now time.Time, unbounded int) int {
+func (s *state) room(headroom float64, unbounded int) int {
 	slots := s.slots()
 	if slots == 0 {
 		return unbounded
 	}
-	return max(int(headroom*float64(slots))-s.load(now), 0)
+	return max(int(headroom*float64(slots))-s.load(), 0)
 }
 
 // withRoom are the targets that can take one more request; all if none can.
-func withRoom(targets []*state, headroom float64, now time.Time) []*state {
-	roomy := make([]*state, 0, len(targets))
+// b.mu is held.
+func (b *Balancer) withRoom(targets []*state, headroom float64) []*state {
+	roomy := b.scratch.roomy[:0]
 	for _, target := range targets {
-		if target.room(headroom, now, 1) > 0 {
+		if target.room(headroom, 1) > 0 {
 			roomy = append(roomy, target)
 		}
 	}
+	b.scratch.roomy = roomy
 	if len(roomy) == 0 {
 		return targets
 	}
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -36,47 +36,39 @@
 
 // state is what the balancer knows of one target.
 type state struct {
-	Target
-	hash uint64
+	// What each choice looks at stands first, within one line of the
+	// processor's cache.
+
 	// inFlight are the requests of this process at the target.
 	inFlight int
-	// others are those of other routers, by the router's name.
-	others map[string]reading
+	// others are those of the other gateways, the sum of their reports.
+	others int
+	// choice is the number of the last choice that the target was open to.
+	choice uint64
+	hash   uint64
+	// reportedSlots is how many requests the target reports in its answers to
+	// work on at once; zero if it does not.
+	reportedSlots int
+	// aside is false only while the target is registered, not leaving and not
+	// ejected. It may be true for longer.
+	aside bool
+
+	Target
 	// latency is the moving mean of the time to an answer's head, in seconds;
 	// zero before the first.
 	latency float64
 	health  health
-	// reportedSlots is how many requests the target reports in its answers to
-	// work on at once; zero if it does not.
-	reportedSlots int
 	// goneAt is when the list dropped the target; zero while it is listed.
 	goneAt time.Time
 }
 
-// reading is one router's count of its requests at a target.
-type reading struct {
-	count int
-	at    time.Time
-}
-
-// readingLife is how long another router's count is believed.
-const readingLife = 2500 * time.Millisecond
-
 func newState(target Target) *state {
-	return &state{Target: target, hash: policy.HashName(target.ID), others: make(map[string]reading)}
+	return &state{Target: target, hash: policy.HashName(target.ID), aside: true}
 }
 
 // load is the requests in flight at the target by all that is known.
-func (s *state) load(now time.Time) int {
-	total := s.inFlight
-	for router, reading := range s.others {
-		if now.Sub(reading.at) > readingLife {
-			delete(s.others, router)
-			continue
-		}
-		total += reading.count
-	}
-	return total
+func (s *state) load() int {
+	return s.inFlight + s.others
 }
 
 // goneFor is how long ago the list dropped the target; zero while it is listed.
