Gateways keep track of placements for each other

Beats grew with what each has to tell all others.

Ruled out: engines' memory running out (hardly used), the wait for fills (those who waited found the part read when they went on), slowness of a holder (a quarter of the moves).

Ways weighed: the engines' cache events followed by two gateways each (truth on evictions, which hardly happen here; the calls return at once under load and are priced as probes, dear on this site; their spread to all others remains to be solved); broadcast of all placements (grows with the square); a directory of parts, each kept by the first gateway of the part's rendezvous order (chosen: a question and an answer of some 50 bytes when nothing is known here, one message for a new placement; nothing rests on it).

Change: peer.Service answers questions for parts, tells those who wait for a reading when it is over, and is told of placements and readings as they come. Among many gateways beats carry placements only to those who ask the store, for the checkpoint.

Fewer than nine peers tell each other everything, as before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -161,6 +161,9 @@
 	Mean float64
 	// Candidates is how many targets were open to the choice.
 	Candidates int
+	// Fills are the long parts of the prompt that no target is known to hold and
+	// that the chosen one begins to read.
+	Fills []Placement
 }
 
 // Sample notes how long a target took to the head of its answer.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -27,15 +27,16 @@
 	open = b.overGoodPaths(open, b.boundOf(query).at(mean), now)
 	var chosen *state
 	fetchFrom := ""
+	var fills []Placement
 	if len(query.Parts) == 0 {
 		chosen = b.lightest(open, known.typicalLatency())
 	} else {
 		chosen = b.home(query, open, mean, known.typicalLatency())
 		fetchFrom = b.fetchFrom(query.Parts, known.targets, chosen, now)
-		b.noteFills(query, chosen, now)
+		fills = b.noteFills(query, chosen, now)
 		b.expect(query.Parts, chosen)
 	}
-	pick := Pick{Target: chosen.Target, FetchFrom: fetchFrom, Load: chosen.load(), Mean: mean, Candidates: candidates}
+	pick := Pick{Target: chosen.Target, FetchFrom: fetchFrom, Load: chosen.load(), Mean: mean, Candidates: candidates, Fills: fills}
 	chosen.inFlight++
 	return pick, true
 }
--- /dev/null
+++ b/internal/balance/directory.go
@@ -0,0 +1,74 @@
+package balance
+
+import "time"
+
+// Finding is how a question to the other gateways for a part's holders ended.
+type Finding string
+
+// The findings.
+const (
+	// NotAsked: this gateway keeps track of the part itself, or all gateways
+	// tell each other everything.
+	NotAsked Finding = "not_asked"
+	// Answered: the balancer has learnt what the gateway in charge knows.
+	Answered Finding = "answered"
+	// Unanswered: no answer came in time.
+	Unanswered Finding = "unanswered"
+)
+
+// Unplaced returns the part of a query's prompt whose holders are worth asking
+// for: the deepest long one, where no target that is known to hold it can take
+// the request.
+func (b *Balancer) Unplaced(query Query, now time.Time) (part uint32, unplaced bool) {
+	deepest := len(query.Parts) - 1
+	if deepest < 0 || query.tokensOf(deepest) < leastNews {
+		return 0, false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expireReports(now)
+	known := b.serviceOf(query.Service)
+	open := b.open(known.targets, query.Exclude, now)
+	if len(open) == 0 {
+		return 0, false
+	}
+	bound := b.boundOf(query).at(meanLoad(open))
+	part = shortOf(query.Parts[deepest])
+	for _, holder := range b.holders.of(part) {
+		target := b.byShort[holder.target]
+		if holder.sure && target != nil && b.mayTake(target, now) && fits(target, bound, known.typicalLatency()) {
+			return 0, false
+		}
+	}
+	return part, true
+}
+
+// mayTake says whether a target is registered, not leaving and not ejected.
+func (b *Balancer) mayTake(target *state, now time.Time) bool {
+	return !target.Leaving && target.goneAt.IsZero() && !target.health.ejected(now)
+}
+
+// Holds says whether a target is known to hold a part.
+func (b *Balancer) Holds(placement Placement) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.holders.surely(placement.Part, placement.Target)
+}
+
+// Cached is what is known of where a part is: the targets that hold it, and the
+// one that is reading it, if any.
+func (b *Balancer) Cached(part uint32, now time.Time) (holders, filling []Placement) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, holder := range b.holders.of(part) {
+		target := b.byShort[holder.target]
+		if holder.sure && target != nil && target.goneFor(now) <= lingerFor {
+			holders = append(holders, Placement{Part: part, Target: holder.target})
+		}
+	}
+	b.fills.expire(now)
+	if fill, ok := b.fills[part]; ok {
+		filling = append(filling, Placement{Part: part, Target: fill.target})
+	}
+	return holders, filling
+}
--- /dev/null
+++ b/internal/balance/directory_test.go
@@ -0,0 +1,119 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/policy"
+)
+
+// longSession is a query whose last part is worth asking for.
+func longSession(i int) balance.Query {
+	query := session(i)
+	query.Tokens = []int{5000}
+	return query
+}
+
+func TestWhatIsWorthAskingFor(t *testing.T) {
+	cases := map[string]struct {
+		prepare  func(b *balance.Balancer) balance.Query
+		unplaced bool
+	}{
+		"an unknown long part": {func(*balance.Balancer) balance.Query { return longSession(1) }, true},
+		"a short part": {func(*balance.Balancer) balance.Query {
+			query := session(1)
+			query.Tokens = []int{100}
+			return query
+		}, false},
+		"no prompt": {func(*balance.Balancer) balance.Query { return balance.Query{Service: "s"} }, false},
+		"no target": {func(*balance.Balancer) balance.Query {
+			query := longSession(1)
+			query.Service = "other"
+			return query
+		}, false},
+		"a known holder": {func(b *balance.Balancer) balance.Query {
+			b.Confirm("t1", longSession(1))
+			return longSession(1)
+		}, false},
+		"a holder that is only expected to hold it": {func(b *balance.Balancer) balance.Query {
+			pick, _ := b.Choose(longSession(1), start)
+			b.Release(pick.Target.ID, balance.Neutral, start)
+			return longSession(1)
+		}, true},
+		"a holder that leaves": {func(b *balance.Balancer) balance.Query {
+			b.Confirm("t1", longSession(1))
+			leaving := target(1)
+			leaving.Leaving = true
+			b.Put(leaving)
+			return longSession(1)
+		}, true},
+		"a holder that is no longer registered": {func(b *balance.Balancer) balance.Query {
+			b.Confirm("t1", longSession(1))
+			b.Drop("t1", start)
+			return longSession(1)
+		}, true},
+		"a holder above the bound": {func(b *balance.Balancer) balance.Query {
+			b.Confirm("t1", longSession(1))
+			b.Observe("other", []balance.Count{{Target: policy.HashName("t1"), Count: 30}}, start)
+			return longSession(1)
+		}, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(9)
+			query := tc.prepare(b)
+			part, unplaced := b.Unplaced(query, start)
+			is.Equal(unplaced, tc.unplaced)
+			if unplaced {
+				is.Equal(part, uint32(query.Parts[0]>>32))
+			}
+		})
+	}
+}
+
+// TestCachedTellsWhatServes: targets that left long ago hold nothing any more,
+// and a reading is told until it is over.
+func TestCachedTellsWhatServes(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(3)
+	query := longSession(1)
+	part := uint32(query.Parts[0] >> 32)
+	pick, _ := b.Choose(query, start)
+	is.Equal(len(pick.Fills), 1)
+	holders, filling := b.Cached(part, start)
+	is.Equal(len(holders), 0)
+	is.Equal(filling, pick.Fills)
+	is.Equal(b.Confirm(pick.Target.ID, query), pick.Fills) // new, so worth telling
+	is.Equal(len(b.Confirm(pick.Target.ID, query)), 0)     // known
+	holders, filling = b.Cached(part, start)
+	is.Equal(holders, pick.Fills)
+	is.Equal(len(filling), 0)
+	is.True(b.Holds(pick.Fills[0]))
+	b.Drop(pick.Target.ID, start)
+	holders, _ = b.Cached(part, start.Add(time.Second))
+	is.Equal(holders, pick.Fills) // it serves for a while
+	holders, _ = b.Cached(part, start.Add(time.Minute))
+	is.Equal(len(holders), 0)
+}
+
+// TestReportsGetTooOld: the loads of a gateway that is silent are not counted
+// for long, and those of the others stay.
+func TestReportsGetTooOld(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(2)
+	count := []balance.Count{{Target: policy.HashName("t0"), Count: 5}, {Target: policy.HashName("t1"), Count: 5}}
+	b.Observe("silent", count, start)
+	b.Observe("lively", count, start)
+	b.Observe("lively", count, start.Add(2*time.Second))
+	pick, _ := b.Choose(balance.Query{Service: "s"}, start.Add(2*time.Second))
+	is.Equal(pick.Load, 10)
+	pick, _ = b.Choose(balance.Query{Service: "s"}, start.Add(3*time.Second))
+	is.Equal(pick.Load, 5)
+	b.Observe("lively", nil, start.Add(3*time.Second))
+	pick, _ = b.Choose(balance.Query{Service: "s"}, start.Add(3*time.Second))
+	is.True(pick.Load <= 1) // own requests alone
+}
--- a/internal/balance/fills.go
+++ b/internal/balance/fills.go
@@ -74,15 +74,19 @@
 	return nil, false
 }
 
-// noteFills begins fills for the long parts that no target holds; b.mu is
-// held.
-func (b *Balancer) noteFills(query Query, chosen *state, now time.Time) {
+// noteFills begins fills for the long parts that no target holds and returns
+// those begun; b.mu is held.
+func (b *Balancer) noteFills(query Query, chosen *state, now time.Time) []Placement {
+	var begun []Placement
 	for i, part := range query.Parts {
 		if i >= len(query.Tokens) || query.Tokens[i] < longFill || b.holders.held(shortOf(part)) {
 			continue
 		}
-		b.fills.begin(placementOf(part, chosen), now.Add(mostFill), true)
+		placement := placementOf(part, chosen)
+		b.fills.begin(placement, now.Add(mostFill), true)
+		begun = append(begun, placement)
 	}
+	return begun
 }
 
 // Fills are the parts that targets are reading for requests of this process.
--- a/internal/balance/holders.go
+++ b/internal/balance/holders.go
@@ -89,10 +89,13 @@
 }
 
 // confirm notes a placement that this process has seen to be true, and keeps it
-// as news if it is worth telling others.
-func (h *holders) confirm(placement Placement, worthTelling bool) {
-	if !h.note(placement, true) || !worthTelling {
-		return
+// as news if it is worth telling others; it returns false if it was known.
+func (h *holders) confirm(placement Placement, worthTelling bool) bool {
+	if !h.note(placement, true) {
+		return false
+	}
+	if !worthTelling {
+		return true
 	}
 	h.news = append(h.news, placement)
 	if len(h.news) > mostNews {
@@ -100,6 +103,7 @@
 		h.news = slices.Clone(h.news[cut:])
 		h.first += cut
 	}
+	return true
 }
 
 // newsFrom are own placements from a number on, at most so many, and the
--- a/internal/balance/placements.go
+++ b/internal/balance/placements.go
@@ -76,18 +76,24 @@
 	}
 }
 
-// Confirm notes that a target has read the shared parts of a query's prompt.
-func (b *Balancer) Confirm(id string, query Query) {
+// Confirm notes that a target has read the shared parts of a query's prompt. It
+// returns the placements of long parts that were not known here.
+func (b *Balancer) Confirm(id string, query Query) []Placement {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	target, ok := b.targets[id]
 	if !ok {
-		return
+		return nil
 	}
+	var found []Placement
 	for i, part := range query.Parts {
-		b.holders.confirm(placementOf(part, target), b.worthTelling(part, query.tokensOf(i)))
-		b.fills.end(placementOf(part, target), true)
+		placement, tokens := placementOf(part, target), query.tokensOf(i)
+		if b.holders.confirm(placement, b.worthTelling(part, tokens)) && tokens >= leastNews {
+			found = append(found, placement)
+		}
+		b.fills.end(placement, true)
 	}
+	return found
 }
 
 // worthTelling says whether others are to be told that a target holds a part;
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -85,7 +85,10 @@
 	}
 	if answer.Status < http.StatusBadRequest && len(a.call.parts) > 0 {
 		a.confirmed = true
-		a.call.gateway.Balancer.Confirm(a.pick.Target.ID, a.call.query())
+		placed := a.call.gateway.Balancer.Confirm(a.pick.Target.ID, a.call.query())
+		if a.call.gateway.Directory != nil {
+			a.call.gateway.Directory.Placed(placed)
+		}
 	}
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -45,6 +45,10 @@
 	queued time.Duration
 	// waited is how long it waited for a part of its prompt to be read.
 	waited time.Duration
+	// found is how the question for a holder of its prompt ended; empty if none
+	// was asked. asked is how long that took.
+	found balance.Finding
+	asked time.Duration
 	// gone says that the caller could not be written to any more.
 	gone bool
 	// firstAfter is the time to the answer's head; zero if there was none.
@@ -113,6 +117,7 @@
 		c.refuse(refusal)
 		return
 	}
+	c.findHolder(ctx)
 	c.awaitFill(ctx)
 	if c.callerLeft(ctx) {
 		c.leave()
@@ -121,6 +126,9 @@
 	for {
 		pick, ok := c.gateway.Balancer.Choose(c.query(), time.Now())
 		c.endTurn()
+		if c.gateway.Directory != nil {
+			c.gateway.Directory.Filling(pick.Fills)
+		}
 		if !ok {
 			c.finishWithoutTarget()
 			return
@@ -149,6 +157,21 @@
 	}
 }
 
+// findHolder asks the other gateways where the prompt is cached if no target
+// that could take the request is known to hold it.
+func (c *call) findHolder(ctx context.Context) {
+	if c.gateway.Directory == nil {
+		return
+	}
+	began := time.Now()
+	part, unplaced := c.gateway.Balancer.Unplaced(c.query(), began)
+	if !unplaced {
+		return
+	}
+	c.found = c.gateway.Directory.Find(ctx, part)
+	c.asked = time.Since(began)
+}
+
 // awaitFill waits while a long part of the prompt is being read for another
 // request, so that it is not read twice side by side.
 func (c *call) awaitFill(ctx context.Context) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,11 +31,25 @@
 	OthersKnow func() bool
 }
 
+// Directory keeps track, over all gateways, of where parts of prompts are
+// cached.
+type Directory interface {
+	// Find has the balancer learn where a part is cached; it returns when that
+	// is known, or after a moment anyway.
+	Find(ctx context.Context, part uint32) balance.Finding
+	// Filling takes the parts that targets have begun to read for requests of
+	// this process, and Placed those that they have read.
+	Filling(placements []balance.Placement)
+	Placed(placements []balance.Placement)
+}
+
 // Gateway serves requests. It is safe for concurrent use.
 type Gateway struct {
 	Sender   Sender
 	Balancer *balance.Balancer
 	Budgets  *retrybudget.Budgets
+	// Directory is nil where no other gateways are.
+	Directory Directory
 	// Limiters bound what is sent to each service; nil for no bound.
 	Limiters *admission.Limiters
 	Proof    *freshness.Proof
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/delivery"
 )
 
@@ -45,6 +46,10 @@
 	// Waited is how long it waited, before its first attempt, for a part of its
 	// prompt to be read for another request.
 	Waited time.Duration
+	// Found is how its question for a holder of its prompt ended, empty if it
+	// asked none, and Asked how long that took.
+	Found balance.Finding
+	Asked time.Duration
 	// Status is the caller's; zero if it got none.
 	Status int
 	// Ending is one of the constants above or the kind of refusal.
@@ -93,6 +98,8 @@
 		Attempts: c.attempts,
 		Queued:   c.queued,
 		Waited:   c.waited,
+		Found:    c.found,
+		Asked:    c.asked,
 		Status:   c.status,
 		Ending:   c.ending,
 		First:    c.firstAfter,
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -22,6 +22,7 @@
 	first         *prometheus.HistogramVec
 	endings       *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
+	findings      *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	replicas      *prometheus.CounterVec
 	badValues     prometheus.Counter
@@ -52,6 +53,10 @@
 			Namespace: namespace, Name: "attempts_total",
 			Help: "Attempts at targets by service and outcome.",
 		}, []string{"service", "outcome"}),
+		findings: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "holder_questions_total",
+			Help: "Questions to other gateways for where a prompt is cached, by outcome.",
+		}, []string{"outcome"}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "store_calls_total",
 			Help: "Calls to the platform's store by call and outcome.",
@@ -70,7 +75,7 @@
 		}),
 		known: make(map[string]bool),
 	}
-	registry.MustRegister(m.took, m.first, m.endings, m.attempts, m.storeCalls, m.replicas, m.badValues, m.configVersion)
+	registry.MustRegister(m.took, m.first, m.endings, m.attempts, m.findings, m.storeCalls, m.replicas, m.badValues, m.configVersion)
 	return m
 }
 
@@ -80,6 +85,9 @@
 	if record.First > 0 {
 		m.first.WithLabelValues(record.Kind).Observe(record.First.Seconds())
 	}
+	if record.Found != "" {
+		m.findings.WithLabelValues(string(record.Found)).Inc()
+	}
 	for _, attempt := range record.Attempts {
 		m.attempts.WithLabelValues(record.Service, attempt.Outcome).Inc()
 	}
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -56,10 +56,6 @@
 		beat.Targets = append(beat.Targets, shortHash(count.Target))
 		beat.Counts = append(beat.Counts, uint32(count.Count))
 	}
-	for _, placement := range s.lastFills {
-		beat.FillParts = append(beat.FillParts, placement.Part)
-		beat.FillTargets = append(beat.FillTargets, placement.Target)
-	}
 	s.addPlacements(beat, to, now)
 	if to.beats < introduceFirst || to.beats%introduceEvery == 0 {
 		beat.Id, beat.Address = s.options.ID, s.options.Address
@@ -74,18 +70,26 @@
 	return uint32(hash >> 32)
 }
 
-// addPlacements tells a peer of placements that it has not been told of.
+// addPlacements adds what is new of where parts are cached. Among many gateways
+// only those who ask the store get it, for the checkpoint; the others ask for
+// what they need.
 func (s *Service) addPlacements(beat *wire.GatewayBeat, to *peer, now time.Time) {
-	most := mostPlacements
-	if s.look(now).many {
-		most = mostPlacementsOfMany
+	if seen := s.look(now); seen.many && !seen.peerAsks(to) {
+		return
 	}
-	placements, next := s.options.Balancer.Placements(to.told, most)
+	placements, next := s.options.Balancer.Placements(to.told, mostPlacements)
 	to.told = next
+	beat.Parts, beat.Holders = columns(placements)
+	beat.FillParts, beat.FillTargets = columns(s.lastFills)
+}
+
+// columns are the parts and the targets of placements.
+func columns(placements []balance.Placement) (parts, targets []uint32) {
 	for _, placement := range placements {
-		beat.Parts = append(beat.Parts, placement.Part)
-		beat.Holders = append(beat.Holders, placement.Target)
+		parts = append(parts, placement.Part)
+		targets = append(targets, placement.Target)
 	}
+	return parts, targets
 }
 
 // someAddresses are a few addresses of live peers.
@@ -139,10 +143,12 @@
 	s.takeProof(beat)
 	if !beat.GetBrief() {
 		s.options.Balancer.Observe(from.id, countsOf(beat), now)
-		s.options.Balancer.Learn(placementsOf(beat.GetParts(), beat.GetHolders()))
-		s.options.Balancer.LearnFills(placementsOf(beat.GetFillParts(), beat.GetFillTargets()), now)
 	}
-	if beat.GetWantsProof() {
+	s.takePlacements(beat, now)
+	switch {
+	case beat.GetQuestion() != 0:
+		s.answer(from, beat, now)
+	case beat.GetWantsProof():
 		s.send(from.address, s.brief(from, now), true)
 	}
 	if beat.GetRevision() > s.options.Replica.Revision() {
--- /dev/null
+++ b/internal/peer/directory.go
@@ -0,0 +1,226 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/policy"
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+// Among many gateways, none can be told of all that the others have placed:
+// what each tells grows with their number. For each part of prompts one gateway
+// keeps track of where it is cached, the first in the part's rendezvous order.
+// Whoever places a long part tells that one; whoever does not know where a part
+// is asks it, and waits for the answer for a moment. Nothing rests on it: an
+// answer that does not come costs a guess. Where gateways disagree on who is
+// there, as while some begin or end, a part may be asked for in vain.
+
+const (
+	// findTimeout bounds the wait for an answer. It is some ten times what an
+	// answer takes between data centres of a region, and a fiftieth of what
+	// reading a long part takes.
+	findTimeout = 20 * time.Millisecond
+	// waiterLife is how long a gateway that asked for a part that is being read
+	// is kept in mind, to be told when it has been read: no request waits longer.
+	waiterLife = time.Second
+)
+
+// directory is one gateway's part in keeping track of placements.
+type directory struct {
+	// questions are those under way, by number; an answer closes the channel.
+	questions map[uint32]chan struct{}
+	last      uint32
+	// waiters are the gateways to be told when a part has been read.
+	waiters map[uint32][]waiter
+}
+
+// waiter is a gateway that waits for a part to be read.
+type waiter struct {
+	id    string
+	until time.Time
+}
+
+func newDirectory() *directory {
+	return &directory{questions: make(map[uint32]chan struct{}), waiters: make(map[uint32][]waiter)}
+}
+
+// ask begins a question.
+func (d *directory) ask() (number uint32, answered chan struct{}) {
+	d.last++
+	if d.last == 0 {
+		d.last++ // zero asks nothing
+	}
+	answered = make(chan struct{})
+	d.questions[d.last] = answered
+	return d.last, answered
+}
+
+// end ends a question; it returns false if it had ended before.
+func (d *directory) end(number uint32) bool {
+	answered, ok := d.questions[number]
+	if ok {
+		close(answered)
+		delete(d.questions, number)
+	}
+	return ok
+}
+
+// expire forgets the gateways that wait no more.
+func (d *directory) expire(now time.Time) {
+	for part, waiting := range d.waiters {
+		if now.After(waiting[len(waiting)-1].until) {
+			delete(d.waiters, part)
+		}
+	}
+}
+
+// keeper is the gateway that keeps track of a part; nil if it is this one. The
+// others are those that answer and do not leave.
+func (v *view) keeper(part uint32, self uint64) *peer {
+	key := uint64(part) << 32
+	var best *peer
+	bestScore := policy.Score(key, self)
+	for _, known := range v.live {
+		if known.leaving || known.unanswered >= mostUnanswered {
+			continue
+		}
+		if score := policy.Score(key, known.hash); score > bestScore {
+			best, bestScore = known, score
+		}
+	}
+	return best
+}
+
+// Find asks where a part is cached and has the balancer learn it. It returns
+// when the answer is here, or after a moment without one.
+func (s *Service) Find(ctx context.Context, part uint32) balance.Finding {
+	number, asked, answered := s.question(part)
+	if asked == nil {
+		return balance.NotAsked
+	}
+	timer := time.NewTimer(findTimeout)
+	defer timer.Stop()
+	select {
+	case <-answered:
+		return balance.Answered
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.directory.end(number) {
+		return balance.Answered
+	}
+	if ctx.Err() == nil {
+		asked.unanswered++
+	}
+	return balance.Unanswered
+}
+
+// question asks the keeper of a part; the peer is nil if there is nobody to ask.
+func (s *Service) question(part uint32) (number uint32, asked *peer, answered chan struct{}) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := s.look(now)
+	if !seen.many {
+		return 0, nil, nil
+	}
+	asked = seen.keeper(part, s.hash)
+	if asked == nil {
+		return 0, nil, nil
+	}
+	number, answered = s.directory.ask()
+	beat := s.brief(asked, now)
+	beat.Question, beat.Part = number, part
+	s.send(asked.address, beat, true)
+	return number, asked, answered
+}
+
+// answer answers a question with what is known here of a part.
+func (s *Service) answer(from *peer, question *wire.GatewayBeat, now time.Time) {
+	part := question.GetPart()
+	holders, filling := s.options.Balancer.Cached(part, now)
+	if len(holders) == 0 && len(filling) > 0 {
+		s.directory.waiters[part] = append(s.directory.waiters[part], waiter{id: from.id, until: now.Add(waiterLife)})
+	}
+	beat := s.brief(from, now)
+	beat.Answer = question.GetQuestion()
+	beat.Parts, beat.Holders = columns(holders)
+	beat.FillParts, beat.FillTargets = columns(filling)
+	s.send(from.address, beat, true)
+}
+
+// Placed tells the gateways that keep track of them of parts that targets have
+// read.
+func (s *Service) Placed(placements []balance.Placement) {
+	s.tellKeepers(placements, func(beat *wire.GatewayBeat, placement balance.Placement) {
+		beat.Parts, beat.Holders = columns([]balance.Placement{placement})
+	})
+}
+
+// Filling tells the gateways that keep track of them of parts that targets have
+// begun to read.
+func (s *Service) Filling(placements []balance.Placement) {
+	s.tellKeepers(placements, func(beat *wire.GatewayBeat, placement balance.Placement) {
+		beat.FillParts, beat.FillTargets = columns([]balance.Placement{placement})
+	})
+}
+
+// tellKeepers sends each placement to the gateway that keeps track of its part.
+// Few gateways tell each other everything in their beats.
+func (s *Service) tellKeepers(placements []balance.Placement, put func(beat *wire.GatewayBeat, placement balance.Placement)) {
+	if len(placements) == 0 {
+		return
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := s.look(now)
+	if !seen.many {
+		return
+	}
+	for _, placement := range placements {
+		keeper := seen.keeper(placement.Part, s.hash)
+		if keeper == nil {
+			s.tellWaiters(placement, now)
+			continue
+		}
+		beat := s.brief(keeper, now)
+		put(beat, placement)
+		s.send(keeper.address, beat, true)
+	}
+}
+
+// takePlacements takes what a beat tells of placements.
+func (s *Service) takePlacements(beat *wire.GatewayBeat, now time.Time) {
+	placements := placementsOf(beat.GetParts(), beat.GetHolders())
+	s.options.Balancer.Learn(placements)
+	s.options.Balancer.LearnFills(placementsOf(beat.GetFillParts(), beat.GetFillTargets()), now)
+	for _, placement := range placements {
+		s.tellWaiters(placement, now)
+	}
+	if number := beat.GetAnswer(); number != 0 {
+		s.directory.end(number)
+	}
+}
+
+// tellWaiters tells the gateways that wait for a part that a target holds it.
+func (s *Service) tellWaiters(placement balance.Placement, now time.Time) {
+	waiting := s.directory.waiters[placement.Part]
+	if len(waiting) == 0 || !s.options.Balancer.Holds(placement) {
+		return
+	}
+	delete(s.directory.waiters, placement.Part)
+	for _, waits := range waiting {
+		known := s.table.peers[waits.id]
+		if known == nil || now.After(waits.until) {
+			continue
+		}
+		beat := s.brief(known, now)
+		beat.Parts, beat.Holders = columns([]balance.Placement{placement})
+		s.send(known.address, beat, true)
+	}
+}
--- /dev/null
+++ b/internal/peer/directory_test.go
@@ -0,0 +1,164 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/link"
+	"github.com/capersaddle/capersaddle/internal/policy"
+)
+
+// many is enough gateways not to tell each other everything.
+const many = fewPeers + 4
+
+// newMany are gateways that have discovered each other.
+func newMany(t *testing.T) []*node {
+	t.Helper()
+	network := link.NewMemory()
+	nodes := []*node{newNode(t, "node-0", network)}
+	for i := 1; i < many; i++ {
+		nodes = append(nodes, newNode(t, fmt.Sprintf("node-%d", i), network, nodes[0].service.options.Address))
+	}
+	until(t, "all know all", func() bool {
+		for _, known := range nodes {
+			if known.service.Live() != many-1 {
+				return false
+			}
+		}
+		return true
+	})
+	return nodes
+}
+
+// keeperOf is the one gateway that takes itself for the keeper of a part.
+func keeperOf(t *testing.T, nodes []*node, part uint32) int {
+	t.Helper()
+	found := -1
+	for i, known := range nodes {
+		known.service.mu.Lock()
+		own := known.service.look(time.Now()).keeper(part, known.service.hash) == nil
+		known.service.mu.Unlock()
+		if own && found >= 0 {
+			t.Fatalf("part %d has two keepers, %d and %d", part, found, i)
+		}
+		if own {
+			found = i
+		}
+	}
+	if found < 0 {
+		t.Fatalf("part %d has no keeper", part)
+	}
+	return found
+}
+
+// others are two gateways that do not keep track of a part.
+func others(keeper int) (one, other int) {
+	return (keeper + 1) % many, (keeper + 2) % many
+}
+
+func holderOf(part uint32) balance.Placement {
+	return balance.Placement{Part: part, Target: uint32(policy.HashName("t") >> 32)}
+}
+
+func holds(known *node, part uint32) func() bool {
+	return func() bool { return known.balancer.Holds(holderOf(part)) }
+}
+
+// TestAPlacementIsFound: what one gateway has placed another one finds by
+// asking the gateway that keeps track of it.
+func TestAPlacementIsFound(t *testing.T) {
+	is := is.New(t)
+	nodes := newMany(t)
+	const part = 42
+	keeper := keeperOf(t, nodes, part)
+	placer, asker := others(keeper)
+	query := balance.Query{Service: "s", Parts: []uint64{part << 32}, Tokens: []int{5000}}
+	until(t, "the keeper knows", func() bool {
+		placed := nodes[placer].balancer.Confirm("t", query)
+		nodes[placer].service.Placed(placed)
+		return holds(nodes[keeper], part)()
+	})
+	until(t, "the asker finds it", func() bool {
+		return nodes[asker].service.Find(t.Context(), part) == balance.Answered && holds(nodes[asker], part)()
+	})
+	is.Equal(nodes[keeper].service.Find(t.Context(), part), balance.NotAsked) // it would ask itself
+}
+
+// TestWhoWaitsForAReadingIsTold: a gateway that asks for a part which is being
+// read is told as soon as it has been.
+func TestWhoWaitsForAReadingIsTold(t *testing.T) {
+	nodes := newMany(t)
+	const part = 43
+	keeper := keeperOf(t, nodes, part)
+	placer, asker := others(keeper)
+	query := balance.Query{Service: "s", Parts: []uint64{part << 32}, Tokens: []int{5000}}
+	var done <-chan struct{}
+	until(t, "the asker learns of the reading", func() bool {
+		pick, _ := nodes[placer].balancer.Choose(query, time.Now())
+		nodes[placer].service.Filling(pick.Fills)
+		nodes[asker].service.Find(t.Context(), part)
+		waits, filling := nodes[asker].balancer.Filling(query, time.Now())
+		if !filling {
+			nodes[placer].balancer.Withdraw("t", query.Parts)
+		}
+		done = waits
+		return filling
+	})
+	nodes[placer].service.Placed(nodes[placer].balancer.Confirm("t", query))
+	until(t, "the asker is told", holds(nodes[asker], part))
+	<-done
+}
+
+// TestAKeeperThatIsGoneIsPassedOver: a question that nobody answers ends, and
+// after a few of them another gateway is asked.
+func TestAKeeperThatIsGoneIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	nodes := newMany(t)
+	const part = 44
+	keeper := keeperOf(t, nodes, part)
+	asker, _ := others(keeper)
+	is.NoErr(nodes[keeper].service.Close())
+	is.Equal(nodes[asker].service.Find(t.Context(), part), balance.Unanswered)
+	until(t, "another gateway answers, or this one keeps track itself", func() bool {
+		return nodes[asker].service.Find(t.Context(), part) != balance.Unanswered
+	})
+}
+
+// TestFewAskNobody: few gateways tell each other everything.
+func TestFewAskNobody(t *testing.T) {
+	is := is.New(t)
+	network := link.NewMemory()
+	one := newNode(t, "one", network)
+	two := newNode(t, "two", network, one.service.options.Address)
+	until(t, "they know each other", func() bool { return one.service.Live() == 1 && two.service.Live() == 1 })
+	is.Equal(two.service.Find(t.Context(), 1), balance.NotAsked)
+}
+
+// TestKeepersSpread: each of many gateways keeps track of about its share of
+// the parts, and all agree on whose it is.
+func TestKeepersSpread(t *testing.T) {
+	is := is.New(t)
+	const gateways, parts = 103, 5000
+	all := tables(gateways)
+	kept := make(map[string]int)
+	for part := range uint32(parts) {
+		keeper := all["0"].look(start).keeper(part<<8, policy.HashName("0"))
+		id := "0"
+		if keeper != nil {
+			id = keeper.id
+		}
+		kept[id]++
+		for _, self := range []string{"1", "50", "102"} {
+			other := all[self].look(start).keeper(part<<8, policy.HashName(self))
+			is.True(other == nil && id == self || other != nil && other.id == id) // all agree
+		}
+	}
+	for _, count := range kept {
+		is.True(count < 3*parts/gateways) // no gateway keeps three times its share
+	}
+	is.Equal(len(kept), gateways)
+}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -16,6 +16,7 @@
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/freshness"
 	"github.com/capersaddle/capersaddle/internal/link"
+	"github.com/capersaddle/capersaddle/internal/policy"
 	"github.com/capersaddle/capersaddle/internal/wait"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
@@ -33,9 +34,8 @@
 	introduceEvery = 24
 	introduceFirst = 4
 	// fewPeers is how many peers are told everything at once; with more of
-	// them a beat carries fewer placements, so that loads are told more often.
-	fewPeers             = 8
-	mostPlacementsOfMany = 8
+	// them a beat carries no placements, so that loads are told more often.
+	fewPeers = 8
 	// receiveBuffer is the largest datagram that is read, in bytes.
 	receiveBuffer = 4096
 	// sentKept is for how many beats the time of sending is remembered.
@@ -97,6 +97,8 @@
 	conn    *net.UDPConn
 	dialer  link.Dialer
 	life    uint64
+	// hash is that of this process's id.
+	hash    uint64
 	bucket  *rate.Limiter
 	leaving atomic.Bool
 	// urgent asks for a beat to all peers.
@@ -121,6 +123,8 @@
 	pulling     bool
 	// askedAt is when the parent was last asked for its proof.
 	askedAt time.Time
+	// directory is this gateway's part in keeping track of placements.
+	directory *directory
 
 	sentBytes     atomic.Int64
 	receivedBytes atomic.Int64
@@ -135,9 +139,12 @@
 		conn:    conn,
 		dialer:  dialer,
 		life:    rand.Uint64(),
+		hash:    policy.HashName(options.ID),
 		bucket:  rate.NewLimiter(rate.Limit(options.Budget), max(options.Budget, receiveBuffer)),
 		urged:   make(chan struct{}, 1),
 		table:   newTable(options.ID, options.Seeds, options.Address, options.Budget),
+
+		directory: newDirectory(),
 	}
 }
 
@@ -264,6 +271,7 @@
 		s.send(address, s.beat(nil, now), false)
 	}
 	s.askParent(now)
+	s.directory.expire(now)
 	counts := s.options.Balancer.InFlight()
 	revision := s.options.Replica.Revision()
 	urgent := s.urgent.Swap(false) && s.passOn(now)
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/capersaddle/capersaddle/internal/policy"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -55,6 +56,8 @@
 	failedAt time.Time
 	// askScore is its place in the order of those who ask the store.
 	askScore uint64
+	// hash is that of its id.
+	hash uint64
 	// unanswered counts the questions to it since it was last heard.
 	unanswered int
 }
@@ -115,7 +118,7 @@
 		if ok {
 			delete(t.lives, known.life)
 		}
-		known = &peer{id: beat.GetId(), life: beat.GetLife(), askScore: askScore(beat.GetId())}
+		known = &peer{id: beat.GetId(), life: beat.GetLife(), askScore: askScore(beat.GetId()), hash: policy.HashName(beat.GetId())}
 		t.peers[known.id], t.lives[known.life] = known, known
 		result = found
 	}
--- a/internal/peer/tree.go
+++ b/internal/peer/tree.go
@@ -74,6 +74,18 @@
 	return v.rank < askers
 }
 
+// peerAsks says whether a peer is among those that ask the store.
+func (v *view) peerAsks(known *peer) bool {
+	place := slices.Index(v.candidates, known)
+	if place < 0 {
+		return false
+	}
+	if place >= v.rank {
+		place++ // this gateway stands before it
+	}
+	return place < askers
+}
+
 func askScore(id string) uint64 {
 	return policy.Score(policy.HashName("store"), policy.HashName(id))
 }
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -39,6 +39,7 @@
 		Lag:      p.lag.Lag,
 		Stale:    staleAfter(p.settings),
 	}, conn, pool)
+	p.gateway.Directory = p.peers
 	server := link.NewServer(listener, hello, nil, p.log, p.peers.Handle)
 	return errors.Join(
 		p.kernel.Register("links out", closer{pool.Close}),
