--- a/internal/checkpoint/checkpoint.go
+++ b/internal/checkpoint/checkpoint.go
@@ -23,6 +23,10 @@
 const (
 	// saveEvery is the time between two checkpoints, at least.
 	saveEvery = 2500 * time.Millisecond
+	// oldest is how old a checkpoint gets while little of it has changed: less
+	// than littleChange of its placements, and none of its targets.
+	oldest       = 10 * time.Second
+	littleChange = 1.0 / 16
 	// saveTimeout bounds one call to the store.
 	saveTimeout = 800 * time.Millisecond
 	// mostParts bounds the checkpoint: the parts used last.
@@ -43,8 +47,10 @@
 	turn   func() bool
 	called func(err error)
 	last   Content
-	cancel context.CancelFunc
-	wait   sync.WaitGroup
+	// savedAt is when last was written.
+	savedAt time.Time
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
 }
 
 // Content is what a checkpoint holds.
@@ -94,7 +100,8 @@
 		return
 	}
 	known := Content{Placements: sorted(content.Placements), Targets: content.Targets}
-	if known.equal(s.last) {
+	now := time.Now()
+	if known.equal(s.last) || now.Sub(s.savedAt) < oldest && known.near(s.last) {
 		return
 	}
 	data, err := Encode(content)
@@ -107,10 +114,25 @@
 	err = s.store.SaveCheckpoint(ctx, data)
 	s.called(err)
 	if err == nil {
-		s.last = known
+		s.last, s.savedAt = known, now
 	}
 }
 
+// near says whether little of another content is new here: no target, and few
+// placements. Both are in order.
+func (c Content) near(other Content) bool {
+	if !slices.Equal(c.Targets, other.Targets) {
+		return false
+	}
+	added := 0
+	for _, placement := range c.Placements {
+		if _, known := slices.BinarySearchFunc(other.Placements, placement, balance.ComparePlacements); !known {
+			added++
+		}
+	}
+	return float64(added) < littleChange*float64(len(other.Placements))
+}
+
 // sorted are the placements in an order that does not hang on their use.
 func sorted(placements []balance.Placement) []balance.Placement {
 	ordered := slices.Clone(placements)
--- a/internal/checkpoint/checkpoint_test.go
+++ b/internal/checkpoint/checkpoint_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -62,6 +63,48 @@
 	is.Equal(len(kept.Placements), 3)
 }
 
+// TestALittleChangeWaits: a checkpoint is written again soon when much of it has
+// changed, or a target; else only when it has become old.
+func TestALittleChangeWaits(t *testing.T) {
+	parts := func(from, to uint64) balance.Query {
+		var query balance.Query
+		for part := from; part < to; part++ {
+			query.Parts = append(query.Parts, part<<32)
+		}
+		return query
+	}
+	cases := map[string]struct {
+		change func(balancer *balance.Balancer)
+		age    time.Duration
+		saves  int
+	}{
+		"a little":                   {func(b *balance.Balancer) { b.Confirm("t", parts(1000, 1005)) }, saveEvery, 1},
+		"a little, and long ago":     {func(b *balance.Balancer) { b.Confirm("t", parts(1000, 1005)) }, oldest, 2},
+		"nothing, however long ago":  {func(*balance.Balancer) {}, time.Hour, 1},
+		"much":                       {func(b *balance.Balancer) { b.Confirm("t", parts(1000, 1020)) }, saveEvery, 2},
+		"a target that takes work":   {func(b *balance.Balancer) { b.Put(balance.Target{ID: "u", Service: "s"}) }, saveEvery, 2},
+		"a target that stopped that": {func(b *balance.Balancer) { b.Put(balance.Target{ID: "t", Service: "s", Leaving: true}) }, saveEvery, 2},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				balancer := balance.New(balance.DefaultOptions())
+				balancer.Put(balance.Target{ID: "t", Service: "s"})
+				balancer.Confirm("t", parts(1, 200))
+				store := new(memoryStore)
+				saver := NewSaver(balancer, store, func() bool { return true }, func(error) {})
+				saver.save(t.Context())
+				is.Equal(store.saves, 1)
+				time.Sleep(tc.age)
+				tc.change(balancer)
+				saver.save(t.Context())
+				is.Equal(store.saves, tc.saves)
+			})
+		})
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte{1, 2, 3})
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -17,12 +17,14 @@
 	// urge has the other gateways told at once of what must be in force soon.
 	urge func()
 
-	// mu guards kept, the targets of the last checkpoint, and begun, which says
+	// mu guards learnt and kept, the targets of the last checkpoint, and begun, which says
 	// that they have been used: Begun takes them from the feed, and pages of
 	// other gateways bring them too.
 	mu    sync.Mutex
 	kept  []balance.Target
 	begun bool
+	// learnt says that a checkpoint has been taken.
+	learnt bool
 }
 
 // urge has the other gateways told at once of what is new.
@@ -69,9 +71,13 @@
 }
 
 // Checkpoint takes over where parts of prompts were cached when it was written.
-// Its targets are kept aside until all entries are known: one that has left since
-// is not registered, and must get no work.
+// Only the first one is of use: later ones come from gateways that tell each
+// other of placements anyway. Its targets are kept aside until all entries are
+// known: one that has left since is not registered, and must get no work.
 func (s *sink) Checkpoint(data []byte) {
+	if !s.takeFirst() {
+		return
+	}
 	kept, err := checkpoint.Decode(data)
 	if err != nil {
 		s.process.observer.BadValue("checkpoint", err)
@@ -81,6 +87,15 @@
 	s.process.gateway.Balancer.Learn(kept.Placements)
 }
 
+// takeFirst says whether no checkpoint was taken before.
+func (s *sink) takeFirst() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := !s.learnt
+	s.learnt = true
+	return first
+}
+
 func (s *sink) keepAside(targets []balance.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/replica/page.go
+++ b/internal/replica/page.go
@@ -43,11 +43,14 @@
 		if known.Revision <= since && !page.Whole || known.Gone && page.Whole {
 			continue
 		}
+		if c.advice[key] && !page.Whole {
+			continue
+		}
 		item := &wire.ReplicaItem{Key: key, Revision: known.Revision, Gone: known.Gone}
 		switch {
 		case !pull.GetPacks():
 			item.Value = known.Value
-		case known.Revision <= since:
+		case known.Revision <= since && !c.advice[key]:
 			item.Kept = true
 		default:
 			known.pack(item, held[key])
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -32,6 +32,10 @@
 // Copy is safe for concurrent use. Take is called while it is held.
 type Copy struct {
 	tell Take
+	// advice are the keys that only a process which begins needs. Their changes
+	// are not passed on to copies that hold the rest, and no patches of them are
+	// kept.
+	advice map[string]bool
 
 	mu sync.Mutex
 	// records holds removed keys too, so that an older word can't bring them
@@ -67,9 +71,14 @@
 	largeValue = 2048
 )
 
-// New returns an empty copy that tells take what is new.
-func New(take Take) *Copy {
-	return &Copy{tell: take, records: make(map[string]*record), readable: true}
+// New returns an empty copy that tells take what is new. The keys of advice are
+// passed on only to copies that lack everything else too.
+func New(take Take, advice ...string) *Copy {
+	c := &Copy{tell: take, records: make(map[string]*record), advice: make(map[string]bool), readable: true}
+	for _, key := range advice {
+		c.advice[key] = true
+	}
+	return c
 }
 
 // Revision is the store's revision that the copy has reached.
@@ -139,7 +148,7 @@
 	if !c.tell(change) {
 		c.readable = false
 	}
-	if ok {
+	if ok && !c.advice[change.Key] {
 		taken.patches = known.follow(change, by)
 	}
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -22,7 +22,7 @@
 	told   int
 }
 
-func newKept() *kept {
+func newKept(advice ...string) *kept {
 	k := &kept{values: make(map[string]string)}
 	k.Copy = replica.New(func(change replica.Item) bool {
 		k.told++
@@ -32,7 +32,7 @@
 		}
 		k.values[change.Key] = string(change.Value)
 		return string(change.Value) != "unreadable"
-	})
+	}, advice...)
 	return k
 }
 
@@ -95,6 +95,30 @@
 	is.Equal(late.values, asker.values)
 }
 
+// TestAdviceGoesOnlyToThoseWhoBegin: the checkpoint, some hundred kilobytes on the
+// large site, went to each of 102 gateways with each of its changes.
+func TestAdviceGoesOnlyToThoseWhoBegin(t *testing.T) {
+	is := is.New(t)
+	source, peer, late := newKept("advice"), newKept("advice"), newKept("advice")
+	source.Change([]replica.Item{put("advice", large(1), 1), put("c", []byte("one"), 2)}, 2)
+	pass(t, source, peer)
+	is.Equal(peer.values, source.values) // it begins
+	source.Change([]replica.Item{put("advice", large(2), 3)}, 3)
+	is.True(pass(t, source, peer) < 40)
+	is.Equal(peer.Revision(), int64(3)) // it has reached the revision without it
+	is.Equal(peer.values["advice"], string(large(1)))
+	source.Change([]replica.Item{put("c", []byte("two"), 4)}, 4)
+	pass(t, source, peer)
+	is.Equal(peer.values["c"], "two")
+	pass(t, source, late)
+	is.Equal(late.values, source.values)
+	source.Replace([]replica.Item{put("advice", large(5), 6), put("c", []byte("two"), 4)}, 7)
+	pass(t, source, peer) // a whole page, after a reading
+	is.Equal(peer.values, source.values)
+	pass(t, source, late)
+	is.Equal(late.Revision(), source.Revision())
+}
+
 func TestWhatAPageCanNotChange(t *testing.T) {
 	value := large(3)
 	cases := map[string]func(page *wire.ReplicaPage){
