A refused connection is passed on, and costs no retry

Change: only ECONNREFUSED, which proves that nothing listens. Up to three refused connections of a request cost no retry. Targets that are left out are no sources, and the directory does not name them.

--- a/internal/balance/directory.go
+++ b/internal/balance/directory.go
@@ -62,7 +62,7 @@
 	defer b.mu.Unlock()
 	for _, holder := range b.holders.of(part) {
 		target := b.byShort[holder.target]
-		if holder.sure && target != nil && target.goneFor(now) <= lingerFor {
+		if holder.sure && target != nil && target.serves(now) {
 			holders = append(holders, Placement{Part: part, Target: holder.target})
 		}
 	}
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -21,8 +21,11 @@
 	// ejectFirst and ejectMost bound the time out.
 	ejectFirst = 1500 * time.Millisecond
 	ejectMost  = 8 * time.Second
-	// unreachableFor is the time out after a connection could not be made.
+	// unreachableFor is the time out after a connection could not be made. After
+	// refused ones, here or at other gateways, it doubles up to mostDoubled times
+	// until the target has answered.
 	unreachableFor = 800 * time.Millisecond
+	mostDoubled    = 2
 	// forgiveAfter without an ejection resets the growth.
 	forgiveAfter = 15 * time.Second
 )
@@ -37,11 +40,15 @@
 	ejections    int
 	ejectedUntil time.Time
 	lastEjection time.Time
+	// refusals counts the times out for refused connections since the last
+	// success.
+	refusals int
 }
 
 // good notes a request that the target answered as it should.
 func (h *health) good() {
 	h.row = 0
+	h.refusals = 0
 	h.rate -= failWeight * h.rate
 }
 
@@ -73,6 +80,15 @@
 	}
 }
 
+// refused notes that nothing listens at the target's address.
+func (h *health) refused(now time.Time) {
+	until := now.Add(unreachableFor << min(h.refusals, mostDoubled))
+	h.refusals++
+	if until.After(h.ejectedUntil) {
+		h.ejectedUntil = until
+	}
+}
+
 func (h *health) eject(now time.Time) {
 	if now.Sub(h.lastEjection) > forgiveAfter {
 		h.ejections = 0
@@ -102,6 +118,8 @@
 	Bad
 	// Unreachable: no connection could be made.
 	Unreachable
+	// Refused: nothing listens at its address any more.
+	Refused
 	// Neutral says nothing of the target.
 	Neutral
 )
@@ -116,7 +134,7 @@
 		return false
 	}
 	target.inFlight--
-	if result == Bad || result == Unreachable {
+	if result == Bad || result == Unreachable || result == Refused {
 		target.aside = true
 	}
 	switch result {
@@ -127,6 +145,9 @@
 	case Unreachable:
 		target.health.unreachable(now)
 		return true
+	case Refused:
+		target.health.refused(now)
+		return true
 	case Neutral:
 	}
 	return false
@@ -146,3 +167,17 @@
 	slices.Sort(rates)
 	return rates[len(rates)/2]
 }
+
+// Suspect leaves a target out that refused a connection of another gateway. It
+// returns the target's id, and false if it is not known or left out already.
+func (b *Balancer) Suspect(target uint32, now time.Time) (id string, news bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known, ok := b.byShort[target]
+	if !ok || known.health.ejected(now) {
+		return "", false
+	}
+	known.health.refused(now)
+	known.aside = true
+	return known.ID, true
+}
--- a/internal/balance/placements.go
+++ b/internal/balance/placements.go
@@ -51,7 +51,7 @@
 	var found *state
 	for _, known := range b.holders.of(part) {
 		target := b.byShort[known.target]
-		if !known.sure || target == nil || target == chosen || target.goneFor(now) > lingerFor {
+		if !known.sure || target == nil || target == chosen || !target.serves(now) {
 			continue
 		}
 		if target.DataCenter == chosen.DataCenter {
@@ -64,6 +64,12 @@
 	return found
 }
 
+// serves says whether a target is likely to serve what it holds: it is not
+// ejected, and registered or deregistered only a moment ago.
+func (s *state) serves(now time.Time) bool {
+	return !s.health.ejected(now) && s.goneFor(now) <= lingerFor
+}
+
 func placementOf(part uint64, target *state) Placement {
 	return Placement{Part: shortOf(part), Target: shortOf(target.hash)}
 }
--- /dev/null
+++ b/internal/balance/refused_test.go
@@ -0,0 +1,67 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/policy"
+)
+
+// short names a target as gateways do among themselves.
+func short(id string) uint32 {
+	return uint32(policy.HashName(id) >> 32)
+}
+
+// openAt counts the targets open to a choice.
+func openAt(b *balance.Balancer, now time.Time) int {
+	pick, _ := b.Choose(balance.Query{Service: "s"}, now)
+	b.Release(pick.Target.ID, balance.Neutral, now)
+	return pick.Candidates
+}
+
+// TestARefusedConnectionOfAnother: a target that refused a connection of another
+// gateway is left out, longer each time, until it answers.
+func TestARefusedConnectionOfAnother(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(4)
+	now := start
+	for _, out := range []time.Duration{800 * time.Millisecond, 1600 * time.Millisecond, 3200 * time.Millisecond, 3200 * time.Millisecond} {
+		id, news := b.Suspect(short("t2"), now)
+		is.True(news)
+		is.Equal(id, "t2")
+		_, news = b.Suspect(short("t2"), now)
+		is.True(!news) // it is left out already, so nobody need be told
+		is.Equal(openAt(b, now.Add(out-time.Millisecond)), 3)
+		is.Equal(openAt(b, now.Add(out)), 4)
+		now = now.Add(out)
+	}
+	b.Choose(balance.Query{Service: "s", Exclude: []string{"t0", "t1", "t3"}}, now)
+	b.Release("t2", balance.Good, now)
+	_, news := b.Suspect(short("t2"), now)
+	is.True(news)
+	is.Equal(openAt(b, now.Add(800*time.Millisecond)), 4) // from the first time out on
+	_, news = b.Suspect(12345, now)
+	is.True(!news) // unknown
+}
+
+// TestNoFetchFromARefusedTarget: on scale-2 of the large site 1.7 of 3.5 million
+// tokens were read again since the target named as their source had crashed.
+func TestNoFetchFromARefusedTarget(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(9)
+	query := longSession(1)
+	b.Confirm("t1", query)
+	b.Confirm("t2", query)
+	b.Suspect(short("t1"), start)
+	query.Exclude = []string{"t2"}
+	pick, _ := b.Choose(query, start)
+	is.True(pick.Target.ID != "t1")
+	is.Equal(pick.FetchFrom, target(2).Address)
+	holders, _ := b.Cached(uint32(query.Parts[0]>>32), start)
+	for _, holder := range holders {
+		is.True(holder.Target != short("t1")) // nor is another gateway sent there
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -125,6 +125,8 @@
 	switch {
 	case a.refusal != nil:
 		a.outcome = delivery.Unsent
+	case failure.Refused:
+		a.outcome, a.result = delivery.Unsent, balance.Refused
 	case failure.Unreachable:
 		a.outcome, a.result = delivery.Unsent, balance.Unreachable
 	case !failure.Sent:
@@ -256,6 +258,9 @@
 		a.call.gateway.Balancer.NoteHold(a.call.service, now.Sub(a.started), a.call.route.TargetLatency)
 	}
 	ejected := a.call.gateway.Balancer.Release(a.pick.Target.ID, a.result, now)
+	if a.result == balance.Refused && a.call.gateway.Directory != nil {
+		a.call.gateway.Directory.Refused(a.pick.Target.ID)
+	}
 	record := AttemptRecord{
 		Target:     a.pick.Target.ID,
 		Address:    a.pick.Target.Address,
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -33,6 +33,8 @@
 	// tried are the targets that got the request, by id.
 	tried    []string
 	attempts []AttemptRecord
+	// refused counts its connections that were refused.
+	refused int
 	// after is the last event that the caller has.
 	after string
 	// failure is the target's answer to relay if nothing better comes.
@@ -150,7 +152,7 @@
 			c.refuse(attempt.refusal)
 			return
 		}
-		verdict := c.delivery.After(attempt.outcome, func() bool { return attempt.spent || c.spare(ctx) })
+		verdict := c.delivery.After(attempt.outcome, func() bool { return attempt.spent || c.follows(ctx, attempt) })
 		if !c.follow(verdict, attempt) {
 			return
 		}
@@ -213,12 +215,33 @@
 	c.responder.Abort()
 }
 
-// spare takes one retry from the budget if there is time and a target for it.
-func (c *call) spare(ctx context.Context) bool {
+// mostRefused is how many connections in a row may be refused before a further
+// attempt costs a retry: so many targets ended within a moment, and nothing has
+// arrived at any of them.
+const mostRefused = 3
+
+// follows says whether another attempt may follow one. Where nothing has arrived
+// since the target is not there any more, the attempt was none, and the budget,
+// which bounds what arrives at targets, is not asked.
+func (c *call) follows(ctx context.Context, last *attempt) bool {
+	if last.result != balance.Refused || c.refused >= mostRefused {
+		return c.spare(ctx)
+	}
+	c.refused++
+	return c.mayTry(ctx)
+}
+
+// mayTry says whether there is time for another attempt, and a target.
+func (c *call) mayTry(ctx context.Context) bool {
 	if ctx.Err() != nil || time.Until(c.deadline) < leastTry {
 		return false
 	}
-	if !c.gateway.Balancer.Has(c.query(), time.Now()) {
+	return c.gateway.Balancer.Has(c.query(), time.Now())
+}
+
+// spare takes one retry from the budget if there is time and a target for it.
+func (c *call) spare(ctx context.Context) bool {
+	if !c.mayTry(ctx) {
 		return false
 	}
 	if !c.delivery.Begun() && !c.gateway.hasRoom(c.service) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,7 +32,7 @@
 }
 
 // Directory keeps track, over all gateways, of where parts of prompts are
-// cached.
+// cached, and of targets that have ended.
 type Directory interface {
 	// Find has the balancer learn where a part is cached; it returns when that
 	// is known, or after a moment anyway.
@@ -41,6 +41,8 @@
 	// this process, and Placed those that they have read.
 	Filling(placements []balance.Placement)
 	Placed(placements []balance.Placement)
+	// Refused takes the id of a target at whose address nothing listens.
+	Refused(target string)
 }
 
 // Gateway serves requests. It is safe for concurrent use.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -72,6 +72,10 @@
 	return nil, &gateway.SendError{Unreachable: true, Err: errors.New("no way there")}
 }
 
+func refused(context.Context, *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
+	return nil, &gateway.SendError{Unreachable: true, Refused: true, Err: errors.New("nothing listens")}
+}
+
 // silent says nothing until the attempt is ended.
 func silent(ctx context.Context, _ *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
 	<-ctx.Done()
@@ -540,3 +544,54 @@
 	w.gateway.Serve(t.Context(), &gateway.Request{ID: "r", Host: "h", Path: "/once/x", Key: "key", Body: make([]byte, 101), Arrived: time.Now()}, w.caller)
 	is.Equal(w.caller.status, http.StatusRequestEntityTooLarge)
 }
+
+// fakeDirectory notes which targets refused connections.
+type fakeDirectory struct {
+	refused []string
+}
+
+func (f *fakeDirectory) Find(context.Context, uint32) balance.Finding { return balance.NotAsked }
+func (f *fakeDirectory) Filling([]balance.Placement)                  {}
+func (f *fakeDirectory) Placed([]balance.Placement)                   {}
+func (f *fakeDirectory) Refused(target string)                        { f.refused = append(f.refused, target) }
+
+// TestARefusedConnectionCostsNoRetry: on a day of ours on the large site, a surge
+// with a third of the engines lost, 4,069 streams were answered 503 within 12 ms
+// after one refused connection, while some 150 engines were open: the follow-up
+// came from the retry budget that a hundred gateways share. Nothing has arrived
+// where nothing listens.
+func TestARefusedConnectionCostsNoRetry(t *testing.T) {
+	cases := map[string]struct {
+		scripts []script
+		targets int
+		status  int
+		sends   int
+		told    int
+	}{
+		"refused, then served":         {[]script{refused, whole(200, "yes")}, 5, 200, 2, 1},
+		"refused three times":          {[]script{refused, refused, refused, whole(200, "yes")}, 5, 200, 4, 3},
+		"refused by all":               {[]script{refused}, 3, 503, 3, 3},
+		"refused too often":            {[]script{refused}, 9, 503, 4, 4},
+		"no way there, so who knows":   {[]script{unreachable, whole(200, "yes")}, 5, 503, 1, 0},
+		"turned away by a full target": {[]script{rejected, whole(200, "yes")}, 5, 429, 1, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(tc.scripts...)
+				directory := new(fakeDirectory)
+				w.gateway.Directory = directory
+				w.gateway.Budgets = retrybudget.New(retrybudget.Options{Window: 10 * time.Second})
+				for i := 3; i < tc.targets; i++ {
+					id := strings.Repeat("x", i)
+					w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id})
+				}
+				w.serve(t.Context(), "/once/x")
+				is.Equal(w.caller.status, tc.status)
+				is.Equal(len(w.sender.sent), tc.sends)
+				is.Equal(len(directory.refused), tc.told)
+			})
+		})
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -107,8 +107,10 @@
 type SendError struct {
 	// Sent says that bytes of the request may have reached the target.
 	Sent bool
-	// Unreachable says that no connection could be made.
+	// Unreachable says that no connection could be made, and Refused that this
+	// was since nothing listens at the target's address.
 	Unreachable bool
+	Refused     bool
 	Err         error
 }
 
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -26,6 +26,7 @@
 	EventPeerFound  = "peer_found"
 	EventPeerLost   = "peer_lost"
 	EventReplica    = "replica_fetched"
+	EventRefused    = "target_refused"
 	EventStart      = "started"
 	EventDrain      = "draining"
 	EventStop       = "stopped"
@@ -39,7 +40,7 @@
 func Events() []string {
 	return []string{
 		EventRequest, EventConfig, EventTarget, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
-		EventBadValue, EventPeerFound, EventPeerLost, EventReplica, EventStart, EventDrain, EventStop, EventReload, EventLate, EventInTime, EventSampled,
+		EventBadValue, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventStart, EventDrain, EventStop, EventReload, EventLate, EventInTime, EventSampled,
 	}
 }
 
--- a/internal/observe/state.go
+++ b/internal/observe/state.go
@@ -91,6 +91,12 @@
 	o.log.Warn(EventPeerLost, "peer", id, "address", address, "silent_ms", silent.Milliseconds())
 }
 
+// TargetRefused logs that a target is left out since it refused a connection of
+// another gateway.
+func (o *Observer) TargetRefused(target, from string) {
+	o.log.Info(EventRefused, "target", target, "peer", from)
+}
+
 // ReplicaFetched logs the fetching of the store's content from a peer.
 func (o *Observer) ReplicaFetched(id string, from, to int64, err error) {
 	o.metrics.replicas.WithLabelValues(outcome(err)).Inc()
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -145,6 +145,7 @@
 		s.options.Balancer.Observe(from.id, countsOf(beat), now)
 	}
 	s.takePlacements(beat, now)
+	s.takeRefused(beat, from, now)
 	switch {
 	case beat.GetQuestion() != 0:
 		s.answer(from, beat, now)
--- /dev/null
+++ b/internal/peer/refused_test.go
@@ -0,0 +1,41 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+// TestAllLearnOfARefusedTarget: what one gateway finds out reaches the others,
+// though it tells only a few of them.
+func TestAllLearnOfARefusedTarget(t *testing.T) {
+	nodes := newMany(t)
+	until(t, "all others leave the target out", func() bool {
+		nodes[0].service.Refused("t")
+		for _, known := range nodes[1:] {
+			if known.watcher.refused.Load() == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestOldNewsIsNotPassedOn: who knows already tells nobody, so that news dies out.
+func TestOldNewsIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	nodes := newMany(t)
+	service := nodes[0].service
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	now := time.Now()
+	from := service.look(now).live[0]
+	nodes[0].balancer.Suspect(holderOf(0).Target, now)
+	sent, _ := service.Traffic()
+	service.takeRefused(&wire.GatewayBeat{Refused: []uint32{holderOf(0).Target, 777}}, from, now)
+	after, _ := service.Traffic()
+	is.Equal(after, sent)
+}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -66,6 +66,9 @@
 	PeerFound(id, address string)
 	PeerLost(id, address string, silent time.Duration)
 	ReplicaFetched(id string, from, to int64, err error)
+	// TargetRefused: a target refused a connection of another gateway; the peer
+	// that passed it on need not be that one.
+	TargetRefused(target, from string)
 }
 
 // Options are what the service works with.
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -68,6 +69,15 @@
 func (quietWatcher) PeerFound(string, string)                   {}
 func (quietWatcher) PeerLost(string, string, time.Duration)     {}
 func (quietWatcher) ReplicaFetched(string, int64, int64, error) {}
+func (quietWatcher) TargetRefused(string, string)               {}
+
+// noting is a watcher that counts refused targets.
+type noting struct {
+	quietWatcher
+	refused atomic.Int32
+}
+
+func (n *noting) TargetRefused(string, string) { n.refused.Add(1) }
 
 // node is a gateway as far as its peers see it.
 type node struct {
@@ -75,6 +85,7 @@
 	replica  *fakeReplica
 	proof    *freshness.Proof
 	balancer *balance.Balancer
+	watcher  *noting
 }
 
 // newNode listens on a port of loopback and serves links from memory.
@@ -84,11 +95,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := &node{replica: &fakeReplica{reachable: true}, proof: new(freshness.Proof), balancer: balance.New(balance.DefaultOptions())}
+	n := &node{replica: &fakeReplica{reachable: true}, proof: new(freshness.Proof), balancer: balance.New(balance.DefaultOptions()), watcher: new(noting)}
 	n.balancer.Put(balance.Target{ID: "t", Service: "s", Address: "t"})
 	n.service = New(Options{
 		ID: id, Address: conn.LocalAddr().String(), Seeds: seeds, Budget: 100_000,
-		Replica: n.replica, Proof: n.proof, Balancer: n.balancer, Watcher: quietWatcher{}, Counted: func(int) {},
+		Replica: n.replica, Proof: n.proof, Balancer: n.balancer, Watcher: n.watcher, Counted: func(int) {},
 	}, conn, network.From(id))
 	network.Serve(n.service.options.Address, n.service.Handle)
 	if err := n.service.Start(t.Context()); err != nil {
