--- a/internal/balance/service.go
+++ b/internal/balance/service.go
@@ -1,6 +1,9 @@
 package balance
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // service is what the balancer knows of one service.
 type service struct {
@@ -12,6 +15,10 @@
 	// it was worked out.
 	typical float64
 	samples int
+	// read says that readings are known of enough targets to be used; settledAt
+	// is when that was last looked at.
+	read      bool
+	settledAt time.Time
 	// latencies are used again whenever it is.
 	latencies []float64
 }
