--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -102,8 +102,6 @@
 	paths map[string]*path
 	// manyPeers says that more than a few other gateways share the targets.
 	manyPeers bool
-	// useReadings says that there are so many that their counts come too late.
-	useReadings bool
 }
 
 // New returns a balancer without targets.
@@ -184,5 +182,4 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.manyPeers = count > fewPeers
-	b.useReadings = count >= readingsFrom
 }
--- a/internal/balance/directory.go
+++ b/internal/balance/directory.go
@@ -28,7 +28,6 @@
 	defer b.mu.Unlock()
 	b.expireReports(now)
 	known := b.serviceOf(query.Service)
-	known.settle(b.useReadings, now)
 	open := b.open(known.targets, query.Exclude, now)
 	if len(open) == 0 {
 		return 0, false
--- a/internal/balance/loads.go
+++ b/internal/balance/loads.go
@@ -86,22 +86,11 @@
 
 // InFlight are this process's own requests in flight, without zeros.
 func (b *Balancer) InFlight() []Count {
-	return b.counts(func(*state) bool { return true })
-}
-
-// Unread are those at targets of which readings do not tell the other gateways.
-func (b *Balancer) Unread() []Count {
-	return b.counts(func(target *state) bool { return !b.serviceOf(target.Service).read })
-}
-
-// counts are this process's own requests in flight at targets of which a
-// condition holds, in the order of their hashes.
-func (b *Balancer) counts(holds func(target *state) bool) []Count {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var counts []Count
 	for hash, target := range b.byHash {
-		if target.inFlight > 0 && holds(target) {
+		if target.inFlight > 0 {
 			counts = append(counts, Count{Target: hash, Count: target.inFlight})
 		}
 	}
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -68,7 +68,6 @@
 	defer b.mu.Unlock()
 	b.expireReports(now)
 	known := b.serviceOf(service)
-	known.settle(b.useReadings, now)
 	headroom := known.pacing.headroom()
 	if plainRoom(known.targets, headroom, most) >= most {
 		return most
@@ -121,7 +120,7 @@
 	if slots == 0 {
 		return unbounded
 	}
-	return max(int(headroom*float64(slots)-s.load()), 0)
+	return max(int(headroom*float64(slots))-s.load(), 0)
 }
 
 // withRoom are the targets that can take one more request; all if none can.
--- a/internal/balance/service.go
+++ b/internal/balance/service.go
@@ -1,9 +1,6 @@
 package balance
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // service is what the balancer knows of one service.
 type service struct {
@@ -15,10 +12,6 @@
 	// it was worked out.
 	typical float64
 	samples int
-	// read says that readings are known of enough targets to be used; settledAt
-	// is when that was last looked at.
-	read      bool
-	settledAt time.Time
 	// latencies are used again whenever it is.
 	latencies []float64
 }
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -49,8 +49,6 @@
 	// reportedSlots is how many requests the target reports in its answers to
 	// work on at once; zero if it does not.
 	reportedSlots int
-	// expected is what readings say.
-	expected expectation
 	// aside is false only while the target is registered, not leaving and not
 	// ejected. It may be true for longer.
 	aside bool
@@ -69,24 +67,8 @@
 }
 
 // load is the requests in flight at the target by all that is known.
-func (s *state) load() float64 {
-	if s.expected.used {
-		return max(s.expected.load+float64(s.expected.since), float64(s.inFlight))
-	}
-	return float64(s.inFlight + s.others)
-}
-
-// begin counts one more request of this process.
-func (s *state) begin(now time.Time) {
-	s.inFlight++
-	s.expected.since++
-	s.expected.begunAt = now
-}
-
-// end counts one request less.
-func (s *state) end() {
-	s.inFlight--
-	s.expected.since--
+func (s *state) load() int {
+	return s.inFlight + s.others
 }
 
 // goneFor is how long ago the list dropped the target; zero while it is listed.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -82,7 +82,6 @@
 	a.call.gateway.Balancer.Sample(a.pick.Target.ID, time.Since(a.started))
 	if answer.Load != nil {
 		a.call.gateway.Balancer.NoteSlots(a.pick.Target.ID, answer.Load.Slots)
-		a.call.gateway.Balancer.NoteReading(a.pick.Target.ID, answer.Load.Running+answer.Load.Waiting, time.Now())
 	}
 	if answer.Status < http.StatusBadRequest && len(a.call.parts) > 0 {
 		a.confirmed = true
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -56,7 +56,6 @@
 		beat.Targets = append(beat.Targets, shortHash(count.Target))
 		beat.Counts = append(beat.Counts, uint32(count.Count))
 	}
-	s.addReadings(beat, now)
 	s.addPlacements(beat, to, now)
 	if to.beats < introduceFirst || to.beats%introduceEvery == 0 {
 		beat.Id, beat.Address = s.options.ID, s.options.Address
@@ -93,38 +92,6 @@
 	return parts, targets
 }
 
-// readingUnit is the unit of a reading's age in a beat.
-const readingUnit = 10 * time.Millisecond
-
-// addReadings adds the loads that targets reported last.
-func (s *Service) addReadings(beat *wire.GatewayBeat, now time.Time) {
-	for _, reading := range s.lastReadings {
-		beat.ReadTargets = append(beat.ReadTargets, reading.Target)
-		beat.ReadLoads = append(beat.ReadLoads, uint32(max(reading.Load, 0)))
-		beat.ReadAges = append(beat.ReadAges, uint32(max(now.Sub(reading.At)/readingUnit, 0)))
-	}
-}
-
-// readingsOf reads the loads that targets reported; lists of different lengths
-// end with the shortest.
-func readingsOf(beat *wire.GatewayBeat, now time.Time) []balance.Reading {
-	targets, loads, ages := beat.GetReadTargets(), beat.GetReadLoads(), beat.GetReadAges()
-	count := min(len(targets), len(loads), len(ages))
-	readings := make([]balance.Reading, 0, count)
-	for i := range count {
-		age := time.Duration(min(ages[i], mostReadingAge)) * readingUnit
-		readings = append(readings, balance.Reading{Target: targets[i], Load: int(min(loads[i], mostReadingLoad)), At: now.Add(-age)})
-	}
-	return readings
-}
-
-const (
-	// mostReadingAge, in readingUnit, and mostReadingLoad bound what a beat may
-	// say: ten minutes, and far more requests than a target holds.
-	mostReadingAge  = 60_000
-	mostReadingLoad = 1 << 20
-)
-
 // someAddresses are a few addresses of live peers.
 func (s *Service) someAddresses(now time.Time, except string) []string {
 	var addresses []string
@@ -176,7 +143,6 @@
 	s.takeProof(beat)
 	if !beat.GetBrief() {
 		s.options.Balancer.Observe(from.id, countsOf(beat), now)
-		s.options.Balancer.LearnReadings(readingsOf(beat, now))
 	}
 	s.takePlacements(beat, now)
 	s.takeRefused(beat, from, now)
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -29,9 +29,6 @@
 	// mostPlacements and mostKnown bound what one beat carries.
 	mostPlacements = 32
 	mostKnown      = 6
-	// mostReadings bounds the targets' loads in one beat. In a trial with 103
-	// gateways, twice or four times as many to fewer peers spread no sooner.
-	mostReadings = 12
 	// introduceEvery is how many beats to a peer go by between two that say
 	// who sends them; introduceFirst is how many do at the beginning.
 	introduceEvery = 24
@@ -122,7 +119,6 @@
 	// lastTold is what the last round of beats told.
 	lastCounts   []balance.Count
 	lastFills    []balance.Placement
-	lastReadings []balance.Reading
 	lastRevision int64
 	lastRound    time.Time
 	// behindSince is when a peer was first seen ahead; zero while none is.
@@ -279,14 +275,13 @@
 	}
 	s.askParent(now)
 	s.directory.expire(now)
-	counts := s.options.Balancer.Unread()
+	counts := s.options.Balancer.InFlight()
 	revision := s.options.Replica.Revision()
 	urgent := s.urgent.Swap(false) && s.passOn(now)
 	changed := revision != s.lastRevision || !slices.Equal(counts, s.lastCounts)
 	if changed || urgent || now.Sub(s.lastRound) >= beatMost {
 		s.lastCounts, s.lastRevision, s.lastRound = counts, revision, now
 		s.lastFills = s.options.Balancer.Fills()
-		s.lastReadings = s.options.Balancer.Readings(mostReadings, now)
 		s.tell(now, urgent)
 	}
 	s.catchUp(now)
