The upper parts of prompts are asked for too

A gateway asked for the deepest part only, and guessed a source for the others until it had used them.

Change: a request that asks for its deepest part asks for the other parts of 400 tokens or more too, of which it knows no source.

--- a/internal/balance/directory.go
+++ b/internal/balance/directory.go
@@ -16,31 +16,56 @@
 	Unanswered Finding = "unanswered"
 )
 
-// Unplaced returns the part of a query's prompt whose holders are worth asking
+// Unplaced returns the parts of a query's prompt whose holders are worth asking
 // for: the deepest long one, where no target that is known to hold it can take
-// the request.
-func (b *Balancer) Unplaced(query Query, now time.Time) (part uint32, unplaced bool) {
+// the request, and with it the other long ones of which no source is known.
+func (b *Balancer) Unplaced(query Query, now time.Time) []uint32 {
 	deepest := len(query.Parts) - 1
 	if deepest < 0 || query.tokensOf(deepest) < leastNews {
-		return 0, false
+		return nil
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.placed(query, now) {
+		return nil
+	}
+	unplaced := []uint32{shortOf(query.Parts[deepest])}
+	for i, part := range query.Parts[:deepest] {
+		if query.tokensOf(i) >= leastNews && !b.hasSource(shortOf(part), now) {
+			unplaced = append(unplaced, shortOf(part))
+		}
+	}
+	return unplaced
+}
+
+// placed says whether a target that is known to hold the deepest part of a
+// prompt can take the request, or none is there to take it; b.mu is held.
+func (b *Balancer) placed(query Query, now time.Time) bool {
 	b.expireReports(now)
 	known := b.serviceOf(query.Service)
 	open := b.open(known.targets, query.Exclude, now)
 	if len(open) == 0 {
-		return 0, false
+		return true
 	}
 	bound := b.boundOf(query).at(meanLoad(open))
-	part = shortOf(query.Parts[deepest])
-	for _, holder := range b.holders.of(part) {
+	for _, holder := range b.holders.of(shortOf(query.Parts[len(query.Parts)-1])) {
 		target := b.byShort[holder.target]
 		if holder.sure && target != nil && b.mayTake(target, now) && fits(target, bound, known.typicalLatency()) {
-			return 0, false
+			return true
+		}
+	}
+	return false
+}
+
+// hasSource says whether a target is known that holds a part and serves; b.mu is
+// held.
+func (b *Balancer) hasSource(part uint32, now time.Time) bool {
+	for _, holder := range b.holders.of(part) {
+		if target := b.byShort[holder.target]; holder.sure && target != nil && target.serves(now) {
+			return true
 		}
 	}
-	return part, true
+	return false
 }
 
 // mayTake says whether a target is registered, not leaving and not ejected.
--- a/internal/balance/directory_test.go
+++ b/internal/balance/directory_test.go
@@ -66,15 +66,31 @@
 			is := is.New(t)
 			b := newBalancer(9)
 			query := tc.prepare(b)
-			part, unplaced := b.Unplaced(query, start)
-			is.Equal(unplaced, tc.unplaced)
-			if unplaced {
-				is.Equal(part, uint32(query.Parts[0]>>32))
+			var want []uint32
+			if tc.unplaced {
+				want = []uint32{uint32(query.Parts[0] >> 32)}
 			}
+			is.Equal(b.Unplaced(query, start), want)
 		})
 	}
 }
 
+// TestTheUpperPartsAreAskedForToo: on scale-2 of the large site a million tokens of
+// parts that many sessions share were read again, since each gateway named no
+// target that held them until it had used them itself.
+func TestTheUpperPartsAreAskedForToo(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(9)
+	query := balance.Query{Service: "s", Parts: []uint64{1 << 32, 2 << 32, 3 << 32, 4 << 32}, Tokens: []int{500, 100, 600, 5000}}
+	is.Equal(b.Unplaced(query, start), []uint32{4, 1, 3}) // the deepest first, no short one
+	b.Confirm("t1", balance.Query{Service: "s", Parts: query.Parts[:1], Tokens: query.Tokens[:1]})
+	is.Equal(b.Unplaced(query, start), []uint32{4, 3})
+	b.Suspect(short("t1"), start)
+	is.Equal(b.Unplaced(query, start), []uint32{4, 1, 3}) // its holder does not serve
+	b.Confirm("t2", query)
+	is.Equal(len(b.Unplaced(query, start)), 0)
+}
+
 // TestCachedTellsWhatServes: targets that left long ago hold nothing any more,
 // and a reading is told until it is over.
 func TestCachedTellsWhatServes(t *testing.T) {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -166,11 +166,11 @@
 		return
 	}
 	began := time.Now()
-	part, unplaced := c.gateway.Balancer.Unplaced(c.query(), began)
-	if !unplaced {
+	unplaced := c.gateway.Balancer.Unplaced(c.query(), began)
+	if len(unplaced) == 0 {
 		return
 	}
-	c.found = c.gateway.Directory.Find(ctx, part)
+	c.found = c.gateway.Directory.Find(ctx, unplaced)
 	c.asked = time.Since(began)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,9 +34,9 @@
 // Directory keeps track, over all gateways, of where parts of prompts are
 // cached, and of targets that have ended.
 type Directory interface {
-	// Find has the balancer learn where a part is cached; it returns when that
+	// Find has the balancer learn where parts are cached; it returns when that
 	// is known, or after a moment anyway.
-	Find(ctx context.Context, part uint32) balance.Finding
+	Find(ctx context.Context, parts []uint32) balance.Finding
 	// Filling takes the parts that targets have begun to read for requests of
 	// this process, and Placed those that they have read.
 	Filling(placements []balance.Placement)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -550,10 +550,10 @@
 	refused []string
 }
 
-func (f *fakeDirectory) Find(context.Context, uint32) balance.Finding { return balance.NotAsked }
-func (f *fakeDirectory) Filling([]balance.Placement)                  {}
-func (f *fakeDirectory) Placed([]balance.Placement)                   {}
-func (f *fakeDirectory) Refused(target string)                        { f.refused = append(f.refused, target) }
+func (f *fakeDirectory) Find(context.Context, []uint32) balance.Finding { return balance.NotAsked }
+func (f *fakeDirectory) Filling([]balance.Placement)                    {}
+func (f *fakeDirectory) Placed([]balance.Placement)                     {}
+func (f *fakeDirectory) Refused(target string)                          { f.refused = append(f.refused, target) }
 
 // TestARefusedConnectionCostsNoRetry: on a day of ours on the large site, a surge
 // with a third of the engines lost, 4,069 streams were answered 503 within 12 ms
--- a/internal/peer/directory.go
+++ b/internal/peer/directory.go
@@ -93,50 +93,72 @@
 	return best
 }
 
-// Find asks where a part is cached and has the balancer learn it. It returns
-// when the answer is here, or after a moment without one.
-func (s *Service) Find(ctx context.Context, part uint32) balance.Finding {
-	number, asked, answered := s.question(part)
-	if asked == nil {
+// Find asks where parts are cached and has the balancer learn it. It returns
+// when all answers are here, or after a moment without them.
+func (s *Service) Find(ctx context.Context, parts []uint32) balance.Finding {
+	asked := s.ask(parts)
+	if len(asked) == 0 {
 		return balance.NotAsked
 	}
 	timer := time.NewTimer(findTimeout)
 	defer timer.Stop()
-	select {
-	case <-answered:
-		return balance.Answered
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.directory.end(number) {
-		return balance.Answered
-	}
-	if ctx.Err() == nil {
-		asked.unanswered++
+	found := balance.Answered
+	for _, question := range asked {
+		select {
+		case <-question.answered:
+			continue
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		found = balance.Unanswered
+		break
 	}
-	return balance.Unanswered
+	s.endQuestions(asked, ctx.Err() == nil)
+	return found
+}
+
+// question is one that was asked of a peer.
+type question struct {
+	number   uint32
+	peer     *peer
+	answered chan struct{}
 }
 
-// question asks the keeper of a part; the peer is nil if there is nobody to ask.
-func (s *Service) question(part uint32) (number uint32, asked *peer, answered chan struct{}) {
+// ask asks the keepers of parts; of those that this gateway keeps track of
+// itself nobody is asked.
+func (s *Service) ask(parts []uint32) []question {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	seen := s.look(now)
 	if !seen.many {
-		return 0, nil, nil
+		return nil
 	}
-	asked = seen.keeper(part, s.hash)
-	if asked == nil {
-		return 0, nil, nil
+	var asked []question
+	for _, part := range parts {
+		keeper := seen.keeper(part, s.hash)
+		if keeper == nil {
+			continue
+		}
+		number, answered := s.directory.ask()
+		beat := s.brief(keeper, now)
+		beat.Question, beat.Part = number, part
+		s.send(keeper.address, beat, true)
+		asked = append(asked, question{number: number, peer: keeper, answered: answered})
+	}
+	return asked
+}
+
+// endQuestions ends those that were not answered. Unless nobody waits any more,
+// that counts against the peer that was asked.
+func (s *Service) endQuestions(asked []question, blame bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, question := range asked {
+		if s.directory.end(question.number) && blame {
+			question.peer.unanswered++
+		}
 	}
-	number, answered = s.directory.ask()
-	beat := s.brief(asked, now)
-	beat.Question, beat.Part = number, part
-	s.send(asked.address, beat, true)
-	return number, asked, answered
 }
 
 // answer answers a question with what is known here of a part.
--- a/internal/peer/directory_test.go
+++ b/internal/peer/directory_test.go
@@ -83,9 +83,9 @@
 		return holds(nodes[keeper], part)()
 	})
 	until(t, "the asker finds it", func() bool {
-		return nodes[asker].service.Find(t.Context(), part) == balance.Answered && holds(nodes[asker], part)()
+		return nodes[asker].service.Find(t.Context(), []uint32{part}) == balance.Answered && holds(nodes[asker], part)()
 	})
-	is.Equal(nodes[keeper].service.Find(t.Context(), part), balance.NotAsked) // it would ask itself
+	is.Equal(nodes[keeper].service.Find(t.Context(), []uint32{part}), balance.NotAsked) // it would ask itself
 }
 
 // TestWhoWaitsForAReadingIsTold: a gateway that asks for a part which is being
@@ -100,7 +100,7 @@
 	until(t, "the asker learns of the reading", func() bool {
 		pick, _ := nodes[placer].balancer.Choose(query, time.Now())
 		nodes[placer].service.Filling(pick.Fills)
-		nodes[asker].service.Find(t.Context(), part)
+		nodes[asker].service.Find(t.Context(), []uint32{part})
 		waits, filling := nodes[asker].balancer.Filling(query, time.Now())
 		if !filling {
 			nodes[placer].balancer.Withdraw("t", query.Parts)
@@ -122,9 +122,9 @@
 	keeper := keeperOf(t, nodes, part)
 	asker, _ := others(keeper)
 	is.NoErr(nodes[keeper].service.Close())
-	is.Equal(nodes[asker].service.Find(t.Context(), part), balance.Unanswered)
+	is.Equal(nodes[asker].service.Find(t.Context(), []uint32{part}), balance.Unanswered)
 	until(t, "another gateway answers, or this one keeps track itself", func() bool {
-		return nodes[asker].service.Find(t.Context(), part) != balance.Unanswered
+		return nodes[asker].service.Find(t.Context(), []uint32{part}) != balance.Unanswered
 	})
 }
 
@@ -135,7 +135,7 @@
 	one := newNode(t, "one", network)
 	two := newNode(t, "two", network, one.service.options.Address)
 	until(t, "they know each other", func() bool { return one.service.Live() == 1 && two.service.Live() == 1 })
-	is.Equal(two.service.Find(t.Context(), 1), balance.NotAsked)
+	is.Equal(two.service.Find(t.Context(), []uint32{1}), balance.NotAsked)
 }
 
 // TestKeepersSpread: each of many gateways keeps track of about its share of
