Totals of each service in beats; admission counts what others have admitted since

Change: beats among many carry totals and the 16 largest counts; what is in no count is taken to be spread evenly over the targets. Room is bounded by the totals as well.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -17,6 +17,7 @@
 	defer b.mu.Unlock()
 	b.expireReports(now)
 	known := b.serviceOf(query.Service)
+	b.refresh(known, now)
 	open := b.open(known.targets, query.Exclude, now)
 	if len(open) == 0 {
 		return Pick{}, false
@@ -36,8 +37,8 @@
 		fills = b.noteFills(query, chosen, now)
 		b.expect(query.Parts, chosen)
 	}
-	pick := Pick{Target: chosen.Target, FetchFrom: fetchFrom, Load: chosen.load(), Mean: mean, Candidates: candidates, Fills: fills}
-	chosen.inFlight++
+	pick := Pick{Target: chosen.Target, FetchFrom: fetchFrom, Load: int(math.Round(chosen.load())), Mean: mean, Candidates: candidates, Fills: fills}
+	chosen.count(1)
 	return pick, true
 }
 
@@ -94,11 +95,11 @@
 const leastLapsed = 2
 
 func meanLoad(targets []*state) float64 {
-	total := 0
+	total := 0.0
 	for _, target := range targets {
 		total += target.load()
 	}
-	return float64(total) / float64(len(targets))
+	return total / float64(len(targets))
 }
 
 // lightest is the target with the least expected wait: requests in flight,
@@ -108,7 +109,7 @@
 	start := rand.IntN(len(open))
 	for i := range open {
 		target := open[(start+i)%len(open)]
-		cost := float64(target.load()+1) * slowness(target, typical)
+		cost := (target.load() + 1) * slowness(target, typical)
 		if target.DataCenter != b.options.DataCenter {
 			cost += farCost
 		}
@@ -201,7 +202,7 @@
 
 // fits says whether a target's load is below a bound, less for a slow target.
 func fits(target *state, bound, typical float64) bool {
-	return float64(target.load()) <= lessForSlow(bound, target, typical)
+	return target.load() <= lessForSlow(bound, target, typical)
 }
 
 // boundOf is the bound on a target's load for a session.
--- a/internal/balance/directory.go
+++ b/internal/balance/directory.go
@@ -43,6 +43,7 @@
 func (b *Balancer) placed(query Query, now time.Time) bool {
 	b.expireReports(now)
 	known := b.serviceOf(query.Service)
+	b.refresh(known, now)
 	open := b.open(known.targets, query.Exclude, now)
 	if len(open) == 0 {
 		return true
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -133,7 +133,7 @@
 	if !ok {
 		return false
 	}
-	target.inFlight--
+	target.count(-1)
 	if result == Bad || result == Unreachable || result == Refused {
 		target.aside = true
 	}
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -30,11 +30,11 @@
 
 // add begins to know a target; b.mu is held.
 func (b *Balancer) add(target Target) *state {
-	added := newState(target)
+	known := b.serviceOf(target.Service)
+	added := newState(target, known)
 	b.targets[target.ID] = added
 	b.byHash[added.hash] = added
 	b.byShort[shortOf(added.hash)] = added
-	known := b.serviceOf(target.Service)
 	known.targets = append(known.targets, added)
 	known.samples++
 	return added
--- a/internal/balance/paths.go
+++ b/internal/balance/paths.go
@@ -69,7 +69,7 @@
 	most := max(haltMost, haltRatio*best)
 	good := b.scratch.good[:0]
 	for _, target := range targets {
-		if b.paths[target.DataCenter].share(now) < most && float64(target.load()) <= bound {
+		if b.paths[target.DataCenter].share(now) < most && target.load() <= bound {
 			good = append(good, target)
 		}
 	}
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// holdWeight is the share of a new request in the moving means of how long
@@ -69,6 +72,10 @@
 	b.expireReports(now)
 	known := b.serviceOf(service)
 	headroom := known.pacing.headroom()
+	if b.manyPeers {
+		b.refresh(known, now)
+		most = min(most, known.overall.roomLeft(headroom, most))
+	}
 	if plainRoom(known.targets, headroom, most) >= most {
 		return most
 	}
@@ -120,7 +127,7 @@
 	if slots == 0 {
 		return unbounded
 	}
-	return max(int(headroom*float64(slots))-s.load(), 0)
+	return max(int(math.Floor(headroom*float64(slots)-s.load())), 0)
 }
 
 // withRoom are the targets that can take one more request; all if none can.
--- a/internal/balance/service.go
+++ b/internal/balance/service.go
@@ -5,6 +5,8 @@
 // service is what the balancer knows of one service.
 type service struct {
 	targets []*state
+	// overall is what is known of all of its requests.
+	overall overall
 	// pacing is nil until a request of the service has ended.
 	pacing *pacing
 	// typical is the median of the targets' moving means of latency, in
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -49,6 +49,8 @@
 	// reportedSlots is how many requests the target reports in its answers to
 	// work on at once; zero if it does not.
 	reportedSlots int
+	// service is the target's.
+	service *service
 	// aside is false only while the target is registered, not leaving and not
 	// ejected. It may be true for longer.
 	aside bool
@@ -62,13 +64,19 @@
 	goneAt time.Time
 }
 
-func newState(target Target) *state {
-	return &state{Target: target, hash: policy.HashName(target.ID), aside: true}
+func newState(target Target, of *service) *state {
+	return &state{Target: target, service: of, hash: policy.HashName(target.ID), aside: true}
 }
 
 // load is the requests in flight at the target by all that is known.
-func (s *state) load() int {
-	return s.inFlight + s.others
+func (s *state) load() float64 {
+	return float64(s.inFlight+s.others) + s.service.overall.unreported
+}
+
+// count adds requests of this process, or takes them off.
+func (s *state) count(requests int) {
+	s.inFlight += requests
+	s.service.overall.own += requests
 }
 
 // goneFor is how long ago the list dropped the target; zero while it is listed.
--- /dev/null
+++ b/internal/balance/totals.go
@@ -0,0 +1,181 @@
+package balance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/policy"
+)
+
+// Among many gateways a surge fills targets faster than counts by target can
+// be reported: these grow with the load, so that each gateway reports less often
+// when it matters most, and all of them fill the same room. One total for each
+// service always fits. What the others have admitted since they reported is
+// estimated by how this gateway's own requests have grown meanwhile: callers are
+// spread over all gateways.
+
+const (
+	// totalLife is how long another gateway's total is believed: several times
+	// the time between two beats to a peer at a hundred gateways.
+	totalLife = 5 * time.Second
+	// refreshEvery is the time between two looks at what the totals say.
+	refreshEvery = 50 * time.Millisecond
+	// historyEvery and historyKept say of which moments this process's own totals
+	// are remembered: as long as others' are believed.
+	historyEvery = 100 * time.Millisecond
+	historyKept  = int(totalLife / historyEvery)
+	// growthBase is added to own totals before they are compared, in requests:
+	// few requests come and go without meaning anything.
+	growthBase = 2
+	// leastGrowth and mostGrowth bound the comparison.
+	leastGrowth = 0.5
+	mostGrowth  = 8.0
+)
+
+// Total is one gateway's requests in flight at all targets of a service, which
+// is named by the upper half of its name's hash.
+type Total struct {
+	Service uint32
+	Count   int
+}
+
+// moment is a total at some time.
+type moment struct {
+	count int
+	at    time.Time
+}
+
+// overall is what is known of all of a service's requests.
+type overall struct {
+	// own are this process's requests in flight.
+	own int
+	// history are earlier values of own, the oldest first.
+	history []moment
+	// totals are those of the other gateways, by id.
+	totals map[string]moment
+	// others is their estimated sum by now, and unreported is how much of what
+	// they reported is in no count of a target, for each target.
+	others     float64
+	unreported float64
+	// slots are those of the open targets; zero if they are not known.
+	slots     int
+	refreshed time.Time
+}
+
+// Totals are this process's own requests in flight by service, without zeros.
+func (b *Balancer) Totals() []Total {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var totals []Total
+	for name, known := range b.services {
+		if known.overall.own > 0 {
+			totals = append(totals, Total{Service: shortOf(policy.HashName(name)), Count: known.overall.own})
+		}
+	}
+	slices.SortFunc(totals, func(x, y Total) int { return cmp.Compare(x.Service, y.Service) })
+	return totals
+}
+
+// ObserveTotals notes another gateway's totals; services that are left out have
+// none.
+func (b *Balancer) ObserveTotals(gateway string, totals []Total, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, known := range b.services {
+		short := shortOf(policy.HashName(name))
+		at := slices.IndexFunc(totals, func(total Total) bool { return total.Service == short })
+		if at < 0 {
+			delete(known.overall.totals, gateway)
+			continue
+		}
+		if known.overall.totals == nil {
+			known.overall.totals = make(map[string]moment)
+		}
+		known.overall.totals[gateway] = moment{count: totals[at].Count, at: now}
+	}
+}
+
+// refresh works out what the totals say by now, unless that was done a moment
+// ago; b.mu is held.
+func (b *Balancer) refresh(known *service, now time.Time) {
+	o := &known.overall
+	if since := now.Sub(o.refreshed); since >= 0 && since < refreshEvery {
+		return
+	}
+	o.refreshed = now
+	o.remember(now)
+	o.others, o.unreported, o.slots = 0, 0, 0
+	if !b.manyPeers {
+		return
+	}
+	o.slots = slotsOf(b.open(known.targets, nil, now))
+	reported := 0
+	for gateway, total := range o.totals {
+		if now.Sub(total.at) > totalLife {
+			delete(o.totals, gateway)
+			continue
+		}
+		reported += total.count
+		o.others += float64(total.count) * o.growthSince(total.at)
+	}
+	counted, listed := 0, 0
+	for _, target := range known.targets {
+		if target.goneAt.IsZero() {
+			listed++
+		}
+		counted += target.others
+	}
+	if listed > 0 {
+		o.unreported = math.Max(0, float64(reported-counted)/float64(listed))
+	}
+}
+
+// remember notes this process's own total.
+func (o *overall) remember(now time.Time) {
+	if last := len(o.history) - 1; last >= 0 && now.Sub(o.history[last].at) < historyEvery {
+		return
+	}
+	if len(o.history) >= historyKept {
+		o.history = slices.Delete(o.history, 0, 1)
+	}
+	o.history = append(o.history, moment{count: o.own, at: now})
+}
+
+// growthSince is how many times as many requests this process has in flight as
+// at a moment.
+func (o *overall) growthSince(at time.Time) float64 {
+	then := o.own
+	for i := len(o.history) - 1; i >= 0; i-- {
+		then = o.history[i].count
+		if !o.history[i].at.After(at) {
+			break
+		}
+	}
+	growth := float64(o.own+growthBase) / float64(then+growthBase)
+	return min(max(growth, leastGrowth), mostGrowth)
+}
+
+// roomLeft is how many more requests the service's targets can take by the
+// totals, at a headroom; unbounded if the slots of one are unknown.
+func (o *overall) roomLeft(headroom float64, unbounded int) int {
+	if o.slots == 0 {
+		return unbounded
+	}
+	return max(int(headroom*float64(o.slots)-o.others)-o.own, 0)
+}
+
+// slotsOf is how many requests targets work on at once, all together; zero if
+// that of one is unknown.
+func slotsOf(targets []*state) int {
+	total := 0
+	for _, target := range targets {
+		slots := target.slots()
+		if slots == 0 {
+			return 0
+		}
+		total += slots
+	}
+	return total
+}
--- /dev/null
+++ b/internal/balance/totals_test.go
@@ -0,0 +1,217 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/policy"
+)
+
+// crowd is many gateways before the same targets, in steps of virtual time. Each
+// tells one other of its loads in turn, as often as its budget of bytes allows.
+type crowd struct {
+	gateways []*balance.Balancer
+	// holds are the requests under way at each gateway, by their target, with
+	// the time of their end.
+	holds [][]hold
+	now   time.Time
+	draws *rand.Rand
+	// arrivals is how many requests a step and gateway come, on average.
+	arrivals float64
+	admitted int
+	refused  int
+}
+
+type hold struct {
+	target string
+	until  time.Time
+}
+
+const (
+	crowdStep = 10 * time.Millisecond
+	// crowdStay is how long a request stays at its target.
+	crowdStay = 1200 * time.Millisecond
+	// crowdBeat is how long a gateway takes to tell one peer.
+	crowdBeat = 16 * time.Millisecond
+	// crowdCounts is how many counts one report holds.
+	crowdCounts = 16
+)
+
+func newCrowd(gateways, targets, slots int) *crowd {
+	c := &crowd{now: start, draws: rand.New(rand.NewPCG(1, 2)), holds: make([][]hold, gateways)}
+	for range gateways {
+		b := withSlots(targets, slots)
+		b.SetPeers(gateways - 1)
+		b.NoteHold("s", crowdStay, 600*time.Millisecond)
+		c.gateways = append(c.gateways, b)
+	}
+	return c
+}
+
+// step lets requests arrive, leave, and loads be told.
+func (c *crowd) step() {
+	c.now = c.now.Add(crowdStep)
+	for i, b := range c.gateways {
+		kept := c.holds[i][:0]
+		for _, held := range c.holds[i] {
+			if c.now.After(held.until) {
+				b.Release(held.target, balance.Good, c.now)
+				continue
+			}
+			kept = append(kept, held)
+		}
+		c.holds[i] = kept
+		for range c.drawn() {
+			c.arrive(i)
+		}
+		if len(c.gateways) > 1 {
+			c.tell(i)
+		}
+	}
+}
+
+// drawn is how many requests arrive at a gateway in this step.
+func (c *crowd) drawn() int {
+	count := int(c.arrivals)
+	if c.draws.Float64() < c.arrivals-float64(count) {
+		count++
+	}
+	return count
+}
+
+func (c *crowd) arrive(i int) {
+	b := c.gateways[i]
+	if b.Room("s", 1, c.now) == 0 {
+		c.refused++
+		return
+	}
+	pick, ok := b.Choose(balance.Query{Service: "s"}, c.now)
+	if !ok {
+		c.refused++
+		return
+	}
+	c.admitted++
+	c.holds[i] = append(c.holds[i], hold{pick.Target.ID, c.now.Add(crowdStay)})
+}
+
+// tell reports a gateway's loads to the peer whose turn it is.
+func (c *crowd) tell(i int) {
+	turn := int(c.now.Sub(start) / crowdBeat)
+	if int(c.now.Add(-crowdStep).Sub(start)/crowdBeat) == turn {
+		return
+	}
+	to := c.gateways[(i+1+turn%(len(c.gateways)-1))%len(c.gateways)]
+	from := c.gateways[i]
+	counts := from.InFlight()
+	if len(counts) > crowdCounts {
+		counts = counts[:crowdCounts]
+	}
+	name := fmt.Sprint(i)
+	to.Observe(name, counts, c.now)
+	to.ObserveTotals(name, from.Totals(), c.now)
+}
+
+// load is all requests under way, for each target.
+func (c *crowd) load(targets int) float64 {
+	total := 0
+	for _, held := range c.holds {
+		total += len(held)
+	}
+	return float64(total) / float64(targets)
+}
+
+// TestASurgeBeforeManyGateways: on a day of ours on the large site, six times the
+// load for 5 s with a third of the engines lost, targets of 64 slots held 152
+// requests on average, since gateways told each other the less often the more
+// there was to tell. Overshoot is bounded, and nothing is refused before the
+// surge nor soon after it.
+func TestASurgeBeforeManyGateways(t *testing.T) {
+	cases := map[string]struct {
+		gateways int
+		// most is the largest load allowed, in slots.
+		most float64
+	}{
+		"sixteen":             {16, 1.25},
+		"a hundred and three": {103, 1.35},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const slots = 32
+			targets := tc.gateways
+			c := newCrowd(tc.gateways, targets, slots)
+			run := func(arrivals float64, lasts time.Duration) (worst float64) {
+				c.arrivals = arrivals
+				for end := c.now.Add(lasts); c.now.Before(end); {
+					c.step()
+					worst = max(worst, c.load(targets))
+				}
+				return worst
+			}
+			// As many gateways as targets: arrivals a step and gateway for a load of 5.
+			usual := 5 * crowdStep.Seconds() / crowdStay.Seconds()
+			run(usual, 4*time.Second)
+			is.Equal(c.refused, 0)
+			worst := run(12*usual, 5*time.Second)
+			t.Logf("load %.1f of %d slots at the worst, %d admitted, %d refused", worst, slots, c.admitted, c.refused)
+			is.True(worst < tc.most*slots)       // overshoot is bounded
+			is.True(c.load(targets) > 0.7*slots) // and the room is used
+			run(usual, time.Second)
+			c.refused = 0
+			run(usual, 3*time.Second)
+			is.Equal(c.refused, 0) // a second after the surge all are admitted again
+		})
+	}
+}
+
+// TestTotalsBesideCounts: what is in no count is taken to be spread evenly.
+func TestTotalsBesideCounts(t *testing.T) {
+	service := short("s")
+	cases := map[string]struct {
+		counts []balance.Count
+		totals []balance.Total
+		many   bool
+		at     time.Duration
+		load   int
+	}{
+		"all is counted":           {[]balance.Count{{Target: policy.HashName("t0"), Count: 4}}, []balance.Total{{Service: service, Count: 4}}, true, 0, 4},
+		"some is not":              {[]balance.Count{{Target: policy.HashName("t0"), Count: 4}}, []balance.Total{{Service: service, Count: 12}}, true, 0, 6},
+		"another service's":        {[]balance.Count{{Target: policy.HashName("t0"), Count: 4}}, []balance.Total{{Service: service + 1, Count: 12}}, true, 0, 4},
+		"few gateways":             {[]balance.Count{{Target: policy.HashName("t0"), Count: 4}}, []balance.Total{{Service: service, Count: 12}}, false, 0, 4},
+		"the counts are too old":   {[]balance.Count{{Target: policy.HashName("t0"), Count: 4}}, []balance.Total{{Service: service, Count: 12}}, true, 3 * time.Second, 3},
+		"the totals are, too":      {[]balance.Count{{Target: policy.HashName("t0"), Count: 4}}, []balance.Total{{Service: service, Count: 12}}, true, 6 * time.Second, 0},
+		"fewer in all than counts": {[]balance.Count{{Target: policy.HashName("t0"), Count: 4}}, []balance.Total{{Service: service, Count: 1}}, true, 0, 4},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(4)
+			if tc.many {
+				b.SetPeers(20)
+			}
+			b.Observe("other", tc.counts, start)
+			b.ObserveTotals("other", tc.totals, start)
+			pick, _ := b.Choose(balance.Query{Service: "s", Exclude: []string{"t1", "t2", "t3"}}, start.Add(tc.at))
+			is.Equal(pick.Load, tc.load)
+		})
+	}
+}
+
+// TestOwnTotals: requests count until they are released, at targets that are no
+// longer registered too.
+func TestOwnTotals(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(2)
+	is.Equal(len(b.Totals()), 0)
+	one, _ := b.Choose(balance.Query{Service: "s"}, start)
+	b.Choose(balance.Query{Service: "s"}, start)
+	is.Equal(b.Totals(), []balance.Total{{Service: short("s"), Count: 2}})
+	b.Drop(one.Target.ID, start)
+	b.Release(one.Target.ID, balance.Good, start)
+	is.Equal(b.Totals(), []balance.Total{{Service: short("s"), Count: 1}})
+}
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -52,10 +54,7 @@
 		return beat
 	}
 	beat.Echo = to.sequence
-	for _, count := range s.lastCounts {
-		beat.Targets = append(beat.Targets, shortHash(count.Target))
-		beat.Counts = append(beat.Counts, uint32(count.Count))
-	}
+	s.addLoads(beat, now)
 	s.addPlacements(beat, to, now)
 	if to.beats < introduceFirst || to.beats%introduceEvery == 0 {
 		beat.Id, beat.Address = s.options.ID, s.options.Address
@@ -65,6 +64,49 @@
 	return beat
 }
 
+// addLoads adds what this process has in flight. Among many gateways that is the
+// totals and the largest counts, else all counts.
+func (s *Service) addLoads(beat *wire.GatewayBeat, now time.Time) {
+	counts := s.lastCounts
+	if s.look(now).many {
+		for _, total := range s.lastTotals {
+			beat.Services = append(beat.Services, total.Service)
+			beat.Totals = append(beat.Totals, uint32(total.Count))
+		}
+		counts = largest(counts, mostCounts)
+	}
+	for _, count := range counts {
+		beat.Targets = append(beat.Targets, shortHash(count.Target))
+		beat.Counts = append(beat.Counts, uint32(count.Count))
+	}
+}
+
+// largest are the largest counts, at most so many.
+func largest(counts []balance.Count, most int) []balance.Count {
+	if len(counts) <= most {
+		return counts
+	}
+	ordered := slices.Clone(counts)
+	slices.SortStableFunc(ordered, func(a, b balance.Count) int { return cmp.Compare(b.Count, a.Count) })
+	return ordered[:most]
+}
+
+// totalsOf reads the totals; a list that is longer than the other ends with the
+// shorter.
+func totalsOf(beat *wire.GatewayBeat) []balance.Total {
+	services := beat.GetServices()
+	totals := make([]balance.Total, 0, len(services))
+	for i, total := range beat.GetTotals() {
+		if i < len(services) {
+			totals = append(totals, balance.Total{Service: services[i], Count: int(min(total, mostTotal))})
+		}
+	}
+	return totals
+}
+
+// mostTotal bounds what a beat may say: far more requests than a gateway holds.
+const mostTotal = 1 << 20
+
 // shortHash names a target in a beat by the upper half of its hash.
 func shortHash(hash uint64) uint32 {
 	return uint32(hash >> 32)
@@ -143,6 +185,7 @@
 	s.takeProof(beat)
 	if !beat.GetBrief() {
 		s.options.Balancer.Observe(from.id, countsOf(beat), now)
+		s.options.Balancer.ObserveTotals(from.id, totalsOf(beat), now)
 	}
 	s.takePlacements(beat, now)
 	s.takeRefused(beat, from, now)
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -29,6 +29,9 @@
 	// mostPlacements and mostKnown bound what one beat carries.
 	mostPlacements = 32
 	mostKnown      = 6
+	// mostCounts bounds the counts by target in a beat among many gateways: in a
+	// surge there are more of them, and loads must be reported as often as ever.
+	mostCounts = 16
 	// introduceEvery is how many beats to a peer go by between two that say
 	// who sends them; introduceFirst is how many do at the beginning.
 	introduceEvery = 24
@@ -118,6 +121,7 @@
 	sentAt [sentKept]time.Time
 	// lastTold is what the last round of beats told.
 	lastCounts   []balance.Count
+	lastTotals   []balance.Total
 	lastFills    []balance.Placement
 	lastRevision int64
 	lastRound    time.Time
@@ -281,6 +285,7 @@
 	changed := revision != s.lastRevision || !slices.Equal(counts, s.lastCounts)
 	if changed || urgent || now.Sub(s.lastRound) >= beatMost {
 		s.lastCounts, s.lastRevision, s.lastRound = counts, revision, now
+		s.lastTotals = s.options.Balancer.Totals()
 		s.lastFills = s.options.Balancer.Fills()
 		s.tell(now, urgent)
 	}
