--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -43,6 +43,9 @@
 	QueuedMs int64  `json:"queued_ms,omitempty"`
 	WaitedMs int64  `json:"waited_ms,omitempty"`
 	Route    string `json:"route,omitempty"`
+	Prompt   string `json:"prompt,omitempty"`
+	// DataCenter is that of the process, in the line of its start.
+	DataCenter string `json:"data_center,omitempty"`
 	// Count is that of requests which were not logged.
 	Count  int   `json:"count,omitempty"`
 	Config int64 `json:"config,omitempty"`
--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -26,6 +26,19 @@
 	Losses []Loss `json:"losses"`
 	// Spans are the same for each span of time, in order.
 	Spans []Span `json:"spans"`
+	// DataCenters are the same by the gateways' data centres, in order of name;
+	// the name is empty for gateways whose start is not in the logs.
+	DataCenters []DataCenter `json:"data_centers"`
+	// Prompts say how the shared parts of prompts came to the targets that
+	// answered, the most tokens first.
+	Prompts []PromptUse `json:"prompts"`
+}
+
+// DataCenter is what was lost at the gateways of one data centre.
+type DataCenter struct {
+	Name     string `json:"name"`
+	Requests int    `json:"requests"`
+	Losses   []Loss `json:"losses"`
 }
 
 // Span is what was lost in one span of time.
@@ -88,7 +101,9 @@
 func Summarize(lines []Line, every time.Duration) *Summary {
 	whole := newTally()
 	spans := make(map[time.Time]*tally)
-	summary := new(Summary)
+	centers := make(map[string]*tally)
+	centerOf := dataCenters(lines)
+	summary := &Summary{Prompts: promptUses(lines)}
 	for _, line := range lines {
 		switch line.Event {
 		case observe.EventSampled:
@@ -96,6 +111,7 @@
 		case observe.EventRequest:
 			whole.add(line)
 			spanOf(spans, line, every).add(line)
+			tallyOf(centers, centerOf[line.Process]).add(line)
 		}
 	}
 	summary.Requests, summary.Losses = whole.requests, whole.sorted()
@@ -103,9 +119,32 @@
 		summary.Spans = append(summary.Spans, Span{From: from, Requests: counted.requests, Losses: counted.sorted()})
 	}
 	slices.SortFunc(summary.Spans, func(a, b Span) int { return a.From.Compare(b.From) })
+	for name, counted := range centers {
+		summary.DataCenters = append(summary.DataCenters, DataCenter{Name: name, Requests: counted.requests, Losses: counted.sorted()})
+	}
+	slices.SortFunc(summary.DataCenters, func(a, b DataCenter) int { return cmp.Compare(a.Name, b.Name) })
 	return summary
 }
 
+// dataCenters are those of the processes whose start is in the logs.
+func dataCenters(lines []Line) map[string]string {
+	centers := make(map[string]string)
+	for _, line := range lines {
+		if line.Event == observe.EventStart {
+			centers[line.Process] = line.DataCenter
+		}
+	}
+	return centers
+}
+
+// tallyOf is the tally of a key, new if need be.
+func tallyOf[K comparable](tallies map[K]*tally, key K) *tally {
+	if tallies[key] == nil {
+		tallies[key] = newTally()
+	}
+	return tallies[key]
+}
+
 // spanOf is the tally of the span in which a request arrived; lines whose time
 // can't be read share the zero one.
 func spanOf(spans map[time.Time]*tally, line Line, every time.Duration) *tally {
@@ -113,10 +152,7 @@
 	if ended, err := time.Parse(time.RFC3339Nano, line.Time); err == nil {
 		from = ended.Add(-time.Duration(line.TookMs) * time.Millisecond).Truncate(every)
 	}
-	if spans[from] == nil {
-		spans[from] = newTally()
-	}
-	return spans[from]
+	return tallyOf(spans, from)
 }
 
 // lossReason says why a request was not answered in time; empty if it was.
@@ -159,15 +195,25 @@
 	}
 	text.WriteString("\nfrom\trequests\tlost most\n")
 	for _, span := range s.Spans {
-		fmt.Fprintf(&text, "%s\t%d\t%s\n", span.From.Format("15:04:05.0"), span.Requests, span.most())
+		fmt.Fprintf(&text, "%s\t%d\t%s\n", span.From.Format("15:04:05.0"), span.Requests, most(span.Losses))
+	}
+	text.WriteString("\ndata centre\trequests\tlost most\n")
+	for _, center := range s.DataCenters {
+		fmt.Fprintf(&text, "%s\t%d\t%s\n", cmp.Or(center.Name, "unknown"), center.Requests, most(center.Losses))
+	}
+	if len(s.Prompts) > 0 {
+		text.WriteString("\nshared parts of prompts\tparts\ttokens\n")
+	}
+	for _, prompt := range s.Prompts {
+		fmt.Fprintf(&text, "%s\t%d\t%d\n", prompt.How, prompt.Parts, prompt.Tokens)
 	}
 	return text.String()
 }
 
-// most names the largest losses of the span.
-func (s *Span) most() string {
+// most names the largest losses.
+func most(losses []Loss) string {
 	var shown []string
-	for _, loss := range s.Losses[:min(mostShown, len(s.Losses))] {
+	for _, loss := range losses[:min(mostShown, len(losses))] {
 		shown = append(shown, fmt.Sprintf("%d %s (%s)", loss.Count, loss.Reason, loss.Route))
 	}
 	return strings.Join(shown, ", ")
--- a/internal/explain/summary_test.go
+++ b/internal/explain/summary_test.go
@@ -1,6 +1,7 @@
 package explain_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -63,3 +64,57 @@
 	is.True(strings.Contains(out.String(), "4 requests in the logs, 7 more not logged"))
 	is.True(strings.Contains(out.String(), "2 overloaded (chat)"))
 }
+
+// promptLine is the line of an answered prompt whose request came at a second
+// and was answered by a target after 0.2 s.
+func promptLine(second int, target, source, prompt string) string {
+	fetch := ""
+	if source != "" {
+		fetch = ",fetch:" + source
+	}
+	return requestLine(fmt.Sprintf("%02d.5", second), fmt.Sprintf(
+		`"ending":"answered","first_ms":200,"took_ms":500,"prompt":%q,"attempts":"%s@%s-address=answered(took_ms:500,load:1,mean:1.0,open:9%s,events:2)"`,
+		prompt, target, target, fetch))
+}
+
+// TestHowPromptsCameToTargets: each case is a second reading, or fetch, of a
+// part that target a read at second 10.
+func TestHowPromptsCameToTargets(t *testing.T) {
+	const prompt = "session:5000,own:10"
+	cases := map[string]struct {
+		lines string
+		want  string
+	}{
+		"at the same target":             {promptLine(20, "a", "", prompt), "held by the target"},
+		"fetched":                        {promptLine(20, "b", "a-address", prompt), "fetched from a target that held it"},
+		"fetched from one without it":    {promptLine(20, "b", "c-address", prompt) + promptLine(30, "a", "", "x:1,y:1"), "read again: the named source did not hold it"},
+		"no source":                      {promptLine(20, "b", "", prompt) + promptLine(30, "a", "", "x:1,y:1"), "read again: no source was named"},
+		"its holder answered never more": {promptLine(20, "b", "c-address", prompt), "read again: no target that held it answers any more"},
+		"while the first one read it":    {requestLine("10.6", `"ending":"answered","first_ms":300,"took_ms":500,"prompt":"session:5000,own:10","attempts":"b@b-address=answered(took_ms:500)"`), "read beside its first reading"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			lines, _, err := explain.Read(strings.NewReader(tc.lines + promptLine(10, "a", "", prompt)))
+			is.NoErr(err)
+			ways := make(map[string]int)
+			for _, use := range explain.Summarize(lines, time.Second).Prompts {
+				ways[use.How] += use.Tokens
+			}
+			is.Equal(ways["read for the first time"] >= 5000, true)
+			is.Equal(ways[tc.want], 5000)
+		})
+	}
+}
+
+func TestSummaryByDataCenters(t *testing.T) {
+	is := is.New(t)
+	text := `{"time":"2026-12-02T10:00:00Z","msg":"started","process":"g","data_center":"accra-1"}` + "\n" +
+		requestLine("01.5", `"ending":"overloaded"`) + strings.ReplaceAll(requestLine("02.5", `"ending":"answered"`), `"process":"g"`, `"process":"h"`)
+	lines, _, err := explain.Read(strings.NewReader(text))
+	is.NoErr(err)
+	is.Equal(explain.Summarize(lines, time.Second).DataCenters, []explain.DataCenter{
+		{Name: "", Requests: 1, Losses: []explain.Loss{}},
+		{Name: "accra-1", Requests: 1, Losses: []explain.Loss{{Route: "chat", Reason: "overloaded", Count: 1}}},
+	})
+}
--- a/pkg/cmd/explain/explain.go
+++ b/pkg/cmd/explain/explain.go
@@ -41,7 +41,9 @@
 of time, and name the likely cause of a request's end.
 
 With --summary, say instead which requests were not answered in time and why,
-summed by route and reason, as a whole and by spans of time.
+summed by route and reason, as a whole, by spans of time and by the gateways' data
+centres, and how the shared parts of prompts came to the targets: held, fetched,
+or read again since the source that a gateway named did not hold them.
 
 Without files the logs come from standard input. Whatever stands before the JSON
 of a line is passed over.`,
