Metric: how prompts were expected to come to targets

An operator of many gateways sees from capersaddle_gateway_prompts_total how often nothing was known of where a prompt is (guessed), and from the answered questions whether the directory helps.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -162,6 +162,9 @@
 	// FetchFrom is the address of a target that may hold the session's
 	// cached prefix, if the chosen one may lack it; empty for none.
 	FetchFrom string
+	// Source says how the target is expected to come to the prompt; empty where
+	// there is none.
+	Source Source
 	// Load and Mean are what decided: requests in flight at the target and
 	// the mean over the service's targets.
 	Load int
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -27,17 +27,17 @@
 	open = b.withRoom(open, known.pacing.headroom())
 	open = b.overGoodPaths(open, b.boundOf(query).at(mean), now)
 	var chosen *state
-	fetchFrom := ""
+	fetchFrom, source := "", Source("")
 	var fills []Placement
 	if len(query.Parts) == 0 {
 		chosen = b.lightest(open, known.typicalLatency())
 	} else {
 		chosen = b.home(query, open, mean, known.typicalLatency())
-		fetchFrom = b.fetchFrom(query.Parts, known.targets, chosen, now)
+		fetchFrom, source = b.fetchFrom(query.Parts, known.targets, chosen, now)
 		fills = b.noteFills(query, chosen, now)
 		b.expect(query.Parts, chosen)
 	}
-	pick := Pick{Target: chosen.Target, FetchFrom: fetchFrom, Load: int(math.Round(chosen.load())), Mean: mean, Candidates: candidates, Fills: fills}
+	pick := Pick{Target: chosen.Target, FetchFrom: fetchFrom, Source: source, Load: int(math.Round(chosen.load())), Mean: mean, Candidates: candidates, Fills: fills}
 	chosen.count(1)
 	return pick, true
 }
--- a/internal/balance/directory_test.go
+++ b/internal/balance/directory_test.go
@@ -159,3 +159,25 @@
 	pick, _ = b.Choose(balance.Query{Service: "s"}, start.Add(3*time.Second))
 	is.True(pick.Load <= 1) // own requests alone
 }
+
+func TestSources(t *testing.T) {
+	cases := map[string]struct {
+		targets int
+		prepare func(b *balance.Balancer, query balance.Query)
+		want    balance.Source
+	}{
+		"nothing known":         {9, func(*balance.Balancer, balance.Query) {}, balance.SourceGuessed},
+		"the only target":       {1, func(*balance.Balancer, balance.Query) {}, balance.SourceNone},
+		"held":                  {9, func(b *balance.Balancer, query balance.Query) { b.Confirm("t1", query) }, balance.SourceHeld},
+		"held by one that left": {9, func(b *balance.Balancer, query balance.Query) { b.Confirm("t1", query); b.Drop("t1", start) }, balance.SourceKnown},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(tc.targets)
+			tc.prepare(b, longSession(1))
+			pick, _ := b.Choose(longSession(1), start)
+			is.Equal(pick.Source, tc.want)
+		})
+	}
+}
--- a/internal/balance/placements.go
+++ b/internal/balance/placements.go
@@ -12,19 +12,44 @@
 	return cmp.Or(cmp.Compare(a.Part, b.Part), cmp.Compare(a.Target, b.Target))
 }
 
+// Source says how the chosen target is expected to come to a prompt's shared
+// parts.
+type Source string
+
+// The sources.
+const (
+	// SourceHeld: it is known to hold them.
+	SourceHeld Source = "held"
+	// SourceKnown: another target is known to hold the deepest part that it may
+	// lack.
+	SourceKnown Source = "known"
+	// SourceGuessed: nothing is known; the session's next home may hold them.
+	SourceGuessed Source = "guessed"
+	// SourceNone: there is no other target.
+	SourceNone Source = "none"
+)
+
 // fetchFrom is the address of another target from which the chosen one can
 // fetch the longest part of the prompt that it may lack; empty if it holds the
 // prompt already. Where nothing is known the next home is the best guess.
-func (b *Balancer) fetchFrom(parts []uint64, listed []*state, chosen *state, now time.Time) string {
+func (b *Balancer) fetchFrom(parts []uint64, listed []*state, chosen *state, now time.Time) (address string, source Source) {
 	for i := len(parts) - 1; i >= 0; i-- {
 		if b.holders.surely(shortOf(parts[i]), shortOf(chosen.hash)) {
-			return ""
+			return "", SourceHeld
 		}
 		if source := b.source(shortOf(parts[i]), chosen, now); source != nil {
-			return source.Address
+			return source.Address, SourceKnown
 		}
 	}
-	session := parts[len(parts)-1]
+	if next := nextHome(parts[len(parts)-1], listed, chosen, now); next != nil {
+		return next.Address, SourceGuessed
+	}
+	return "", SourceNone
+}
+
+// nextHome is the first target in a session's rendezvous order but for the
+// chosen one; nil if there is none.
+func nextHome(session uint64, listed []*state, chosen *state, now time.Time) *state {
 	var best *state
 	var bestScore uint64
 	for _, target := range listed {
@@ -35,10 +60,7 @@
 			best, bestScore = target, score
 		}
 	}
-	if best == nil {
-		return ""
-	}
-	return best.Address
+	return best
 }
 
 // lingerFor is how long after its entry was dropped a target is taken to serve
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -268,6 +268,7 @@
 		Mean:       a.pick.Mean,
 		Candidates: a.pick.Candidates,
 		FetchFrom:  a.pick.FetchFrom,
+		Source:     a.pick.Source,
 		Took:       now.Sub(a.started),
 		Events:     a.events,
 		Outcome:    outcomeNames[a.outcome],
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -70,6 +70,7 @@
 	Mean       float64
 	Candidates int
 	FetchFrom  string
+	Source     balance.Source
 	Took       time.Duration
 	Events     int
 	Outcome    string
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -23,6 +23,7 @@
 	endings       *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
 	findings      *prometheus.CounterVec
+	prompts       *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	replicas      *prometheus.CounterVec
 	badValues     prometheus.Counter
@@ -57,6 +58,10 @@
 			Namespace: namespace, Name: "holder_questions_total",
 			Help: "Questions to other gateways for where a prompt is cached, by outcome.",
 		}, []string{"outcome"}),
+		prompts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "prompts_total",
+			Help: "Prompts sent to targets, by how these were expected to come to the shared parts.",
+		}, []string{"source"}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "store_calls_total",
 			Help: "Calls to the platform's store by call and outcome.",
@@ -75,7 +80,7 @@
 		}),
 		known: make(map[string]bool),
 	}
-	registry.MustRegister(m.took, m.first, m.endings, m.attempts, m.findings, m.storeCalls, m.replicas, m.badValues, m.configVersion)
+	registry.MustRegister(m.took, m.first, m.endings, m.attempts, m.findings, m.prompts, m.storeCalls, m.replicas, m.badValues, m.configVersion)
 	return m
 }
 
@@ -90,6 +95,9 @@
 	}
 	for _, attempt := range record.Attempts {
 		m.attempts.WithLabelValues(record.Service, attempt.Outcome).Inc()
+		if attempt.Source != "" {
+			m.prompts.WithLabelValues(string(attempt.Source)).Inc()
+		}
 	}
 }
 
--- a/internal/process/reference_test.go
+++ b/internal/process/reference_test.go
@@ -111,7 +111,7 @@
 	observe.RegisterGauges(registry, observe.Gauges{ProofAge: zero, Peers: zero, Sent: zero, Received: zero, InFlight: zero, Waiting: zero, Lag: zero})
 	// A series shows only once it has been used.
 	observer := observe.New(log.New(io.Discard), metrics)
-	observer.Request(&gateway.RequestRecord{First: 1, Found: balance.Answered, Attempts: []gateway.AttemptRecord{{}}})
+	observer.Request(&gateway.RequestRecord{First: 1, Found: balance.Answered, Attempts: []gateway.AttemptRecord{{Source: balance.SourceHeld}}})
 	observer.StoreCalled("watch", nil)
 	observer.ReplicaFetched("p", 1, 2, nil)
 	families, err := registry.Gather()
