The directory has its share of the bytes, loads have the rest

Change: they have 35 in 100 of the budget; what does not fit is left out (a question less is a guess, a placement less is a question in vain). They travel in bare beats that say nothing of their sender, 24 bytes for 38. A placement of a part with more than four known holders is no news.

--- a/internal/balance/placements.go
+++ b/internal/balance/placements.go
@@ -104,8 +104,12 @@
 	}
 }
 
+// fewHolders is up to how many holders of a part, this one among them, another one
+// is news for the directory: of a part that most targets hold it is not.
+const fewHolders = 4
+
 // Confirm notes that a target has read the shared parts of a query's prompt. It
-// returns the placements of long parts that were not known here.
+// returns the placements of long parts with few holders that were not known here.
 func (b *Balancer) Confirm(id string, query Query) []Placement {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -116,7 +120,8 @@
 	var found []Placement
 	for i, part := range query.Parts {
 		placement, tokens := placementOf(part, target), query.tokensOf(i)
-		if b.holders.confirm(placement, b.worthTelling(part, tokens)) && tokens >= leastNews {
+		rare := len(b.holders.of(placement.Part)) <= fewHolders
+		if b.holders.confirm(placement, b.worthTelling(part, tokens)) && rare && tokens >= leastNews {
 			found = append(found, placement)
 		}
 		b.fills.end(placement, true)
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -182,7 +182,9 @@
 		s.wake()
 	}
 	s.table.hear(beat.GetKnown(), s.options.Address)
-	s.takeProof(beat)
+	if !beat.GetBare() {
+		s.takeProof(beat)
+	}
 	if !beat.GetBrief() {
 		s.options.Balancer.Observe(from.id, countsOf(beat), now)
 		s.options.Balancer.ObserveTotals(from.id, totalsOf(beat), now)
@@ -195,7 +197,7 @@
 	case beat.GetWantsProof():
 		s.send(from.address, s.brief(from, now), true)
 	}
-	if beat.GetRevision() > s.options.Replica.Revision() {
+	if !beat.GetBare() && beat.GetRevision() > s.options.Replica.Revision() {
 		s.catchUp(now)
 	}
 }
--- a/internal/peer/directory.go
+++ b/internal/peer/directory.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/policy"
 	"github.com/capersaddle/capersaddle/internal/wire"
@@ -25,6 +27,10 @@
 	// waiterLife is how long a gateway that asked for a part that is being read
 	// is kept in mind, to be told when it has been read: no request waits longer.
 	waiterLife = time.Second
+	// directoryShare of the budget of bytes is what the directory and news of
+	// refused targets may use; what does not fit is left out. In a surge they
+	// would leave nothing for loads, just when these count.
+	directoryShare = 0.35
 )
 
 // directory is one gateway's part in keeping track of placements.
@@ -141,9 +147,12 @@
 			continue
 		}
 		number, answered := s.directory.ask()
-		beat := s.brief(keeper, now)
+		beat := s.bare()
 		beat.Question, beat.Part = number, part
-		s.send(keeper.address, beat, true)
+		if !s.sendBare(keeper, beat) {
+			s.directory.end(number)
+			continue
+		}
 		asked = append(asked, question{number: number, peer: keeper, answered: answered})
 	}
 	return asked
@@ -168,11 +177,27 @@
 	if len(holders) == 0 && len(filling) > 0 {
 		s.directory.waiters[part] = append(s.directory.waiters[part], waiter{id: from.id, until: now.Add(waiterLife)})
 	}
-	beat := s.brief(from, now)
+	beat := s.bare()
 	beat.Answer = question.GetQuestion()
 	beat.Parts, beat.Holders = columns(holders)
 	beat.FillParts, beat.FillTargets = columns(filling)
-	s.send(from.address, beat, true)
+	s.sendBare(from, beat)
+}
+
+// bare begins a beat that says nothing of this process.
+func (s *Service) bare() *wire.GatewayBeat {
+	s.sequence++
+	s.sentAt[s.sequence%sentKept] = time.Now()
+	return &wire.GatewayBeat{Life: s.life, Sequence: s.sequence, Brief: true, Bare: true}
+}
+
+// sendBare sends a bare beat at once, unless the directory's share of the budget
+// is spent.
+func (s *Service) sendBare(to *peer, beat *wire.GatewayBeat) bool {
+	if !s.spare.AllowN(time.Now(), proto.Size(beat)) {
+		return false
+	}
+	return s.send(to.address, beat, true)
 }
 
 // Placed tells the gateways that keep track of them of parts that targets have
@@ -210,9 +235,9 @@
 			s.tellWaiters(placement, now)
 			continue
 		}
-		beat := s.brief(keeper, now)
+		beat := s.bare()
 		put(beat, placement)
-		s.send(keeper.address, beat, true)
+		s.sendBare(keeper, beat)
 	}
 }
 
@@ -241,8 +266,8 @@
 		if known == nil || now.After(waits.until) {
 			continue
 		}
-		beat := s.brief(known, now)
+		beat := s.bare()
 		beat.Parts, beat.Holders = columns([]balance.Placement{placement})
-		s.send(known.address, beat, true)
+		s.sendBare(known, beat)
 	}
 }
--- a/internal/peer/directory_test.go
+++ b/internal/peer/directory_test.go
@@ -6,10 +6,12 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/time/rate"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/policy"
+	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
 // many is enough gateways not to tell each other everything.
@@ -162,3 +164,46 @@
 	}
 	is.Equal(len(kept), gateways)
 }
+
+// TestTheDirectoryLeavesBytesForLoads: in a surge on the large site questions and
+// placements used up the budget: loads were not reported any more, gateways lost
+// each other and took targets that held 150 requests for nearly empty.
+func TestTheDirectoryLeavesBytesForLoads(t *testing.T) {
+	is := is.New(t)
+	nodes := newMany(t)
+	service := nodes[0].service
+	service.mu.Lock()
+	service.spare = rate.NewLimiter(0, 100) // room for a few
+	service.mu.Unlock()
+	parts := make([]uint32, 200)
+	for i := range parts {
+		parts[i] = uint32(i) << 20
+	}
+	asked := service.ask(parts)
+	is.True(len(asked) > 0)
+	is.True(len(asked) < 10)
+	service.endQuestions(asked, false)
+	service.mu.Lock()
+	is.Equal(len(service.directory.questions), 0) // those that were not sent wait for nothing
+	service.mu.Unlock()
+}
+
+// TestABareBeatSaysNothingOfItsSender: what was reported before stands.
+func TestABareBeatSaysNothingOfItsSender(t *testing.T) {
+	is := is.New(t)
+	known := newTable("self", nil, "", 7000)
+	full := beatOf("other", 1)
+	full.StoreReachable, full.Revision, full.HasProof, full.ProofAgeMs = true, 9, true, 70
+	known.take(full, start)
+	known.peers["other"].unanswered = 2
+	taken, change := known.take(&wire.GatewayBeat{Life: full.GetLife(), Sequence: 2, Brief: true, Bare: true}, start.Add(time.Second))
+	is.Equal(change, unchanged)
+	is.True(taken.reachesStore)
+	is.Equal(taken.revision, int64(9))
+	is.Equal(taken.proofAge, 70*time.Millisecond)
+	is.Equal(taken.heardAt, start.Add(time.Second)) // but it lives
+	is.Equal(taken.unanswered, 0)
+	is.Equal(taken.sequence, uint64(2))
+	_, change = known.take(&wire.GatewayBeat{Life: 777, Sequence: 1, Brief: true, Bare: true}, start)
+	is.Equal(change, outdated) // nobody knows who sent it
+}
--- a/internal/peer/refused.go
+++ b/internal/peer/refused.go
@@ -56,9 +56,9 @@
 		if to == from {
 			continue
 		}
-		beat := s.brief(to, now)
+		beat := s.bare()
 		beat.Refused = targets
-		s.send(to.address, beat, true)
+		s.sendBare(to, beat)
 		if told++; told == refusedFanOut {
 			return
 		}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -104,8 +104,10 @@
 	dialer  link.Dialer
 	life    uint64
 	// hash is that of this process's id.
-	hash    uint64
-	bucket  *rate.Limiter
+	hash   uint64
+	bucket *rate.Limiter
+	// spare bounds the directory's part of it.
+	spare   *rate.Limiter
 	leaving atomic.Bool
 	// urgent asks for a beat to all peers.
 	urgent atomic.Bool
@@ -148,6 +150,7 @@
 		life:    rand.Uint64(),
 		hash:    policy.HashName(options.ID),
 		bucket:  rate.NewLimiter(rate.Limit(options.Budget), max(options.Budget, receiveBuffer)),
+		spare:   rate.NewLimiter(rate.Limit(directoryShare*float64(options.Budget)), max(options.Budget, receiveBuffer)),
 		urged:   make(chan struct{}, 1),
 		table:   newTable(options.ID, options.Seeds, options.Address, options.Budget),
 
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -130,6 +130,9 @@
 	known.heardAt = now
 	known.unanswered = 0
 	known.sequence = beat.GetSequence()
+	if beat.GetBare() {
+		return known, result
+	}
 	known.revision = beat.GetRevision()
 	known.reachesStore = beat.GetStoreReachable()
 	known.leaving = beat.GetLeaving()
