Beats stay short in a surge

Cause: with 16 counts a beat of the surge is twice as long as usual, so a gateway reports to each other one every 3 s.

Change: where there are more than 16 counts, the four largest.

--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -73,7 +73,9 @@
 			beat.Services = append(beat.Services, total.Service)
 			beat.Totals = append(beat.Totals, uint32(total.Count))
 		}
-		counts = largest(counts, mostCounts)
+		if len(counts) > mostCounts {
+			counts = largest(counts, fewCounts)
+		}
 	}
 	for _, count := range counts {
 		beat.Targets = append(beat.Targets, shortHash(count.Target))
@@ -83,12 +85,9 @@
 
 // largest are the largest counts, at most so many.
 func largest(counts []balance.Count, most int) []balance.Count {
-	if len(counts) <= most {
-		return counts
-	}
 	ordered := slices.Clone(counts)
 	slices.SortStableFunc(ordered, func(a, b balance.Count) int { return cmp.Compare(b.Count, a.Count) })
-	return ordered[:most]
+	return ordered[:min(most, len(ordered))]
 }
 
 // totalsOf reads the totals; a list that is longer than the other ends with the
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -29,9 +29,11 @@
 	// mostPlacements and mostKnown bound what one beat carries.
 	mostPlacements = 32
 	mostKnown      = 6
-	// mostCounts bounds the counts by target in a beat among many gateways: in a
-	// surge there are more of them, and loads must be reported as often as ever.
+	// mostCounts is up to how many counts by target a beat among many gateways has
+	// all of them. In a surge there are more, and loads must be reported as often
+	// as ever: then it has only the largest, fewCounts.
 	mostCounts = 16
+	fewCounts  = 4
 	// introduceEvery is how many beats to a peer go by between two that say
 	// who sends them; introduceFirst is how many do at the beginning.
 	introduceEvery = 24
