--- a/internal/peer/directory.go
+++ b/internal/peer/directory.go
@@ -30,9 +30,7 @@
 	// directoryShare of the budget of bytes is what the directory and news of
 	// refused targets may use; what does not fit is left out. In a surge they
 	// would leave nothing for loads, just when these count.
-	directoryShare = 0.25
-	// directoryBurst is how many bytes of it may be used at once.
-	directoryBurst = 1500
+	directoryShare = 0.35
 )
 
 // directory is one gateway's part in keeping track of placements.
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -152,7 +152,7 @@
 		life:    rand.Uint64(),
 		hash:    policy.HashName(options.ID),
 		bucket:  rate.NewLimiter(rate.Limit(options.Budget), max(options.Budget, receiveBuffer)),
-		spare:   rate.NewLimiter(rate.Limit(directoryShare*float64(options.Budget)), directoryBurst),
+		spare:   rate.NewLimiter(rate.Limit(directoryShare*float64(options.Budget)), max(options.Budget, receiveBuffer)),
 		urged:   make(chan struct{}, 1),
 		table:   newTable(options.ID, options.Seeds, options.Address, options.Budget),
 
