Hundreds that begin together read a long list from the store one after the other

Ways weighed: a delay drawn at random (costs the 103 gateways of the large site, whose list is one page, a part of 0.14 s each); asking the seeds first (the same); going on with a reading only after a look for a copy (chosen: a list of one page is read as before).

Change: after the first page a process that is not among the first two of the order of those who ask the store, or has heard of nobody for 0.3 s yet, waits up to 1 s for another one's copy. Four whole copies are sent at a time, each of which can be passed on; those who hold nothing draw whom they ask.

--- a/internal/peer/replica.go
+++ b/internal/peer/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,7 +56,14 @@
 		return best
 	}
 	best = nil
-	for _, known := range s.look(now).live {
+	live := s.look(now).live
+	first := 0
+	if own == 0 && len(live) > 0 {
+		// Many that begin together must not all ask the same one.
+		first = rand.IntN(len(live))
+	}
+	for i := range live {
+		known := live[(first+i)%len(live)]
 		if known.revision > own && (best == nil || better(known, best, now)) {
 			best = known
 		}
@@ -101,12 +109,24 @@
 	return s.options.Replica.Absorb(page)
 }
 
+// mostWholePages is how many whole copies are sent at the same time: more of
+// them share a small host's link for so long that none arrives in time, while
+// each that has arrived can be passed on.
+const mostWholePages = 4
+
 // Handle answers a peer's call over a link.
 func (s *Service) Handle(_ context.Context, open *wire.Open, stream link.Stream) {
 	pull := open.GetReplica()
 	if pull == nil {
 		return
 	}
+	if pull.GetSince() == 0 {
+		if s.wholePages.Add(1) > mostWholePages {
+			s.wholePages.Add(-1)
+			return // the caller asks another one, or the store
+		}
+		defer s.wholePages.Add(-1)
+	}
 	page := s.options.Replica.Page(pull)
 	_ = stream.Send(&wire.Reply{Kind: &wire.Reply_Replica{Replica: page}})
 }
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -137,6 +137,9 @@
 	// directory is this gateway's part in keeping track of placements.
 	directory *directory
 
+	// wholePages counts the whole copies that are being sent.
+	wholePages atomic.Int32
+
 	sentBytes     atomic.Int64
 	receivedBytes atomic.Int64
 	cancel        context.CancelFunc
@@ -229,6 +232,14 @@
 	return s.options.Replica.Reachable() && s.look(time.Now()).rank == 0
 }
 
+// Leads says whether this process is among the first in the order of those that
+// ask the store, by the gateways that it knows.
+func (s *Service) Leads() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.look(time.Now()).asks()
+}
+
 // Live counts the other gateways that were heard lately.
 func (s *Service) Live() int {
 	s.mu.Lock()
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -92,7 +92,7 @@
 		Events:   p.observer,
 		Options:  gateway.Options{KeyFreshness: keyFreshness(s), DenyFreshness: denyFreshness, Accompanied: p.accompanied, OthersKnow: p.othersKnow, Late: p.lag.Late},
 	}
-	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, store: p.observer.NewStoreDependency(), urge: p.urge}, p.storeRole)
+	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, store: p.observer.NewStoreDependency(), urge: p.urge}, p.storeRole, p.yields)
 	p.front = &platform.Front{Gateway: p.gateway}
 	observe.RegisterGauges(registry, p.gauges())
 	steps := []func() error{
--- a/internal/process/gateway_begin_test.go
+++ b/internal/process/gateway_begin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -51,3 +52,38 @@
 		})
 	}
 }
+
+// TestWhoYieldsAtItsBeginning: a process that has just begun and hears of nobody
+// may be one of hundreds, unless its settings name no other gateway.
+func TestWhoYieldsAtItsBeginning(t *testing.T) {
+	cases := map[string]struct {
+		peers  string
+		seeds  []string
+		age    time.Duration
+		yields bool
+	}{
+		"no address for peers":          {"", []string{"10.0.0.9:1"}, 0, false},
+		"no seeds":                      {"127.0.0.1:0", nil, 0, false},
+		"only itself is a seed":         {"127.0.0.1:0", []string{"self"}, 0, false},
+		"others may be there":           {"127.0.0.1:0", []string{"self", "10.0.0.9:1"}, 0, true},
+		"nobody was heard for a moment": {"127.0.0.1:0", []string{"10.0.0.9:1"}, discoverPatience, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &settings.Gateway{ID: "g", DataCenter: "z", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: tc.peers, Store: "127.0.0.1:1"}
+			made, err := NewGateway(s, NewLogger(t.Output(), settings.Log{Format: "json"}))
+			is.NoErr(err)
+			t.Cleanup(func() { _ = made.kernel.Close() })
+			for _, seed := range tc.seeds {
+				if seed == "self" {
+					seed = made.addresses.Link
+				}
+				s.Seeds = append(s.Seeds, seed)
+			}
+			// Moments right at a bound would hang on the machine's speed.
+			made.started = time.Now().Add(-2 * tc.age)
+			is.Equal(made.yields(), tc.yields)
+		})
+	}
+}
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -117,6 +118,28 @@
 	return time.Since(p.peerKnewAt) < peerPatience
 }
 
+// discoverPatience is how long a process that hears of no other gateway yet takes
+// it that there are some: gateways that begin together hear of each other by
+// the settings' seeds within 0.1 to 0.2 s.
+const discoverPatience = 300 * time.Millisecond
+
+// yields says whether other gateways are there, or may be, that come before this
+// one in the order of those who ask the store.
+func (p *GatewayProcess) yields() bool {
+	if p.peers == nil {
+		return false
+	}
+	if p.peers.Live() == 0 {
+		return p.othersSeeded() && time.Since(p.started) < discoverPatience
+	}
+	return !p.peers.Leads()
+}
+
+// othersSeeded says whether the settings name another gateway.
+func (p *GatewayProcess) othersSeeded() bool {
+	return slices.ContainsFunc(p.settings.Seeds, func(seed string) bool { return seed != p.addresses.Link })
+}
+
 // storeRole is this process's part in asking the store.
 func (p *GatewayProcess) storeRole() platform.Role {
 	switch {
