--- a/pkg/cmd/gateway/gateway.go
+++ b/pkg/cmd/gateway/gateway.go
@@ -5,7 +5,6 @@
 	"context"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -62,17 +61,7 @@
 	return cmd
 }
 
-// collectorPercent is how much the heap of a gateway grows before the collector
-// runs, unless GOGC says so: half the runtime's default. Small hosts have a
-// seventh of a core, of which a gateway uses a seventh, and 184 MB; at a hundred
-// gateways 15 in 100 less memory was used, and no more processor time
-// (docs/DECISIONS.md).
-const collectorPercent = 50
-
 func gatewayRun(opts *GatewayOptions) error {
-	if _, set := os.LookupEnv("GOGC"); !set {
-		debug.SetGCPercent(collectorPercent)
-	}
 	loaded, err := settings.LoadGateway(opts.File)
 	if err != nil {
 		return err
