--- a/internal/balance/directory_test.go
+++ b/internal/balance/directory_test.go
@@ -117,9 +117,9 @@
 	is.Equal(names, want)
 }
 
-// TestCachedTellsWhatServes: targets that left long ago hold nothing any more,
-// and a reading is told until it is over.
-func TestCachedTellsWhatServes(t *testing.T) {
+// TestCachedReturnsWhatServes: targets that were deregistered long ago hold nothing
+// any more, and a reading is named until it is over.
+func TestCachedReturnsWhatServes(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer(3)
 	query := longSession(1)
--- a/internal/balance/refused_test.go
+++ b/internal/balance/refused_test.go
@@ -33,7 +33,7 @@
 		is.True(news)
 		is.Equal(id, "t2")
 		_, news = b.Suspect(short("t2"), now)
-		is.True(!news) // it is left out already, so nobody need be told
+		is.True(!news) // it is left out already, so no other gateway needs the news
 		is.Equal(openAt(b, now.Add(out-time.Millisecond)), 3)
 		is.Equal(openAt(b, now.Add(out)), 4)
 		now = now.Add(out)
--- a/internal/balance/totals_test.go
+++ b/internal/balance/totals_test.go
@@ -13,7 +13,7 @@
 )
 
 // crowd is many gateways before the same targets, in steps of virtual time. Each
-// tells one other of its loads in turn, as often as its budget of bytes allows.
+// reports its loads to one other in turn, as often as its budget of bytes allows.
 type crowd struct {
 	gateways []*balance.Balancer
 	// holds are the requests under way at each gateway, by their target, with
@@ -36,7 +36,7 @@
 	crowdStep = 10 * time.Millisecond
 	// crowdStay is how long a request stays at its target.
 	crowdStay = 1200 * time.Millisecond
-	// crowdBeat is how long a gateway takes to tell one peer.
+	// crowdBeat is the time between two reports of a gateway, each to one peer.
 	crowdBeat = 16 * time.Millisecond
 	// crowdCounts is how many counts one report holds.
 	crowdCounts = 16
@@ -53,7 +53,7 @@
 	return c
 }
 
-// step lets requests arrive, leave, and loads be told.
+// step lets requests arrive and leave, and gateways report their loads.
 func (c *crowd) step() {
 	c.now = c.now.Add(crowdStep)
 	for i, b := range c.gateways {
@@ -70,7 +70,7 @@
 			c.arrive(i)
 		}
 		if len(c.gateways) > 1 {
-			c.tell(i)
+			c.report(i)
 		}
 	}
 }
@@ -99,8 +99,8 @@
 	c.holds[i] = append(c.holds[i], hold{pick.Target.ID, c.now.Add(crowdStay)})
 }
 
-// tell reports a gateway's loads to the peer whose turn it is.
-func (c *crowd) tell(i int) {
+// report sends a gateway's loads to the peer whose turn it is.
+func (c *crowd) report(i int) {
 	turn := int(c.now.Sub(start) / crowdBeat)
 	if int(c.now.Add(-crowdStep).Sub(start)/crowdBeat) == turn {
 		return
@@ -127,8 +127,8 @@
 
 // TestASurgeBeforeManyGateways: on a day of ours on the large site, six times the
 // load for 5 s with a third of the engines lost, targets of 64 slots held 152
-// requests on average, since gateways told each other the less often the more
-// there was to tell. Overshoot is bounded, and nothing is refused before the
+// requests on average, since gateways reported the less often the more
+// there was to report. Overshoot is bounded, and nothing is refused before the
 // surge nor soon after it.
 func TestASurgeBeforeManyGateways(t *testing.T) {
 	cases := map[string]struct {
--- a/internal/peer/directory.go
+++ b/internal/peer/directory.go
@@ -11,11 +11,11 @@
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
-// Among many gateways, none can be told of all that the others have placed:
-// what each tells grows with their number. For each part of prompts one gateway
+// Among many gateways, none can learn of all that the others have placed: what
+// each would have to report grows with their number. For each part of prompts one gateway
 // keeps track of where it is cached, the first in the part's rendezvous order.
-// Whoever places a long part tells that one; whoever does not know where a part
-// is asks it, and waits for the answer for a moment. Nothing rests on it: an
+// Whoever places a long part reports it there; whoever does not know where a part
+// is asks there, and waits for the answer for a moment. Nothing rests on it: an
 // answer that does not come costs a guess. Where gateways disagree on who is
 // there, as while some begin or end, a part may be asked for in vain.
 
@@ -25,7 +25,7 @@
 	// reading a long part takes.
 	findTimeout = 20 * time.Millisecond
 	// waiterLife is how long a gateway that asked for a part that is being read
-	// is kept in mind, to be told when it has been read: no request waits longer.
+	// is remembered, to be notified when it has been read: no request waits longer.
 	waiterLife = time.Second
 	// directoryShare of the budget of bytes is what the directory and news of
 	// refused targets may use; what does not fit is left out. In a surge they
@@ -38,7 +38,7 @@
 	// questions are those under way, by number; an answer closes the channel.
 	questions map[uint32]chan struct{}
 	last      uint32
-	// waiters are the gateways to be told when a part has been read.
+	// waiters are the gateways to be notified when a part has been read.
 	waiters map[uint32][]waiter
 }
 
@@ -194,31 +194,31 @@
 // sendBare sends a bare beat at once, unless the directory's share of the budget
 // is spent.
 func (s *Service) sendBare(to *peer, beat *wire.GatewayBeat) bool {
-	if !s.spare.AllowN(time.Now(), proto.Size(beat)) {
+	if !s.directoryBucket.AllowN(time.Now(), proto.Size(beat)) {
 		return false
 	}
 	return s.send(to.address, beat, true)
 }
 
-// Placed tells the gateways that keep track of them of parts that targets have
-// read.
+// Placed reports parts that targets have read to the gateways that keep track of
+// them.
 func (s *Service) Placed(placements []balance.Placement) {
-	s.tellKeepers(placements, func(beat *wire.GatewayBeat, placement balance.Placement) {
+	s.reportToKeepers(placements, func(beat *wire.GatewayBeat, placement balance.Placement) {
 		beat.Parts, beat.Holders = columns([]balance.Placement{placement})
 	})
 }
 
-// Filling tells the gateways that keep track of them of parts that targets have
-// begun to read.
+// Filling reports parts that targets have begun to read to the gateways that keep
+// track of them.
 func (s *Service) Filling(placements []balance.Placement) {
-	s.tellKeepers(placements, func(beat *wire.GatewayBeat, placement balance.Placement) {
+	s.reportToKeepers(placements, func(beat *wire.GatewayBeat, placement balance.Placement) {
 		beat.FillParts, beat.FillTargets = columns([]balance.Placement{placement})
 	})
 }
 
-// tellKeepers sends each placement to the gateway that keeps track of its part.
+// reportToKeepers sends each placement to the gateway that keeps track of its part.
 // Few gateways tell each other everything in their beats.
-func (s *Service) tellKeepers(placements []balance.Placement, put func(beat *wire.GatewayBeat, placement balance.Placement)) {
+func (s *Service) reportToKeepers(placements []balance.Placement, put func(beat *wire.GatewayBeat, placement balance.Placement)) {
 	if len(placements) == 0 {
 		return
 	}
@@ -232,7 +232,7 @@
 	for _, placement := range placements {
 		keeper := seen.keeper(placement.Part, s.hash)
 		if keeper == nil {
-			s.tellWaiters(placement, now)
+			s.notifyWaiters(placement, now)
 			continue
 		}
 		beat := s.bare()
@@ -241,21 +241,21 @@
 	}
 }
 
-// takePlacements takes what a beat tells of placements.
+// takePlacements takes the placements of a beat.
 func (s *Service) takePlacements(beat *wire.GatewayBeat, now time.Time) {
 	placements := placementsOf(beat.GetParts(), beat.GetHolders())
 	s.options.Balancer.Learn(placements)
 	s.options.Balancer.LearnFills(placementsOf(beat.GetFillParts(), beat.GetFillTargets()), now)
 	for _, placement := range placements {
-		s.tellWaiters(placement, now)
+		s.notifyWaiters(placement, now)
 	}
 	if number := beat.GetAnswer(); number != 0 {
 		s.directory.end(number)
 	}
 }
 
-// tellWaiters tells the gateways that wait for a part that a target holds it.
-func (s *Service) tellWaiters(placement balance.Placement, now time.Time) {
+// notifyWaiters notifies the gateways that wait for a part that a target holds it.
+func (s *Service) notifyWaiters(placement balance.Placement, now time.Time) {
 	waiting := s.directory.waiters[placement.Part]
 	if len(waiting) == 0 || !s.options.Balancer.Holds(placement) {
 		return
--- a/internal/peer/directory_test.go
+++ b/internal/peer/directory_test.go
@@ -90,9 +90,9 @@
 	is.Equal(nodes[keeper].service.Find(t.Context(), []uint32{part}), balance.NotAsked) // it would ask itself
 }
 
-// TestWhoWaitsForAReadingIsTold: a gateway that asks for a part which is being
-// read is told as soon as it has been.
-func TestWhoWaitsForAReadingIsTold(t *testing.T) {
+// TestWhoWaitsForAReadingIsNotified: a gateway that asks for a part which is being
+// read is notified as soon as it has been.
+func TestWhoWaitsForAReadingIsNotified(t *testing.T) {
 	nodes := newMany(t)
 	const part = 43
 	keeper := keeperOf(t, nodes, part)
@@ -111,7 +111,7 @@
 		return filling
 	})
 	nodes[placer].service.Placed(nodes[placer].balancer.Confirm("t", query))
-	until(t, "the asker is told", holds(nodes[asker], part))
+	until(t, "the asker is notified", holds(nodes[asker], part))
 	<-done
 }
 
@@ -173,7 +173,7 @@
 	nodes := newMany(t)
 	service := nodes[0].service
 	service.mu.Lock()
-	service.spare = rate.NewLimiter(0, 100) // room for a few
+	service.directoryBucket = rate.NewLimiter(0, 100) // room for a few
 	service.mu.Unlock()
 	parts := make([]uint32, 200)
 	for i := range parts {
--- a/internal/peer/refused.go
+++ b/internal/peer/refused.go
@@ -10,17 +10,17 @@
 
 // A target that has crashed stays registered until its entry lapses, for
 // seconds. A connection that is refused proves that nothing listens there: the
-// gateway that finds it tells a few others at once, and each of these a few
+// gateway that finds it notifies a few others at once, and each of these a few
 // more, so that not every gateway finds out with a request of its own. Time-outs
 // and resets prove no such thing and are not passed on: a gateway that is cut off
 // itself, or a full target, would have the others avoid sound ones.
 
-// refusedFanOut is how many peers a gateway tells of a target that is new to it
+// refusedFanOut is how many peers a gateway notifies of a target that is new to it
 // among those. By the usual reckoning for epidemics 98 in 100 learn of it, after
 // as many steps as the number of gateways has digits in that base.
 const refusedFanOut = 4
 
-// Refused tells the other gateways that nothing listens at a target's address.
+// Refused notifies the other gateways that nothing listens at a target's address.
 func (s *Service) Refused(target string) {
 	now := time.Now()
 	s.mu.Lock()
@@ -43,13 +43,13 @@
 	s.spreadRefused(news, from, now)
 }
 
-// spreadRefused tells a few live peers, drawn at random, of targets; not the one
+// spreadRefused notifies a few live peers, drawn at random, of targets; not the one
 // they come from.
 func (s *Service) spreadRefused(targets []uint32, from *peer, now time.Time) {
 	if len(targets) == 0 {
 		return
 	}
-	told := 0
+	notified := 0
 	live := s.look(now).live
 	for _, place := range rand.Perm(len(live)) {
 		to := live[place]
@@ -59,7 +59,7 @@
 		beat := s.bare()
 		beat.Refused = targets
 		s.sendBare(to, beat)
-		if told++; told == refusedFanOut {
+		if notified++; notified == refusedFanOut {
 			return
 		}
 	}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -39,7 +39,7 @@
 	introduceEvery = 24
 	introduceFirst = 4
 	// fewPeers is how many peers are told everything at once; with more of
-	// them a beat carries no placements, so that loads are told more often.
+	// them a beat carries no placements, so that loads are reported more often.
 	fewPeers = 8
 	// receiveBuffer is the largest datagram that is read, in bytes.
 	receiveBuffer = 4096
@@ -108,9 +108,9 @@
 	// hash is that of this process's id.
 	hash   uint64
 	bucket *rate.Limiter
-	// spare bounds the directory's part of it.
-	spare   *rate.Limiter
-	leaving atomic.Bool
+	// directoryBucket bounds the directory's part of it.
+	directoryBucket *rate.Limiter
+	leaving         atomic.Bool
 	// urgent asks for a beat to all peers.
 	urgent atomic.Bool
 	urged  chan struct{}
@@ -149,15 +149,15 @@
 // New returns a service that owns the socket; Start begins its work.
 func New(options Options, conn *net.UDPConn, dialer link.Dialer) *Service {
 	return &Service{
-		options: options,
-		conn:    conn,
-		dialer:  dialer,
-		life:    rand.Uint64(),
-		hash:    policy.HashName(options.ID),
-		bucket:  rate.NewLimiter(rate.Limit(options.Budget), max(options.Budget, receiveBuffer)),
-		spare:   rate.NewLimiter(rate.Limit(directoryShare*float64(options.Budget)), max(options.Budget, receiveBuffer)),
-		urged:   make(chan struct{}, 1),
-		table:   newTable(options.ID, options.Seeds, options.Address, options.Budget),
+		options:         options,
+		conn:            conn,
+		dialer:          dialer,
+		life:            rand.Uint64(),
+		hash:            policy.HashName(options.ID),
+		bucket:          rate.NewLimiter(rate.Limit(options.Budget), max(options.Budget, receiveBuffer)),
+		directoryBucket: rate.NewLimiter(rate.Limit(directoryShare*float64(options.Budget)), max(options.Budget, receiveBuffer)),
+		urged:           make(chan struct{}, 1),
+		table:           newTable(options.ID, options.Seeds, options.Address, options.Budget),
 
 		directory: newDirectory(),
 	}
