Unanswered questions for parts cost no place in the tree; totals live as long as they take

Totals lived 5 s; at 370 gateways one is reported every 6 s.

Change: such questions are counted by themselves; totals are believed for three reports' time where that is longer.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -102,6 +102,8 @@
 	paths map[string]*path
 	// manyPeers says that more than a few other gateways share the targets.
 	manyPeers bool
+	// totalLife is how long another gateway's total is believed.
+	totalLife time.Duration
 }
 
 // New returns a balancer without targets.
@@ -115,6 +117,8 @@
 		reports:  make(map[string]*report),
 		fills:    make(fills),
 		paths:    make(map[string]*path),
+
+		totalLife: totalLife,
 	}
 	b.holders = newHolders(b.registered)
 	return b
@@ -192,4 +196,5 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.manyPeers = count > fewPeers
+	b.totalLife = max(totalLife, totalsMissed*time.Duration(count)*reportEvery)
 }
--- a/internal/balance/totals.go
+++ b/internal/balance/totals.go
@@ -17,9 +17,12 @@
 // spread over all gateways.
 
 const (
-	// totalLife is how long another gateway's total is believed: several times
-	// the time between two beats to a peer at a hundred gateways.
-	totalLife = 5 * time.Second
+	// totalLife is how long another gateway's total is believed, at least; where
+	// there are more of them, as long as it takes to miss a few: a gateway reports
+	// to one peer every reportEvery, and totalsMissed times all of them.
+	totalLife    = 5 * time.Second
+	reportEvery  = 16 * time.Millisecond
+	totalsMissed = 3
 	// refreshEvery is the time between two looks at what the totals say.
 	refreshEvery = 50 * time.Millisecond
 	// historyEvery and historyKept say of which moments this process's own totals
@@ -113,7 +116,7 @@
 	o.slots = slotsOf(b.open(known.targets, nil, now))
 	reported := 0
 	for gateway, total := range o.totals {
-		if now.Sub(total.at) > totalLife {
+		if now.Sub(total.at) > b.totalLife {
 			delete(o.totals, gateway)
 			continue
 		}
--- a/internal/balance/totals_test.go
+++ b/internal/balance/totals_test.go
@@ -215,3 +215,27 @@
 	b.Release(one.Target.ID, balance.Good, start)
 	is.Equal(b.Totals(), []balance.Total{{Service: short("s"), Count: 1}})
 }
+
+// TestTotalsOfHundreds: where a gateway reports to each of its peers every six
+// seconds, totals are believed for longer.
+func TestTotalsOfHundreds(t *testing.T) {
+	cases := map[string]struct {
+		peers int
+		age   time.Duration
+		load  int
+	}{
+		"a hundred, as old as allowed": {102, 5 * time.Second, 3},
+		"a hundred, too old":           {102, 5100 * time.Millisecond, 0},
+		"hundreds, older":              {370, 17 * time.Second, 3},
+		"hundreds, too old":            {370, 18 * time.Second, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBalancer(4)
+			b.SetPeers(tc.peers)
+			b.ObserveTotals("other", []balance.Total{{Service: short("s"), Count: 12}}, start)
+			pick, _ := b.Choose(balance.Query{Service: "s"}, start.Add(tc.age))
+			is.New(t).Equal(pick.Load, tc.load)
+		})
+	}
+}
--- a/internal/peer/directory.go
+++ b/internal/peer/directory.go
@@ -89,7 +89,7 @@
 	var best *peer
 	bestScore := policy.Score(key, self)
 	for _, known := range v.live {
-		if known.leaving || known.unanswered >= mostUnanswered {
+		if known.leaving || known.unfound >= mostUnanswered {
 			continue
 		}
 		if score := policy.Score(key, known.hash); score > bestScore {
@@ -165,7 +165,7 @@
 	defer s.mu.Unlock()
 	for _, question := range asked {
 		if s.directory.end(question.number) && blame {
-			question.peer.unanswered++
+			question.peer.unfound++
 		}
 	}
 }
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -60,6 +60,10 @@
 	hash uint64
 	// unanswered counts the questions to it since it was last heard.
 	unanswered int
+	// unfound counts the questions for parts that it left unanswered since its
+	// last beat. Where bytes are short it answers fewer of them, and may still be
+	// the parent, or ask the store.
+	unfound int
 }
 
 // table is what a gateway knows of the others. One goroutine at a time uses
@@ -128,7 +132,7 @@
 	}
 	known.address = beat.GetAddress()
 	known.heardAt = now
-	known.unanswered = 0
+	known.unanswered, known.unfound = 0, 0
 	known.sequence = beat.GetSequence()
 	if beat.GetBare() {
 		return known, result
