Test: eleven gateways find each other's prompts, over the real sockets

What one gateway has placed, another one finds through the directory: its request goes to the same engine, or names it as the source.

--- a/internal/process/gateway_test.go
+++ b/internal/process/gateway_test.go
@@ -147,6 +147,11 @@
 
 // call sends a request with an id of its own to one gateway.
 func (f *fleet) call(gateway int, method, path, id, key string) answer {
+	return f.callWithPrompt(gateway, method, path, id, key, "aa:100,bb:200,"+id+":10")
+}
+
+// callWithPrompt is the same with a prompt of its own.
+func (f *fleet) callWithPrompt(gateway int, method, path, id, key, prompt string) answer {
 	request, err := http.NewRequest(method, "http://"+f.gateways[gateway].Addresses().Callers+path, strings.NewReader("body"))
 	if err != nil {
 		return answer{err: err}
@@ -155,7 +160,7 @@
 	request.Header.Set("X-Attempt-Id", id)
 	request.Header.Set("X-Api-Key", key)
 	request.Header.Set("X-Deadline-Ms", "5000")
-	request.Header.Set("X-Prompt-Prefix", "aa:100,bb:200,"+id+":10")
+	request.Header.Set("X-Prompt-Prefix", prompt)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	response, err := client.Do(request)
 	if err != nil {
@@ -353,3 +358,49 @@
 		is.True(strings.Contains(string(body), name)) // has the series
 	}
 }
+
+// TestManyGatewaysFindAPrompt: what one of many gateways has placed, another one
+// finds by the directory: its request goes to the same engine.
+func TestManyGatewaysFindAPrompt(t *testing.T) {
+	is := is.New(t)
+	const gateways = 11 // more than are told everything in beats
+	f := newFleet(t, gateways)
+	eventually(t, "all gateways have discovered each other", func() bool {
+		return strings.Count(f.log.String(), `"msg":"peer_found"`) >= gateways*(gateways-1)
+	})
+	for i := range 20 {
+		prompt := fmt.Sprintf("session%d:5000,own:10", i)
+		first := f.callWithPrompt(i%gateways, http.MethodPost, "/chat/1", fmt.Sprintf("first%d", i), "key-1", prompt)
+		is.Equal(first.status, 200)
+		eventually(t, "the answer has reached its end in the log", func() bool {
+			return strings.Contains(f.log.String(), fmt.Sprintf(`"id":"first%d"`, i))
+		})
+		again := f.callWithPrompt((i+5)%gateways, http.MethodPost, "/chat/1", fmt.Sprintf("again%d", i), "key-1", prompt)
+		is.Equal(again.status, 200)
+		firstRun, againRun := f.run(fmt.Sprintf("first%d", i)), f.run(fmt.Sprintf("again%d", i))
+		// At the same engine, or where that is busy by what is reported, with its
+		// memory as the source.
+		is.True(firstRun.address != "")
+		same := firstRun.address == againRun.address
+		is.True(same || againRun.header.Get("Kv-Fetch") == firstRun.address)
+	}
+	is.True(strings.Contains(f.log.String(), `"found":"answered"`))
+}
+
+// engineRun is a request that an engine ran.
+type engineRun struct {
+	address string
+	header  http.Header
+}
+
+// run finds the request that some engine ran.
+func (f *fleet) run(id string) engineRun {
+	for _, engine := range f.engines {
+		for _, run := range engine.Runs() {
+			if run.ID == id && run.Ran {
+				return engineRun{address: engine.Address(), header: run.Header}
+			}
+		}
+	}
+	return engineRun{}
+}
