--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -76,7 +76,7 @@
 	return OptionsFor(Bound{Multiple: 2, Extra: 3})
 }
 
-// fewPeers is how many other gateways can tell each other their loads almost
+// fewPeers is how many other gateways can report their loads to each other almost
 // at once.
 const fewPeers = 8
 
@@ -152,7 +152,7 @@
 }
 
 // tokensOf is the length of a part; of unknown lengths the least is taken that
-// others are told of.
+// others learn of.
 func (q Query) tokensOf(part int) int {
 	if part < len(q.Tokens) {
 		return q.Tokens[part]
@@ -190,8 +190,8 @@
 	}
 }
 
-// SetPeers tells how many other gateways share their loads with this one:
-// with more of them words are older, and the bound keeps more room.
+// SetPeers sets how many other gateways share their loads with this one: with
+// more of them reports are older, and the bound keeps more room.
 func (b *Balancer) SetPeers(count int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/balance/fills.go
+++ b/internal/balance/fills.go
@@ -6,7 +6,7 @@
 	// longFill is from how many tokens the reading of a part is worth waiting
 	// for: a second reading beside it takes as long again, for both.
 	longFill = 1500
-	// fillLife is how long another gateway's word of a fill is believed.
+	// fillLife is how long another gateway's report of a fill is believed.
 	fillLife = 800 * time.Millisecond
 	// mostFill bounds how long a fill of this process is waited for, in case
 	// nobody ends it.
@@ -102,7 +102,7 @@
 	return placements
 }
 
-// LearnFills takes another gateway's word of what targets are reading.
+// LearnFills takes another gateway's report of what targets are reading.
 func (b *Balancer) LearnFills(placements []Placement, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/balance/holders.go
+++ b/internal/balance/holders.go
@@ -13,7 +13,7 @@
 	// mostHolders bounds how many targets are remembered for one part. Those that
 	// serve no more are forgotten first.
 	mostHolders = 8
-	// mostNews bounds the placements that wait to be told to other gateways.
+	// mostNews bounds the placements that wait to be reported to other gateways.
 	mostNews = 2048
 	// leastNews is from how many tokens a part is worth telling of: shorter ones
 	// are read as fast as they are fetched, and there are many.
@@ -94,11 +94,11 @@
 
 // confirm notes a placement that this process has seen to be true, and keeps it
 // as news if it is worth telling others; it returns false if it was known.
-func (h *holders) confirm(placement Placement, worthTelling bool) bool {
+func (h *holders) confirm(placement Placement, worthReporting bool) bool {
 	if !h.note(placement, true) {
 		return false
 	}
-	if !worthTelling {
+	if !worthReporting {
 		return true
 	}
 	h.news = append(h.news, placement)
--- a/internal/balance/loads.go
+++ b/internal/balance/loads.go
@@ -79,7 +79,7 @@
 }
 
 // shortOf is the upper half of a target's hash: gateways name targets by it
-// in what they tell each other of their loads.
+// when they report their loads to each other.
 func shortOf(hash uint64) uint32 {
 	return uint32(hash >> 32)
 }
--- a/internal/balance/placements.go
+++ b/internal/balance/placements.go
@@ -121,7 +121,7 @@
 	for i, part := range query.Parts {
 		placement, tokens := placementOf(part, target), query.tokensOf(i)
 		rare := len(b.holders.of(placement.Part)) <= fewHolders
-		if b.holders.confirm(placement, b.worthTelling(part, tokens)) && rare && tokens >= leastNews {
+		if b.holders.confirm(placement, b.worthReporting(part, tokens)) && rare && tokens >= leastNews {
 			found = append(found, placement)
 		}
 		b.fills.end(placement, true)
@@ -129,10 +129,10 @@
 	return found
 }
 
-// worthTelling says whether others are to be told that a target holds a part;
-// b.mu is held. Few peers are told all; among many there is room only for long
+// worthReporting says whether it is to be reported that a target holds a part;
+// b.mu is held. Few peers get all; among many there is room only for long
 // parts that are not known at several targets yet.
-func (b *Balancer) worthTelling(part uint64, tokens int) bool {
+func (b *Balancer) worthReporting(part uint64, tokens int) bool {
 	return !b.manyPeers || tokens >= leastNews && len(b.holders.of(shortOf(part))) < mostHolders
 }
 
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -118,8 +118,8 @@
 	if seen := s.look(now); seen.many && !seen.peerAsks(to) {
 		return
 	}
-	placements, next := s.options.Balancer.Placements(to.told, mostPlacements)
-	to.told = next
+	placements, next := s.options.Balancer.Placements(to.reported, mostPlacements)
+	to.reported = next
 	beat.Parts, beat.Holders = columns(placements)
 	beat.FillParts, beat.FillTargets = columns(s.lastFills)
 }
@@ -167,7 +167,7 @@
 	return true
 }
 
-// take takes over what a beat tells.
+// take takes over what a beat reports.
 func (s *Service) take(beat *wire.GatewayBeat, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -180,7 +180,7 @@
 		s.options.Watcher.PeerFound(from.id, from.address)
 		s.wake()
 	}
-	s.table.hear(beat.GetKnown(), s.options.Address)
+	s.table.discover(beat.GetKnown(), s.options.Address)
 	if !beat.GetBare() {
 		s.takeProof(beat)
 	}
--- a/internal/peer/directory_test.go
+++ b/internal/peer/directory_test.go
@@ -201,7 +201,7 @@
 	is.True(taken.reachesStore)
 	is.Equal(taken.revision, int64(9))
 	is.Equal(taken.proofAge, 70*time.Millisecond)
-	is.Equal(taken.heardAt, start.Add(time.Second)) // but it lives
+	is.Equal(taken.lastBeat, start.Add(time.Second)) // but it lives
 	is.Equal(taken.unanswered, 0)
 	is.Equal(taken.unfound, 0)
 	is.Equal(taken.sequence, uint64(2))
--- a/internal/peer/replica.go
+++ b/internal/peer/replica.go
@@ -12,7 +12,7 @@
 )
 
 // catchUp fetches the replica of a peer that is ahead. A process that asks the
-// store itself gives the store's own word a moment first.
+// store itself waits a moment for the store's own answer.
 func (s *Service) catchUp(now time.Time) {
 	ahead := s.ahead(now)
 	if ahead == nil {
@@ -22,7 +22,7 @@
 	if s.behindSince.IsZero() {
 		s.behindSince = now
 	}
-	if s.pulling || s.mayHearSoon(now) {
+	if s.pulling || s.answerIsNear(now) {
 		return
 	}
 	s.pulling = true
@@ -30,11 +30,11 @@
 	s.wait.Go(func() { s.pull(id, address) })
 }
 
-// mayHearSoon says whether the store's own word is likely to be here in a
+// answerIsNear says whether the store's own answer is likely to be here in a
 // moment. A process that holds nothing yet does not wait for it: a peer's
 // packed copy is a tenth of what the store sends, and on a small host's link
 // that is the time until it can serve.
-func (s *Service) mayHearSoon(now time.Time) bool {
+func (s *Service) answerIsNear(now time.Time) bool {
 	if s.options.Replica.Revision() == 0 {
 		return false
 	}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	// tick is the time between two looks at what there is to tell.
+	// tick is the time between two looks at what there is to report.
 	tick = 80 * time.Millisecond
 	// beatMost is the longest time between two beats to a peer.
 	beatMost = 320 * time.Millisecond
@@ -38,7 +38,7 @@
 	// who sends them; introduceFirst is how many do at the beginning.
 	introduceEvery = 24
 	introduceFirst = 4
-	// fewPeers is how many peers are told everything at once; with more of
+	// fewPeers is how many peers get everything in beats; with more of
 	// them a beat carries no placements, so that loads are reported more often.
 	fewPeers = 8
 	// receiveBuffer is the largest datagram that is read, in bytes.
@@ -48,7 +48,7 @@
 	// pullTimeout bounds the fetching of a replica.
 	pullTimeout = time.Second
 	// pullPatience is how long a gateway that asks the store itself waits for
-	// the store's word before it asks a peer that is ahead.
+	// the store's answer before it asks a peer that is ahead.
 	pullPatience = 150 * time.Millisecond
 )
 
@@ -66,7 +66,7 @@
 	Reachable() bool
 }
 
-// Watcher is told of peers found and lost, and of replicas fetched.
+// Watcher is notified of peers found and lost, replicas fetched and refused targets.
 type Watcher interface {
 	PeerFound(id, address string)
 	PeerLost(id, address string, silent time.Duration)
@@ -95,7 +95,7 @@
 	Stale time.Duration
 	// Lag is how late this process's timers fire; nil is not at all.
 	Lag func() time.Duration
-	// Counted is told, with every round of beats, how many peers are heard.
+	// Counted is called with the number of live peers in every round of beats.
 	Counted func(peers int)
 }
 
@@ -123,7 +123,7 @@
 	sequence uint64
 	// sentAt is when a beat was sent, by its sequence.
 	sentAt [sentKept]time.Time
-	// lastTold is what the last round of beats told.
+	// lastCounts and the others are what the last round of beats reported.
 	lastCounts   []balance.Count
 	lastTotals   []balance.Total
 	lastFills    []balance.Placement
@@ -180,14 +180,14 @@
 	return errors.Wrap(err, "close the peers' socket")
 }
 
-// Leave tells the peers that this process is about to end.
+// Leave notifies the peers that this process is about to end.
 func (s *Service) Leave() {
 	s.leaving.Store(true)
 	s.wake()
 }
 
-// Urge has a change of the store that must be in force soon told at once to
-// those who hear of the store's changes from this process.
+// Urge has a change of the store that must be in force soon sent at once to the
+// peers that get the store's changes from this process.
 func (s *Service) Urge() {
 	s.urgent.Store(true)
 	s.wake()
@@ -240,7 +240,7 @@
 	return s.look(time.Now()).asks()
 }
 
-// Live counts the other gateways that were heard lately.
+// Live counts the other gateways that sent a beat lately.
 func (s *Service) Live() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -288,7 +288,7 @@
 	defer s.mu.Unlock()
 	for _, lost := range s.table.expire(now) {
 		s.seen = nil
-		s.options.Watcher.PeerLost(lost.id, lost.address, now.Sub(lost.heardAt))
+		s.options.Watcher.PeerLost(lost.id, lost.address, now.Sub(lost.lastBeat))
 	}
 	for _, address := range s.table.silent(now) {
 		s.send(address, s.beat(nil, now), false)
@@ -303,7 +303,7 @@
 		s.lastCounts, s.lastRevision, s.lastRound = counts, revision, now
 		s.lastTotals = s.options.Balancer.Totals()
 		s.lastFills = s.options.Balancer.Fills()
-		s.tell(now, urgent)
+		s.broadcast(now, urgent)
 	}
 	s.catchUp(now)
 }
@@ -324,8 +324,8 @@
 	s.send(parent.address, question, true)
 }
 
-// passOn tells the children of what is urgent, if there are many peers. It
-// returns true if all are to be told instead, by one of those who ask the
+// passOn notifies the children of what is urgent, if there are many peers. It
+// returns true if all are to be notified instead, by one of those who ask the
 // store: the others would only repeat it to each other, and have no room left
 // for their loads.
 func (s *Service) passOn(now time.Time) bool {
@@ -339,20 +339,20 @@
 	return false
 }
 
-// tell sends a beat to each live peer, as far as the budget goes; who has
-// waited longest comes first. What is urgent is told to all, and the budget is
+// broadcast sends a beat to each live peer, as far as the budget goes; who has
+// waited longest comes first. What is urgent goes to all, and the budget is
 // made up for later.
-func (s *Service) tell(now time.Time, urgent bool) {
+func (s *Service) broadcast(now time.Time, urgent bool) {
 	live := slices.Clone(s.look(now).live)
 	s.options.Counted(len(live))
-	slices.SortStableFunc(live, func(a, b *peer) int { return a.toldAt.Compare(b.toldAt) })
+	slices.SortStableFunc(live, func(a, b *peer) int { return a.reportedAt.Compare(b.reportedAt) })
 	for _, to := range live {
-		told := to.told
+		reported := to.reported
 		if !s.send(to.address, s.beat(to, now), urgent) {
-			to.told = told // the placements wait for the next beat
+			to.reported = reported // the placements wait for the next beat
 			return
 		}
-		to.toldAt = now
+		to.reportedAt = now
 	}
 }
 
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -209,8 +209,8 @@
 		before int
 		spent  bool
 	}{
-		"an asker":         {askers - 1, true},
-		"one that is told": {askers, false},
+		"an asker":         {watchers - 1, true},
+		"one that is told": {watchers, false},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -267,10 +267,10 @@
 	rounds := 0
 	for ; rounds < 2*peers; rounds++ {
 		service.bucket = rate.NewLimiter(0, 400) // room for a few beats
-		service.tell(now.Add(time.Duration(rounds)*time.Millisecond), false)
+		service.broadcast(now.Add(time.Duration(rounds)*time.Millisecond), false)
 		untold := 0
 		for _, known := range service.table.live(now) {
-			if known.toldAt.IsZero() {
+			if known.reportedAt.IsZero() {
 				untold++
 			}
 		}
@@ -283,9 +283,9 @@
 	service.options.Balancer.Put(balance.Target{ID: "t", Service: "s"})
 	service.options.Balancer.Confirm("t", balance.Query{Parts: []uint64{1 << 32}})
 	service.bucket = rate.NewLimiter(0, 0)
-	service.tell(now.Add(time.Second), false)
+	service.broadcast(now.Add(time.Second), false)
 	for _, known := range service.table.live(now) {
-		is.Equal(known.told, 0)
+		is.Equal(known.reported, 0)
 	}
 }
 
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -1,4 +1,4 @@
-// Package peer lets gateways tell each other what each needs to know of the
+// Package peer lets gateways report to each other what each needs to know of the
 // others: requests in flight at targets, where parts of prompts are cached,
 // how fresh the configuration is, and the content of the store itself for a
 // gateway that can't reach it.
@@ -18,7 +18,7 @@
 
 const (
 	// lostAfter without a beat a peer counts as lost; later where there are so
-	// many that each is told less often: after beatsMissed beats.
+	// many that each gets beats less often: after beatsMissed beats.
 	lostAfter   = 2 * time.Second
 	beatsMissed = 3
 	// usualBeat is the usual size of a beat, in bytes.
@@ -30,10 +30,10 @@
 
 // peer is one other gateway.
 type peer struct {
-	id      string
-	life    uint64
-	address string
-	heardAt time.Time
+	id       string
+	life     uint64
+	address  string
+	lastBeat time.Time
 	// sequence is the last one got from it.
 	sequence uint64
 	revision int64
@@ -44,12 +44,12 @@
 	leaving      bool
 	// lag is how late its timers fired when it sent its last beat.
 	lag time.Duration
-	// lost says that its loss has been told.
+	// lost says that its loss has been reported.
 	lost bool
-	// told is the number of the next placement to tell it.
-	told int
-	// toldAt is when the last beat was sent to it.
-	toldAt time.Time
+	// reported is the number of the next placement to report to it.
+	reported int
+	// reportedAt is when the last beat was sent to it.
+	reportedAt time.Time
 	// beats counts the beats sent to it.
 	beats int
 	// failedAt is when a pull from it last failed.
@@ -58,7 +58,7 @@
 	askScore uint64
 	// hash is that of its id.
 	hash uint64
-	// unanswered counts the questions to it since it was last heard.
+	// unanswered counts the questions to it since its last beat.
 	unanswered int
 	// unfound counts the questions for parts that it left unanswered since its
 	// last beat. Where bytes are short it answers fewer of them, and may still be
@@ -73,7 +73,7 @@
 	peers map[string]*peer
 	// lives are the same by the number of their present life.
 	lives map[uint64]*peer
-	// addresses are those of gateways that are not heard, with what was sent
+	// addresses are those of gateways from which no beats come, with what was sent
 	// there.
 	addresses map[string]calls
 	seeds     []string
@@ -131,7 +131,7 @@
 		result = found
 	}
 	known.address = beat.GetAddress()
-	known.heardAt = now
+	known.lastBeat = now
 	known.unanswered, known.unfound = 0, 0
 	known.sequence = beat.GetSequence()
 	if beat.GetBare() {
@@ -149,8 +149,8 @@
 	return known, result
 }
 
-// hear notes addresses of gateways that were never heard.
-func (t *table) hear(addresses []string, own string) {
+// discover notes addresses of gateways that are not known yet.
+func (t *table) discover(addresses []string, own string) {
 	for _, address := range addresses {
 		if address == own || t.hasPeerAt(address) {
 			continue
@@ -170,7 +170,7 @@
 	return false
 }
 
-// beatInterval is how long it takes a gateway to tell each of its peers once.
+// beatInterval is how long it takes a gateway to send each of its peers a beat.
 func (t *table) beatInterval() time.Duration {
 	return time.Duration(len(t.peers)*usualBeat) * time.Second / time.Duration(t.budget)
 }
@@ -180,12 +180,12 @@
 	return max(lostAfter, beatsMissed*t.beatInterval())
 }
 
-// live are the peers that were heard lately, in the order of their ids.
+// live are the peers that sent a beat lately, in the order of their ids.
 func (t *table) live(now time.Time) []*peer {
 	var peers []*peer
 	longest := t.lostAfter()
 	for _, known := range t.peers {
-		if now.Sub(known.heardAt) <= longest {
+		if now.Sub(known.lastBeat) <= longest {
 			peers = append(peers, known)
 		}
 	}
@@ -199,7 +199,7 @@
 	var lost []*peer
 	longest := t.lostAfter()
 	for id, known := range t.peers {
-		silent := now.Sub(known.heardAt)
+		silent := now.Sub(known.lastBeat)
 		if silent > longest && !known.lost {
 			known.lost = true
 			lost = append(lost, known)
@@ -216,7 +216,7 @@
 	return lost
 }
 
-// calls are the beats to an address from which nothing is heard.
+// calls are the beats to an address from which no beat comes.
 type calls struct {
 	last  time.Time
 	count int
@@ -224,7 +224,7 @@
 
 const (
 	// callFirst is the time between the first two beats to an address that is
-	// not heard; it doubles up to callMost. Gateways that begin together, and
+	// silent; it doubles up to callMost. Gateways that begin together, and
 	// not quite at once, find each other soon.
 	callFirst = 60 * time.Millisecond
 	callMost  = time.Second
@@ -237,8 +237,8 @@
 	return c.count == 0 || now.Sub(c.last) >= pause
 }
 
-// silent are the addresses to which a beat is due although nothing is heard
-// from them.
+// silent are the addresses to which a beat is due although none comes from
+// them.
 func (t *table) silent(now time.Time) []string {
 	for _, known := range t.peers {
 		if _, ok := t.addresses[known.address]; known.lost && !ok {
--- a/internal/peer/table_test.go
+++ b/internal/peer/table_test.go
@@ -87,7 +87,7 @@
 				first++
 			}
 		}
-		if asking != min(askers, reaching) || first != min(1, reaching) {
+		if asking != min(watchers, reaching) || first != min(1, reaching) {
 			t.Fatalf("%d ask and %d are first of %d that reach the store", asking, first, reaching)
 		}
 	})
@@ -133,10 +133,10 @@
 		silent time.Duration
 		asks   bool
 	}{
-		"few, heard":   {askers, 500 * time.Millisecond, false},
-		"few, silent":  {askers, askerSilent + time.Millisecond, true},
-		"many, heard":  {fewPeers + askers, askerSilent + time.Millisecond, false},
-		"many, silent": {fewPeers + askers, askerSilentOfMany + time.Millisecond, true},
+		"few, heard":   {watchers, 500 * time.Millisecond, false},
+		"few, silent":  {watchers, watcherSilent + time.Millisecond, true},
+		"many, heard":  {fewPeers + watchers, watcherSilent + time.Millisecond, false},
+		"many, silent": {fewPeers + watchers, watcherSilentOfMany + time.Millisecond, true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/peer/tree.go
+++ b/internal/peer/tree.go
@@ -9,37 +9,38 @@
 )
 
 // Among many gateways, proofs and revisions go down a tree, so that those who
-// ask the store don't have to tell everybody: each gateway asks its parent
-// twice a second, and is told by it at once of what is urgent. The tree follows
+// ask the store don't have to notify everybody: each gateway asks its parent
+// twice a second, and is notified by it at once of what is urgent. The tree follows
 // from an order that all share; where views differ for a while, some ask a
 // parent that knows no more than they do, and whose proof grows too old asks
 // the store.
 
 const (
-	// askers is how many gateways ask the store; the others hear from them.
-	askers = 2
-	// fanOut is how many gateways one tells.
+	// watchers is how many gateways watch the store; the others get its changes from
+	// them.
+	watchers = 2
+	// fanOut is how many gateways one notifies.
 	fanOut = 16
 	// proofEvery is the time between two questions to the parent.
 	proofEvery = 500 * time.Millisecond
 	// mostUnanswered is how many questions in a row a parent may leave
 	// unanswered before it is passed over.
 	mostUnanswered = 3
-	// askerSilent is how long an asker may be silent before the next one asks in
-	// its place; askerSilentOfMany with more than a few peers, who hear each
-	// other less often. It is shorter than the time after which a peer counts
+	// watcherSilent is how long a watcher may be silent before the next one asks in
+	// its place; watcherSilentOfMany with more than a few peers, who send each
+	// other beats less often. It is shorter than the time after which a peer counts
 	// as lost: a call too many costs little.
-	askerSilent       = 900 * time.Millisecond
-	askerSilentOfMany = 1500 * time.Millisecond
+	watcherSilent       = 900 * time.Millisecond
+	watcherSilentOfMany = 1500 * time.Millisecond
 )
 
 // view is what the table shows at one moment: the parts of it that many
 // decisions rest on, worked out once.
 type view struct {
 	at time.Time
-	// live are the peers that were heard lately, in the order of their ids.
+	// live are the peers that sent a beat lately, in the order of their ids.
 	live []*peer
-	// many says that there are too many to tell all of them everything.
+	// many says that there are too many to send all of them everything.
 	many bool
 	// candidates are the live peers that may ask the store or pass on what it
 	// says, in the order that all gateways share.
@@ -52,12 +53,12 @@
 func (t *table) look(now time.Time) *view {
 	v := &view{at: now, live: t.live(now)}
 	v.many = len(v.live) > fewPeers
-	silence := askerSilent
+	silence := watcherSilent
 	if v.many {
-		silence = max(askerSilentOfMany, beatsMissed*t.beatInterval())
+		silence = max(watcherSilentOfMany, beatsMissed*t.beatInterval())
 	}
 	v.candidates = slices.DeleteFunc(slices.Clone(v.live), func(known *peer) bool {
-		return known.leaving || !known.reachesStore || known.unanswered >= mostUnanswered || now.Sub(known.heardAt) > silence
+		return known.leaving || !known.reachesStore || known.unanswered >= mostUnanswered || now.Sub(known.lastBeat) > silence
 	})
 	slices.SortFunc(v.candidates, func(a, b *peer) int {
 		return cmp.Or(cmp.Compare(b.askScore, a.askScore), cmp.Compare(a.id, b.id))
@@ -71,7 +72,7 @@
 
 // asks says whether this gateway is among those that ask the store.
 func (v *view) asks() bool {
-	return v.rank < askers
+	return v.rank < watchers
 }
 
 // peerAsks says whether a peer is among those that ask the store.
@@ -83,7 +84,7 @@
 	if place >= v.rank {
 		place++ // this gateway stands before it
 	}
-	return place < askers
+	return place < watchers
 }
 
 func askScore(id string) uint64 {
@@ -94,16 +95,16 @@
 // place; -1 for those who ask the store.
 func parentRank(rank int) int {
 	switch {
-	case rank < askers:
+	case rank < watchers:
 		return -1
-	case rank < askers+askers*fanOut:
-		return (rank - askers) % askers
+	case rank < watchers+watchers*fanOut:
+		return (rank - watchers) % watchers
 	}
-	return askers + (rank-askers-askers*fanOut)/fanOut
+	return watchers + (rank-watchers-watchers*fanOut)/fanOut
 }
 
-// parent is the peer from which this gateway hears what the store says; nil
-// if it asks the store itself, or the peers are few and all hear all.
+// parent is the peer from which this gateway gets the store's changes; nil if it
+// watches the store itself, or the peers are few and all get all.
 func (v *view) parent() *peer {
 	if !v.many {
 		return nil
@@ -115,7 +116,7 @@
 	return v.candidates[place]
 }
 
-// children are the peers that hear from this gateway what the store says.
+// children are the peers that get the store's changes from this gateway.
 func (v *view) children() []*peer {
 	var children []*peer
 	for place := v.rank; place < len(v.candidates); place++ {
--- a/internal/peer/tree_test.go
+++ b/internal/peer/tree_test.go
@@ -51,7 +51,7 @@
 					is.True(known.look(start).asks())
 				}
 			}
-			is.Equal(asking, askers)
+			is.Equal(asking, watchers)
 			children := make(map[string]int)
 			for id, parent := range parents {
 				children[parent]++
@@ -202,7 +202,7 @@
 		for _, known := range tables(count) {
 			told += len(known.look(start).children())
 		}
-		is.Equal(told, count-askers)
+		is.Equal(told, count-watchers)
 	}
 }
 
@@ -226,7 +226,7 @@
 			service.options.Replica.(*fakeReplica).set(tc.revision, tc.reachable)
 			now := time.Now()
 			service.behindSince = now
-			is.New(t).Equal(service.mayHearSoon(now), tc.waits)
+			is.New(t).Equal(service.answerIsNear(now), tc.waits)
 		})
 	}
 }
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -144,11 +144,11 @@
 func (p *GatewayProcess) storeRole() platform.Role {
 	switch {
 	case p.awaitsPeer():
-		return platform.Hears
+		return platform.Follows
 	case p.peers == nil || p.peers.First():
 		return platform.AsksFirst
 	case p.peers.Asks():
 		return platform.AsksToo
 	}
-	return platform.Hears
+	return platform.Follows
 }
