--- a/internal/balance/directory.go
+++ b/internal/balance/directory.go
@@ -7,8 +7,8 @@
 
 // The findings.
 const (
-	// NotAsked: this gateway keeps track of the part itself, or all gateways
-	// tell each other everything.
+	// NotAsked: this gateway keeps track of the part itself, gateways are so few
+	// that all get everything, or the directory's bytes are spent.
 	NotAsked Finding = "not_asked"
 	// Answered: the balancer has learnt what the gateway in charge knows.
 	Answered Finding = "answered"
