Many gateways spread a prompt's requests over its holders, below a tighter bound

A hundred gateways that all know a prompt's holders went to the first one until they learnt, a second later, that it was full.

Ruled out: crashed targets (no trouble of targets in that span); the totals (they bound admission, far below the slots).

Change: among more than eight gateways the least loaded holder gets the request. The bounds of many gateways shrink by up to 12 in 100 between 30 and 100 others, as their reports get older.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -50,6 +50,27 @@
 	shareLongOfMany  = Bound{0.825, 0.67}
 )
 
+// Between so many other gateways and so many, the bounds of many gateways shrink
+// by up to mostTightening: reports get older with each gateway (at 30 half of
+// them are 0.25 s old, at 100 0.8 s), and what is sent meanwhile comes on top.
+// Found as LIMIT on two of eight hunted days of the large site.
+const (
+	tightenFrom    = 30
+	tightenTo      = 100
+	mostTightening = 0.12
+)
+
+// tightnessAt is what the bounds of many gateways are multiplied by.
+func tightnessAt(peers int) float64 {
+	share := float64(peers-tightenFrom) / float64(tightenTo-tightenFrom)
+	return 1 - mostTightening*min(max(share, 0), 1)
+}
+
+// times is the bound multiplied by a factor.
+func (b Bound) times(factor float64) Bound {
+	return Bound{Multiple: factor * b.Multiple, Extra: factor * b.Extra}
+}
+
 // of is a share of a bound.
 func (b Bound) of(whole Bound) Bound {
 	return Bound{Multiple: b.Multiple * whole.Multiple, Extra: b.Extra * whole.Extra}
@@ -102,6 +123,8 @@
 	paths map[string]*path
 	// manyPeers says that more than a few other gateways share the targets.
 	manyPeers bool
+	// tightness is what their bounds are multiplied by.
+	tightness float64
 	// totalLife is how long another gateway's total is believed.
 	totalLife time.Duration
 }
@@ -118,6 +141,7 @@
 		fills:    make(fills),
 		paths:    make(map[string]*path),
 
+		tightness: 1,
 		totalLife: totalLife,
 	}
 	b.holders = newHolders(b.registered)
@@ -196,5 +220,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.manyPeers = count > fewPeers
+	b.tightness = tightnessAt(count)
 	b.totalLife = max(totalLife, totalsMissed*time.Duration(count)*reportEvery)
 }
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -154,18 +154,10 @@
 	for _, target := range open {
 		target.choice = b.choices
 	}
-	near := b.scratch.near[:0]
-	for _, known := range b.holders.of(shortOf(session)) {
-		target := b.byShort[known.target]
-		if target == nil {
-			continue
-		}
-		if target.choice == b.choices && fits(target, bound, typical) {
-			return target
-		}
-		near = append(near, target.DataCenter)
+	if holder := b.holderFor(shortOf(session), bound, typical); holder != nil {
+		return holder
 	}
-	b.scratch.near = near
+	near := b.nearHolders(shortOf(session))
 	var best preference
 	for _, target := range open {
 		if !fits(target, bound, typical) {
@@ -182,6 +174,43 @@
 	return best.target
 }
 
+// holderFor is a target of the choice under way that holds a part, or soon will,
+// and is below a bound; nil if there is none. Few gateways see each other's
+// requests at once, and go on with the first one, so that other copies may give
+// way. Among many, all would go to the same one until they hear that it is full:
+// there the least loaded one gets the request, one that surely holds the part
+// before all others. b.mu is held.
+func (b *Balancer) holderFor(part uint32, bound, typical float64) *state {
+	var best *state
+	bestSure := false
+	for _, known := range b.holders.of(part) {
+		target := b.byShort[known.target]
+		if target == nil || target.choice != b.choices || !fits(target, bound, typical) {
+			continue
+		}
+		if !b.manyPeers {
+			return target
+		}
+		if best == nil || known.sure && !bestSure || known.sure == bestSure && target.load() < best.load() {
+			best, bestSure = target, known.sure
+		}
+	}
+	return best
+}
+
+// nearHolders are the data centres of the targets that hold a part, or soon will;
+// valid until the next choice. b.mu is held.
+func (b *Balancer) nearHolders(part uint32) []string {
+	near := b.scratch.near[:0]
+	for _, known := range b.holders.of(part) {
+		if target := b.byShort[known.target]; target != nil {
+			near = append(near, target.DataCenter)
+		}
+	}
+	b.scratch.near = near
+	return near
+}
+
 // preference is a target's place in a session's order.
 type preference struct {
 	target *state
@@ -209,9 +238,9 @@
 func (b *Balancer) boundOf(query Query) Bound {
 	switch {
 	case b.manyPeers && query.long():
-		return b.options.LongOfMany
+		return b.options.LongOfMany.times(b.tightness)
 	case b.manyPeers:
-		return b.options.ShortOfMany
+		return b.options.ShortOfMany.times(b.tightness)
 	case query.long():
 		return b.options.Long
 	}
--- a/internal/balance/directory_test.go
+++ b/internal/balance/directory_test.go
@@ -181,3 +181,73 @@
 		})
 	}
 }
+
+// TestManyGatewaysSpreadOverHolders: two hunted days of the large site broke LIMIT:
+// a hundred gateways that all know a prompt's holders went to the first of them
+// until they learnt, a second later, that it was full.
+func TestManyGatewaysSpreadOverHolders(t *testing.T) {
+	cases := map[string]struct {
+		peers int
+		want  string
+	}{
+		"many gateways": {102, "t2"},
+		"few gateways":  {3, "t1"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(9)
+			b.SetPeers(tc.peers)
+			query := longSession(1)
+			for _, id := range []string{"t1", "t2", "t3"} {
+				b.Confirm(id, query)
+			}
+			b.Observe("other", []balance.Count{{Target: policy.HashName("t1"), Count: 2}, {Target: policy.HashName("t2"), Count: 1}, {Target: policy.HashName("t3"), Count: 2}}, start)
+			pick, _ := b.Choose(query, start)
+			is.Equal(pick.Target.ID, tc.want)
+			is.Equal(pick.FetchFrom, "")
+		})
+	}
+}
+
+// TestBoundsOfMany: the more gateways there are, the older are their reports, and
+// the less a target may hold before a prompt goes elsewhere.
+func TestBoundsOfMany(t *testing.T) {
+	cases := map[string]struct {
+		peers int
+		most  int
+	}{
+		// With nine targets that hold some 5.5 requests each: 1.65 times the mean plus
+		// 2, less up to 12 in 100.
+		"thirty":       {29, 11},
+		"a hundred":    {102, 9},
+		"hundreds":     {370, 9},
+		"a few at all": {3, 14}, // 1.9 times plus 2.6
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(9)
+			b.SetPeers(tc.peers)
+			query := longSession(1)
+			b.Confirm("t1", query)
+			for load := 20; load > 0; load-- {
+				counts := []balance.Count{{Target: policy.HashName("t1"), Count: load}}
+				rest := 54 - load
+				for i := range 9 {
+					if i != 1 {
+						counts = append(counts, balance.Count{Target: policy.HashName(target(i).ID), Count: rest / 8})
+					}
+				}
+				b.Observe("other", counts, start)
+				pick, _ := b.Choose(query, start)
+				b.Release(pick.Target.ID, balance.Neutral, start)
+				if pick.Target.ID == "t1" {
+					is.Equal(load, tc.most)
+					return
+				}
+			}
+			t.Fatal("the holder gets nothing")
+		})
+	}
+}
