--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -50,10 +50,10 @@
 	shareLongOfMany  = Bound{0.825, 0.67}
 )
 
-// Between so many other gateways and so many, the bounds of many gateways shrink
-// by up to mostTightening: reports get older with each gateway (at 30 half of
-// them are 0.25 s old, at 100 0.8 s), and what is sent meanwhile comes on top.
-// Found as LIMIT on two of eight hunted days of the large site.
+// From tightenFrom to tightenTo other gateways the bounds of many gateways shrink
+// by up to mostTightening: reports get older with each gateway (by reckoning 0.25 s
+// on average at 30, 0.8 s at 100), and what is sent meanwhile comes on top. Without
+// it LIMIT was broken on two of eight hunted days of the large site.
 const (
 	tightenFrom    = 30
 	tightenTo      = 100
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -177,9 +177,9 @@
 // holderFor is a target of the choice under way that holds a part, or soon will,
 // and is below a bound; nil if there is none. Few gateways see each other's
 // requests at once, and go on with the first one, so that other copies may give
-// way. Among many, all would go to the same one until they hear that it is full:
-// there the least loaded one gets the request, one that surely holds the part
-// before all others. b.mu is held.
+// way. Among many, all would go to the same one until reports show that it is
+// full: there the least loaded one gets the request, one that surely holds the
+// part before all others. b.mu is held.
 func (b *Balancer) holderFor(part uint32, bound, typical float64) *state {
 	var best *state
 	bestSure := false
