Evacuated data centres get nothing, at every gateway within a moment

Ruled out: late spread, since no gateway logged anything of it. Change: the key is part of the replica (by revision, so nothing older comes back; to gateways that begin, with the checkpoint's whole pages), is passed on at once as a leaving target is, and the choice leaves out the data centre's targets for first and further attempts, resumed streams and room. What its targets hold may still be fetched. The time within which it must be in force counts in the age of the proof at which a gateway asks the store itself. A request whose service has no open target doesn't wait for a part of its prompt first. Weighed: a channel of its own, no.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -121,6 +121,8 @@
 	scratch scratch
 	// paths are the ways to data centres, by name.
 	paths map[string]*path
+	// evacuated are the data centres whose targets get nothing.
+	evacuated map[string]bool
 	// manyPeers says that more than a few other gateways share the targets.
 	manyPeers bool
 	// tightness is what their bounds are multiplied by.
@@ -141,6 +143,8 @@
 		fills:    make(fills),
 		paths:    make(map[string]*path),
 
+		evacuated: make(map[string]bool),
+
 		tightness: 1,
 		totalLife: totalLife,
 	}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -42,8 +42,8 @@
 	return pick, true
 }
 
-// open are the targets that may take the request: listed, not leaving, not
-// tried and not ejected. When all others are ejected the ejected ones serve.
+// open are the targets that may take the request: listed, not leaving, not in an
+// evacuated data centre, not tried and not ejected. When all others are ejected the ejected ones serve.
 // When the entries of half of a service's targets or more have disappeared, these
 // targets keep serving for a while: entries lapse while the store is down, and
 // are registered again soon after it is back. b.mu is held.
@@ -61,7 +61,7 @@
 			present++
 		}
 		switch {
-		case target.Leaving || slices.Contains(exclude, target.ID):
+		case target.Leaving || b.evacuated[target.DataCenter] || slices.Contains(exclude, target.ID):
 		case gone && target.goneFor(now) <= b.options.Lapse && !target.health.ejected(now):
 			lapsed = append(lapsed, target)
 		case gone:
--- a/internal/balance/directory.go
+++ b/internal/balance/directory.go
@@ -69,9 +69,10 @@
 	return false
 }
 
-// mayTake says whether a target is registered, not leaving and not ejected.
+// mayTake says whether a target is registered, not leaving, not in an evacuated
+// data centre and not ejected.
 func (b *Balancer) mayTake(target *state, now time.Time) bool {
-	return !target.Leaving && target.goneAt.IsZero() && !target.health.ejected(now)
+	return !target.Leaving && !b.evacuated[target.DataCenter] && target.goneAt.IsZero() && !target.health.ejected(now)
 }
 
 // Holds says whether a target is known to hold a part.
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -51,8 +51,8 @@
 	reportedSlots int
 	// service is the target's.
 	service *service
-	// aside is false only while the target is registered, not leaving and not
-	// ejected. It may be true for longer.
+	// aside is false only while the target is registered, not leaving, not ejected
+	// and not in an evacuated data centre. It may be true for longer.
 	aside bool
 
 	Target
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -177,7 +177,7 @@
 // awaitFill waits while a long part of the prompt is being read for another
 // request, so that it is not read twice side by side.
 func (c *call) awaitFill(ctx context.Context) {
-	if len(c.parts) == 0 {
+	if len(c.parts) == 0 || !c.gateway.Balancer.Has(c.query(), time.Now()) {
 		return
 	}
 	began := time.Now()
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -127,6 +127,8 @@
 	Waiting func() float64
 	// Lag is how late this process's timers fire, in seconds.
 	Lag func() float64
+	// Evacuated counts the data centres to which nothing is sent.
+	Evacuated func() float64
 }
 
 // RegisterGauges adds what a gateway tells of its state.
@@ -160,5 +162,9 @@
 			Namespace: namespace, Name: "lag_seconds",
 			Help: "How late this process's own timers fire.",
 		}, gauges.Lag),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "evacuated_data_centers",
+			Help: "Data centres whose targets get nothing, as the operators want it.",
+		}, gauges.Evacuated),
 	)
 }
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -20,6 +20,8 @@
 	EventTarget     = "target_changed"
 	EventTargetGone = "target_gone"
 	EventEjected    = "target_ejected"
+	EventEvacuated  = "data_center_evacuated"
+	EventReturned   = "data_center_returned"
 	EventStoreLost  = "store_lost"
 	EventStoreBack  = "store_back"
 	EventBadValue   = "store_value_unreadable"
@@ -40,7 +42,7 @@
 func Events() []string {
 	return []string{
 		EventRequest, EventConfig, EventTarget, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
-		EventBadValue, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventStart, EventDrain, EventStop, EventReload, EventLate, EventInTime, EventSampled,
+		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventStart, EventDrain, EventStop, EventReload, EventLate, EventInTime, EventSampled,
 	}
 }
 
--- a/internal/observe/state.go
+++ b/internal/observe/state.go
@@ -81,6 +81,16 @@
 	o.log.Info(EventTargetGone, "target", id)
 }
 
+// Evacuated logs that nothing more is sent to a data centre's targets, or that
+// something may be again.
+func (o *Observer) Evacuated(dataCenter string, evacuated bool) {
+	event := EventReturned
+	if evacuated {
+		event = EventEvacuated
+	}
+	o.log.Warn(event, "data_center", dataCenter)
+}
+
 // PeerFound logs another gateway that is heard for the first time, or again.
 func (o *Observer) PeerFound(id, address string) {
 	o.log.Info(EventPeerFound, "peer", id, "address", address)
--- a/internal/process/budget_test.go
+++ b/internal/process/budget_test.go
@@ -99,19 +99,20 @@
 // hand; the load bound used to be read and not used.
 func TestTheDeploymentsBoundsHold(t *testing.T) {
 	cases := map[string]struct {
-		load         settings.LoadBound
-		apply, leave time.Duration
-		stale        time.Duration
+		load                   settings.LoadBound
+		apply, leave, evacuate time.Duration
+		stale                  time.Duration
 	}{
-		"usual":       {settings.LoadBound{Multiple: 2, Extra: 3}, 2 * time.Second, 2 * time.Second, 1800 * time.Millisecond},
-		"low load":    {settings.LoadBound{Multiple: 1.3, Extra: 2}, 3 * time.Second, 3 * time.Second, 2700 * time.Millisecond},
-		"fast leave":  {settings.LoadBound{Multiple: 3, Extra: 1}, 3 * time.Second, time.Second, 900 * time.Millisecond},
-		"fast change": {settings.LoadBound{Multiple: 1, Extra: 1}, time.Second, 5 * time.Second, 900 * time.Millisecond},
+		"usual":           {settings.LoadBound{Multiple: 2, Extra: 3}, 2 * time.Second, 2 * time.Second, 5 * time.Second, 1800 * time.Millisecond},
+		"low load":        {settings.LoadBound{Multiple: 1.3, Extra: 2}, 3 * time.Second, 3 * time.Second, 5 * time.Second, 2700 * time.Millisecond},
+		"fast leave":      {settings.LoadBound{Multiple: 3, Extra: 1}, 3 * time.Second, time.Second, 5 * time.Second, 900 * time.Millisecond},
+		"fast change":     {settings.LoadBound{Multiple: 1, Extra: 1}, time.Second, 5 * time.Second, 5 * time.Second, 900 * time.Millisecond},
+		"fast evacuation": {settings.LoadBound{Multiple: 2, Extra: 3}, 3 * time.Second, 3 * time.Second, 2 * time.Second, 1800 * time.Millisecond},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			s := &settings.Gateway{Load: tc.load, Apply: settings.Duration(tc.apply), Leave: settings.Duration(tc.leave)}
+			s := &settings.Gateway{Load: tc.load, Apply: settings.Duration(tc.apply), Leave: settings.Duration(tc.leave), Evacuate: settings.Duration(tc.evacuate)}
 			is.Equal(staleAfter(s), tc.stale)
 			options := balanceOptions(s)
 			is.True(options.Lapse <= balance.MostLapse && options.Lapse < tc.leave)
--- /dev/null
+++ b/internal/process/evacuation_test.go
@@ -0,0 +1,52 @@
+package process_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/emulator"
+)
+
+// TestEvacuationIsInForceEverywhere: at gateways that run, at one that begins
+// meanwhile without the store, and until it is taken back.
+func TestEvacuationIsInForceEverywhere(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3)
+	other, err := f.platform.AddServer("plain", "other", "127.0.0.1:0", emulator.ServerOptions{ID: "p-other"})
+	is.NoErr(err)
+	knownBy := func(event string, gateways int) func() bool {
+		return func() bool { return strings.Count(f.log.String(), `"msg":"`+event+`"`) == gateways }
+	}
+	ask := func(gateway int) answer {
+		return f.call(gateway, http.MethodPost, "/ask/1", fmt.Sprintf("ask-%d-%d", gateway, len(other.Runs())), "key-1")
+	}
+	f.platform.Store.Put("op/evacuate/zone", []byte("{}"))
+	eventually(t, "all gateways know of it", knownBy("data_center_evacuated", 3))
+	f.platform.Store.SetFaults(emulator.StoreFaults{Down: true})
+	f.gateways = append(f.gateways, f.gateway(t, "late", []string{f.gateways[0].Addresses().Link}))
+	eventually(t, "the late gateway is ready", f.gateways[3].Ready)
+	for i := range f.gateways {
+		for range 6 {
+			is.Equal(ask(i).status, http.StatusOK)
+		}
+	}
+	for _, server := range f.plain {
+		is.Equal(len(server.Runs()), 0)
+	}
+	is.Equal(len(other.Runs()), 6*len(f.gateways))
+	f.platform.Store.SetFaults(emulator.StoreFaults{})
+	f.platform.Store.Put("op/evacuate/other", []byte("{}"))
+	eventually(t, "all gateways know of the other", knownBy("data_center_evacuated", 8))
+	refused := ask(0)
+	is.Equal(refused.status, http.StatusServiceUnavailable) // at once, with a time to come back
+	is.True(refused.header.Get("Retry-After") != "")
+	is.Equal(len(other.Runs()), 6*len(f.gateways))
+	f.platform.Store.Remove("op/evacuate/zone")
+	eventually(t, "all gateways know that it is taken back", knownBy("data_center_returned", 4))
+	is.Equal(ask(0).status, http.StatusOK)
+	is.Equal(len(other.Runs()), 6*len(f.gateways))
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -142,7 +142,8 @@
 			p.gateway.Limiters.Each(func(_ string, limiter *admission.Limiter) { total += limiter.Waiting() })
 			return float64(total)
 		},
-		Lag: func() float64 { return p.lag.Lag().Seconds() },
+		Lag:       func() float64 { return p.lag.Lag().Seconds() },
+		Evacuated: func() float64 { return float64(len(p.gateway.Balancer.Evacuated())) },
 		InFlight: func() float64 {
 			total := 0
 			for _, count := range p.gateway.Balancer.InFlight() {
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -98,7 +98,7 @@
 // in time for what may be new there to be in force.
 func staleAfter(s *settings.Gateway) time.Duration {
 	const share = 0.9
-	return time.Duration(share * float64(min(s.Apply, s.Leave)))
+	return time.Duration(share * float64(min(s.Apply, s.Leave, s.Evacuate)))
 }
 
 // peerPatience is how long a process that begins waits for the store's content
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -61,6 +61,17 @@
 	s.urge()
 }
 
+// Evacuated takes that nothing more is to be sent to a data centre's targets, or
+// that this was taken back. The others are notified at once: it must be in force
+// within seconds.
+func (s *sink) Evacuated(dataCenter string, evacuated bool) {
+	if !s.process.gateway.Balancer.SetEvacuated(dataCenter, evacuated, time.Now()) {
+		return
+	}
+	s.process.observer.Evacuated(dataCenter, evacuated)
+	s.urge()
+}
+
 // Begun takes over the targets of the last checkpoint that are not registered:
 // their entries may have lapsed.
 func (s *sink) Begun() {
--- a/internal/process/reference_test.go
+++ b/internal/process/reference_test.go
@@ -108,7 +108,7 @@
 	registry := prometheus.NewRegistry()
 	metrics := observe.NewMetrics(registry)
 	zero := func() float64 { return 0 }
-	observe.RegisterGauges(registry, observe.Gauges{ProofAge: zero, Peers: zero, Sent: zero, Received: zero, InFlight: zero, Waiting: zero, Lag: zero})
+	observe.RegisterGauges(registry, observe.Gauges{ProofAge: zero, Peers: zero, Sent: zero, Received: zero, InFlight: zero, Waiting: zero, Lag: zero, Evacuated: zero})
 	// A series shows only once it has been used.
 	observer := observe.New(log.New(io.Discard), metrics)
 	observer.Request(&gateway.RequestRecord{First: 1, Found: balance.Answered, Attempts: []gateway.AttemptRecord{{Source: balance.SourceHeld}}})
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -36,6 +36,9 @@
 	Apply Duration `json:"apply,omitempty"`
 	// Leave is how long after its word a leaving target may get new work.
 	Leave Duration `json:"leave,omitempty"`
+	// Evacuate is how long after the operators have asked for it the targets of a
+	// data centre may still get requests.
+	Evacuate Duration `json:"evacuate,omitempty"`
 	// Grace is the time between SIGTERM and the end.
 	Grace Duration    `json:"grace,omitempty"`
 	Load  LoadBound   `json:"load"`
@@ -64,6 +67,7 @@
 const (
 	defaultApply        = 2 * time.Second
 	defaultLeave        = 2 * time.Second
+	defaultEvacuate     = 5 * time.Second
 	defaultGrace        = 8 * time.Second
 	defaultLoadMultiple = 2
 	defaultLoadExtra    = 3
@@ -124,6 +128,7 @@
 func (s *Gateway) fillIn() {
 	s.Apply = Duration(orTime(s.Apply, defaultApply))
 	s.Leave = Duration(orTime(s.Leave, defaultLeave))
+	s.Evacuate = Duration(orTime(s.Evacuate, defaultEvacuate))
 	s.Grace = Duration(orTime(s.Grace, defaultGrace))
 	s.Load.Multiple = or(s.Load.Multiple, defaultLoadMultiple)
 	s.Load.Extra = or(s.Load.Extra, defaultLoadExtra)
