Cold targets get what they bear, from all gateways together

Ways weighed: one gateway a target sends all (in rendezvous order: a 26th of its sessions reach it); permits by message; a fixed part for each gateway with a token that waits (26 tokens may be spent within one second: 26 of 18); chosen: a window for each gateway in rounds that count from the target's cold entry, evenly spread, without messages. Gateways' places come from the peers known in the last minutes; who has just begun takes their number from the checkpoint. The first cold entry of a target is passed on at once, so that rounds begin together.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -19,6 +19,9 @@
 	// MaxEjected is the largest share of a service's targets left out for
 	// their failures.
 	MaxEjected float64
+	// Cold is how many requests a cold target may get within any second from all
+	// gateways together, by what it bears a second.
+	Cold Bound
 	// Lapse is how long targets keep serving after the entries of half of their
 	// service or more have disappeared; those that are not registered again by
 	// then have left.
@@ -80,6 +83,10 @@
 // may be missing; the users' platform states it.
 const MostLapse = 2 * time.Second
 
+// DefaultCold is the bound on requests to cold targets where the deployment states
+// none: what they bear, and nothing besides.
+var DefaultCold = Bound{Multiple: 1}
+
 // OptionsFor leave room below a bound that no target may be above.
 func OptionsFor(whole Bound) Options {
 	return Options{
@@ -88,6 +95,7 @@
 		ShortOfMany: shareShortOfMany.of(whole),
 		LongOfMany:  shareLongOfMany.of(whole),
 		MaxEjected:  0.5,
+		Cold:        DefaultCold,
 		Lapse:       MostLapse,
 	}
 }
@@ -121,6 +129,8 @@
 	scratch scratch
 	// paths are the ways to data centres, by name.
 	paths map[string]*path
+	// gateways is this gateway's place among all.
+	gateways Gateways
 	// evacuated are the data centres whose targets get nothing.
 	evacuated map[string]bool
 	// manyPeers says that more than a few other gateways share the targets.
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -17,7 +17,7 @@
 func newBalancer(count int) *balance.Balancer {
 	b := balance.New(balance.DefaultOptions())
 	for i := range count {
-		b.Put(target(i))
+		b.Put(target(i), start)
 	}
 	return b
 }
@@ -38,7 +38,7 @@
 	b.Confirm(first.Target.ID, session(1))
 	b.Release(first.Target.ID, balance.Good, start)
 	for i := 9; i < 14; i++ {
-		b.Put(target(i)) // added targets take nothing away
+		b.Put(target(i), start) // added targets take nothing away
 		again, _ := b.Choose(session(1), start)
 		is.Equal(again.Target.ID, first.Target.ID)
 		is.Equal(again.FetchFrom, "") // it holds the prefix already
@@ -160,7 +160,7 @@
 	is.True(ok) // all at once: their entries lapsed while the store was away
 	_, ok = b.Choose(balance.Query{Service: "s"}, start.Add(balance.MostLapse+time.Millisecond))
 	is.True(!ok) // still missing: they are gone
-	b.Put(target(1))
+	b.Put(target(1), start)
 	pick, _ := b.Choose(balance.Query{Service: "s"}, start.Add(balance.MostLapse+time.Millisecond))
 	is.Equal(pick.Target.ID, "t1") // one is back, the others are still missing
 	single := newBalancer(1)
@@ -194,7 +194,7 @@
 				b.Drop(fmt.Sprintf("t%d", i), start)
 			}
 			for i := range tc.back {
-				b.Put(target(i))
+				b.Put(target(i), start)
 			}
 			got := make(map[string]bool)
 			for range 8 {
@@ -213,7 +213,7 @@
 func TestRestoredTargetsServeUntilTheListIsBack(t *testing.T) {
 	is := is.New(t)
 	b := balance.New(balance.DefaultOptions())
-	b.Put(target(0))
+	b.Put(target(0), start)
 	b.Restore([]balance.Target{target(0), target(1), target(2)}, start)
 	is.Equal(len(b.Working()), 1) // a restored one is not listed
 	got := make(map[string]bool)
@@ -241,8 +241,8 @@
 	b := newBalancer(2)
 	leaving := target(0)
 	leaving.Leaving = true
-	is.True(b.Put(leaving))
-	is.True(!b.Put(leaving)) // nothing new
+	is.True(b.Put(leaving, start).Any)
+	is.True(!b.Put(leaving, start).Any) // nothing new
 	for range 20 {
 		pick, ok := b.Choose(balance.Query{Service: "s"}, start)
 		is.True(ok)
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -39,11 +39,15 @@
 	}
 	pick := Pick{Target: chosen.Target, FetchFrom: fetchFrom, Source: source, Load: int(math.Round(chosen.load())), Mean: mean, Candidates: candidates, Fills: fills}
 	chosen.count(1)
+	if chosen.cold.yet {
+		chosen.cold.sentAt = now
+	}
 	return pick, true
 }
 
 // open are the targets that may take the request: listed, not leaving, not in an
-// evacuated data centre, not tried and not ejected. When all others are ejected the ejected ones serve.
+// evacuated data centre, not tried and not ejected; cold ones only while it is this
+// gateway's turn. When all others are ejected the ejected ones serve.
 // When the entries of half of a service's targets or more have disappeared, these
 // targets keep serving for a while: entries lapse while the store is down, and
 // are registered again soon after it is back. b.mu is held.
@@ -61,14 +65,14 @@
 			present++
 		}
 		switch {
-		case target.Leaving || b.evacuated[target.DataCenter] || slices.Contains(exclude, target.ID):
+		case target.Leaving || b.evacuated[target.DataCenter] || slices.Contains(exclude, target.ID) || b.holdsBack(target, now):
 		case gone && target.goneFor(now) <= b.options.Lapse && !target.health.ejected(now):
 			lapsed = append(lapsed, target)
 		case gone:
 		case target.health.ejected(now):
 			ejected = append(ejected, target)
 		default:
-			target.aside = false
+			target.aside = target.cold.yet
 			healthy = append(healthy, target)
 		}
 	}
@@ -136,7 +140,7 @@
 	if target.latency > 0 && typical > 0 {
 		factor = min(max(target.latency/typical, 0.5), mostSlowness)
 	}
-	if target.ColdFor > 0 {
+	if target.cold.yet {
 		factor *= coldFactor
 	}
 	return factor
--- a/internal/balance/directory_test.go
+++ b/internal/balance/directory_test.go
@@ -47,7 +47,7 @@
 			b.Confirm("t1", longSession(1))
 			leaving := target(1)
 			leaving.Leaving = true
-			b.Put(leaving)
+			b.Put(leaving, start)
 			return longSession(1)
 		}, true},
 		"a holder that is no longer registered": {func(b *balance.Balancer) balance.Query {
--- a/internal/balance/evacuation_test.go
+++ b/internal/balance/evacuation_test.go
@@ -18,7 +18,7 @@
 	for i, place := range []string{"far", "far", "near", "near"} {
 		made := target(i)
 		made.DataCenter = place
-		b.Put(made)
+		b.Put(made, start)
 	}
 	return b
 }
@@ -60,8 +60,8 @@
 			fail(b, "t2")
 			fail(b, "t3")
 		}},
-		"its entries change":  {query: plain, also: func(b *balance.Balancer) { b.Put(far(0)) }},
-		"a target is added":   {query: plain, also: func(b *balance.Balancer) { b.Put(far(7)) }},
+		"its entries change":  {query: plain, also: func(b *balance.Balancer) { b.Put(far(0), start) }},
+		"a target is added":   {query: plain, also: func(b *balance.Balancer) { b.Put(far(7), start) }},
 		"said a second time":  {query: plain, also: func(b *balance.Balancer) { b.SetEvacuated("far", true, start) }},
 		"its entries lapse":   {query: plain, also: func(b *balance.Balancer) { b.Drop("t0", start); b.Drop("t1", start) }},
 		"another one is back": {query: plain, also: func(b *balance.Balancer) { b.SetEvacuated("near", true, start); b.SetEvacuated("near", false, start) }},
--- a/internal/balance/fills_test.go
+++ b/internal/balance/fills_test.go
@@ -62,7 +62,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			b := newBalancer(8)
-			b.Put(target(8))
+			b.Put(target(8), start)
 			query := prompt(1, tc.tokens)
 			if tc.tokens < 0 {
 				query = session(1)
@@ -154,7 +154,7 @@
 		for i := range 9 {
 			placed := target(i)
 			placed.DataCenter = []string{"a", "b", "c"}[i%3]
-			b.Put(placed)
+			b.Put(placed, start)
 		}
 		query := prompt(number, manyTokens)
 		home, _ := b.Choose(query, start)
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -11,21 +11,27 @@
 	forgetAfter = time.Minute
 )
 
-// Put adds a target or takes over what has changed of it; it returns false if
-// nothing was new.
-func (b *Balancer) Put(target Target) bool {
+// Change is what a Put has brought about.
+type Change struct {
+	// Any says that something was new.
+	Any bool
+	// TurnedCold says that the target is cold and was not known to be.
+	TurnedCold bool
+}
+
+// Put adds a target or takes over what has changed of it.
+func (b *Balancer) Put(target Target, now time.Time) Change {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known, ok := b.targets[target.ID]
-	if ok {
-		changed := known.Target != target || !known.goneAt.IsZero()
-		known.Target = target
-		known.aside = true
-		known.goneAt = time.Time{}
-		return changed
+	if !ok {
+		return Change{Any: true, TurnedCold: b.add(target).noteCold(target.ColdFor, now)}
 	}
-	b.add(target)
-	return true
+	changed := known.Target != target || !known.goneAt.IsZero()
+	known.Target = target
+	known.aside = true
+	known.goneAt = time.Time{}
+	return Change{Any: changed, TurnedCold: known.noteCold(target.ColdFor, now)}
 }
 
 // add begins to know a target; b.mu is held.
--- a/internal/balance/paths_test.go
+++ b/internal/balance/paths_test.go
@@ -17,7 +17,7 @@
 	for i := range 4 {
 		made := target(i)
 		made.DataCenter = string("ab"[i/2])
-		b.Put(made)
+		b.Put(made, start)
 	}
 	return b
 }
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -124,6 +124,9 @@
 // if its slots are unknown.
 func (s *state) room(headroom float64, unbounded int) int {
 	slots := s.slots()
+	if s.cold.yet && s.service.cold.Rate > 0 {
+		return 1 // until this gateway's next turn
+	}
 	if slots == 0 {
 		return unbounded
 	}
--- a/internal/balance/room_test.go
+++ b/internal/balance/room_test.go
@@ -16,7 +16,7 @@
 	for i := range count {
 		made := target(i)
 		made.Slots = slots
-		b.Put(made)
+		b.Put(made, start)
 	}
 	return b
 }
--- a/internal/balance/service.go
+++ b/internal/balance/service.go
@@ -7,6 +7,8 @@
 	targets []*state
 	// overall is what is known of all of its requests.
 	overall overall
+	// cold is what its cold targets bear.
+	cold ColdBound
 	// pacing is nil until a request of the service has ended.
 	pacing *pacing
 	// typical is the median of the targets' moving means of latency, in
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -23,7 +23,8 @@
 	Slots int
 	// Leaving targets get no new work.
 	Leaving bool
-	// ColdFor is how much longer it stays slow from its start.
+	// ColdFor is how much longer it stays cold from its start, as of when its entry
+	// was read; zero if it is warm.
 	ColdFor time.Duration
 }
 
@@ -51,8 +52,8 @@
 	reportedSlots int
 	// service is the target's.
 	service *service
-	// aside is false only while the target is registered, not leaving, not ejected
-	// and not in an evacuated data centre. It may be true for longer.
+	// aside is false only while the target is registered, warm, not leaving, not
+	// ejected and not in an evacuated data centre. It may be true for longer.
 	aside bool
 
 	Target
@@ -60,6 +61,7 @@
 	// zero before the first.
 	latency float64
 	health  health
+	cold    coldness
 	// goneAt is when the list dropped the target; zero while it is listed.
 	goneAt time.Time
 }
--- a/internal/balance/totals.go
+++ b/internal/balance/totals.go
@@ -169,11 +169,14 @@
 	return max(int(headroom*float64(o.slots)-o.others)-o.own, 0)
 }
 
-// slotsOf is how many requests targets work on at once, all together; zero if
-// that of one is unknown.
+// slotsOf is how many requests targets that are warm work on at once, all together;
+// zero if that of one is unknown.
 func slotsOf(targets []*state) int {
 	total := 0
 	for _, target := range targets {
+		if target.cold.yet {
+			continue
+		}
 		slots := target.slots()
 		if slots == 0 {
 			return 0
--- a/internal/checkpoint/checkpoint.go
+++ b/internal/checkpoint/checkpoint.go
@@ -59,6 +59,8 @@
 	// Targets took work when the checkpoint was written, in the order of their
 	// ids.
 	Targets []balance.Target
+	// Gateways is how many gateways there were; zero if that is not known.
+	Gateways int
 }
 
 func (c Content) equal(other Content) bool {
@@ -95,7 +97,7 @@
 	if !s.turn() {
 		return
 	}
-	content := Content{Placements: s.balancer.AllPlacements(mostParts), Targets: s.balancer.Working()}
+	content := Content{Placements: s.balancer.AllPlacements(mostParts), Targets: s.balancer.Working(), Gateways: s.balancer.Gateways().Count}
 	if len(content.Placements) == 0 && len(content.Targets) == 0 {
 		return
 	}
@@ -142,7 +144,7 @@
 
 // Encode writes the content as bytes.
 func Encode(content Content) ([]byte, error) {
-	message := new(wire.PlacementCheckpoint)
+	message := &wire.PlacementCheckpoint{Gateways: uint32(min(max(content.Gateways, 0), math.MaxInt32))}
 	for _, target := range content.Targets {
 		message.Targets = append(message.Targets, &wire.CheckpointTarget{
 			Id:         target.ID,
@@ -170,7 +172,7 @@
 	if len(parts) != len(targets) {
 		return Content{}, errors.Newf("decode checkpoint: %d parts and %d targets", len(parts), len(targets))
 	}
-	content := Content{Placements: make([]balance.Placement, 0, len(parts))}
+	content := Content{Placements: make([]balance.Placement, 0, len(parts)), Gateways: int(min(message.GetGateways(), math.MaxInt32))}
 	for i, part := range parts {
 		content.Placements = append(content.Placements, balance.Placement{Part: part, Target: targets[i]})
 	}
--- a/internal/checkpoint/checkpoint_test.go
+++ b/internal/checkpoint/checkpoint_test.go
@@ -30,7 +30,8 @@
 func TestSaveAndLearn(t *testing.T) {
 	is := is.New(t)
 	balancer := balance.New(balance.DefaultOptions())
-	balancer.Put(balance.Target{ID: "t", Service: "s"})
+	balancer.Put(balance.Target{ID: "t", Service: "s"}, time.Now())
+	balancer.SetGateways(balance.Gateways{Count: 7})
 	store := new(memoryStore)
 	turn, calls := false, 0
 	saver := NewSaver(balancer, store, func() bool { return turn }, func(error) { calls++ })
@@ -40,8 +41,8 @@
 	balancer.Drop("t", time.Now())
 	saver.save(t.Context())
 	is.Equal(store.saves, 0) // nothing to keep
-	balancer.Put(balance.Target{ID: "t", Service: "s", Address: "10.0.0.1:80", DataCenter: "a", Slots: 6})
-	balancer.Put(balance.Target{ID: "u", Service: "s", Leaving: true})
+	balancer.Put(balance.Target{ID: "t", Service: "s", Address: "10.0.0.1:80", DataCenter: "a", Slots: 6}, time.Now())
+	balancer.Put(balance.Target{ID: "u", Service: "s", Leaving: true}, time.Now())
 	balancer.Confirm("t", balance.Query{Parts: []uint64{1 << 32, 2 << 32}})
 	saver.save(t.Context())
 	saver.save(t.Context()) // nothing new
@@ -49,6 +50,7 @@
 	is.Equal(calls, 1)
 	kept, err := Decode(store.data)
 	is.NoErr(err)
+	is.Equal(kept.Gateways, 7)
 	other := balance.New(balance.DefaultOptions())
 	other.Learn(kept.Placements)
 	is.Equal(kept.Targets, []balance.Target{{ID: "t", Service: "s", Address: "10.0.0.1:80", DataCenter: "a", Slots: 6}}) // the one that leaves is not kept
@@ -82,15 +84,15 @@
 		"a little, and long ago":     {func(b *balance.Balancer) { b.Confirm("t", parts(1000, 1005)) }, oldest, 2},
 		"nothing, however long ago":  {func(*balance.Balancer) {}, time.Hour, 1},
 		"much":                       {func(b *balance.Balancer) { b.Confirm("t", parts(1000, 1020)) }, saveEvery, 2},
-		"a target that takes work":   {func(b *balance.Balancer) { b.Put(balance.Target{ID: "u", Service: "s"}) }, saveEvery, 2},
-		"a target that stopped that": {func(b *balance.Balancer) { b.Put(balance.Target{ID: "t", Service: "s", Leaving: true}) }, saveEvery, 2},
+		"a target that takes work":   {func(b *balance.Balancer) { b.Put(balance.Target{ID: "u", Service: "s"}, time.Now()) }, saveEvery, 2},
+		"a target that stopped that": {func(b *balance.Balancer) { b.Put(balance.Target{ID: "t", Service: "s", Leaving: true}, time.Now()) }, saveEvery, 2},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				balancer := balance.New(balance.DefaultOptions())
-				balancer.Put(balance.Target{ID: "t", Service: "s"})
+				balancer.Put(balance.Target{ID: "t", Service: "s"}, time.Now())
 				balancer.Confirm("t", parts(1, 200))
 				store := new(memoryStore)
 				saver := NewSaver(balancer, store, func() bool { return true }, func(error) {})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -179,7 +179,7 @@
 	w.gateway.Apply(config())
 	w.gateway.Proof.Note(time.Now())
 	for _, id := range []string{"a", "b", "c"} {
-		w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id})
+		w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id}, time.Now())
 	}
 	return w
 }
@@ -585,7 +585,7 @@
 				w.gateway.Budgets = retrybudget.New(retrybudget.Options{Window: 10 * time.Second})
 				for i := 3; i < tc.targets; i++ {
 					id := strings.Repeat("x", i)
-					w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id})
+					w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id}, time.Now())
 				}
 				w.serve(t.Context(), "/once/x")
 				is.Equal(w.caller.status, tc.status)
--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -67,7 +67,7 @@
 					if id != "a" {
 						place = "near"
 					}
-					w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id, DataCenter: place})
+					w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id, DataCenter: place}, time.Now())
 				}
 				for i := range 40 {
 					for range 3 { // one of three goes to each target
--- a/internal/gateway/turn_test.go
+++ b/internal/gateway/turn_test.go
@@ -23,7 +23,7 @@
 	w := newWorld(scripts...)
 	w.gateway.Limiters = admission.NewLimiters(admission.DefaultLimiterOptions())
 	for _, id := range []string{"a", "b", "c"} {
-		w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id, Leaving: id != "a", Slots: 1})
+		w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id, Leaving: id != "a", Slots: 1}, time.Now())
 	}
 	return w
 }
@@ -125,7 +125,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newFullWorld(rejected, whole(http.StatusOK, "yes"))
-		w.gateway.Balancer.Put(balance.Target{ID: "b", Service: "s", Address: "b", Slots: 1})
+		w.gateway.Balancer.Put(balance.Target{ID: "b", Service: "s", Address: "b", Slots: 1}, time.Now())
 		w.gateway.Balancer.Observe("other", []balance.Count{{Target: hashOf("b"), Count: 2}, {Target: hashOf("a"), Count: 1}}, time.Now())
 		w.gateway.Balancer.NoteHold("s", time.Millisecond, time.Second) // three requests a slot
 		got := w.serveAs(t.Context(), "/once/x")
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -95,8 +95,8 @@
 	Stale time.Duration
 	// Lag is how late this process's timers fire; nil is not at all.
 	Lag func() time.Duration
-	// Counted is called with the number of live peers in every round of beats.
-	Counted func(peers int)
+	// Counted is called with what is known of the peers in every round of beats.
+	Counted func(census Census)
 }
 
 // Service exchanges beats with other gateways.
@@ -344,7 +344,7 @@
 // made up for later.
 func (s *Service) broadcast(now time.Time, urgent bool) {
 	live := slices.Clone(s.look(now).live)
-	s.options.Counted(len(live))
+	s.options.Counted(s.table.count(len(live)))
 	slices.SortStableFunc(live, func(a, b *peer) int { return a.reportedAt.Compare(b.reportedAt) })
 	for _, to := range live {
 		reported := to.reported
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -96,10 +96,10 @@
 		t.Fatal(err)
 	}
 	n := &node{replica: &fakeReplica{reachable: true}, proof: new(freshness.Proof), balancer: balance.New(balance.DefaultOptions()), watcher: new(noting)}
-	n.balancer.Put(balance.Target{ID: "t", Service: "s", Address: "t"})
+	n.balancer.Put(balance.Target{ID: "t", Service: "s", Address: "t"}, time.Now())
 	n.service = New(Options{
 		ID: id, Address: conn.LocalAddr().String(), Seeds: seeds, Budget: 100_000,
-		Replica: n.replica, Proof: n.proof, Balancer: n.balancer, Watcher: n.watcher, Counted: func(int) {},
+		Replica: n.replica, Proof: n.proof, Balancer: n.balancer, Watcher: n.watcher, Counted: func(Census) {},
 	}, conn, network.From(id))
 	network.Serve(n.service.options.Address, n.service.Handle)
 	if err := n.service.Start(t.Context()); err != nil {
@@ -221,7 +221,7 @@
 			defer func() { _ = conn.Close() }()
 			service := New(Options{
 				ID: "self", Address: conn.LocalAddr().String(), Budget: 1, Replica: &fakeReplica{revision: 7, reachable: true},
-				Proof: new(freshness.Proof), Balancer: balance.New(balance.DefaultOptions()), Watcher: quietWatcher{}, Counted: func(int) {},
+				Proof: new(freshness.Proof), Balancer: balance.New(balance.DefaultOptions()), Watcher: quietWatcher{}, Counted: func(Census) {},
 			}, conn, network.From("self"))
 			now := time.Now()
 			for number := range 200 {
@@ -256,7 +256,7 @@
 	defer func() { _ = conn.Close() }()
 	service := bareService()
 	service.conn = conn
-	service.options.Counted = func(int) {}
+	service.options.Counted = func(Census) {}
 	now := time.Now()
 	const peers = 29
 	for number := range peers {
@@ -280,7 +280,7 @@
 	}
 	is.True(rounds <= peers/2) // at least two in each round, each in its turn
 	// What a beat that was not sent would have told waits for the next one.
-	service.options.Balancer.Put(balance.Target{ID: "t", Service: "s"})
+	service.options.Balancer.Put(balance.Target{ID: "t", Service: "s"}, time.Now())
 	service.options.Balancer.Confirm("t", balance.Query{Parts: []uint64{1 << 32}})
 	service.bucket = rate.NewLimiter(0, 0)
 	service.broadcast(now.Add(time.Second), false)
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -193,6 +193,34 @@
 	return peers
 }
 
+// Census is how many other gateways there are.
+type Census struct {
+	// Live sent a beat lately.
+	Live int
+	// Known are those that may be there: also those that were lost in the last few
+	// minutes, since they may only be cut off from this one.
+	Known int
+	// Before is how many of these come before this gateway in an order that all
+	// gateways share.
+	Before int
+}
+
+// count counts the peers, of which so many are live.
+func (t *table) count(live int) Census {
+	census := Census{Live: live}
+	own := policy.HashName(t.self)
+	for _, known := range t.peers {
+		if known.leaving {
+			continue
+		}
+		census.Known++
+		if known.hash < own {
+			census.Before++
+		}
+	}
+	return census
+}
+
 // expire returns the peers that have just become lost, and forgets those that
 // have been for long.
 func (t *table) expire(now time.Time) []*peer {
--- a/internal/peer/tree_test.go
+++ b/internal/peer/tree_test.go
@@ -146,7 +146,7 @@
 	t.Cleanup(func() { _ = conn.Close() })
 	s := New(Options{
 		ID: id, Address: conn.LocalAddr().String(), Budget: 7000, Replica: &fakeReplica{revision: revision, reachable: true},
-		Proof: new(freshness.Proof), Balancer: balance.New(balance.DefaultOptions()), Watcher: quietWatcher{}, Counted: func(int) {},
+		Proof: new(freshness.Proof), Balancer: balance.New(balance.DefaultOptions()), Watcher: quietWatcher{}, Counted: func(Census) {},
 	}, conn, nil)
 	s.pulling = true // no links here
 	return s
@@ -178,7 +178,7 @@
 	now := time.Now()
 	hello := child.beat(nil, now)
 	parent.take(hello, now)
-	parent.options.Balancer.Put(balance.Target{ID: "t", Service: "s"})
+	parent.options.Balancer.Put(balance.Target{ID: "t", Service: "s"}, time.Now())
 	parent.options.Balancer.Observe("child", []balance.Count{{Target: policy.HashName("t"), Count: 3}}, now)
 	greeting := parent.beat(nil, now)
 	child.take(greeting, now)
--- a/internal/process/budget_test.go
+++ b/internal/process/budget_test.go
@@ -12,6 +12,7 @@
 	"github.com/capersaddle/capersaddle/internal/gateway"
 	"github.com/capersaddle/capersaddle/internal/retrybudget"
 	"github.com/capersaddle/capersaddle/internal/routing"
+	"github.com/capersaddle/capersaddle/internal/peer"
 	"github.com/capersaddle/capersaddle/internal/settings"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
@@ -36,9 +37,9 @@
 			s := &settings.Gateway{Retry: settings.RetryBudget{Ratio: 0.2, Slack: 100, Window: settings.Duration(10 * time.Second)}}
 			p := &GatewayProcess{settings: s, started: time.Now().Add(-tc.running)}
 			p.gateway = &gateway.Gateway{Balancer: balance.New(balance.DefaultOptions()), Budgets: retrybudget.New(retryOptions(s))}
-			p.countPeers(tc.peers)
+			p.countPeers(peer.Census{Live: tc.peers, Known: tc.peers})
 			if name == "thirty, then alone" {
-				p.countPeers(0) // cut off, the others go on spending
+				p.countPeers(peer.Census{}) // cut off, the others go on spending
 			}
 			spent := 0
 			for p.gateway.Budgets.Spend("s", time.Now()) {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -71,6 +71,9 @@
 	// peerKnewAt is when another gateway was first found to hold the store's
 	// content, while this one held nothing; used by the feed only.
 	peerKnewAt time.Time
+	// expectedGateways is how many gateways there were when the last checkpoint was
+	// written; zero if that is not known.
+	expectedGateways atomic.Int32
 	// mostPeers is used by the peers' rounds only.
 	mostPeers int
 }
@@ -182,6 +185,7 @@
 func balanceOptions(s *settings.Gateway) balance.Options {
 	options := balance.OptionsFor(balance.Bound{Multiple: s.Load.Multiple, Extra: s.Load.Extra})
 	options.DataCenter = s.DataCenter
+	options.Cold = balance.Bound{Multiple: s.Cold.Multiple, Extra: s.Cold.Extra}
 	// What lapsed may also have left, and then gets no new work for long.
 	const leaveShare = 0.85
 	options.Lapse = min(balance.MostLapse, time.Duration(leaveShare*float64(s.Leave)))
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/lag"
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/peer"
@@ -17,8 +18,10 @@
 // joinPeers takes the address for other gateways, if there is one.
 func (p *GatewayProcess) joinPeers() error {
 	if p.settings.Peers == "" {
+		p.gateway.Balancer.SetGateways(balance.Gateways{Count: 1})
 		return nil
 	}
+	p.gateway.Balancer.SetGateways(p.placeAmong(peer.Census{}))
 	conn, listener, err := listenBoth(p.settings.Peers)
 	if err != nil {
 		return listenFailed("peers", err)
@@ -51,9 +54,10 @@
 
 // countPeers shares the bounds of all gateways among as many as are heard, or
 // ever were.
-func (p *GatewayProcess) countPeers(peers int) {
-	p.gateway.Balancer.SetPeers(peers)
-	p.mostPeers = max(p.mostPeers, peers)
+func (p *GatewayProcess) countPeers(census peer.Census) {
+	p.gateway.Balancer.SetPeers(census.Live)
+	p.gateway.Balancer.SetGateways(p.placeAmong(census))
+	p.mostPeers = max(p.mostPeers, census.Live)
 	gateways := max(leastGateways, gatewaysToCome*float64(p.mostPeers+1))
 	if time.Since(p.started) < knownAfter {
 		gateways = max(gateways, unknownGateways)
@@ -62,6 +66,24 @@
 	p.gateway.AdmitWaiting()
 }
 
+// placeAmong is this process's place among all gateways. Until it has had the time
+// to discover the others there are taken to be as many as when the last checkpoint
+// was written, or more than the usual where none is known.
+func (p *GatewayProcess) placeAmong(census peer.Census) balance.Gateways {
+	known := census.Known + 1
+	if time.Since(p.started) >= knownAfter {
+		return balance.Gateways{Count: known, Place: census.Before}
+	}
+	expected := int(p.expectedGateways.Load())
+	if expected == 0 {
+		expected = unknownGateways
+	}
+	if known >= expected {
+		return balance.Gateways{Count: known, Place: census.Before}
+	}
+	return balance.Gateways{Count: expected, Place: balance.PlaceOf(p.settings.ID, expected)}
+}
+
 // accompanied says whether other gateways are heard.
 func (p *GatewayProcess) accompanied() bool {
 	return p.peers != nil && p.peers.Live() > 0
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -38,6 +39,9 @@
 func (s *sink) Config(config *routing.Config) {
 	before := s.process.gateway.Version()
 	if s.process.gateway.Apply(config) {
+		for _, service := range config.Services {
+			s.process.gateway.Balancer.SetCold(service.Name, balance.ColdBound{Rate: service.ColdRate, Start: service.ColdStart})
+		}
 		s.process.observer.ConfigApplied(config.Version, before, len(config.Routes), len(config.Workspaces))
 		s.urge()
 	}
@@ -45,11 +49,12 @@
 
 // Target takes a server that was added or changed.
 func (s *sink) Target(target balance.Target) {
-	if !s.process.gateway.Balancer.Put(target) {
+	change := s.process.gateway.Balancer.Put(target, time.Now())
+	if !change.Any {
 		return
 	}
 	s.process.observer.TargetChanged(target)
-	if target.Leaving {
+	if target.Leaving || change.TurnedCold {
 		s.urge()
 	}
 }
@@ -94,6 +99,7 @@
 		s.process.observer.BadValue("checkpoint", err)
 		return
 	}
+	s.process.expectedGateways.Store(int32(min(kept.Gateways, math.MaxInt32)))
 	s.keepAside(kept.Targets)
 	s.process.gateway.Balancer.Learn(kept.Placements)
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -84,6 +84,10 @@
 	// ConnectionLimit is how many connections one target takes from all
 	// callers; zero is unknown.
 	ConnectionLimit int
+	// ColdRate is how many requests a second a target bears while it is cold from
+	// its start; zero is no bound. ColdStart is how long that is.
+	ColdRate  float64
+	ColdStart time.Duration
 	// Engine says that the targets are model engines with a prefix cache.
 	Engine bool
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -42,6 +42,7 @@
 	// Grace is the time between SIGTERM and the end.
 	Grace Duration    `json:"grace,omitempty"`
 	Load  LoadBound   `json:"load"`
+	Cold  ColdBound   `json:"cold"`
 	Retry RetryBudget `json:"retry"`
 	Log   Log         `json:"log"`
 }
@@ -54,6 +55,15 @@
 	Extra float64 `json:"extra,omitempty"`
 }
 
+// ColdBound bounds what all gateways together send to a target that has just
+// started.
+type ColdBound struct {
+	// Multiple of the requests a second which it bears that it may get in any second.
+	Multiple float64 `json:"multiple,omitempty"`
+	// Extra requests that it may get besides.
+	Extra float64 `json:"extra,omitempty"`
+}
+
 // RetryBudget bounds the retries of all gateways together.
 type RetryBudget struct {
 	// Ratio of the requests of a window that may be retries.
@@ -71,6 +81,7 @@
 	defaultGrace        = 8 * time.Second
 	defaultLoadMultiple = 2
 	defaultLoadExtra    = 3
+	defaultColdMultiple = 1
 	defaultRetryRatio   = 0.2
 	defaultRetryWindow  = 10 * time.Second
 )
@@ -132,6 +143,7 @@
 	s.Grace = Duration(orTime(s.Grace, defaultGrace))
 	s.Load.Multiple = or(s.Load.Multiple, defaultLoadMultiple)
 	s.Load.Extra = or(s.Load.Extra, defaultLoadExtra)
+	s.Cold.Multiple = or(s.Cold.Multiple, defaultColdMultiple)
 	s.Retry.Ratio = or(s.Retry.Ratio, defaultRetryRatio)
 	s.Retry.Window = Duration(orTime(s.Retry.Window, defaultRetryWindow))
 }
@@ -160,6 +172,9 @@
 	if s.Load.Extra < 0 {
 		c.say("load.extra", "", "found %v; want 0 or more", s.Load.Extra)
 	}
+	if s.Cold.Multiple < 0 || s.Cold.Extra < 0 {
+		c.say("cold", "", "found a negative multiple or extra; want 0 or more")
+	}
 	if s.Retry.Ratio < 0 || s.Retry.Slack < 0 {
 		c.say("retry", "", "found a negative ratio or slack; want 0 or more")
 	}
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -91,7 +91,7 @@
 		"bounds.strict_revocation": "true", "bounds.revocation_ms": "6000", "bounds.grace_period_s": "9",
 		"bounds.capacity_multiple": "1.5", "bounds.config_apply_ms": "3000", "bounds.drain_timeout_ms": "1500",
 		"bounds.retry_budget_ratio": "0.1", "bounds.retry_slack": "54", "bounds.retry_window_s": "12",
-		"bounds.evacuation_ms": "4500",
+		"bounds.evacuation_ms": "4500", "bounds.cold_overage": "1.5", "bounds.cold_slack": "5",
 	}
 	text, err := os.ReadFile("../../deploy/gateway.json")
 	is.New(t).NoErr(err)
@@ -103,11 +103,13 @@
 			Revocation: settings.Duration(6 * time.Second), Grace: settings.Duration(9 * time.Second),
 			Apply: settings.Duration(3 * time.Second), Leave: settings.Duration(1500 * time.Millisecond), Evacuate: settings.Duration(4500 * time.Millisecond),
 			Load:  settings.LoadBound{Multiple: 1.5, Extra: 3},
+			Cold:  settings.ColdBound{Multiple: 1.5, Extra: 5},
 			Retry: settings.RetryBudget{Ratio: 0.1, Slack: 54, Window: settings.Duration(12 * time.Second)},
 		}},
 		"none": {nil, settings.Gateway{
 			Grace: settings.Duration(8 * time.Second), Apply: settings.Duration(2 * time.Second), Leave: settings.Duration(2 * time.Second), Evacuate: settings.Duration(5 * time.Second),
 			Load:  settings.LoadBound{Multiple: 2, Extra: 3},
+			Cold:  settings.ColdBound{Multiple: 1},
 			Retry: settings.RetryBudget{Ratio: 0.2, Window: settings.Duration(10 * time.Second)},
 		}},
 	}
@@ -125,6 +127,7 @@
 			is.Equal(read.Leave, tc.want.Leave)
 			is.Equal(read.Evacuate, tc.want.Evacuate)
 			is.Equal(read.Load, tc.want.Load)
+			is.Equal(read.Cold, tc.want.Cold)
 			is.Equal(read.Retry, tc.want.Retry)
 		})
 	}
