Beats among tens of gateways have the counts by target that fit

Cause: above 16 counts a beat among more than nine gateways had the four largest. Ruled out: the mean (24.4 seen, 24.0 held), the growth of totals, the cold bound itself. Change: as many counts as leave room for a beat a second to each peer: 27 at 26 gateways; a hundred gateways and more have four as before.

--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -74,7 +74,7 @@
 			beat.Totals = append(beat.Totals, uint32(total.Count))
 		}
 		if len(counts) > mostCounts {
-			counts = largest(counts, fewCounts)
+			counts = largest(counts, s.countsThatFit(now))
 		}
 	}
 	for _, count := range counts {
@@ -83,6 +83,14 @@
 	}
 }
 
+// countsThatFit is how many counts by target a beat among many gateways has, if there
+// are more: as many as leave the bytes for a beat to each peer every countsEvery.
+func (s *Service) countsThatFit(now time.Time) int {
+	beats := float64(max(len(s.look(now).live), 1)) / countsEvery.Seconds()
+	bytes := (1-directoryShare)*float64(s.options.Budget)/beats - headSize
+	return max(int(bytes/countSize), fewCounts)
+}
+
 // largest are the largest counts, at most so many.
 func largest(counts []balance.Count, most int) []balance.Count {
 	ordered := slices.Clone(counts)
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -34,6 +34,12 @@
 	// as ever: then it has only the largest, fewCounts.
 	mostCounts = 16
 	fewCounts  = 4
+	// countsEvery is how long it may take to send each peer a beat, so that the beats
+	// have more of the counts.
+	countsEvery = time.Second
+	// headSize and countSize are the bytes of a beat without counts and of a count.
+	headSize  = 50
+	countSize = 5
 	// introduceEvery is how many beats to a peer go by between two that say
 	// who sends them; introduceFirst is how many do at the beginning.
 	introduceEvery = 24
--- a/internal/peer/tree_test.go
+++ b/internal/peer/tree_test.go
@@ -230,3 +230,39 @@
 		})
 	}
 }
+
+// TestCountsThatFit: found as LIMIT after surges on a deployment of 26 gateways: a
+// beat had four of some forty counts, so targets that got one or two requests of each
+// gateway looked half as full as they were.
+func TestCountsThatFit(t *testing.T) {
+	cases := map[string]struct {
+		peers, least, most int
+	}{
+		"nine":       {9, 40, 40},
+		"twenty-six": {25, 24, 40},
+		"a hundred":  {102, fewCounts, fewCounts},
+		"370":        {369, fewCounts, fewCounts},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := treeNode(t, "self", 9)
+			now := time.Now()
+			for number := range tc.peers {
+				beat := beatOf(fmt.Sprint(number), 1)
+				beat.Life, beat.Address = uint64(number+2), "127.0.0.1:9"
+				s.table.take(beat, now)
+			}
+			for i := range 40 {
+				s.lastCounts = append(s.lastCounts, balance.Count{Target: uint64(i+1) << 32, Count: 1 + i%3})
+			}
+			beat := s.brief(s.table.peers["0"], now)
+			s.addLoads(beat, now)
+			is.True(len(beat.GetCounts()) >= tc.least && len(beat.GetCounts()) <= tc.most)
+			if len(beat.GetCounts()) > fewCounts {
+				bytes := float64(proto.Size(beat) * tc.peers)
+				is.True(bytes <= (1-directoryShare)*float64(s.options.Budget)*countsEvery.Seconds())
+			}
+		})
+	}
+}
--- a/internal/process/budget_test.go
+++ b/internal/process/budget_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/gateway"
+	"github.com/capersaddle/capersaddle/internal/peer"
 	"github.com/capersaddle/capersaddle/internal/retrybudget"
 	"github.com/capersaddle/capersaddle/internal/routing"
-	"github.com/capersaddle/capersaddle/internal/peer"
 	"github.com/capersaddle/capersaddle/internal/settings"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
