A target that several gateways get no answer from is left out by all

Cause: refused connections were passed on, time-outs and resets were not; each gateway found a dark or resetting engine with its own callers' requests, over 3 s. Hypothesis: two gateways that agree are enough, one is not (it may be cut off itself). Change: beats name the targets that gave the sender no answer in the last 1.5 s and none since; a target is left out while two gateways, or one and this one, suspect it, and it hasn't answered here since. Silence alone is no such sign (in a surge all are slow), a server's own failure neither. Who suspects more than half of its targets names none; half of them serve always.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -131,6 +131,8 @@
 	paths map[string]*path
 	// gateways is this gateway's place among all.
 	gateways Gateways
+	// suspectedBy are the targets that other gateways suspect, by the gateway's id.
+	suspectedBy map[string][]uint32
 	// evacuated are the data centres whose targets get nothing.
 	evacuated map[string]bool
 	// manyPeers says that more than a few other gateways share the targets.
@@ -153,7 +155,8 @@
 		fills:    make(fills),
 		paths:    make(map[string]*path),
 
-		evacuated: make(map[string]bool),
+		evacuated:   make(map[string]bool),
+		suspectedBy: make(map[string][]uint32),
 
 		tightness: 1,
 		totalLife: totalLife,
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -69,7 +69,7 @@
 		case gone && target.goneFor(now) <= b.options.Lapse && !target.health.ejected(now):
 			lapsed = append(lapsed, target)
 		case gone:
-		case target.health.ejected(now):
+		case target.health.ejected(now) || target.doubted(now):
 			ejected = append(ejected, target)
 		default:
 			target.aside = target.cold.yet
--- a/internal/balance/directory_test.go
+++ b/internal/balance/directory_test.go
@@ -85,7 +85,7 @@
 	is.Equal(b.Unplaced(query, start), []uint32{4, 1, 3}) // the deepest first, no short one
 	b.Confirm("t1", balance.Query{Service: "s", Parts: query.Parts[:1], Tokens: query.Tokens[:1]})
 	is.Equal(b.Unplaced(query, start), []uint32{4, 3})
-	b.Suspect(short("t1"), start)
+	b.NoteRefused(short("t1"), start)
 	is.Equal(b.Unplaced(query, start), []uint32{4, 1, 3}) // its holder does not serve
 	b.Confirm("t2", query)
 	is.Equal(len(b.Unplaced(query, start)), 0)
@@ -101,7 +101,7 @@
 	for i := range 8 {
 		b.Confirm(target(i).ID, query)
 	}
-	b.Suspect(short("t5"), start)
+	b.NoteRefused(short("t5"), start)
 	b.Choose(balance.Query{Service: "s"}, start)
 	b.Confirm("t8", query)
 	b.Confirm("t9", query) // no dead one is left: the oldest makes room
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -40,6 +40,11 @@
 	ejections    int
 	ejectedUntil time.Time
 	lastEjection time.Time
+	// losses counts the requests without an answer since the last good one, which
+	// came at answeredAt; the last of them was lost at lostAt.
+	losses     int
+	lostAt     time.Time
+	answeredAt time.Time
 	// refusals counts the times out for refused connections since the last
 	// success.
 	refusals int
@@ -114,8 +119,10 @@
 const (
 	// Good: answered as it should be.
 	Good Result = iota
-	// Bad: failed, broke off, or gave bytes that are no answer.
+	// Bad: failed, was silent for too long, or gave bytes that are no answer.
 	Bad
+	// Lost: gave no answer, or broke off.
+	Lost
 	// Unreachable: no connection could be made.
 	Unreachable
 	// Refused: nothing listens at its address any more.
@@ -134,15 +141,20 @@
 		return false
 	}
 	target.count(-1)
-	if result == Bad || result == Unreachable || result == Refused {
+	if result == Bad || result == Lost || result == Unreachable || result == Refused {
 		target.aside = true
 	}
 	switch result {
 	case Good:
+		target.health.noteAnswer(now)
 		target.health.good()
+	case Lost:
+		target.health.noteLoss(now)
+		return target.health.bad(now, b.typicalFailures(target))
 	case Bad:
 		return target.health.bad(now, b.typicalFailures(target))
 	case Unreachable:
+		target.health.noteLoss(now)
 		target.health.unreachable(now)
 		return true
 	case Refused:
@@ -168,9 +180,9 @@
 	return rates[len(rates)/2]
 }
 
-// Suspect leaves a target out that refused a connection of another gateway. It
+// NoteRefused leaves a target out that refused a connection of another gateway. It
 // returns the target's id, and false if it is not known or left out already.
-func (b *Balancer) Suspect(target uint32, now time.Time) (id string, news bool) {
+func (b *Balancer) NoteRefused(target uint32, now time.Time) (id string, news bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known, ok := b.byShort[target]
--- a/internal/balance/refused_test.go
+++ b/internal/balance/refused_test.go
@@ -29,10 +29,10 @@
 	b := newBalancer(4)
 	now := start
 	for _, out := range []time.Duration{800 * time.Millisecond, 1600 * time.Millisecond, 3200 * time.Millisecond, 3200 * time.Millisecond} {
-		id, news := b.Suspect(short("t2"), now)
+		id, news := b.NoteRefused(short("t2"), now)
 		is.True(news)
 		is.Equal(id, "t2")
-		_, news = b.Suspect(short("t2"), now)
+		_, news = b.NoteRefused(short("t2"), now)
 		is.True(!news) // it is left out already, so no other gateway needs the news
 		is.Equal(openAt(b, now.Add(out-time.Millisecond)), 3)
 		is.Equal(openAt(b, now.Add(out)), 4)
@@ -40,10 +40,10 @@
 	}
 	b.Choose(balance.Query{Service: "s", Exclude: []string{"t0", "t1", "t3"}}, now)
 	b.Release("t2", balance.Good, now)
-	_, news := b.Suspect(short("t2"), now)
+	_, news := b.NoteRefused(short("t2"), now)
 	is.True(news)
 	is.Equal(openAt(b, now.Add(800*time.Millisecond)), 4) // from the first time out on
-	_, news = b.Suspect(12345, now)
+	_, news = b.NoteRefused(12345, now)
 	is.True(!news) // unknown
 }
 
@@ -55,7 +55,7 @@
 	query := longSession(1)
 	b.Confirm("t1", query)
 	b.Confirm("t2", query)
-	b.Suspect(short("t1"), start)
+	b.NoteRefused(short("t1"), start)
 	query.Exclude = []string{"t2"}
 	pick, _ := b.Choose(query, start)
 	is.True(pick.Target.ID != "t1")
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -62,6 +62,8 @@
 	latency float64
 	health  health
 	cold    coldness
+	// suspicions are other gateways'.
+	suspicions []suspicion
 	// goneAt is when the list dropped the target; zero while it is listed.
 	goneAt time.Time
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -138,7 +138,7 @@
 	case errors.Is(failure, context.Canceled):
 		a.outcome = delivery.Lost
 	default:
-		a.outcome, a.result = delivery.Lost, balance.Bad
+		a.outcome, a.result = delivery.Lost, balance.Lost
 	}
 	if a.call.delivery.Begun() && failure.Sent {
 		a.outcome = delivery.Cut
@@ -217,7 +217,7 @@
 	}
 	_, err := io.Copy(writerFunc(a.call.responder.Write), answer.Body)
 	if err != nil {
-		a.outcome, a.result, a.err = delivery.Cut, balance.Bad, err
+		a.outcome, a.result, a.err = delivery.Cut, balance.Lost, err
 		return false
 	}
 	a.result = balance.Good
@@ -239,9 +239,9 @@
 // lost ends an attempt whose answer broke off before any of it was passed on.
 func (a *attempt) lost(err error) {
 	a.err = err
-	a.outcome, a.result = delivery.Lost, balance.Bad
+	a.outcome, a.result = delivery.Lost, balance.Lost
 	if a.isSpent() || errors.Is(err, context.DeadlineExceeded) {
-		a.outcome = delivery.Silent
+		a.outcome, a.result = delivery.Silent, balance.Bad
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -82,11 +82,14 @@
 // cut notes a stream that broke off.
 func (a *attempt) cut(err error) {
 	a.err = errors.Wrapf(err, "after %d events", a.events)
-	a.result = balance.Bad
-	a.outcome = delivery.Lost
+	a.outcome, a.result = delivery.Lost, balance.Lost
 	if a.call.delivery.Begun() {
 		a.outcome = delivery.Cut
-	} else if a.isSpent() {
+	}
+	if a.isSpent() || errors.Is(err, context.DeadlineExceeded) {
+		a.result = balance.Bad
+	}
+	if a.isSpent() && !a.call.delivery.Begun() {
 		a.outcome = delivery.Silent
 	}
 }
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -29,6 +29,7 @@
 	EventPeerLost   = "peer_lost"
 	EventReplica    = "replica_fetched"
 	EventRefused    = "target_refused"
+	EventDoubted    = "target_doubted"
 	EventStart      = "started"
 	EventDrain      = "draining"
 	EventStop       = "stopped"
@@ -42,7 +43,7 @@
 func Events() []string {
 	return []string{
 		EventRequest, EventConfig, EventTarget, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
-		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventStart, EventDrain, EventStop, EventReload, EventLate, EventInTime, EventSampled,
+		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventDoubted, EventStart, EventDrain, EventStop, EventReload, EventLate, EventInTime, EventSampled,
 	}
 }
 
--- a/internal/observe/state.go
+++ b/internal/observe/state.go
@@ -107,6 +107,12 @@
 	o.log.Info(EventRefused, "target", target, "peer", from)
 }
 
+// TargetDoubted logs that a target is left out since several gateways got no answer
+// from it.
+func (o *Observer) TargetDoubted(target, from string) {
+	o.log.Info(EventDoubted, "target", target, "peer", from)
+}
+
 // ReplicaFetched logs the fetching of the store's content from a peer.
 func (o *Observer) ReplicaFetched(id string, from, to int64, err error) {
 	o.metrics.replicas.WithLabelValues(outcome(err)).Inc()
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -55,6 +55,7 @@
 	}
 	beat.Echo = to.sequence
 	s.addLoads(beat, now)
+	s.addSuspects(beat, now)
 	s.addPlacements(beat, to, now)
 	if to.beats < introduceFirst || to.beats%introduceEvery == 0 {
 		beat.Id, beat.Address = s.options.ID, s.options.Address
@@ -64,6 +65,12 @@
 	return beat
 }
 
+// addSuspects adds the targets that gave this process no answer a moment ago.
+func (s *Service) addSuspects(beat *wire.GatewayBeat, now time.Time) {
+	suspects := s.options.Balancer.Suspects(now)
+	beat.Suspects = suspects[:min(len(suspects), mostSuspects)]
+}
+
 // addLoads adds what this process has in flight. Among many gateways that is the
 // totals and the largest counts, else all counts.
 func (s *Service) addLoads(beat *wire.GatewayBeat, now time.Time) {
@@ -195,6 +202,9 @@
 	if !beat.GetBrief() {
 		s.options.Balancer.Observe(from.id, countsOf(beat), now)
 		s.options.Balancer.ObserveTotals(from.id, totalsOf(beat), now)
+		for _, target := range s.options.Balancer.ObserveSuspects(from.id, beat.GetSuspects(), now) {
+			s.options.Watcher.TargetDoubted(target, from.id)
+		}
 	}
 	s.takePlacements(beat, now)
 	s.takeRefused(beat, from, now)
--- a/internal/peer/refused.go
+++ b/internal/peer/refused.go
@@ -33,7 +33,7 @@
 func (s *Service) takeRefused(beat *wire.GatewayBeat, from *peer, now time.Time) {
 	var news []uint32
 	for _, target := range beat.GetRefused() {
-		id, isNews := s.options.Balancer.Suspect(target, now)
+		id, isNews := s.options.Balancer.NoteRefused(target, now)
 		if !isNews {
 			continue
 		}
--- a/internal/peer/refused_test.go
+++ b/internal/peer/refused_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -33,9 +35,27 @@
 	defer service.mu.Unlock()
 	now := time.Now()
 	from := service.look(now).live[0]
-	nodes[0].balancer.Suspect(holderOf(0).Target, now)
+	nodes[0].balancer.NoteRefused(holderOf(0).Target, now)
 	sent, _ := service.Traffic()
 	service.takeRefused(&wire.GatewayBeat{Refused: []uint32{holderOf(0).Target, 777}}, from, now)
 	after, _ := service.Traffic()
 	is.Equal(after, sent)
 }
+
+// TestGatewaysTellEachOtherWhomTheySuspect: over the real sockets.
+func TestGatewaysTellEachOtherWhomTheySuspect(t *testing.T) {
+	is := is.New(t)
+	network := link.NewMemory()
+	one := newNode(t, "one", network)
+	two := newNode(t, "two", network, one.service.options.Address)
+	three := newNode(t, "three", network, one.service.options.Address)
+	three.balancer.Put(balance.Target{ID: "sound", Service: "s", Address: "u"}, time.Now())
+	until(t, "the third leaves the target out", func() bool {
+		one.balancer.Release("t", balance.Lost, time.Now())
+		two.balancer.Release("t", balance.Lost, time.Now())
+		return three.watcher.doubted.Load() > 0
+	})
+	pick, ok := three.balancer.Choose(balance.Query{Service: "s"}, time.Now())
+	is.True(ok)
+	is.Equal(pick.Target.ID, "sound")
+}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -34,6 +34,8 @@
 	// as ever: then it has only the largest, fewCounts.
 	mostCounts = 16
 	fewCounts  = 4
+	// mostSuspects bounds the suspected targets that a beat names.
+	mostSuspects = 24
 	// countsEvery is how long it may take to send each peer a beat, so that the beats
 	// have more of the counts.
 	countsEvery = time.Second
@@ -80,6 +82,9 @@
 	// TargetRefused: a target refused a connection of another gateway; the peer
 	// that passed it on need not be that one.
 	TargetRefused(target, from string)
+	// TargetDoubted: a target is left out since several gateways got no answer from
+	// it; the peer is the last of them to say so.
+	TargetDoubted(target, from string)
 }
 
 // Options are what the service works with.
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -70,14 +70,17 @@
 func (quietWatcher) PeerLost(string, string, time.Duration)     {}
 func (quietWatcher) ReplicaFetched(string, int64, int64, error) {}
 func (quietWatcher) TargetRefused(string, string)               {}
+func (quietWatcher) TargetDoubted(string, string)               {}
 
 // noting is a watcher that counts refused targets.
 type noting struct {
 	quietWatcher
 	refused atomic.Int32
+	doubted atomic.Int32
 }
 
 func (n *noting) TargetRefused(string, string) { n.refused.Add(1) }
+func (n *noting) TargetDoubted(string, string) { n.doubted.Add(1) }
 
 // node is a gateway as far as its peers see it.
 type node struct {
