--- a/internal/balance/suspects.go
+++ b/internal/balance/suspects.go
@@ -10,7 +10,9 @@
 // What one gateway sees proves nothing: it may be cut off itself, or the request's own
 // fault. So a target is left out when two gateways suspect it, or one that this
 // process's own experience agrees with, and one that this process has got an answer
-// from since is not. A gateway to which many targets look so names none.
+// from since is not. A gateway to which most targets look so names none. What it buys:
+// with a fifth of the engines resetting or mute 3 in 100 of the worth of requests; with
+// a third of them dark in a surge to four times the load nothing, since there is no room.
 
 const (
 	// suspectFor is how long after its last failure a target is suspected that has
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -23,6 +23,7 @@
 	UnknownService Kind = "unknown_service"
 	UnknownRoute   Kind = "unknown_route"
 	TooLarge       Kind = "body_too_large"
+	HeadTooLarge   Kind = "head_too_large"
 	NeedsKey       Kind = "idempotency_key_needed"
 	KeyClosed      Kind = "idempotency_key_closed"
 	KeyInDoubt     Kind = "idempotency_key_in_doubt"
@@ -94,6 +95,7 @@
 	UnknownService: {http.StatusNotFound, ExitRefused, false, typeInvalid},
 	UnknownRoute:   {http.StatusNotFound, ExitRefused, false, typeInvalid},
 	TooLarge:       {http.StatusRequestEntityTooLarge, ExitRefused, false, typeInvalid},
+	HeadTooLarge:   {http.StatusRequestHeaderFieldsTooLarge, ExitRefused, false, typeInvalid},
 	NeedsKey:       {http.StatusBadRequest, ExitUsage, false, typeInvalid},
 	KeyClosed:      {http.StatusConflict, ExitRefused, false, typeInvalid},
 	KeyInDoubt:     {http.StatusConflict, ExitUnsettled, false, typeServer},
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -22,8 +22,7 @@
 // ConnState must be that of the server that serves it.
 type Listener struct {
 	net.Listener
-	// limit is how long a connection may rest; zero is without bound.
-	limit func() time.Duration
+	limits Limits
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -36,9 +35,17 @@
 	closeErr  error
 }
 
+// Limits bound connections; zero is without bound. They may change at any time.
+type Limits struct {
+	// Rest is how long a connection may rest.
+	Rest func() time.Duration
+	// Head is how long the head of a request may take from its first byte.
+	Head func() time.Duration
+}
+
 // Listen watches the connections of a listener, which it owns.
-func Listen(listener net.Listener, limit func() time.Duration) *Listener {
-	return &Listener{Listener: listener, limit: limit, conns: make(map[*conn]struct{}), empty: make(chan struct{})}
+func Listen(listener net.Listener, limits Limits) *Listener {
+	return &Listener{Listener: listener, limits: limits, conns: make(map[*conn]struct{}), empty: make(chan struct{})}
 }
 
 // conn is one connection of a caller.
@@ -51,7 +58,8 @@
 	// was answered; ended that the listener has ended the connection.
 	resting bool
 	ended   bool
-	timer   *time.Timer
+	// timer ends a rest, or a head that takes too long.
+	timer *time.Timer
 }
 
 // Accept waits for the next connection.
@@ -84,7 +92,9 @@
 		c.rest(l.restFor())
 	case http.StateClosed, http.StateHijacked:
 		l.forget(c)
-	case http.StateNew, http.StateActive:
+	case http.StateActive:
+		c.headRead()
+	case http.StateNew:
 	}
 }
 
@@ -97,7 +107,7 @@
 	if draining {
 		return 0, true
 	}
-	limit := l.limit()
+	limit := l.limits.Rest()
 	return limit, limit > 0
 }
 
@@ -178,13 +188,38 @@
 	if c.ended {
 		return 0, net.ErrClosed
 	}
-	if n > 0 {
+	if n > 0 && c.resting {
 		c.resting = false
 		c.stopTimer()
+		if limit := c.listener.limits.Head(); limit > 0 {
+			c.timer = time.AfterFunc(limit, c.endHead)
+		}
 	}
 	return n, err
 }
 
+// headRead notes that the head of a request has been read whole.
+func (c *conn) headRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.resting {
+		c.stopTimer()
+	}
+}
+
+// endHead closes the connection on which the head of a request took too long. A head
+// that has been read whole meanwhile has stopped the timer, or is about to; it is then
+// cut as one that came too late.
+func (c *conn) endHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.resting || c.ended || c.timer == nil {
+		return
+	}
+	c.ended = true
+	_ = c.Conn.Close()
+}
+
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.mu.Lock()
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -57,6 +57,8 @@
 	served   chan struct{}
 	// limit is a time.Duration that the server reads at any moment.
 	limit atomic.Int64
+	// head is another one; zero is without bound.
+	head atomic.Int64
 }
 
 // setLimit changes the bound on rests that begin from now on.
@@ -68,12 +70,16 @@
 const (
 	slowly     = 2 * time.Second
 	usualLimit = 4 * time.Second
+	headLimit  = 1500 * time.Millisecond
 )
 
 func newSite() *site {
 	s := &site{pipes: newPipes(), served: make(chan struct{})}
 	s.limit.Store(int64(usualLimit))
-	s.listener = inbound.Listen(s.pipes, func() time.Duration { return time.Duration(s.limit.Load()) })
+	s.listener = inbound.Listen(s.pipes, inbound.Limits{
+		Rest: func() time.Duration { return time.Duration(s.limit.Load()) },
+		Head: func() time.Duration { return time.Duration(s.head.Load()) },
+	})
 	s.server = &http.Server{
 		ConnState: s.listener.ConnState,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -249,13 +255,52 @@
 
 func (l *late) Close() error { return nil }
 
+func unbounded() time.Duration { return 0 }
+
+// TestAHeadHasItsTime: the operators' bound on it was read and used nowhere.
+func TestAHeadHasItsTime(t *testing.T) {
+	cases := map[string]struct {
+		pause    time.Duration
+		path     string
+		answered bool
+	}{
+		"at once":                  {0, "/", true},
+		"in time":                  {headLimit / 2, "/", true},
+		"too late":                 {headLimit + time.Millisecond, "/", false},
+		"in time, a slow answer":   {headLimit / 2, "/slow", true},
+		"at once, a second answer": {0, "/slow", true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSite()
+				s.head.Store(int64(headLimit))
+				defer s.close()
+				c := s.caller()
+				for range 2 {
+					is.NoErr(c.send("GET " + tc.path + " HTTP/1.1\r\n"))
+					time.Sleep(tc.pause)
+					sent := c.send("Host: h\r\n\r\n")
+					if !tc.answered {
+						is.True(sent != nil)
+						return
+					}
+					is.NoErr(sent)
+					is.NoErr(c.answer())
+				}
+			})
+		})
+	}
+}
+
 // TestNothingIsReadAfterTheEnd: bytes that come in while the connection is
 // being ended don't reach the server, who would serve nobody.
 func TestNothingIsReadAfterTheEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		inner := newPipes()
-		listener := inbound.Listen(inner, func() time.Duration { return time.Second })
+		listener := inbound.Listen(inner, inbound.Limits{Rest: func() time.Duration { return time.Second }, Head: unbounded})
 		ours, _ := net.Pipe()
 		raw := &late{Conn: ours, release: make(chan struct{})}
 		go func() { inner.conns <- raw }()
@@ -275,7 +320,7 @@
 	is := is.New(t)
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	listener := inbound.Listen(raw, func() time.Duration { return 0 })
+	listener := inbound.Listen(raw, inbound.Limits{Rest: unbounded, Head: unbounded})
 	theirs, err := net.Dial("tcp", raw.Addr().String())
 	is.NoErr(err)
 	defer func() { _ = theirs.Close() }()
--- a/internal/process/gateway_http.go
+++ b/internal/process/gateway_http.go
@@ -23,6 +23,14 @@
 	return 0
 }
 
+// headLimit is how long the head of a request may take by the configuration in force.
+func (p *GatewayProcess) headLimit() time.Duration {
+	if table := p.gateway.Table(); table != nil && table.Limits().HeaderTimeout > 0 {
+		return min(table.Limits().HeaderTimeout, headerTimeout)
+	}
+	return headerTimeout
+}
+
 // serveCallers takes the callers' address.
 func (p *GatewayProcess) serveCallers() error {
 	listener, err := net.Listen("tcp", p.settings.Callers)
@@ -30,7 +38,7 @@
 		return listenFailed("callers", err)
 	}
 	p.addresses.Callers = listener.Addr().String()
-	p.callers = inbound.Listen(listener, p.idleLimit)
+	p.callers = inbound.Listen(listener, inbound.Limits{Rest: p.idleLimit, Head: p.headLimit})
 	p.server = &http.Server{
 		Handler:           p.front,
 		ReadHeaderTimeout: headerTimeout,
