Whole copies of the store go as packed pages

Cause: at 300 gateways before 3,000 targets most bytes between data centres were whole copies of the store for gateways that begin (all killed, a data centre lost): small values went as they are, 0.7 MB a copy; on a link of 10 Mbit/s four at a time took over 2 s, past the second that a pull may take. Ruled out by reckoning: beats (7 KB/s a gateway of 108). Change: a page of 2 KB or more is compressed as one (entries are alike); a gateway that can't unpack pages says so by not asking for them. Tests: 3,000 entries take less than an eighth; a damaged page changes nothing; an older peer.

--- a/internal/replica/page.go
+++ b/internal/replica/page.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
@@ -14,9 +15,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.doubtful {
-		return &wire.ReplicaPull{Packs: true}
+		return &wire.ReplicaPull{Packs: true, PacksPages: true}
 	}
-	pull := &wire.ReplicaPull{Since: c.revision, Packs: true}
+	pull := &wire.ReplicaPull{Since: c.revision, Packs: true, PacksPages: true}
 	for _, key := range slices.Sorted(maps.Keys(c.records)) {
 		known := c.records[key]
 		if len(known.Value) >= largeValue {
@@ -28,8 +29,52 @@
 
 // Page answers a pull: what has changed since its revision, and all there is
 // where removals since then may be unknown here, without the values that the
-// asking copy holds.
+// asking copy holds. A large page is packed.
 func (c *Copy) Page(pull *wire.ReplicaPull) *wire.ReplicaPage {
+	page := c.page(pull)
+	if pull.GetPacksPages() && proto.Size(page) >= largePage {
+		packItems(page)
+	}
+	return page
+}
+
+// largePage is the size from which a page is packed, in bytes: a smaller one goes in
+// two packets or fewer anyway.
+const largePage = 2048
+
+// packItems compresses the items of a page. Entries of targets are alike but for a few
+// figures: 3,000 of them take a tenth of the bytes, so that a gateway on a link of 10
+// Mbit/s can pass a whole copy on in 0.1 s, not 0.6 s.
+func packItems(page *wire.ReplicaPage) {
+	data, err := proto.Marshal(&wire.ReplicaPage{Items: page.GetItems()})
+	if err != nil {
+		return // it is sent as it is
+	}
+	packed, err := compress(data, nil)
+	if err != nil {
+		return
+	}
+	page.Items, page.PackedItems = nil, packed
+}
+
+// itemsOf are the items of a page, packed or not.
+func itemsOf(page *wire.ReplicaPage) ([]*wire.ReplicaItem, error) {
+	if len(page.GetPackedItems()) == 0 {
+		return page.GetItems(), nil
+	}
+	data, err := expand(page.GetPackedItems(), nil)
+	if err != nil {
+		return nil, err
+	}
+	inner := new(wire.ReplicaPage)
+	if err := proto.Unmarshal(data, inner); err != nil {
+		return nil, errors.Wrap(err, "decode the items of a page")
+	}
+	return inner.GetItems(), nil
+}
+
+// page is a page that is not packed.
+func (c *Copy) page(pull *wire.ReplicaPull) *wire.ReplicaPage {
 	held := make(map[string]int64, len(pull.GetHeld()))
 	for _, value := range pull.GetHeld() {
 		held[value.GetKey()] = value.GetRevision()
@@ -100,10 +145,15 @@
 // Absorb takes another process's page. One that can't be unpacked changes
 // nothing.
 func (c *Copy) Absorb(page *wire.ReplicaPage) error {
+	sent, err := itemsOf(page)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	items := make([]arrived, 0, len(page.GetItems()))
-	for _, packed := range page.GetItems() {
+	if err != nil {
+		c.doubtful = true
+		return err
+	}
+	items := make([]arrived, 0, len(sent))
+	for _, packed := range sent {
 		item, err := c.unpack(packed)
 		c.doubtful = err != nil
 		if err != nil {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -305,6 +305,44 @@
 	})
 }
 
+// TestAWholeCopyOfManyTargetsIsShort: found in a sweep with 300 gateways before 3,000
+// targets, where most bytes between data centres were whole copies for gateways that
+// begin, and gateways on links of 10 Mbit/s could not send one within its time.
+func TestAWholeCopyOfManyTargetsIsShort(t *testing.T) {
+	is := is.New(t)
+	from, to := newKept(), newKept()
+	var items []replica.Item
+	size := 0
+	for i := range 3000 {
+		value := fmt.Sprintf(`{"service":"puye52a","address":"10.%d.64.%d:8080","zone":"tema-hall","version":"v1","slots":64,"state":"ready","cold_remaining_ms":0,"stage":"prefill_decode","models":[{"name":"m","version":1,"adapters":[]}],"sequence":%d}`, i/250, i%250, i%7)
+		items = append(items, put(fmt.Sprintf("servers/i-%010x", uint64(i)*0x9e3779b97f4a7c15>>24), []byte(value), int64(i+1)))
+		size += len(value)
+	}
+	from.Replace(items, 3000)
+	sent := pass(t, from, to)
+	is.True(sent < size/8)
+	is.Equal(to.values, from.values)
+	old := from.Page(&wire.ReplicaPull{Packs: true}) // a gateway that can't unpack pages
+	is.Equal(len(old.GetItems()), 3000)
+}
+
+// TestADamagedPageChangesNothing: the next pull asks for everything.
+func TestADamagedPageChangesNothing(t *testing.T) {
+	is := is.New(t)
+	from, to := newKept(), newKept()
+	for i := range 200 {
+		from.Change([]replica.Item{put(fmt.Sprint("servers/", i), []byte("a value of a target"), int64(i+1))}, int64(i+1))
+	}
+	page := from.Page(to.Pull())
+	is.True(len(page.GetPackedItems()) > 0)
+	page.PackedItems = page.GetPackedItems()[:len(page.GetPackedItems())/2]
+	is.True(to.Absorb(page) != nil)
+	is.Equal(len(to.values), 0)
+	is.Equal(to.Pull().GetSince(), int64(0))
+	pass(t, from, to)
+	is.Equal(to.values, from.values)
+}
+
 func BenchmarkPage(b *testing.B) {
 	from := newKept()
 	from.Change([]replica.Item{put("c", large(1), 1)}, 1)
