Connections that fall silent: to targets, between gateways, from callers

Cause: a connection may say nothing for good, without a reset, while new ones work. A request on a rested connection to a target found that out for itself, and the next one took the next rested connection, as silent; a link to another gateway was kept until the kernel gave up after minutes; a caller's stream went on towards nobody. Change: where nothing came for a connect time-out on a connection that had rested, the other rested ones to that target are closed; links and callers' connections get a TCP user time-out (3 s, 10 s). To the store nothing was needed: a call that times out ends its connection. The user time-outs of links and callers are not tested: loopback loses no packets.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -129,6 +129,20 @@
 	}
 }
 
+// NoteSilent notes that nothing came on a connection. If it had rested, the other
+// resting ones of its target are likely to be as silent, and are closed.
+func (p *Pool) NoteSilent(conn *Conn) {
+	if conn.restedAt.IsZero() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, idle := range p.idle[conn.target] {
+		idle.Abort()
+	}
+	delete(p.idle, conn.target)
+}
+
 // usable says whether a rested connection may carry another request.
 func (c *Conn) usable(longest time.Duration) bool {
 	return c.rested <= longest && c.Reader.Buffered() == 0 && socket.Look(c.Conn) == socket.Nothing
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -23,6 +23,30 @@
 	is.Equal(p.longestRest(conn, true), 6*time.Second)
 }
 
+// TestSilentConnections: a connection that has rested and says nothing tells of the
+// others to its target, a new one does not.
+func TestSilentConnections(t *testing.T) {
+	cases := map[string]struct {
+		silent *Conn
+		left   int
+	}{
+		"one that had rested": {&Conn{target: "s", restedAt: time.Unix(1, 0)}, 0},
+		"a new one":           {&Conn{target: "s"}, 1},
+		"one to another":      {&Conn{target: "other", restedAt: time.Unix(1, 0)}, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := New(nil)
+			one, other := net.Pipe()
+			defer func() { _ = other.Close() }()
+			p.Put(&Conn{Conn: one, Reader: bufio.NewReader(one), target: "s", IdleFor: 4 * time.Second})
+			p.NoteSilent(tc.silent)
+			is.Equal(len(p.idle["s"]), tc.left)
+		})
+	}
+}
+
 func TestSweep(t *testing.T) {
 	is := is.New(t)
 	p := New(nil)
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -83,6 +83,8 @@
 	runs  []Run
 	live  int
 	wait  sync.WaitGroup
+
+	silence silence
 }
 
 // NewServer serves on an address, IP:port; port 0 takes a free one.
@@ -155,6 +157,11 @@
 	s.mode, s.times, s.once = mode, 0, once
 }
 
+// SilenceConnections has the connections that were used so far say nothing more.
+func (s *Server) SilenceConnections() {
+	s.silence.fall()
+}
+
 // Runs are the requests got so far.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -195,6 +202,9 @@
 
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.silence.swallows(r) {
+		return
+	}
 	if r.URL.Path == "/health" {
 		w.Header().Set("X-Instance-Id", s.options.ID)
 		return
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -55,6 +55,7 @@
 	// hanging is how many further calls are never answered.
 	hanging int
 	calls   map[string]int
+	silence silence
 }
 
 const (
@@ -101,6 +102,11 @@
 	s.hanging = count
 }
 
+// SilenceConnections has the connections that were used so far say nothing more.
+func (s *Store) SilenceConnections() {
+	s.silence.fall()
+}
+
 // Waiting counts the calls that faults keep waiting.
 func (s *Store) Waiting() int {
 	s.mu.Lock()
@@ -187,6 +193,9 @@
 
 // ServeHTTP serves the store's calls.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.silence.swallows(r) {
+		return
+	}
 	if !s.enter(w, r) {
 		return
 	}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/yamux"
 
 	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/socket"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -134,7 +135,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*yamux.Session, *coalescer, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive()}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive(), Control: socket.UserTimeout(silentFor)}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "dial")
--- a/internal/process/gateway_http.go
+++ b/internal/process/gateway_http.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/capersaddle/capersaddle/internal/inbound"
+	"github.com/capersaddle/capersaddle/internal/socket"
 	"github.com/capersaddle/capersaddle/platform"
 )
 
@@ -31,9 +32,14 @@
 	return headerTimeout
 }
 
+// callerUserTimeout breaks a caller's connection whose bytes stay unacknowledged: one
+// that has gone silent for good would keep a target at work on its stream.
+const callerUserTimeout = 10 * time.Second
+
 // serveCallers takes the callers' address.
 func (p *GatewayProcess) serveCallers() error {
-	listener, err := net.Listen("tcp", p.settings.Callers)
+	listening := net.ListenConfig{Control: socket.UserTimeout(callerUserTimeout)}
+	listener, err := listening.Listen(context.Background(), "tcp", p.settings.Callers)
 	if err != nil {
 		return listenFailed("callers", err)
 	}
