--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -1,8 +1,3 @@
-// Package balance chooses the target of a request, without I/O: by the
-// session's home in a rendezvous order, under a bound on load, around targets
-// that fail or answer slowly. The clock is handed in.
-//
-// Source: docs/design/platform.md, "Choosing a target".
 package balance
 
 import (
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -1,9 +1,3 @@
-// Package gateway serves requests of any front through one core: it finds the
-// route and workspace of a request, has the balancer choose targets, and
-// follows the delivery's decisions until the caller has a final answer.
-//
-// Fronts, senders and stores are handed in; docs/ARCHITECTURE.md shows the way
-// of one request.
 package gateway
 
 import (
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -1,10 +1,3 @@
-// Package peer lets gateways report to each other what each needs to know of the
-// others: requests in flight at targets, where parts of prompts are cached,
-// how fresh the configuration is, and the content of the store itself for a
-// gateway that can't reach it.
-//
-// Beats are datagrams and may be lost; nothing depends on a single one. The
-// store's content goes over links. Source: docs/design/platform.md, "Peers".
 package peer
 
 import (
