--- a/internal/peer/refused.go
+++ b/internal/peer/refused.go
@@ -12,8 +12,9 @@
 // seconds. A connection that is refused proves that nothing listens there: the
 // gateway that finds it notifies a few others at once, and each of these a few
 // more, so that not every gateway finds out with a request of its own. Time-outs
-// and resets prove no such thing and are not passed on: a gateway that is cut off
-// itself, or a full target, would have the others avoid sound ones.
+// and resets prove less: a gateway that is cut off itself, or a full target, would
+// have the others avoid sound ones. Beats name them as suspicions, of which several
+// gateways' are needed.
 
 // refusedFanOut is how many peers a gateway notifies of a target that is new to it
 // among those. By the usual reckoning for epidemics 98 in 100 learn of it, after
