A request's record says what was asked: its fingerprint

Cause: the logs could tell that one request was at every ended target only since its prompt named it; a request without a prompt, or one of several with the same shared parts, could not be told from others, and a request that comes again carries another attempt id.

Change: the log's line of a request has a fingerprint of workspace, method, host, URI and body, the same at every gateway. Nothing is decided by it.

Weighed: a keyed hash (the key would have to be agreed and kept; the workspace in the hash keeps callers apart), xxhash (callers could make two requests look alike).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -11,6 +11,7 @@
 	"github.com/capersaddle/capersaddle/internal/delivery"
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/policy"
+	"github.com/capersaddle/capersaddle/internal/quarantine"
 	"github.com/capersaddle/capersaddle/internal/rollout"
 	"github.com/capersaddle/capersaddle/internal/routing"
 )
@@ -24,6 +25,8 @@
 	route     *routing.Route
 	workspace *routing.Workspace
 	service   string
+	// print names what the request asks, and for whom.
+	print quarantine.Fingerprint
 	// parts are hashes of the prompt's shared parts, in order.
 	parts []uint64
 	// tokens are the lengths of the parts.
@@ -74,6 +77,7 @@
 // prepare works out what all attempts share.
 func (c *call) prepare() {
 	c.after = c.request.After
+	c.print = c.fingerprint()
 	c.deadline = c.request.Arrived.Add(c.holdTime())
 	if service, ok := c.table.Service(c.route.Split[0].Service); ok && service.Engine {
 		c.parts, c.tokens = c.request.sharedParts()
@@ -83,6 +87,15 @@
 	c.gateway.Budgets.Request(c.service, time.Now())
 }
 
+// fingerprint names what the request asks, and for whom.
+func (c *call) fingerprint() quarantine.Fingerprint {
+	subject := quarantine.Subject{Method: c.request.Method, Host: c.request.Host, URI: c.request.URI, Body: c.request.Body}
+	if c.workspace != nil {
+		subject.Workspace = c.workspace.Name
+	}
+	return subject.Fingerprint()
+}
+
 // splitPoint is the same for all requests of a session, so that a session
 // keeps its service while the split stays.
 func (c *call) splitPoint() uint64 {
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -5,6 +5,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/delivery"
+	"github.com/capersaddle/capersaddle/internal/quarantine"
 )
 
 // Recorder takes what is to be logged and counted. Its methods don't block.
@@ -35,6 +36,9 @@
 	Session   string
 	// Prompt are the prompt's parts; nil if it names none.
 	Prompt []Part
+	// Print names what it asks, and for whom: a request that comes again has the same one.
+	// Zero if it was denied.
+	Print quarantine.Fingerprint
 	// Config is the version of the configuration that was used.
 	Config int64
 	// ProofAge is the age of the proof that it was the newest, at the end;
@@ -98,6 +102,7 @@
 		Service:  c.service,
 		Session:  c.request.session(),
 		Prompt:   c.request.Parts,
+		Print:    c.print,
 		Attempts: c.attempts,
 		Queued:   c.queued,
 		Waited:   c.waited,
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -106,7 +106,7 @@
 	o.log.Info(EventRequest,
 		"id", record.ID, "ending", record.Ending, "status", record.Status,
 		"route", record.Route, "kind", record.Kind, "workspace", record.Workspace, "service", record.Service,
-		"session", record.Session, "prompt", describePrompt(record.Prompt), "config", record.Config, "proof_ms", wholeMillis(record.ProofAge), "queued_ms", wholeMillis(record.Queued), "waited_ms", wholeMillis(record.Waited), "found", record.Found, "asked_ms", wholeMillis(record.Asked),
+		"session", record.Session, "prompt", describePrompt(record.Prompt), "print", record.Print, "config", record.Config, "proof_ms", wholeMillis(record.ProofAge), "queued_ms", wholeMillis(record.Queued), "waited_ms", wholeMillis(record.Waited), "found", record.Found, "asked_ms", wholeMillis(record.Asked),
 		"wanted_ms", wholeMillis(record.Wanted), "first_ms", wholeMillis(record.First), "took_ms", wholeMillis(record.Took), "attempts", describe(record.Attempts))
 }
 
--- a/internal/process/reference_test.go
+++ b/internal/process/reference_test.go
@@ -98,7 +98,7 @@
 	is.New(t).Equal(len(lines), 2) // the ejection and the request
 	var fields map[string]any
 	is.New(t).NoErr(json.Unmarshal([]byte(lines[1]), &fields))
-	for _, name := range []string{"time", "level", "msg", "id", "ending", "status", "route", "kind", "workspace", "service", "session", "config", "proof_ms", "first_ms", "took_ms", "attempts"} {
+	for _, name := range []string{"time", "level", "msg", "id", "ending", "status", "route", "kind", "workspace", "service", "session", "print", "config", "proof_ms", "first_ms", "took_ms", "attempts"} {
 		if _, ok := fields[name]; !ok {
 			t.Errorf("the line of a request lacks %s", name)
 		}
