Failing test: a request that ends its targets is sent on and on

The stand-in of the platform has servers that end under a request, lapse from the list and begin anew.

--- /dev/null
+++ b/internal/emulator/fatal.go
@@ -0,0 +1,108 @@
+package emulator
+
+import (
+	"fmt"
+	"time"
+)
+
+// Fatal is a request that ends every server which begins to run it.
+type Fatal struct {
+	// Body is that of the request.
+	Body string
+	// After is the time from the begin of its run to the server's end.
+	After time.Duration
+	// Back is the time from there until the next life of the server listens at the same
+	// address, and its entry follows; zero is never.
+	Back time.Duration
+	// KeepsID says that the next life has the id of the one before; its entry then tells
+	// the two apart by when they began.
+	KeepsID bool
+}
+
+// lapseAfter is how long after a server's end its entry goes: after three heartbeats.
+const lapseAfter = 3 * time.Second
+
+// meets ends the server a moment after a fatal request has begun to run.
+func (s *Server) meets(run Run) {
+	fatal := s.options.Fatal
+	if fatal == nil || !run.Ran || run.Body != fatal.Body {
+		return
+	}
+	time.AfterFunc(fatal.After, s.crash)
+}
+
+// onEnd sets who is told when the server ends under a request.
+func (s *Server) onEnd(ended func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = ended
+}
+
+// crash ends the server with all its connections, as when its process dies.
+func (s *Server) crash() {
+	s.mu.Lock()
+	again, ended := s.crashed, s.ended
+	s.crashed = true
+	s.mu.Unlock()
+	if again {
+		return
+	}
+	_ = s.http.Close()
+	if ended != nil {
+		ended()
+	}
+}
+
+// outlive has another life of a server begin after its end, and its entry lapse.
+func (p *Platform) outlive(of listed, life int) {
+	fatal := of.options.Fatal
+	p.after(lapseAfter, func() {
+		if !fatal.KeepsID {
+			p.Leave(of.Server)
+		}
+	})
+	if fatal.Back == 0 {
+		return
+	}
+	options := of.options
+	if !fatal.KeepsID {
+		options.ID = fmt.Sprintf("%s-%d", of.firstID, life)
+	}
+	p.after(fatal.Back, func() {
+		// A failure shows by the server's absence.
+		_ = p.addLife(&listed{service: of.service, zone: of.zone, firstID: of.firstID}, of.Address(), options, life)
+	})
+}
+
+// after does something later, unless the platform has ended.
+func (p *Platform) after(wait time.Duration, do func()) {
+	p.wait.Go(func() {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			do()
+		case <-p.done:
+		}
+	})
+}
+
+// RunsOf are the requests that all lives of a service's servers have got.
+func (p *Platform) RunsOf(service string) []Run {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var runs []Run
+	for _, known := range p.servers {
+		if known.service == service {
+			runs = append(runs, known.Runs()...)
+		}
+	}
+	return runs
+}
+
+// Crashes are when servers of a service ended under fatal requests, in order.
+func (p *Platform) Crashes(service string) []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]time.Time(nil), p.crashes[service]...)
+}
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -67,6 +67,7 @@
 	Slots   int     `json:"slots"`
 	State   string  `json:"state"`
 	ColdMs  int64   `json:"cold_remaining_ms"`
+	Born    int64   `json:"born,omitempty"`
 	Models  []model `json:"models,omitempty"`
 }
 
@@ -84,14 +85,21 @@
 	http     *http.Server
 	wait     sync.WaitGroup
 
+	// done ends what is to be done later.
+	done chan struct{}
+
 	mu      sync.Mutex
 	servers []listed
+	// crashes are when servers ended under requests, by service.
+	crashes map[string][]time.Time
 }
 
 // listed is a server with what its entry says besides.
 type listed struct {
 	*Server
 	service, zone string
+	// firstID is the id of the first life of the server.
+	firstID string
 }
 
 // New serves a store on an address, IP:port; port 0 takes a free one.
@@ -100,7 +108,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the store")
 	}
-	p := &Platform{Store: NewStore(), listener: listener}
+	p := &Platform{Store: NewStore(), listener: listener, done: make(chan struct{}), crashes: make(map[string][]time.Time)}
 	p.http = &http.Server{Handler: p.Store, ReadHeaderTimeout: time.Minute}
 	p.wait.Go(func() { _ = p.http.Serve(listener) })
 	return p, nil
@@ -123,14 +131,29 @@
 
 // AddServer starts a server of a service and enters it into the list.
 func (p *Platform) AddServer(service, zone, address string, options ServerOptions) (*Server, error) {
+	made := listed{service: service, zone: zone, firstID: options.ID}
+	err := p.addLife(&made, address, options, 1)
+	return made.Server, err
+}
+
+// addLife starts one life of a server and enters it into the list.
+func (p *Platform) addLife(made *listed, address string, options ServerOptions, life int) error {
 	server, err := NewServer(address, options)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen for a server")
+		return errors.Wrap(err, "listen for a server")
 	}
+	made.Server = server
+	of := *made
+	server.onEnd(func() {
+		p.mu.Lock()
+		p.crashes[of.service] = append(p.crashes[of.service], time.Now())
+		p.mu.Unlock()
+		p.outlive(of, life+1)
+	})
 	p.mu.Lock()
-	p.servers = append(p.servers, listed{server, service, zone})
+	p.servers = append(p.servers, of)
 	p.mu.Unlock()
-	return server, p.Enter(service, zone, "ready", server)
+	return p.Enter(of.service, of.zone, "ready", server)
 }
 
 // Enter writes a server's entry with a state.
@@ -139,6 +162,9 @@
 	if server.options.Weights > 0 {
 		made.Models = []model{{Name: "m", Version: server.options.Weights, Adapters: []string{}}}
 	}
+	if fatal := server.options.Fatal; fatal != nil && fatal.KeepsID {
+		made.Born = server.born.UnixMilli()
+	}
 	return p.enter(server.ID(), made)
 }
 
@@ -189,11 +215,12 @@
 
 // Close ends the store and all servers, and waits.
 func (p *Platform) Close() error {
+	close(p.done)
+	err := p.http.Close()
+	p.wait.Wait()
 	p.mu.Lock()
 	servers := p.servers
 	p.mu.Unlock()
-	err := p.http.Close()
-	p.wait.Wait()
 	for _, server := range servers {
 		err = errors.CombineErrors(err, server.Close())
 	}
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -76,6 +76,8 @@
 	Weights int
 	// Bad is how the version fails; nil for a good one.
 	Bad *Bad
+	// Fatal is a request that ends the server; nil for none.
+	Fatal *Fatal
 }
 
 // Server is a stand-in of one server: a plain service or a model server.
@@ -83,6 +85,8 @@
 	options  ServerOptions
 	listener net.Listener
 	http     *http.Server
+	// born is when this life began.
+	born time.Time
 
 	mu    sync.Mutex
 	mode  Mode
@@ -91,7 +95,10 @@
 	flaw  *flaw
 	runs  []Run
 	live  int
-	wait  sync.WaitGroup
+	// crashed says that the server has ended under a request; ended is told of it.
+	crashed bool
+	ended   func()
+	wait    sync.WaitGroup
 
 	silence silence
 }
@@ -102,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{options: options, listener: listener, flaw: newFlaw(options.Bad, options.ID)}
+	s := &Server{options: options, listener: listener, flaw: newFlaw(options.Bad, options.ID), born: time.Now()}
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
 	s.wait.Go(func() { _ = s.http.Serve(listener) })
 	return s, nil
@@ -208,6 +215,7 @@
 	run.At = time.Now()
 	s.runs = append(s.runs, run)
 	s.live++
+	s.meets(run)
 	return mode, slower
 }
 
--- a/internal/process/gateway_test.go
+++ b/internal/process/gateway_test.go
@@ -155,7 +155,16 @@
 
 // callWithPrompt is the same with a prompt of its own.
 func (f *fleet) callWithPrompt(gateway int, method, path, id, key, prompt string) answer {
-	request, err := http.NewRequest(method, "http://"+f.gateways[gateway].Addresses().Callers+path, strings.NewReader("body"))
+	return f.send(gateway, method, path, id, key, prompt, "body")
+}
+
+// callWithBody sends a request with a body of its own.
+func (f *fleet) callWithBody(gateway int, path, id, body string) answer {
+	return f.send(gateway, http.MethodPost, path, id, "key-1", "aa:100,bb:200,"+id+":10", body)
+}
+
+func (f *fleet) send(gateway int, method, path, id, key, prompt, body string) answer {
+	request, err := http.NewRequest(method, "http://"+f.gateways[gateway].Addresses().Callers+path, strings.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
@@ -170,8 +179,8 @@
 		return answer{err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return answer{response.StatusCode, string(body), response.Header, err}
+	got, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, string(got), response.Header, err}
 }
 
 func wholeStream(events int) string {
