--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -116,8 +116,11 @@
 type Balancer struct {
 	options Options
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// targets are the known lives of targets by their names, current the last of each
+	// target by its id.
 	targets  map[string]*state
+	current  map[string]*state
 	byHash   map[uint64]*state
 	byShort  map[uint32]*state
 	services map[string]*service
@@ -151,6 +154,7 @@
 	b := &Balancer{
 		options:  options,
 		targets:  make(map[string]*state),
+		current:  make(map[string]*state),
 		byHash:   make(map[uint64]*state),
 		byShort:  make(map[uint32]*state),
 		services: make(map[string]*service),
@@ -182,7 +186,7 @@
 	Parts []uint64
 	// Tokens are the lengths of the parts, in the same order; nil if unknown.
 	Tokens []int
-	// Exclude are targets that were tried already.
+	// Exclude are the lives of targets that were tried already.
 	Exclude []string
 	// Versions are those that may take the request.
 	Versions Versions
@@ -232,10 +236,10 @@
 }
 
 // Sample notes how long a target took to the head of its answer.
-func (b *Balancer) Sample(id string, took time.Duration) {
+func (b *Balancer) Sample(life string, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if target, ok := b.targets[id]; ok {
+	if target, ok := b.targets[life]; ok {
 		target.sample(took)
 		b.serviceOf(target.Service).samples++
 	}
--- /dev/null
+++ b/internal/balance/ends.go
@@ -0,0 +1,64 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/policy"
+)
+
+// A target's life ends by plan, which its entry says or shows by going while the target
+// serves on, or without one: then nothing listens at its address, its entry lapses, or
+// another life begins. What it did to the requests that it had is for others to judge;
+// here it is known that it ended, and when that was found.
+
+// noteEnd notes that the life has ended without a plan, unless one is known.
+func (s *state) noteEnd(now time.Time) {
+	if s.endedAt.IsZero() && s.goneAt.IsZero() && !s.Leaving {
+		s.endedAt = now
+	}
+}
+
+// EndedAt is when a life of a target was found to have ended without a plan; zero if it
+// was not.
+func (b *Balancer) EndedAt(life string) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if target, ok := b.targets[life]; ok {
+		return target.endedAt
+	}
+	return time.Time{}
+}
+
+// Serving says whether a life of a target is the present one, listed, and not leaving. One
+// that is known to have ended without a plan was so until then.
+func (b *Balancer) Serving(life string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	target, ok := b.targets[life]
+	return ok && (!target.endedAt.IsZero() || !target.Leaving && target.goneAt.IsZero())
+}
+
+// NoteRefused leaves a target out that refused a connection of another gateway. It
+// returns the target's id, and false if it is not known or left out already.
+func (b *Balancer) NoteRefused(target uint32, now time.Time) (id string, news bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known, ok := b.byShort[target]
+	if !ok {
+		return "", false
+	}
+	known.noteEnd(now)
+	if known.health.ejected(now) {
+		return "", false
+	}
+	known.health.refused(now)
+	known.aside = true
+	return known.ID, true
+}
+
+// NoteSilentPort is the same for a life of a target whose address this process has tried
+// without a request.
+func (b *Balancer) NoteSilentPort(life string, now time.Time) (news bool) {
+	_, news = b.NoteRefused(shortOf(policy.HashName(life)), now)
+	return news
+}
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -133,10 +133,10 @@
 
 // Release ends a request that Choose counted. It returns true if the target
 // was ejected for the result.
-func (b *Balancer) Release(id string, result Result, now time.Time) bool {
+func (b *Balancer) Release(life string, result Result, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	target, ok := b.targets[id]
+	target, ok := b.targets[life]
 	if !ok {
 		return false
 	}
@@ -158,6 +158,7 @@
 		target.health.unreachable(now)
 		return true
 	case Refused:
+		target.noteEnd(now)
 		target.health.refused(now)
 		return true
 	case Neutral:
@@ -179,17 +180,3 @@
 	slices.Sort(rates)
 	return rates[len(rates)/2]
 }
-
-// NoteRefused leaves a target out that refused a connection of another gateway. It
-// returns the target's id, and false if it is not known or left out already.
-func (b *Balancer) NoteRefused(target uint32, now time.Time) (id string, news bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	known, ok := b.byShort[target]
-	if !ok || known.health.ejected(now) {
-		return "", false
-	}
-	known.health.refused(now)
-	known.aside = true
-	return known.ID, true
-}
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -23,7 +23,14 @@
 func (b *Balancer) Put(target Target, now time.Time) Change {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	known, ok := b.targets[target.ID]
+	known, ok := b.current[target.ID]
+	if ok && target.Born < known.Born {
+		return Change{} // it speaks of a life that is over
+	}
+	if ok && target.Born > known.Born {
+		b.outlive(known, now)
+		ok = false
+	}
 	if !ok {
 		return Change{Any: true, TurnedCold: b.add(target).noteCold(target.ColdFor, now)}
 	}
@@ -42,7 +49,8 @@
 func (b *Balancer) add(target Target) *state {
 	known := b.serviceOf(target.Service)
 	added := newState(target, known)
-	b.targets[target.ID] = added
+	b.targets[added.life] = added
+	b.current[target.ID] = added
 	b.byHash[added.hash] = added
 	b.byShort[shortOf(added.hash)] = added
 	known.targets = append(known.targets, added)
@@ -54,7 +62,8 @@
 func (b *Balancer) Drop(id string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if target, ok := b.targets[id]; ok && target.goneAt.IsZero() {
+	if target, ok := b.current[id]; ok && target.goneAt.IsZero() {
+		target.noteEnd(now)
 		target.goneAt = now
 		target.aside = true
 	}
@@ -69,7 +78,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, target := range targets {
-		if _, known := b.targets[target.ID]; known {
+		if _, known := b.current[target.ID]; known {
 			continue
 		}
 		b.add(target).goneAt = now
@@ -79,24 +88,40 @@
 // forget removes targets that were dropped long ago, or that were leaving
 // when they were dropped, once nothing is in flight at them.
 func (b *Balancer) forget(now time.Time) {
-	for id, target := range b.targets {
+	for life, target := range b.targets {
 		if target.goneAt.IsZero() || target.inFlight > 0 {
 			continue
 		}
 		if !target.Leaving && now.Sub(target.goneAt) < forgetAfter {
 			continue
 		}
-		delete(b.targets, id)
-		delete(b.byHash, target.hash)
-		delete(b.byShort, shortOf(target.hash))
-		target.service.leave(target.version)
-		known := b.serviceOf(target.Service)
-		known.targets = slices.DeleteFunc(known.targets, func(s *state) bool {
-			return s == target
-		})
+		delete(b.targets, life)
+		if !target.outlived {
+			delete(b.current, target.ID)
+			b.unlist(target)
+		}
 	}
 }
 
+// unlist takes a target out of all lists; b.mu is held.
+func (b *Balancer) unlist(target *state) {
+	delete(b.byHash, target.hash)
+	delete(b.byShort, shortOf(target.hash))
+	target.service.leave(target.version)
+	known := b.serviceOf(target.Service)
+	known.targets = slices.DeleteFunc(known.targets, func(s *state) bool {
+		return s == target
+	})
+}
+
+// outlive ends what is known of a target of which another life has begun, but for the
+// requests that are still under way at the one before; b.mu is held.
+func (b *Balancer) outlive(target *state, now time.Time) {
+	target.noteEnd(now)
+	target.goneAt, target.outlived, target.aside = now, true, true
+	b.unlist(target)
+}
+
 // Forgive clears the targets' records of failures.
 func (b *Balancer) Forgive() {
 	b.mu.Lock()
@@ -123,8 +148,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var targets []Target
-	for _, id := range slices.Sorted(maps.Keys(b.targets)) {
-		if known := b.targets[id]; holds(known) {
+	for _, id := range slices.Sorted(maps.Keys(b.current)) {
+		if known := b.current[id]; holds(known) {
 			targets = append(targets, known.Target)
 		}
 	}
--- a/internal/balance/paths.go
+++ b/internal/balance/paths.go
@@ -36,10 +36,10 @@
 // NoteStream notes whether a stream from a target halted between two events
 // for much longer than its callers want. Where packets are lost between data
 // centres, most streams over that way do.
-func (b *Balancer) NoteStream(id string, halted bool, now time.Time) {
+func (b *Balancer) NoteStream(life string, halted bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	target, ok := b.targets[id]
+	target, ok := b.targets[life]
 	if !ok {
 		return
 	}
--- a/internal/balance/placements.go
+++ b/internal/balance/placements.go
@@ -117,10 +117,10 @@
 
 // Confirm notes that a target has read the shared parts of a query's prompt. It
 // returns the placements of long parts with few holders that were not known here.
-func (b *Balancer) Confirm(id string, query Query) []Placement {
+func (b *Balancer) Confirm(life string, query Query) []Placement {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	target, ok := b.targets[id]
+	target, ok := b.targets[life]
 	if !ok {
 		return nil
 	}
@@ -145,10 +145,10 @@
 
 // Withdraw notes that a target has not read the shared parts of a prompt that
 // was sent there.
-func (b *Balancer) Withdraw(id string, parts []uint64) {
+func (b *Balancer) Withdraw(life string, parts []uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	target, ok := b.targets[id]
+	target, ok := b.targets[life]
 	if !ok {
 		return
 	}
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -55,10 +55,10 @@
 
 // NoteSlots records how many requests a target reports to work on at once, for
 // targets whose entry does not state it.
-func (b *Balancer) NoteSlots(id string, slots int) {
+func (b *Balancer) NoteSlots(life string, slots int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if target, ok := b.targets[id]; ok && target.Slots == 0 {
+	if target, ok := b.targets[life]; ok && target.Slots == 0 {
 		target.reportedSlots = slots
 	}
 }
--- a/internal/balance/suspects.go
+++ b/internal/balance/suspects.go
@@ -126,10 +126,10 @@
 
 // Doubted says whether several gateways suspect a target for what they have seen since
 // it was last heard of here, be it in an answer or otherwise.
-func (b *Balancer) Doubted(id string, heardAt, now time.Time) bool {
+func (b *Balancer) Doubted(life string, heardAt, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	target, ok := b.targets[id]
+	target, ok := b.targets[life]
 	if !ok {
 		return false
 	}
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/capersaddle/capersaddle/internal/policy"
@@ -8,8 +9,11 @@
 
 // Target is one back end as the list of targets has it.
 type Target struct {
-	// ID names one life of the target.
-	ID      string
+	// ID names the target. One that begins anew may keep it.
+	ID string
+	// Born is when its present life began, in Unix milliseconds by its own clock; zero if
+	// its entry does not state it, and then each life has an id of its own.
+	Born    int64
 	Service string
 	// Address is IP:port.
 	Address    string
@@ -28,6 +32,16 @@
 	ColdFor time.Duration
 }
 
+// Life names one life of the target: what is known of an earlier one, and what other
+// gateways report of it, says nothing of this one.
+func (t Target) Life() string {
+	if t.Born == 0 {
+		return t.ID
+	}
+	const base = 10
+	return t.ID + "@" + strconv.FormatInt(t.Born, base)
+}
+
 // Load is what a target said of itself in an answer.
 type Load struct {
 	Running int
@@ -59,6 +73,8 @@
 	version versionID
 
 	Target
+	// life names the target's life, of which hash is the hash.
+	life string
 	// latency is the moving mean of the time to an answer's head, in seconds;
 	// zero before the first.
 	latency float64
@@ -68,10 +84,15 @@
 	suspicions []suspicion
 	// goneAt is when the list dropped the target; zero while it is listed.
 	goneAt time.Time
+	// endedAt is when this life was found to have ended without a plan; zero if it was not.
+	endedAt time.Time
+	// outlived says that another life of the target has begun: this one is in no list.
+	outlived bool
 }
 
 func newState(target Target, of *service) *state {
-	return &state{Target: target, service: of, version: of.join(target.Version), hash: policy.HashName(target.ID), aside: true}
+	life := target.Life()
+	return &state{Target: target, life: life, service: of, version: of.join(target.Version), hash: policy.HashName(life), aside: true}
 }
 
 // load is the requests in flight at the target by all that is known.
--- a/internal/checkpoint/checkpoint.go
+++ b/internal/checkpoint/checkpoint.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/quarantine"
 	"github.com/capersaddle/capersaddle/internal/wait"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
@@ -31,6 +32,8 @@
 	saveTimeout = 800 * time.Millisecond
 	// mostParts bounds the checkpoint: the parts used last.
 	mostParts = 8192
+	// mostHeldBack bounds it in requests that are held back, at 70 bytes each.
+	mostHeldBack = 256
 )
 
 // Store keeps the checkpoint.
@@ -47,7 +50,10 @@
 	// turn says whether this process is to write now.
 	turn   func() bool
 	called func(err error)
-	last   Content
+	// HeldBack are the requests that are held back; nil is none. It is set before Start.
+	HeldBack func() []quarantine.Record
+
+	last Content
 	// savedAt is when last was written.
 	savedAt time.Time
 	cancel  context.CancelFunc
@@ -62,10 +68,18 @@
 	Targets []balance.Target
 	// Gateways is how many gateways there were; zero if that is not known.
 	Gateways int
+	// HeldBack are the requests that are held back since targets ended under them, at most
+	// mostHeldBack, those with the most ends first.
+	HeldBack []quarantine.Record
 }
 
 func (c Content) equal(other Content) bool {
-	return slices.Equal(c.Placements, other.Placements) && slices.Equal(c.Targets, other.Targets)
+	return slices.Equal(c.Placements, other.Placements) && c.alike(other)
+}
+
+// alike says whether the same targets work and the same requests are held back.
+func (c Content) alike(other Content) bool {
+	return slices.Equal(c.Targets, other.Targets) && slices.EqualFunc(c.HeldBack, other.HeldBack, quarantine.Record.Equal)
 }
 
 // NewSaver returns a saver that Start begins; called is told of each call.
@@ -99,10 +113,14 @@
 		return
 	}
 	content := Content{Placements: s.balancer.AllPlacements(mostParts), Targets: s.balancer.Working(), Gateways: s.balancer.Gateways().Count}
+	if s.HeldBack != nil {
+		heldBack := s.HeldBack()
+		content.HeldBack = heldBack[:min(len(heldBack), mostHeldBack)]
+	}
 	if len(content.Placements) == 0 && len(content.Targets) == 0 {
 		return
 	}
-	known := Content{Placements: sorted(content.Placements), Targets: content.Targets}
+	known := Content{Placements: sorted(content.Placements), Targets: content.Targets, HeldBack: content.HeldBack}
 	now := time.Now()
 	if known.equal(s.last) || now.Sub(s.savedAt) < oldest && known.near(s.last) {
 		return
@@ -124,7 +142,7 @@
 // near says whether little of another content is new here: no target, and few
 // placements. Both are in order.
 func (c Content) near(other Content) bool {
-	if !slices.Equal(c.Targets, other.Targets) {
+	if !c.alike(other) {
 		return false
 	}
 	added := 0
@@ -153,8 +171,12 @@
 			Address:    target.Address,
 			DataCenter: target.DataCenter,
 			Slots:      int32(min(target.Slots, math.MaxInt32)),
+			Born:       target.Born,
 		})
 	}
+	for _, record := range content.HeldBack {
+		message.HeldBack = append(message.HeldBack, record.Message())
+	}
 	for _, placement := range content.Placements {
 		message.Parts = append(message.Parts, placement.Part)
 		message.Holders = append(message.Holders, placement.Target)
@@ -184,7 +206,11 @@
 			Address:    target.GetAddress(),
 			DataCenter: target.GetDataCenter(),
 			Slots:      int(target.GetSlots()),
+			Born:       target.GetBorn(),
 		})
 	}
+	for _, record := range message.GetHeldBack() {
+		content.HeldBack = append(content.HeldBack, quarantine.RecordOf(record))
+	}
 	return content, nil
 }
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -96,6 +96,11 @@
 		}
 		conn.Abort()
 	}
+	return p.Make(ctx, target, address)
+}
+
+// Make gives a new connection, whatever rests.
+func (p *Pool) Make(ctx context.Context, target, address string) (*Conn, error) {
 	made, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -45,7 +45,9 @@
 	Unsettled      Kind = "unsettled"
 	BadSettings    Kind = "bad_settings"
 	NotReady       Kind = "not_ready"
-	Internal       Kind = "internal"
+	// Quarantined: targets ended while they ran the request.
+	Quarantined Kind = "quarantined"
+	Internal    Kind = "internal"
 )
 
 // RunState says whether the refused request ran at its target.
@@ -116,6 +118,7 @@
 	StoreBehind:    {http.StatusConflict, ExitRefused, false, typeServer},
 	Unsettled:      {http.StatusAccepted, ExitUnsettled, true, typeServer},
 	BadSettings:    {http.StatusBadRequest, ExitUsage, false, typeInvalid},
+	Quarantined:    {http.StatusBadRequest, ExitRefused, false, typeInvalid},
 	NotReady:       {http.StatusServiceUnavailable, ExitAway, true, typeServer},
 	Internal:       {http.StatusInternalServerError, ExitFailed, false, typeServer},
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -17,8 +17,10 @@
 
 // attempt is one try of a call at one target.
 type attempt struct {
-	call    *call
-	pick    balance.Pick
+	call *call
+	pick balance.Pick
+	// life is that of the picked target.
+	life    string
 	started time.Time
 	outcome delivery.Outcome
 	result  balance.Result
@@ -28,6 +30,8 @@
 	// failedItself says that the target answered with a failure of its own: no delay of
 	// this process explains that.
 	failedItself bool
+	// loss is how it was lost, if it was.
+	loss lossKind
 	// confirmed says that the target has read the prompt.
 	confirmed bool
 	// events is how many events were passed on, and span the time that the target took
@@ -51,7 +55,7 @@
 }
 
 func newAttempt(c *call, pick balance.Pick) *attempt {
-	return &attempt{call: c, pick: pick, started: time.Now(), result: balance.Neutral}
+	return &attempt{call: c, pick: pick, life: pick.Target.Life(), started: time.Now(), result: balance.Neutral}
 }
 
 const (
@@ -91,16 +95,19 @@
 // noteHead tells the balancer what the head of an answer shows.
 func (a *attempt) noteHead(answer *Answer) {
 	a.head = time.Since(a.started)
+	if crashes := a.call.gateway.Crashes; crashes != nil {
+		crashes.heard(a.life, a.started)
+	}
 	if a.dark.contact != nil {
 		a.noteContact(time.Now())
 	}
-	a.call.gateway.Balancer.Sample(a.pick.Target.ID, a.head)
+	a.call.gateway.Balancer.Sample(a.life, a.head)
 	if answer.Load != nil {
-		a.call.gateway.Balancer.NoteSlots(a.pick.Target.ID, answer.Load.Slots)
+		a.call.gateway.Balancer.NoteSlots(a.life, answer.Load.Slots)
 	}
 	if answer.Status < http.StatusBadRequest && len(a.call.parts) > 0 {
 		a.confirmed = true
-		placed := a.call.gateway.Balancer.Confirm(a.pick.Target.ID, a.call.prompt())
+		placed := a.call.gateway.Balancer.Confirm(a.life, a.call.prompt())
 		if a.call.gateway.Directory != nil {
 			a.call.gateway.Directory.Placed(placed)
 		}
@@ -114,6 +121,10 @@
 		a.refusal = stale
 		return stale
 	}
+	if a.call.held() {
+		a.refusal = errHeld(fault.NotRun)
+		return a.refusal
+	}
 	return nil
 }
 
@@ -147,15 +158,15 @@
 	case !failure.Sent:
 		a.outcome = delivery.Unsent
 	case a.endedDark():
-		a.outcome, a.result, a.err = delivery.Lost, balance.Bad, errDark
+		a.outcome, a.result, a.loss, a.err = delivery.Lost, balance.Bad, wentSilent, errDark
 	case a.isSpent():
-		a.outcome, a.result = delivery.Silent, balance.Bad
+		a.outcome, a.result, a.loss = delivery.Silent, balance.Bad, wentSilent
 	case errors.Is(failure, context.DeadlineExceeded):
-		a.outcome, a.result = delivery.Silent, balance.Bad
+		a.outcome, a.result, a.loss = delivery.Silent, balance.Bad, wentSilent
 	case errors.Is(failure, context.Canceled):
 		a.outcome = delivery.Lost
 	default:
-		a.outcome, a.result = delivery.Lost, balance.Lost
+		a.outcome, a.result, a.loss = delivery.Lost, balance.Lost, brokeOff
 	}
 	if a.call.delivery.Begun() && failure.Sent {
 		a.outcome = delivery.Cut
@@ -234,7 +245,7 @@
 	}
 	_, err := io.Copy(writerFunc(a.call.responder.Write), answer.Body)
 	if err != nil {
-		a.outcome, a.result, a.err = delivery.Cut, balance.Lost, err
+		a.outcome, a.result, a.loss, a.err = delivery.Cut, balance.Lost, brokeOff, err
 		return false
 	}
 	a.result = balance.Good
@@ -256,29 +267,30 @@
 // lost ends an attempt whose answer broke off before any of it was passed on.
 func (a *attempt) lost(err error) {
 	a.err = err
-	a.outcome, a.result = delivery.Lost, balance.Lost
+	a.outcome, a.result, a.loss = delivery.Lost, balance.Lost, brokeOff
 	if a.isSpent() || errors.Is(err, context.DeadlineExceeded) {
-		a.outcome, a.result = delivery.Silent, balance.Bad
+		a.outcome, a.result, a.loss = delivery.Silent, balance.Bad, wentSilent
 	}
 }
 
 // release tells the balancer how the attempt ended, and keeps its record.
 func (a *attempt) release(ctx context.Context) {
+	a.judge(ctx, time.Now())
 	if a.call.callerLeft(ctx) || a.isOwnDelay() {
 		a.result = balance.Neutral
 	}
 	now := time.Now()
 	if !a.confirmed && len(a.call.parts) > 0 {
-		a.call.gateway.Balancer.Withdraw(a.pick.Target.ID, a.call.parts)
+		a.call.gateway.Balancer.Withdraw(a.life, a.call.parts)
 	}
 	if a.result == balance.Good {
-		a.call.gateway.contacts.note(a.pick.Target.ID, now)
+		a.call.gateway.contacts.note(a.life, now)
 		a.call.gateway.Balancer.NoteHold(a.call.service, now.Sub(a.started), a.call.route.TargetLatency)
 	}
 	a.observe(now)
-	ejected := a.call.gateway.Balancer.Release(a.pick.Target.ID, a.result, now)
+	ejected := a.call.gateway.Balancer.Release(a.life, a.result, now)
 	if a.result == balance.Refused && a.call.gateway.Directory != nil {
-		a.call.gateway.Directory.Refused(a.pick.Target.ID)
+		a.call.gateway.Directory.Refused(a.life)
 	}
 	record := AttemptRecord{
 		Target:     a.pick.Target.ID,
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -40,7 +40,7 @@
 	assigned   bool
 	assignedAt time.Time
 	versions   balance.Versions
-	// tried are the targets that got the request, by id.
+	// tried are the lives of targets that got the request.
 	tried    []string
 	attempts []AttemptRecord
 	// refused counts its connections that were refused.
@@ -154,6 +154,10 @@
 // tryTargets makes attempts until the delivery says how the request ends.
 func (c *call) tryTargets(ctx context.Context) {
 	for {
+		if c.held() {
+			c.endHeld()
+			return
+		}
 		pick, ok := c.choose(time.Now())
 		c.endTurn()
 		if c.gateway.Directory != nil {
@@ -163,8 +167,8 @@
 			c.finishWithoutTarget()
 			return
 		}
-		c.tried = append(c.tried, pick.Target.ID)
 		attempt := newAttempt(c, pick)
+		c.tried = append(c.tried, attempt.life)
 		done := attempt.make(ctx)
 		attempt.release(ctx)
 		c.gateway.admitWaiting(c.service)
@@ -267,8 +271,12 @@
 }
 
 // mayTry says whether there is time for another attempt, and a target of the versions
-// that it is assigned to.
+// that it is assigned to. A request under which targets have ended gets one of its own
+// attempts at most: the next one is for its caller to make.
 func (c *call) mayTry(ctx context.Context) bool {
+	if crashes := c.gateway.Crashes; crashes != nil && crashes.Table.Suspicious(c.print) {
+		return false
+	}
 	if ctx.Err() != nil || time.Until(c.deadline) < leastTry {
 		return false
 	}
--- a/internal/gateway/dark.go
+++ b/internal/gateway/dark.go
@@ -150,7 +150,7 @@
 	if a.call.route.Kind != routing.Stream {
 		return func() {}
 	}
-	target := a.pick.Target.ID
+	target := a.life
 	a.dark.contact = a.call.gateway.contacts.join(target)
 	if !a.call.delivery.MayLeave() {
 		a.mu.Lock()
@@ -203,7 +203,7 @@
 	if a.dark.passing.Load() || now.Sub(last) < darkLook {
 		return false
 	}
-	if a.call.gateway.Balancer.Doubted(a.pick.Target.ID, last, now) {
+	if a.call.gateway.Balancer.Doubted(a.life, last, now) {
 		a.dark.doubtedFrom = last
 	}
 	return a.dark.doubtedFrom.Equal(last) && now.Sub(last) >= a.usualSilence()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,8 @@
 	Directory Directory
 	// Rollouts says which versions of targets may get a request; nil for all.
 	Rollouts *rollout.Gate
+	// Crashes says which requests are held back since targets ended under them; nil for none.
+	Crashes *Crashes
 	// Limiters bound what is sent to each service; nil for no bound.
 	Limiters *admission.Limiters
 	Proof    *freshness.Proof
@@ -145,6 +147,9 @@
 		}
 	}
 	c.prepare()
+	if c.held() {
+		return errHeld(fault.NotRun)
+	}
 	return nil
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,7 +17,7 @@
 	source := newEvents(answer.Body)
 	halted := false
 	a.head = 0
-	defer func() { a.call.gateway.Balancer.NoteStream(a.pick.Target.ID, halted, time.Now()) }()
+	defer func() { a.call.gateway.Balancer.NoteStream(a.life, halted, time.Now()) }()
 	for {
 		a.watch(ctx, a.silenceBetween())
 		asked := time.Now()
@@ -106,14 +106,15 @@
 // cut notes a stream that broke off.
 func (a *attempt) cut(err error) {
 	a.err = errors.Wrapf(err, "after %d events", a.events)
-	a.outcome, a.result = delivery.Lost, balance.Lost
+	a.outcome, a.result, a.loss = delivery.Lost, balance.Lost, brokeOff
 	if a.call.delivery.Begun() {
 		a.outcome = delivery.Cut
 	}
 	if a.isSpent() || errors.Is(err, context.DeadlineExceeded) {
-		a.result = balance.Bad
+		a.result, a.loss = balance.Bad, wentSilent
 	}
 	if a.endedDark() {
+		a.loss = wentSilent
 		a.result, a.err = balance.Bad, errors.Wrapf(errDark, "after %d events", a.events)
 	}
 	if a.isSpent() && !a.call.delivery.Begun() {
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -31,6 +31,7 @@
 	storeCalls    *prometheus.CounterVec
 	replicas      *prometheus.CounterVec
 	badValues     prometheus.Counter
+	crashes       prometheus.Counter
 	configVersion prometheus.Gauge
 
 	workspaces labels
@@ -111,6 +112,10 @@
 			Namespace: namespace, Name: "store_values_unreadable_total",
 			Help: "Values of the store that could not be read.",
 		}),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "crashed_requests_total",
+			Help: "Requests that were under way at targets that ended without a plan.",
+		}),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "config_version",
 			Help: "Version of the configuration in force.",
@@ -118,7 +123,7 @@
 		workspaces: labels{most: mostWorkspaces},
 		versions:   labels{most: mostVersions},
 	}
-	registry.MustRegister(m.took, m.first, m.endings, m.attempts, m.sendings, m.findings, m.prompts, m.storeCalls, m.replicas, m.badValues, m.configVersion)
+	registry.MustRegister(m.took, m.first, m.endings, m.attempts, m.sendings, m.findings, m.prompts, m.storeCalls, m.replicas, m.badValues, m.crashes, m.configVersion)
 	return m
 }
 
@@ -157,6 +162,9 @@
 	Lag func() float64
 	// Evacuated counts the data centres to which nothing is sent.
 	Evacuated func() float64
+	// HeldBack counts the requests that are sent to no target, since targets ended under
+	// them.
+	HeldBack func() float64
 }
 
 // RegisterGauges adds what a gateway tells of its state.
@@ -194,5 +202,9 @@
 			Namespace: namespace, Name: "evacuated_data_centers",
 			Help: "Data centres whose targets get nothing, as the operators want it.",
 		}, gauges.Evacuated),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "held_back_requests",
+			Help: "Requests that are sent to no target, since targets ended under them.",
+		}, gauges.HeldBack),
 	)
 }
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -38,6 +38,9 @@
 	EventLate       = "process_late"
 	EventInTime     = "process_in_time"
 	EventSampled    = "requests_not_logged"
+	EventCrash      = "target_crashed"
+	EventHeldBack   = "request_held_back"
+	EventCleared    = "request_cleared"
 
 	// RolloutEvents begins the events of roll-outs.
 	RolloutEvents            = "rollout_"
@@ -53,6 +56,7 @@
 	return []string{
 		EventRequest, EventConfig, EventTarget, EventTargets, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
 		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventDoubted, EventStart, EventDrain, EventStop, EventReload, EventLate, EventInTime, EventSampled,
+		EventCrash, EventHeldBack, EventCleared,
 		EventRolloutOrdered, EventRolloutStage, EventRolloutHalted, EventRolloutRecorded, EventRolloutCommitFailed,
 	}
 }
--- /dev/null
+++ b/internal/observe/quarantine.go
@@ -0,0 +1,23 @@
+package observe
+
+import "github.com/capersaddle/capersaddle/internal/quarantine"
+
+// CrashNoted counts that a target ended without a plan while a request was under way there,
+// and logs it if that request was under way at others before: of the first there are as many
+// as the target had requests.
+func (o *Observer) CrashNoted(target string, change quarantine.Change) {
+	o.metrics.crashes.Inc()
+	if change.Suspicious() {
+		o.log.Warn(EventCrash, "target", target, "print", change.Print, "ends", len(change.Lives))
+	}
+}
+
+// QuarantineChanged logs that a request is held back from now on, or no more; the peer is
+// the one that said so, empty for none.
+func (o *Observer) QuarantineChanged(change quarantine.Change, peer string) {
+	event := EventHeldBack
+	if change.Ends() {
+		event = EventCleared
+	}
+	o.log.Warn(event, "print", change.Print, "ends", len(change.Lives), "before", change.Before, "peer", peer)
+}
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -67,6 +67,7 @@
 	beat.Echo = to.sequence
 	s.addLoads(beat, now)
 	s.addSuspects(beat, now)
+	beat.QuarantineDigest = s.crashes.table.Digest()
 	s.addPlacements(beat, to, now)
 	if to.beats < introduceFirst || to.beats%introduceEvery == 0 {
 		s.introduce(beat)
@@ -210,6 +211,7 @@
 	if change == found {
 		s.seen = nil
 		s.options.Watcher.PeerFound(from.id, from.address)
+		s.handCrashes(from, now)
 		s.wake()
 	}
 	s.table.discover(beat.GetKnown(), s.options.Address)
@@ -225,6 +227,7 @@
 	}
 	s.takePlacements(beat, now)
 	s.takeRefused(beat, from, now)
+	s.takeCrashes(beat, from, now)
 	switch {
 	case beat.GetQuestion() != 0:
 		s.answer(from, beat, now)
--- /dev/null
+++ b/internal/peer/quarantine.go
@@ -0,0 +1,259 @@
+package peer
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/capersaddle/capersaddle/internal/policy"
+	"github.com/capersaddle/capersaddle/internal/quarantine"
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+// When a target ends, each gateway knows which of its own requests were under way there:
+// up to 64 at all of them together, of which one is to blame. Ends are summed over
+// gateways by those that keep track of a request, the first few in its rendezvous order:
+// they get each of its records. Only a request with several ends concerns everybody; its
+// record goes from each gateway that learns of it to a few drawn at random. So a
+// target's end costs a gateway some hundred bytes, however many gateways there are. Records are
+// joined in any order and however often they come, so that who repeats one does no harm.
+//
+// Datagrams get lost and gateways are cut off, killed and begun anew: records are sent
+// several times, handed to gateways that are found, and to others in place of
+// those that are lost; beats carry a hash of those requests that are held back, and who has
+// another hash gets the records.
+
+const (
+	// crashKeepers is how many gateways keep track of a request: two of them may be lost
+	// within the moment that it takes to find others.
+	crashKeepers = 3
+	// crashFanOut is how many gateways a record with several ends is sent to by each that
+	// learns of it, in each round; crashSends is the number of rounds. The chance that none of a
+	// hundred gateways' sendings reaches a given one is below 1 in 10,000 with 3 in 100
+	// datagrams lost.
+	crashFanOut = 4
+	crashSends  = 3
+	// crashShare of the budget of bytes is what records may use on average; they are sent ahead
+	// of loads, since a fatal request ends a target each time that it is sent.
+	crashShare = 0.25
+	// mostCrashRecords is how many records a datagram has, of some 30 bytes each.
+	mostCrashRecords = 32
+	// mostMail bounds the records that wait to be sent: those with the fewest ends are left
+	// out first.
+	mostMail = 1024
+	// digestEvery is the least time between two answers to a peer with another hash.
+	digestEvery = 500 * time.Millisecond
+)
+
+// mail is a record that is to be sent in the next rounds.
+type mail struct {
+	record quarantine.Record
+	// wide says that it goes to whomever, and not to the request's keepers.
+	wide bool
+	left int
+}
+
+// crashMail is what is to be sent of crash records. One goroutine at a time uses it.
+type crashMail struct {
+	table  *quarantine.Table
+	bucket *rate.Limiter
+	out    map[quarantine.Fingerprint]*mail
+}
+
+func newCrashMail(table *quarantine.Table, budget int) *crashMail {
+	return &crashMail{
+		table:  table,
+		bucket: rate.NewLimiter(rate.Limit(crashShare*float64(budget)), max(budget, receiveBuffer)),
+		out:    make(map[quarantine.Fingerprint]*mail),
+	}
+}
+
+// post has a record sent in the next rounds.
+func (m *crashMail) post(record quarantine.Record, wide bool, times int) {
+	if known, ok := m.out[record.Print]; ok {
+		wide, times = wide || known.wide, max(times, known.left)
+	} else if len(m.out) >= mostMail && !wide {
+		return // it is sent again when gateways come or go, or with its next end
+	}
+	m.out[record.Print] = &mail{record: record, wide: wide, left: times}
+}
+
+// due takes what is to be sent now, the records with the most ends first.
+func (m *crashMail) due() []mail {
+	all := make([]mail, 0, len(m.out))
+	for print, known := range m.out {
+		all = append(all, *known)
+		if known.left--; known.left <= 0 {
+			delete(m.out, print)
+		}
+	}
+	slices.SortFunc(all, func(a, b mail) int {
+		return cmp.Or(cmp.Compare(len(b.record.Lives), len(a.record.Lives)), cmp.Compare(a.record.Print, b.record.Print))
+	})
+	return all
+}
+
+// Spread passes on what has become of a request's record, at once.
+func (s *Service) Spread(change quarantine.Change) {
+	s.mu.Lock()
+	s.crashes.post(change.Record, change.Wide(), crashSends)
+	s.mu.Unlock()
+	s.wake()
+}
+
+// sendCrashes sends what is due of crash records; s.mu is held.
+func (s *Service) sendCrashes(now time.Time) {
+	if len(s.crashes.out) == 0 {
+		return
+	}
+	live := s.look(now).live
+	byPeer := make(map[*peer][]quarantine.Record)
+	for _, due := range s.crashes.due() {
+		for _, to := range s.receivers(due, live) {
+			byPeer[to] = append(byPeer[to], due.record)
+		}
+	}
+	for _, to := range live {
+		s.sendRecords(to, byPeer[to])
+	}
+}
+
+// receivers are the peers that get a record in this round.
+func (s *Service) receivers(due mail, live []*peer) []*peer {
+	if due.wide {
+		return drawn(live, crashFanOut)
+	}
+	return keepersOf(due.record.Print, live, s.hash)
+}
+
+// drawn are a few peers drawn at random.
+func drawn(live []*peer, count int) []*peer {
+	found := make([]*peer, 0, count)
+	for _, place := range rand.Perm(len(live)) {
+		if len(found) == count {
+			break
+		}
+		found = append(found, live[place])
+	}
+	return found
+}
+
+// keepersOf are the peers that keep track of a request. The gateway with the hash self may
+// be one more.
+func keepersOf(print quarantine.Fingerprint, live []*peer, self uint64) []*peer {
+	type place struct {
+		peer  *peer
+		score uint64
+	}
+	places := []place{{nil, policy.Score(uint64(print), self)}}
+	for _, known := range live {
+		if !known.leaving {
+			places = append(places, place{known, policy.Score(uint64(print), known.hash)})
+		}
+	}
+	slices.SortFunc(places, func(a, b place) int { return cmp.Compare(b.score, a.score) })
+	var found []*peer
+	for _, first := range places[:min(len(places), crashKeepers)] {
+		if first.peer != nil {
+			found = append(found, first.peer)
+		}
+	}
+	return found
+}
+
+// sendRecords sends records to a peer at once, as far as the bytes for them go; s.mu is
+// held. What is left out comes again with later rounds, or with the peer's hash.
+func (s *Service) sendRecords(to *peer, records []quarantine.Record) {
+	for chunk := range slices.Chunk(records, mostCrashRecords) {
+		beat := s.bare()
+		for _, record := range chunk {
+			beat.CrashRecords = append(beat.CrashRecords, record.Message())
+		}
+		if !s.crashes.bucket.AllowN(time.Now(), proto.Size(beat)) {
+			return
+		}
+		s.send(to.address, beat, true)
+	}
+}
+
+// takeCrashes takes a beat's records; s.mu is held.
+func (s *Service) takeCrashes(beat *wire.GatewayBeat, from *peer, now time.Time) {
+	var back []quarantine.Record
+	for _, message := range beat.GetCrashRecords() {
+		change := s.crashes.table.Merge(quarantine.RecordOf(message), now)
+		if change.Ahead {
+			back = append(back, change.Record)
+		}
+		if !change.News {
+			continue
+		}
+		if change.Begins() || change.Ends() {
+			s.options.Watcher.QuarantineChanged(change, from.id)
+		}
+		if change.Wide() {
+			s.crashes.post(change.Record, true, crashSends)
+			s.wake()
+		}
+	}
+	s.sendRecords(from, back)
+	if !beat.GetBare() && !beat.GetBrief() {
+		s.compareQuarantine(beat.GetQuarantineDigest(), from, now)
+	}
+}
+
+// compareQuarantine sends a peer that holds other requests back than this process those
+// that are held back here; s.mu is held.
+func (s *Service) compareQuarantine(digest uint64, from *peer, now time.Time) {
+	if digest == s.crashes.table.Digest() || now.Sub(from.comparedAt) < digestEvery {
+		return
+	}
+	from.comparedAt = now
+	records := quarantine.AtLimit(s.crashes.table.Records(now))
+	if len(records) > 0 {
+		// Where there are more than the bytes allow, it is others each time.
+		at := rand.IntN(len(records))
+		s.sendRecords(from, append(slices.Clone(records[at:]), records[:at]...))
+	}
+}
+
+// handCrashes hands a gateway that was found the records that it keeps track of, and all that
+// concern everybody if this one is the first of a few to do so; s.mu is held.
+func (s *Service) handCrashes(found *peer, now time.Time) {
+	if s.crashes.table.Empty() {
+		return
+	}
+	s.seen = nil
+	live := s.look(now).live
+	hands := len(keepersOf(quarantine.Fingerprint(found.hash), withoutPeer(live, found), s.hash)) < min(crashKeepers, len(live))
+	var records []quarantine.Record
+	for _, record := range s.crashes.table.Records(now) {
+		wide := record.Suspicious()
+		if wide && hands || !wide && slices.Contains(keepersOf(record.Print, live, s.hash), found) {
+			records = append(records, record)
+		}
+	}
+	s.sendRecords(found, records)
+}
+
+// withoutPeer are all peers but one.
+func withoutPeer(live []*peer, except *peer) []*peer {
+	return slices.DeleteFunc(slices.Clone(live), func(known *peer) bool { return known == except })
+}
+
+// replaceKeeper has the records that a lost gateway kept track of sent to those that do so
+// now; s.mu is held.
+func (s *Service) replaceKeeper(lost *peer, now time.Time) {
+	if s.crashes.table.Empty() {
+		return
+	}
+	before := append(slices.Clone(s.look(now).live), lost)
+	for _, record := range s.crashes.table.Records(now) {
+		if !record.Suspicious() && slices.Contains(keepersOf(record.Print, before, s.hash), lost) {
+			s.crashes.post(record, false, 1)
+		}
+	}
+}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -17,6 +17,7 @@
 	"github.com/capersaddle/capersaddle/internal/freshness"
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/policy"
+	"github.com/capersaddle/capersaddle/internal/quarantine"
 	"github.com/capersaddle/capersaddle/internal/wait"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
@@ -85,6 +86,9 @@
 	// TargetDoubted: a target is left out since several gateways got no answer from
 	// it; the peer is the last of them to say so.
 	TargetDoubted(target, from string)
+	// QuarantineChanged: a request is held back from now on, or no more, since the peer
+	// says so.
+	QuarantineChanged(change quarantine.Change, from string)
 }
 
 // Options are what the service works with.
@@ -102,7 +106,9 @@
 	Replica  Replica
 	Proof    *freshness.Proof
 	Balancer *balance.Balancer
-	Watcher  Watcher
+	// Quarantine is what this process knows of requests under which targets ended.
+	Quarantine *quarantine.Table
+	Watcher    Watcher
 	// Stale is the age of the proof at which this process asks the store whoever
 	// else does.
 	Stale time.Duration
@@ -149,6 +155,8 @@
 	askedAt time.Time
 	// directory is this gateway's part in keeping track of placements.
 	directory *directory
+	// crashes are the records of requests under which targets ended that wait to be sent.
+	crashes *crashMail
 	// rollouts is nil where none are carried.
 	rollouts Rollouts
 
@@ -177,6 +185,10 @@
 		directory: newDirectory(),
 	}
 	service.table.class = options.Class
+	if options.Quarantine == nil {
+		options.Quarantine = quarantine.New()
+	}
+	service.crashes = newCrashMail(options.Quarantine, options.Budget)
 	return service
 }
 
@@ -307,7 +319,9 @@
 	for _, lost := range s.table.expire(now) {
 		s.seen = nil
 		s.options.Watcher.PeerLost(lost.id, lost.address, now.Sub(lost.lastBeat))
+		s.replaceKeeper(lost, now)
 	}
+	s.sendCrashes(now)
 	for _, address := range s.table.silent(now) {
 		s.send(address, s.beat(nil, now), false)
 	}
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -16,6 +16,7 @@
 	"github.com/capersaddle/capersaddle/internal/freshness"
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/policy"
+	"github.com/capersaddle/capersaddle/internal/quarantine"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -66,11 +67,12 @@
 // quiet is a watcher that says nothing.
 type quietWatcher struct{}
 
-func (quietWatcher) PeerFound(string, string)                   {}
-func (quietWatcher) PeerLost(string, string, time.Duration)     {}
-func (quietWatcher) ReplicaFetched(string, int64, int64, error) {}
-func (quietWatcher) TargetRefused(string, string)               {}
-func (quietWatcher) TargetDoubted(string, string)               {}
+func (quietWatcher) PeerFound(string, string)                    {}
+func (quietWatcher) PeerLost(string, string, time.Duration)      {}
+func (quietWatcher) ReplicaFetched(string, int64, int64, error)  {}
+func (quietWatcher) TargetRefused(string, string)                {}
+func (quietWatcher) TargetDoubted(string, string)                {}
+func (quietWatcher) QuarantineChanged(quarantine.Change, string) {}
 
 // noting is a watcher that counts refused targets.
 type noting struct {
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -55,6 +55,9 @@
 	hash uint64
 	// unanswered counts the questions to it since its last beat.
 	unanswered int
+	// comparedAt is when it was last sent the requests that are held back here, since it
+	// holds others back.
+	comparedAt time.Time
 	// unfound counts the questions for parts that it left unanswered since its
 	// last beat. Where bytes are short it answers fewer of them, and may still be
 	// the parent, or ask the store.
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/capersaddle/capersaddle/internal/lag"
 	"github.com/capersaddle/capersaddle/internal/observe"
 	"github.com/capersaddle/capersaddle/internal/peer"
+	"github.com/capersaddle/capersaddle/internal/quarantine"
 	"github.com/capersaddle/capersaddle/internal/retrybudget"
 	"github.com/capersaddle/capersaddle/internal/rollout"
 	"github.com/capersaddle/capersaddle/internal/settings"
@@ -60,6 +61,7 @@
 	gateway  *gateway.Gateway
 	feed     *platform.Feed
 	peers    *peer.Service
+	crashes  *gateway.Crashes
 	rollouts *rollout.Controller
 	lag      *lag.Monitor
 	// late is what the log last said of the lag.
@@ -97,6 +99,8 @@
 		Events:   p.observer,
 		Options:  gateway.Options{KeyFreshness: keyFreshness(s), DenyFreshness: denyFreshness, Accompanied: p.accompanied, OthersKnow: p.othersKnow, Late: p.lag.Late},
 	}
+	p.crashes = gateway.NewCrashes(quarantine.New(), p.gateway.Balancer, sender, p.observer)
+	p.gateway.Crashes = p.crashes
 	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, store: p.observer.NewStoreDependency(), urge: p.urge}, p.storeRole, p.yields)
 	p.front = &platform.Front{Gateway: p.gateway}
 	observe.RegisterGauges(registry, p.gauges())
@@ -104,6 +108,7 @@
 		func() error { return p.kernel.Register("lag", p.lag) },
 		func() error { return p.kernel.Register("sender", sender) },
 		p.joinPeers,
+		func() error { return p.kernel.Register("crashes", p.crashes) },
 		func() error { return p.joinRollouts(registry) },
 		func() error { return p.kernel.Register("feed", p.feed) },
 		func() error { return p.kernel.Register("checkpoint", p.newSaver()) },
@@ -149,6 +154,7 @@
 			return float64(total)
 		},
 		Lag:       func() float64 { return p.lag.Lag().Seconds() },
+		HeldBack:  func() float64 { return float64(len(p.crashes.Table.Cases(time.Now()))) },
 		Evacuated: func() float64 { return float64(len(p.gateway.Balancer.Evacuated())) },
 		InFlight: func() float64 {
 			total := 0
@@ -173,7 +179,9 @@
 // newSaver keeps in the store where parts of prompts are cached.
 func (p *GatewayProcess) newSaver() *checkpoint.Saver {
 	called := func(err error) { p.observer.StoreCalled("checkpoint", err) }
-	return checkpoint.NewSaver(p.gateway.Balancer, p.feed, p.keepsCheckpoint, called)
+	saver := checkpoint.NewSaver(p.gateway.Balancer, p.feed, p.keepsCheckpoint, called)
+	saver.HeldBack = func() []quarantine.Record { return quarantine.AtLimit(p.crashes.Table.Records(time.Now())) }
+	return saver
 }
 
 // closer is a service that has begun already.
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -40,11 +40,13 @@
 		Proof:    p.gateway.Proof,
 		Balancer: p.gateway.Balancer,
 		Watcher:  fetching{p.observer, p},
-		Counted:  p.countPeers,
-		Lag:      p.lag.Lag,
-		Stale:    staleAfter(p.settings),
+
+		Quarantine: p.crashes.Table,
+		Counted:    p.countPeers,
+		Lag:        p.lag.Lag,
+		Stale:      staleAfter(p.settings),
 	}, conn, pool)
-	p.gateway.Directory = p.peers
+	p.gateway.Directory, p.crashes.Spreader = p.peers, p.peers
 	if p.mayLeaveReading() {
 		p.feed.CountGateways()
 	}
--- /dev/null
+++ b/internal/process/gateway_quarantine_http.go
@@ -0,0 +1,63 @@
+package process
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/gateway"
+	"github.com/capersaddle/capersaddle/internal/quarantine"
+)
+
+// PathQuarantine is where a gateway's metrics address says which requests are held back,
+// and takes with DELETE, and the fingerprint in the query, which of them is to be sent again.
+const (
+	PathQuarantine  = "/quarantine"
+	QueryQuarantine = "print"
+)
+
+// HeldBack is a request that is held back, as the metrics address has it.
+type HeldBack struct {
+	Print string `json:"print"`
+	// Ends is how many targets ended under it.
+	Ends int `json:"ends"`
+	// LeftMS is how long it is still held back.
+	LeftMS int64 `json:"left_ms"`
+}
+
+// quarantineHandler answers for the requests that are held back.
+func quarantineHandler(crashes *gateway.Crashes) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.Method {
+		case http.MethodGet, http.MethodHead:
+			writeJSON(w, heldBack(crashes.Table.Cases(time.Now())))
+		case http.MethodDelete:
+			liftQuarantine(w, r, crashes)
+		default:
+			w.Header().Set("Allow", "GET, HEAD, DELETE")
+			http.Error(w, "requests that are held back are read with GET and lifted with DELETE", http.StatusMethodNotAllowed)
+		}
+	})
+}
+
+func heldBack(cases []quarantine.Case) []HeldBack {
+	// An empty list, not null, where there are none.
+	listed := make([]HeldBack, 0, len(cases))
+	for _, held := range cases {
+		listed = append(listed, HeldBack{Print: held.Print.String(), Ends: held.Ends, LeftMS: held.Left.Milliseconds()})
+	}
+	return listed
+}
+
+func liftQuarantine(w http.ResponseWriter, r *http.Request, crashes *gateway.Crashes) {
+	text := r.URL.Query().Get(QueryQuarantine)
+	print, err := quarantine.ParseFingerprint(text)
+	if err != nil {
+		http.Error(w, "query "+QueryQuarantine+": found \""+text+"\"; want the 16 digits that logs and the list have", http.StatusBadRequest)
+		return
+	}
+	if !crashes.Lift(print, time.Now()) {
+		http.Error(w, "nothing is held against a request "+print.String(), http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -106,6 +106,9 @@
 	}
 	s.process.expectedGateways.Store(int32(min(kept.Gateways, math.MaxInt32)))
 	s.keepAside(kept.Targets)
+	for _, record := range kept.HeldBack {
+		s.process.crashes.Merge(record, time.Now())
+	}
 	s.process.gateway.Balancer.Learn(kept.Placements)
 }
 
--- a/internal/process/quarantine_test.go
+++ b/internal/process/quarantine_test.go
@@ -73,7 +73,7 @@
 // fatalCallers send the fatal request again and again, to each gateway in turn, and sound
 // ones besides, of which every other one is like all the others.
 type fatalCallers struct {
-	sound, served, refused atomic.Int64
+	sound, served atomic.Int64
 	// last is the last answer to the fatal request.
 	last   atomic.Pointer[answer]
 	cancel context.CancelFunc
--- /dev/null
+++ b/internal/quarantine/table.go
@@ -0,0 +1,365 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+const (
+	// Limit is how many targets end under a request until it is sent no more. One or two are
+	// met by chance: a request that was under way with a fatal one comes again, and may
+	// meet it again. In the incident that this is for, one in 40 of the others had been under
+	// way at three ends, when twelve targets had ended; after three there are fewer.
+	Limit = 3
+	// FirstTerm is how long a request is held back at first. It has an end since what is wrong may be mended meanwhile, and
+	// since it may be wrong; a request that is still fatal then costs one target each time.
+	FirstTerm = 10 * time.Minute
+	// LastTerm is the longest term; each further end doubles the first one up to that.
+	LastTerm = 24 * time.Hour
+	// suspectLife is how long an end counts if no further one follows.
+	suspectLife = 10 * time.Minute
+	// mostLives bounds the ends that are told apart for one request; with as many its term
+	// has long been the last one.
+	mostLives = 16
+	// mostRecords bounds the requests that are known, at 150 bytes each. A data centre that
+	// loses power has some thousand under way, each once.
+	mostRecords = 8192
+	// answerMemory is how many requests that were answered whole are remembered, and
+	// answerLife for how long: those of the last minute at 60 a second.
+	answerMemory = 4096
+	answerLife   = time.Minute
+)
+
+// Life names one life of a target that ended: the upper half of the hash of its name.
+type Life uint32
+
+// Record is what is known of one request. Records of the same request from several
+// gateways make one, in whatever order they come, however often.
+type Record struct {
+	Print Fingerprint
+	// Epoch is how often the request was cleared: of two records the one with the higher
+	// epoch holds.
+	Epoch uint32
+	// Lives are those that have ended under the request since it was last cleared, in
+	// order, without repeats, at most mostLives.
+	Lives []Life
+}
+
+// atLimit says whether the request is to be held back, for a while at least.
+func (r Record) atLimit() bool {
+	return len(r.Lives) >= Limit
+}
+
+// Suspicious says whether the request was under way at more ends than one.
+func (r Record) Suspicious() bool {
+	return len(r.Lives) >= Limit-1
+}
+
+// join makes one of two records of the same request.
+func (r Record) join(other Record) Record {
+	if other.Epoch != r.Epoch {
+		if other.Epoch > r.Epoch {
+			return other
+		}
+		return r
+	}
+	r.Lives = append(slices.Clone(r.Lives), other.Lives...)
+	return r.Normal()
+}
+
+// Normal is a record that came from elsewhere, in the form that the fields promise.
+func (r Record) Normal() Record {
+	lives := slices.Clone(r.Lives)
+	slices.Sort(lives)
+	lives = slices.Compact(lives)
+	r.Lives = lives[:min(len(lives), mostLives)]
+	return r
+}
+
+// Equal says whether two records are the same.
+func (r Record) Equal(other Record) bool {
+	return r.Print == other.Print && r.Epoch == other.Epoch && slices.Equal(r.Lives, other.Lives)
+}
+
+// Change is what has become of a request's record.
+type Change struct {
+	// Record is what is known now.
+	Record
+	// Before is how many ends were held against the request before.
+	Before int
+	// News says that the record has changed, and Ahead that it differs from the one that
+	// was taken: it would be news to whoever that came from.
+	News, Ahead bool
+}
+
+// Wide says whether all gateways are to have the record, and not just those that keep
+// track of the request.
+func (c Change) Wide() bool {
+	return c.Suspicious() || c.Before >= Limit-1
+}
+
+// Begins says whether the request is held back from now on, and Ends that it is no more.
+func (c Change) Begins() bool { return c.News && c.atLimit() && c.Before < Limit }
+
+// Ends says whether the request was held back, and is cleared.
+func (c Change) Ends() bool { return c.News && !c.atLimit() && c.Before >= Limit }
+
+// entry is a record as the table keeps it.
+type entry struct {
+	Record
+	// changedAt is when the last end became known, or the last clearing.
+	changedAt time.Time
+}
+
+// term is how long the request is held back.
+func (e *entry) term() time.Duration {
+	term := FirstTerm
+	for range len(e.Lives) - Limit {
+		term = min(2*term, LastTerm)
+	}
+	return term
+}
+
+// held says whether the request is held back now.
+func (e *entry) held(now time.Time) bool {
+	return e.atLimit() && now.Sub(e.changedAt) < e.term()
+}
+
+// over says whether the record says nothing any more.
+func (e *entry) over(now time.Time) bool {
+	life := suspectLife
+	if e.atLimit() {
+		// Behind its term it is on trial for as long again.
+		life += e.term()
+	}
+	return now.Sub(e.changedAt) >= life
+}
+
+// Table is what this process knows of requests under which targets ended. It is safe for
+// concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	entries map[Fingerprint]*entry
+	// answered are requests that were answered whole a moment ago, with the time. It is
+	// nobody's but this process's.
+	answered *lru.Cache[Fingerprint, time.Time]
+}
+
+// New returns an empty table.
+func New() *Table {
+	answered, err := lru.New[Fingerprint, time.Time](answerMemory)
+	if err != nil {
+		panic(err) // only for a size that is not positive
+	}
+	return &Table{entries: make(map[Fingerprint]*entry), answered: answered}
+}
+
+// Crashed notes that a life of a target ended without a plan while a request was under way
+// there.
+//
+// Whoever sent a request that many send alike has just had it answered elsewhere: that
+// excuses one end. A request that ends whatever runs it is never answered.
+func (t *Table) Crashed(print Fingerprint, life Life, now time.Time) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at, ok := t.answered.Peek(print); ok {
+		t.answered.Remove(print)
+		if now.Sub(at) < answerLife {
+			return Change{}
+		}
+	}
+	return t.take(Record{Print: print, Epoch: t.epochOf(print), Lives: []Life{life}}, now)
+}
+
+// Answered notes that a target answered a request whole, which clears it.
+func (t *Table) Answered(print Fingerprint, now time.Time) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.answered.Add(print, now)
+	return t.clear(print, now)
+}
+
+// Lift clears a request that operators want sent again.
+func (t *Table) Lift(print Fingerprint, now time.Time) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.clear(print, now)
+}
+
+// clear clears a request, if ends are held against it; t.mu is held.
+func (t *Table) clear(print Fingerprint, now time.Time) Change {
+	known, ok := t.entries[print]
+	if !ok || len(known.Lives) == 0 {
+		return Change{}
+	}
+	return t.take(Record{Print: print, Epoch: known.Epoch + 1}, now)
+}
+
+// Merge takes another gateway's record.
+func (t *Table) Merge(other Record, now time.Time) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.take(other, now)
+}
+
+// take joins a record with what is known; t.mu is held.
+func (t *Table) take(other Record, now time.Time) Change {
+	known, ok := t.entries[other.Print]
+	if !ok {
+		known = &entry{Record: Record{Print: other.Print}}
+	}
+	joined := known.join(other)
+	change := Change{Record: joined, Before: len(known.Lives), News: !joined.Equal(known.Record), Ahead: !joined.Equal(other)}
+	if !change.News {
+		return change
+	}
+	if !ok {
+		t.makeRoom(now)
+		t.entries[other.Print] = known
+	}
+	known.Record, known.changedAt = joined, now
+	return change
+}
+
+func (t *Table) epochOf(print Fingerprint) uint32 {
+	if known, ok := t.entries[print]; ok {
+		return known.Epoch
+	}
+	return 0
+}
+
+// makeRoom forgets an eighth of the records if there are as many as may be: those with the
+// fewest ends first, and of these the oldest. Requests that are held back are the last to
+// go. t.mu is held.
+func (t *Table) makeRoom(now time.Time) {
+	if len(t.entries) < mostRecords {
+		return
+	}
+	t.expire(now)
+	if len(t.entries) < mostRecords {
+		return
+	}
+	const share = 8
+	all := make([]*entry, 0, len(t.entries))
+	for _, known := range t.entries {
+		all = append(all, known)
+	}
+	slices.SortFunc(all, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(len(a.Lives), len(b.Lives)), a.changedAt.Compare(b.changedAt), cmp.Compare(a.Print, b.Print))
+	})
+	for _, known := range all[:len(all)/share] {
+		delete(t.entries, known.Print)
+	}
+}
+
+// expire forgets records that say nothing any more; t.mu is held.
+func (t *Table) expire(now time.Time) {
+	for print, known := range t.entries {
+		if known.over(now) {
+			delete(t.entries, print)
+		}
+	}
+}
+
+// Held says whether a request is to be sent to no target now.
+func (t *Table) Held(print Fingerprint, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, ok := t.entries[print]
+	return ok && known.held(now)
+}
+
+// Suspicious says whether a request was under way at so many ends that one more holds it
+// back.
+func (t *Table) Suspicious(print Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, ok := t.entries[print]
+	return ok && known.Suspicious()
+}
+
+// Empty says whether nothing is held against any request.
+func (t *Table) Empty() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.entries) == 0
+}
+
+// Records are what is known of all requests, those with the most ends first.
+func (t *Table) Records(now time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	records := make([]Record, 0, len(t.entries))
+	for _, known := range t.entries {
+		records = append(records, known.Record)
+	}
+	slices.SortFunc(records, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(len(b.Lives), len(a.Lives)), cmp.Compare(a.Print, b.Print))
+	})
+	return records
+}
+
+// Digest is the same for two tables with the same records at the limit; zero without any.
+func (t *Table) Digest() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	digest := uint64(0)
+	for _, known := range t.entries {
+		if known.atLimit() {
+			digest ^= known.digest()
+		}
+	}
+	return digest
+}
+
+// digest is a hash of the record.
+func (r Record) digest() uint64 {
+	const prime = 0x9e3779b97f4a7c15
+	hash := uint64(r.Print) ^ uint64(r.Epoch)*prime
+	for _, life := range r.Lives {
+		hash = (hash ^ uint64(life)) * prime
+		hash ^= hash >> 29
+	}
+	return hash
+}
+
+// AtLimit are the records of requests that are held back, or were until lately.
+func AtLimit(records []Record) []Record {
+	var found []Record
+	for _, record := range records {
+		if record.atLimit() {
+			found = append(found, record)
+		}
+	}
+	return found
+}
+
+// Case is a request that is held back, as operators see it.
+type Case struct {
+	Print Fingerprint
+	// Ends is how many targets ended under it.
+	Ends int
+	// Left is how long it is still held back.
+	Left time.Duration
+}
+
+// Cases are the requests that are held back now, the latest first.
+func (t *Table) Cases(now time.Time) []Case {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var cases []Case
+	for _, known := range t.entries {
+		if known.held(now) {
+			cases = append(cases, Case{Print: known.Print, Ends: len(known.Lives), Left: known.term() - now.Sub(known.changedAt)})
+		}
+	}
+	slices.SortFunc(cases, func(a, b Case) int {
+		return cmp.Or(cmp.Compare(b.Left, a.Left), cmp.Compare(a.Print, b.Print))
+	})
+	return cases
+}
