An entry that is not whole names no target; another start is another life

Change: each field of an entry is checked for being there, its type, its range and its state; a listed target whose entry turns odd gets nothing new until the entry is whole. A life is named by id and start: holders, loads, suspicions, refusals, cold times and connections are those of a life, also where other gateways report them. A start that is earlier than the one before counts as another life too: clocks are set back.

Ruled out: passing over earlier starts (an odd entry with a start far ahead would shut the target out for good); asking that every entry state a start (during a change of the targets' software all older ones would be dropped).

--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -24,10 +24,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known, ok := b.current[target.ID]
-	if ok && target.Born < known.Born {
-		return Change{} // it speaks of a life that is over
-	}
-	if ok && target.Born > known.Born {
+	if ok && (target.Born != known.Born || target.Service != known.Service) {
 		b.outlive(known, now)
 		ok = false
 	}
@@ -49,6 +46,12 @@
 func (b *Balancer) add(target Target) *state {
 	known := b.serviceOf(target.Service)
 	added := newState(target, known)
+	if before, ok := b.targets[added.life]; ok {
+		// The same life again, or under another service: its requests are still under way.
+		underWay := before.inFlight
+		before.count(-underWay)
+		added.count(underWay)
+	}
 	b.targets[added.life] = added
 	b.current[target.ID] = added
 	b.byHash[added.hash] = added
@@ -58,6 +61,19 @@
 	return added
 }
 
+// SetUnusable leaves a target out whose entry names none any more, until it is put again;
+// false if nothing is known of it.
+func (b *Balancer) SetUnusable(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	target, ok := b.current[id]
+	if !ok || target.Leaving {
+		return false
+	}
+	target.Leaving, target.aside = true, true
+	return true
+}
+
 // Drop notes that the list no longer has a target.
 func (b *Balancer) Drop(id string, now time.Time) {
 	b.mu.Lock()
--- a/internal/emulator/fatal.go
+++ b/internal/emulator/fatal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -14,9 +15,6 @@
 	// Back is the time from there until the next life of the server listens at the same
 	// address, and its entry follows; zero is never.
 	Back time.Duration
-	// KeepsID says that the next life has the id of the one before; its entry then tells
-	// the two apart by when they began.
-	KeepsID bool
 }
 
 // lapseAfter is how long after a server's end its entry goes: after three heartbeats.
@@ -55,17 +53,15 @@
 
 // outlive has another life of a server begin after its end, and its entry lapse.
 func (p *Platform) outlive(of listed, life int) {
+	if !of.options.KeepsID {
+		p.after(lapseAfter, func() { p.Leave(of.Server) })
+	}
 	fatal := of.options.Fatal
-	p.after(lapseAfter, func() {
-		if !fatal.KeepsID {
-			p.Leave(of.Server)
-		}
-	})
-	if fatal.Back == 0 {
+	if fatal == nil || fatal.Back == 0 {
 		return
 	}
 	options := of.options
-	if !fatal.KeepsID {
+	if !options.KeepsID {
 		options.ID = fmt.Sprintf("%s-%d", of.firstID, life)
 	}
 	p.after(fatal.Back, func() {
@@ -74,6 +70,19 @@
 	})
 }
 
+// BeginAgain ends a server, with all that it had, and begins another life of it at once, at
+// its address and under its id.
+func (p *Platform) BeginAgain(server *Server) (*Server, error) {
+	p.mu.Lock()
+	at := slices.IndexFunc(p.servers, func(known listed) bool { return known.Server == server })
+	of := p.servers[at]
+	p.mu.Unlock()
+	server.crash()
+	next := listed{service: of.service, zone: of.zone, firstID: of.firstID}
+	err := p.addLife(&next, server.Address(), server.options, 1)
+	return next.Server, err
+}
+
 // after does something later, unless the platform has ended.
 func (p *Platform) after(wait time.Duration, do func()) {
 	p.wait.Go(func() {
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -60,15 +60,16 @@
 
 // entry is a server's own entry in the store.
 type entry struct {
-	Service string  `json:"service"`
-	Address string  `json:"address"`
-	Zone    string  `json:"zone"`
-	Version string  `json:"version,omitempty"`
-	Slots   int     `json:"slots"`
-	State   string  `json:"state"`
-	ColdMs  int64   `json:"cold_remaining_ms"`
-	Born    int64   `json:"born,omitempty"`
-	Models  []model `json:"models,omitempty"`
+	Service  string  `json:"service"`
+	Address  string  `json:"address"`
+	Zone     string  `json:"zone"`
+	Version  string  `json:"version"`
+	Slots    int     `json:"slots"`
+	State    string  `json:"state"`
+	ColdMs   int64   `json:"cold_remaining_ms"`
+	Sequence int64   `json:"sequence"`
+	Born     int64   `json:"born,omitempty"`
+	Models   []model `json:"models,omitempty"`
 }
 
 // model is one that a server's entry names.
@@ -162,19 +163,22 @@
 	if server.options.Weights > 0 {
 		made.Models = []model{{Name: "m", Version: server.options.Weights, Adapters: []string{}}}
 	}
-	if fatal := server.options.Fatal; fatal != nil && fatal.KeepsID {
+	if server.options.KeepsID {
 		made.Born = server.born.UnixMilli()
 	}
 	return p.enter(server.ID(), made)
 }
 
+// firstVersion is that of servers of which no version matters.
+const firstVersion = "v1"
+
 // demoSlots is how many requests a server says that it works on at once.
 const demoSlots = 8
 
 // Entry is that of a server which is reached at another address than its own, IP:port.
 type Entry struct {
 	ID, Service, Zone, Address string
-	// Version is that of the server's software; empty states none.
+	// Version is that of the server's software; empty is the first one.
 	Version string
 	State   string
 	// Cold is for how much longer the server is cold.
@@ -190,6 +194,9 @@
 }
 
 func (p *Platform) enter(id string, made entry) error {
+	if made.Version == "" {
+		made.Version = firstVersion
+	}
 	data, err := json.Marshal(made)
 	if err != nil {
 		return errors.Wrap(err, "encode a server's entry")
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -71,11 +71,14 @@
 	// Work is the time to the head of an answer.
 	Work time.Duration
 	// Version is that of its software and Weights that of its model, as its entry
-	// states them; empty and zero state nothing.
+	// states them; empty is the first version, and zero states nothing.
 	Version string
 	Weights int
 	// Bad is how the version fails; nil for a good one.
 	Bad *Bad
+	// KeepsID says that further lives of the server have its id; its entry then tells them
+	// apart by when they began.
+	KeepsID bool
 	// Fatal is a request that ends the server; nil for none.
 	Fatal *Fatal
 }
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -20,6 +20,7 @@
 	EventTarget     = "target_changed"
 	EventTargets    = "targets_listed"
 	EventTargetGone = "target_gone"
+	EventUnusable   = "target_unusable"
 	EventEjected    = "target_ejected"
 	EventEvacuated  = "data_center_evacuated"
 	EventReturned   = "data_center_returned"
@@ -56,7 +57,7 @@
 	return []string{
 		EventRequest, EventConfig, EventTarget, EventTargets, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
 		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventDoubted, EventStart, EventDrain, EventStop, EventReload, EventLate, EventInTime, EventSampled,
-		EventCrash, EventHeldBack, EventCleared,
+		EventUnusable, EventCrash, EventHeldBack, EventCleared,
 		EventRolloutOrdered, EventRolloutStage, EventRolloutHalted, EventRolloutRecorded, EventRolloutCommitFailed,
 	}
 }
--- a/internal/observe/state.go
+++ b/internal/observe/state.go
@@ -81,6 +81,11 @@
 	o.log.Info(EventTargets, "targets", count)
 }
 
+// TargetUnusable logs a target whose entry has become one that names no target.
+func (o *Observer) TargetUnusable(id string) {
+	o.log.Warn(EventUnusable, "target", id)
+}
+
 // TargetGone logs a target that the list no longer has.
 func (o *Observer) TargetGone(id string) {
 	o.log.Info(EventTargetGone, "target", id)
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -63,6 +63,15 @@
 	}
 }
 
+// Unusable takes a server whose entry has become one that names none: it gets no new work
+// until it is whole again.
+func (s *sink) Unusable(id string) {
+	if s.process.gateway.Balancer.SetUnusable(id) {
+		s.process.observer.TargetUnusable(id)
+		s.urge()
+	}
+}
+
 // Gone takes a server whose entry was removed.
 func (s *sink) Gone(id string) {
 	s.process.gateway.Balancer.Drop(id, time.Now())
--- a/internal/process/quarantine_test.go
+++ b/internal/process/quarantine_test.go
@@ -42,7 +42,7 @@
 )
 
 // fatalFleet is some gateways before targets that end under a request.
-func fatalFleet(t *testing.T, gateways int, fatal emulator.Fatal) *fleet {
+func fatalFleet(t *testing.T, gateways int, fatal emulator.Fatal, keepsID bool) *fleet {
 	t.Helper()
 	f := newFleet(t, 0)
 	for _, server := range append(f.engines, f.plain...) {
@@ -50,7 +50,7 @@
 	}
 	for i := range fatalTargets {
 		for _, service := range []string{"engine", "plain"} {
-			options := emulator.ServerOptions{ID: fmt.Sprintf("%s-%d", service, i), Work: 20 * time.Millisecond, Fatal: &fatal}
+			options := emulator.ServerOptions{ID: fmt.Sprintf("%s-%d", service, i), Work: 20 * time.Millisecond, Fatal: &fatal, KeepsID: keepsID}
 			if service == "engine" {
 				options.Events, options.Gap = 6, 10*time.Millisecond
 			}
@@ -157,18 +157,19 @@
 	cases := map[string]struct {
 		path, service string
 		fatal         emulator.Fatal
+		keepsID       bool
 	}{
-		"a stream that may go on elsewhere": {"/chat/1", "engine", emulator.Fatal{Body: fatalBody, After: 15 * time.Millisecond, Back: lifeless}},
-		"in the middle of a stream":         {"/chat/1", "engine", emulator.Fatal{Body: fatalBody, After: 45 * time.Millisecond, Back: lifeless}},
-		"a call that may be repeated":       {"/ask/1", "plain", emulator.Fatal{Body: fatalBody, After: 10 * time.Millisecond, Back: lifeless}},
-		"a call that may not be repeated":   {"/pay/1", "plain", emulator.Fatal{Body: fatalBody, After: 10 * time.Millisecond, Back: lifeless}},
-		"targets that keep their ids":       {"/ask/1", "plain", emulator.Fatal{Body: fatalBody, After: 10 * time.Millisecond, Back: lifeless, KeepsID: true}},
+		"a stream that may go on elsewhere": {path: "/chat/1", service: "engine", fatal: emulator.Fatal{Body: fatalBody, After: 15 * time.Millisecond, Back: lifeless}},
+		"in the middle of a stream":         {path: "/chat/1", service: "engine", fatal: emulator.Fatal{Body: fatalBody, After: 45 * time.Millisecond, Back: lifeless}},
+		"a call that may be repeated":       {path: "/ask/1", service: "plain", fatal: emulator.Fatal{Body: fatalBody, After: 10 * time.Millisecond, Back: lifeless}},
+		"a call that may not be repeated":   {path: "/pay/1", service: "plain", fatal: emulator.Fatal{Body: fatalBody, After: 10 * time.Millisecond, Back: lifeless}},
+		"targets that keep their ids":       {path: "/ask/1", service: "plain", fatal: emulator.Fatal{Body: fatalBody, After: 10 * time.Millisecond, Back: lifeless}, keepsID: true},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			f := fatalFleet(t, 4, test.fatal)
+			f := fatalFleet(t, 4, test.fatal, test.keepsID)
 			c := f.startFatalCallers(t, test.path)
 			stopped := f.awaitStopped(t, test.service, 3*time.Second)
 			c.stop()
