Ages count the time for which the host was suspended

Cause: Go's steady clock stands still while a host is suspended. Proofs, grants, reports, terms and callers' deadlines were then each too young by that time: a key that had been taken away meanwhile was served by a proof that seemed new.

Change: internal/clock is the one clock of the gateway's trunk: time.Now moved on by what CLOCK_BOOTTIME says of suspensions.

Ruled out: reading it everywhere (two system calls each, some twenty times a request), a watcher that notices that the host is back (requests may come first), the time of day (it steps).

--- a/internal/checkpoint/checkpoint.go
+++ b/internal/checkpoint/checkpoint.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/quarantine"
 	"github.com/capersaddle/capersaddle/internal/wait"
 	"github.com/capersaddle/capersaddle/internal/wire"
@@ -121,7 +122,7 @@
 		return
 	}
 	known := Content{Placements: sorted(content.Placements), Targets: content.Targets, HeldBack: content.HeldBack}
-	now := time.Now()
+	now := clock.Now()
 	if known.equal(s.last) || now.Sub(s.savedAt) < oldest && known.near(s.last) {
 		return
 	}
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/socket"
 )
 
@@ -89,7 +90,7 @@
 		if conn == nil {
 			break
 		}
-		conn.rested = time.Since(conn.restedAt)
+		conn.rested = clock.Since(conn.restedAt)
 		if conn.usable(p.longestRest(conn, reuse)) {
 			conn.wrote.Store(false)
 			return conn, nil
@@ -178,7 +179,7 @@
 		conn.Abort()
 		return
 	}
-	conn.restedAt = time.Now()
+	conn.restedAt = clock.Now()
 	p.idle[conn.target] = append(idle, conn)
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/delivery"
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/routing"
@@ -55,7 +56,7 @@
 }
 
 func newAttempt(c *call, pick balance.Pick) *attempt {
-	return &attempt{call: c, pick: pick, life: pick.Target.Life(), started: time.Now(), result: balance.Neutral}
+	return &attempt{call: c, pick: pick, life: pick.Target.Life(), started: clock.Now(), result: balance.Neutral}
 }
 
 const (
@@ -94,12 +95,12 @@
 
 // noteHead tells the balancer what the head of an answer shows.
 func (a *attempt) noteHead(answer *Answer) {
-	a.head = time.Since(a.started)
+	a.head = clock.Since(a.started)
 	if crashes := a.call.gateway.Crashes; crashes != nil {
 		crashes.heard(a.life, a.started)
 	}
 	if a.dark.contact != nil {
-		a.noteContact(time.Now())
+		a.noteContact(clock.Now())
 	}
 	a.call.gateway.Balancer.Sample(a.life, a.head)
 	if answer.Load != nil {
@@ -117,11 +118,12 @@
 // admit checks, right before the first byte is sent, what may have changed
 // since the request was admitted.
 func (a *attempt) admit() error {
-	if stale := a.call.checkFresh(); stale != nil {
+	now := clock.Check()
+	if stale := a.call.checkFresh(now); stale != nil {
 		a.refusal = stale
 		return stale
 	}
-	if a.call.held() {
+	if a.call.held(now) {
 		a.refusal = errHeld(fault.NotRun)
 		return a.refusal
 	}
@@ -133,7 +135,7 @@
 	out := &Outgoing{
 		Request:   c.request,
 		Target:    a.pick.Target,
-		Left:      time.Until(c.deadline),
+		Left:      clock.Until(c.deadline),
 		Rank:      c.table.Rank(c.workspace, c.route),
 		FetchFrom: a.pick.FetchFrom,
 		After:     c.after,
@@ -261,7 +263,7 @@
 // answered notes the head of the answer that the caller gets.
 func (a *attempt) answered(answer *Answer) {
 	a.call.status = answer.Status
-	a.call.firstAfter = time.Since(a.call.request.Arrived)
+	a.call.firstAfter = clock.Since(a.call.request.Arrived)
 }
 
 // lost ends an attempt whose answer broke off before any of it was passed on.
@@ -275,11 +277,11 @@
 
 // release tells the balancer how the attempt ended, and keeps its record.
 func (a *attempt) release(ctx context.Context) {
-	a.judge(ctx, time.Now())
+	a.judge(ctx, clock.Now())
 	if a.call.callerLeft(ctx) || a.isOwnDelay() {
 		a.result = balance.Neutral
 	}
-	now := time.Now()
+	now := clock.Now()
 	if !a.confirmed && len(a.call.parts) > 0 {
 		a.call.gateway.Balancer.Withdraw(a.life, a.call.parts)
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/admission"
 	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/delivery"
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/policy"
@@ -84,7 +85,7 @@
 	}
 	c.service = c.route.ServiceAt(c.splitPoint())
 	c.delivery = delivery.New(repeatOf(c.route), c.route.MaxAttempts)
-	c.gateway.Budgets.Request(c.service, time.Now())
+	c.gateway.Budgets.Request(c.service, clock.Now())
 }
 
 // fingerprint names what the request asks, and for whom.
@@ -131,7 +132,7 @@
 
 // run has the request wait for its turn and makes attempts at it.
 func (c *call) run(ctx context.Context) {
-	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	ctx, cancel := context.WithTimeout(ctx, clock.Until(c.deadline))
 	defer cancel()
 	refusal := c.awaitTurn(ctx)
 	defer c.endTurn()
@@ -139,7 +140,7 @@
 		c.refuse(refusal)
 		return
 	}
-	c.assign(time.Now())
+	c.assign(clock.Now())
 	defer c.giveBack()
 	c.findHolder(ctx)
 	c.awaitFill(ctx)
@@ -147,18 +148,19 @@
 		c.leave()
 		return
 	}
-	c.assignAnew(time.Now())
 	c.tryTargets(ctx)
 }
 
 // tryTargets makes attempts until the delivery says how the request ends.
 func (c *call) tryTargets(ctx context.Context) {
 	for {
-		if c.held() {
+		now := clock.Check()
+		if c.held(now) {
 			c.endHeld()
 			return
 		}
-		pick, ok := c.choose(time.Now())
+		c.assignAnew(now)
+		pick, ok := c.choose(now)
 		c.endTurn()
 		if c.gateway.Directory != nil {
 			c.gateway.Directory.Filling(pick.Fills)
@@ -197,27 +199,27 @@
 	if c.gateway.Directory == nil {
 		return
 	}
-	began := time.Now()
+	began := clock.Now()
 	unplaced := c.gateway.Balancer.Unplaced(c.query(), began)
 	if len(unplaced) == 0 {
 		return
 	}
 	c.found = c.gateway.Directory.Find(ctx, unplaced)
-	c.asked = time.Since(began)
+	c.asked = clock.Since(began)
 }
 
 // awaitFill waits while a long part of the prompt is being read for another
 // request, so that it is not read twice side by side.
 func (c *call) awaitFill(ctx context.Context) {
-	if len(c.parts) == 0 || !c.gateway.Balancer.Has(c.query(), time.Now()) {
+	if len(c.parts) == 0 || !c.gateway.Balancer.Has(c.query(), clock.Now()) {
 		return
 	}
-	began := time.Now()
-	defer func() { c.waited = time.Since(began) }()
+	began := clock.Now()
+	defer func() { c.waited = clock.Since(began) }()
 	limit := time.NewTimer(time.Duration(fillShare * float64(c.route.TargetLatency)))
 	defer limit.Stop()
 	for {
-		done, filling := c.gateway.Balancer.Filling(c.query(), time.Now())
+		done, filling := c.gateway.Balancer.Filling(c.query(), clock.Now())
 		if !filling {
 			return
 		}
@@ -277,10 +279,10 @@
 	if crashes := c.gateway.Crashes; crashes != nil && crashes.Table.Suspicious(c.print) {
 		return false
 	}
-	if ctx.Err() != nil || time.Until(c.deadline) < leastTry {
+	if ctx.Err() != nil || clock.Until(c.deadline) < leastTry {
 		return false
 	}
-	now := time.Now()
+	now := clock.Now()
 	c.assign(now)
 	return c.gateway.Balancer.Has(c.query(), now)
 }
@@ -293,7 +295,7 @@
 	if !c.delivery.Begun() && !c.gateway.hasRoom(c.service) {
 		return false
 	}
-	return c.gateway.Budgets.Spend(c.service, time.Now())
+	return c.gateway.Budgets.Spend(c.service, clock.Now())
 }
 
 // follow carries a verdict out; true means that another attempt follows.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/policy"
 	"github.com/capersaddle/capersaddle/internal/quarantine"
@@ -130,7 +131,7 @@
 		case <-ctx.Done():
 			return
 		}
-		for c.look(ctx, time.Now()) {
+		for c.look(ctx, clock.Now()) {
 			timer := time.NewTimer(lookEvery)
 			select {
 			case <-timer.C:
@@ -279,7 +280,7 @@
 		ctx, cancel := context.WithTimeout(ctx, knockTimeout)
 		defer cancel()
 		refused := c.Knocker.Knock(ctx, known.target)
-		now := time.Now()
+		now := clock.Now()
 		if refused && c.Balancer.NoteSilentPort(life, now) && c.Spreader != nil {
 			c.Spreader.Refused(life)
 		}
@@ -295,9 +296,9 @@
 }
 
 // held says whether the call is to be sent to no target.
-func (c *call) held() bool {
+func (c *call) held(now time.Time) bool {
 	crashes := c.gateway.Crashes
-	return crashes != nil && crashes.Table.Held(c.print, time.Now())
+	return crashes != nil && crashes.Table.Held(c.print, now)
 }
 
 // errHeld is the answer to a request that is held back. There is no time to come back
--- a/internal/gateway/dark.go
+++ b/internal/gateway/dark.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/routing"
 )
 
@@ -64,7 +65,7 @@
 	}
 	known, ok := c.targets[target]
 	if !ok {
-		known = &contact{began: time.Now()}
+		known = &contact{began: clock.Now()}
 		c.targets[target] = known
 	}
 	known.attempts++
@@ -172,7 +173,7 @@
 // beginToLook begins to look at a stream's target, if nobody does yet; a.mu is held.
 func (a *attempt) beginToLook() {
 	if a.dark.timer == nil && a.dark.contact != nil && !a.dark.closed {
-		a.dark.dueAt = time.Now().Add(darkLook)
+		a.dark.dueAt = clock.Now().Add(darkLook)
 		a.dark.timer = time.AfterFunc(darkLook, a.lookDark)
 	}
 }
@@ -185,7 +186,7 @@
 	if a.dark.timer == nil {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	late := now.Sub(a.dark.dueAt) > darkLook || a.isLate()
 	if !late && a.isDark(now) {
 		a.dark.ended = true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/admission"
 	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/freshness"
 	"github.com/capersaddle/capersaddle/internal/retrybudget"
@@ -142,12 +143,12 @@
 			return c.deny(fault.New(fault.BadKey, fault.NotRun, "unknown API key"))
 		}
 		c.workspace = workspace
-		if stale := c.checkFresh(); stale != nil {
+		if stale := c.checkFresh(clock.Check()); stale != nil {
 			return stale
 		}
 	}
 	c.prepare()
-	if c.held() {
+	if c.held(clock.Now()) {
 		return errHeld(fault.NotRun)
 	}
 	return nil
@@ -156,7 +157,7 @@
 // deny gives a denial, or puts the request off when a newer configuration may
 // allow it.
 func (c *call) deny(denial *fault.Error) *fault.Error {
-	if c.gateway.Proof.Within(c.gateway.Options.DenyFreshness, time.Now()) {
+	if c.gateway.Proof.Within(c.gateway.Options.DenyFreshness, clock.Check()) {
 		return denial
 	}
 	return fault.New(fault.StoreAway, fault.NotRun, "the configuration may be out of date: %s", denial.Message).After(c.gateway.retryAway())
@@ -164,9 +165,9 @@
 
 // checkFresh refuses a request with a key when the key may have been taken
 // away since the configuration was last proven to be the newest.
-func (c *call) checkFresh() *fault.Error {
+func (c *call) checkFresh(now time.Time) *fault.Error {
 	most := c.gateway.Options.KeyFreshness
-	if c.workspace == nil || most == 0 || c.gateway.Proof.Within(most, time.Now()) {
+	if c.workspace == nil || most == 0 || c.gateway.Proof.Within(most, now) {
 		return nil
 	}
 	return fault.New(fault.StoreAway, fault.NotRun, "cut off from the configuration for too long to vouch for the key").After(c.gateway.retryAway())
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/delivery"
 	"github.com/capersaddle/capersaddle/internal/quarantine"
 )
@@ -96,7 +97,7 @@
 
 // record sums the call up.
 func (c *call) record() *RequestRecord {
-	now := time.Now()
+	now := clock.Now()
 	record := &RequestRecord{
 		ID:       c.request.ID,
 		Service:  c.service,
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/delivery"
 )
 
@@ -17,10 +18,10 @@
 	source := newEvents(answer.Body)
 	halted := false
 	a.head = 0
-	defer func() { a.call.gateway.Balancer.NoteStream(a.life, halted, time.Now()) }()
+	defer func() { a.call.gateway.Balancer.NoteStream(a.life, halted, clock.Now()) }()
 	for {
 		a.watch(ctx, a.silenceBetween())
-		asked := time.Now()
+		asked := clock.Now()
 		event, id, err := source.next()
 		if errors.Is(err, io.EOF) {
 			return a.endStream(answer)
@@ -31,7 +32,7 @@
 		}
 		a.noteEvent(asked)
 		// A pause before the end of a stream that broke off is its target's.
-		halted = halted || a.events > 0 && a.isHalt(time.Since(asked))
+		halted = halted || a.events > 0 && a.isHalt(clock.Since(asked))
 		if err := a.passListening(answer, event); err != nil {
 			a.callerGone(err)
 			return false
@@ -46,14 +47,14 @@
 // noteEvent notes the arrival of an event that was waited for from a moment on. The time
 // that it takes to pass events on is the caller's, not the target's.
 func (a *attempt) noteEvent(asked time.Time) {
-	a.noteContact(time.Now())
+	a.noteContact(clock.Now())
 	a.dark.begun.Store(true)
 	if a.events == 0 {
-		a.head = time.Since(a.started)
+		a.head = clock.Since(a.started)
 		a.call.gateway.firstEventTimes.note(a.call.route.Name, a.head)
 		return
 	}
-	a.span += time.Since(asked)
+	a.span += clock.Since(asked)
 }
 
 // haltShare of the longest pause that callers want is how long a pause counts
@@ -72,7 +73,7 @@
 	a.dark.passing.Store(true)
 	defer a.dark.passing.Store(false)
 	err := a.passEvent(answer, event)
-	a.noteContact(time.Now())
+	a.noteContact(clock.Now())
 	return err
 }
 
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/capersaddle/capersaddle/internal/admission"
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/fault"
 )
 
@@ -24,14 +25,14 @@
 		return nil
 	}
 	limiter := c.gateway.Limiters.Of(c.service)
-	began := time.Now()
+	began := clock.Now()
 	room := c.gateway.Balancer.Room(c.service, c.gateway.admitting(c.service, began), limiter.Wants()+1, began)
 	turn, comeBack := limiter.Offer(c.entry(began), room, began)
 	if turn == nil {
 		return fullRefusal(comeBack)
 	}
 	c.turn = turn
-	defer func() { c.queued = time.Since(began) }()
+	defer func() { c.queued = clock.Since(began) }()
 	timer := time.NewTimer(c.queuePatience(began))
 	defer timer.Stop()
 	select {
@@ -40,7 +41,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	now := time.Now()
+	now := clock.Now()
 	if comeBack, left := turn.Leave(c.deadline.Sub(now), now); left {
 		return fullRefusal(comeBack)
 	}
@@ -86,7 +87,7 @@
 	if c.gateway.Limiters == nil {
 		return retrySoon
 	}
-	now := time.Now()
+	now := clock.Now()
 	return c.gateway.Limiters.Of(c.service).ComeBack(c.deadline.Sub(now), now)
 }
 
@@ -99,7 +100,7 @@
 	if g.Limiters.Of(service).Waiting() > 0 {
 		return false
 	}
-	now := time.Now()
+	now := clock.Now()
 	return g.Balancer.Room(service, g.admitting(service, now), 1, now) > 0
 }
 
@@ -123,6 +124,6 @@
 	if limiter.Waiting() == 0 {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	limiter.Admit(g.Balancer.Room(service, g.admitting(service, now), limiter.Wants(), now), now)
 }
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -34,7 +35,7 @@
 
 // proofAge is the age of this process's proof in ms, rounded up; false for none.
 func (s *Service) proofAge() (uint32, bool) {
-	age, ok := s.options.Proof.Age(time.Now())
+	age, ok := s.options.Proof.Age(clock.Now())
 	if !ok {
 		return 0, false
 	}
--- a/internal/peer/directory.go
+++ b/internal/peer/directory.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/policy"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
@@ -134,7 +135,7 @@
 // ask asks the keepers of parts; of those that this gateway keeps track of
 // itself nobody is asked.
 func (s *Service) ask(parts []uint32) []question {
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	seen := s.look(now)
@@ -188,7 +189,7 @@
 // bare begins a beat that says nothing of this process.
 func (s *Service) bare() *wire.GatewayBeat {
 	s.sequence++
-	s.sentAt[s.sequence%sentKept] = time.Now()
+	s.sentAt[s.sequence%sentKept] = clock.Now()
 	return &wire.GatewayBeat{Life: s.life, Sequence: s.sequence, Brief: true, Bare: true}
 }
 
@@ -223,7 +224,7 @@
 	if len(placements) == 0 {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	seen := s.look(now)
--- a/internal/peer/refused.go
+++ b/internal/peer/refused.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/policy"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
@@ -23,7 +24,7 @@
 
 // Refused notifies the other gateways that nothing listens at a target's address.
 func (s *Service) Refused(target string) {
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.spreadRefused([]uint32{shortHash(policy.HashName(target))}, nil, now)
--- a/internal/peer/replica.go
+++ b/internal/peer/replica.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
@@ -92,7 +93,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
 	open := &wire.Open{Kind: &wire.Open_Replica{Replica: question}}
-	asked := time.Now()
+	asked := clock.Now()
 	reply, err := link.Ask(ctx, s.dialer, address, open)
 	if err == nil {
 		err = s.absorb(reply, asked)
@@ -103,7 +104,7 @@
 	s.pulling = false
 	s.behindSince = time.Time{}
 	if known := s.table.peers[id]; known != nil && err != nil {
-		known.failedAt = time.Now()
+		known.failedAt = clock.Now()
 	}
 }
 
--- a/internal/peer/rollouts.go
+++ b/internal/peer/rollouts.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/policy"
 	"github.com/capersaddle/capersaddle/internal/rollout"
 	"github.com/capersaddle/capersaddle/internal/wire"
@@ -44,7 +45,7 @@
 // Decides says whether this process decides about a service, by the gateways that it
 // hears.
 func (s *Service) Decides(service string) bool {
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.look(now).decider(serviceHash(service), s.standing()) == nil
@@ -52,7 +53,7 @@
 
 // LiveIDs are the other gateways that sent a beat lately and do not leave, in order.
 func (s *Service) LiveIDs() []string {
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var ids []string
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/freshness"
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/policy"
@@ -244,7 +245,7 @@
 
 // Asks says whether this process is to ask the store.
 func (s *Service) Asks() bool {
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.options.Proof.Within(s.options.Stale, now) || !s.options.Replica.Reachable() {
@@ -258,7 +259,7 @@
 func (s *Service) First() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.options.Replica.Reachable() && s.look(time.Now()).rank == 0
+	return s.options.Replica.Reachable() && s.look(clock.Now()).rank == 0
 }
 
 // Leads says whether this process is among the first in the order of those that
@@ -266,21 +267,21 @@
 func (s *Service) Leads() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.look(time.Now()).asks()
+	return s.look(clock.Now()).asks()
 }
 
 // Live counts the other gateways that sent a beat lately.
 func (s *Service) Live() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.look(time.Now()).live)
+	return len(s.look(clock.Now()).live)
 }
 
 // Knows says whether another live gateway has a copy of the store's content.
 func (s *Service) Knows() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.look(time.Now()).live, func(known *peer) bool { return known.revision > 0 })
+	return slices.ContainsFunc(s.look(clock.Now()).live, func(known *peer) bool { return known.revision > 0 })
 }
 
 // InTime says whether another live gateway that takes callers has less lag than
@@ -288,7 +289,7 @@
 func (s *Service) InTime(bound time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.look(time.Now()).live, func(known *peer) bool {
+	return slices.ContainsFunc(s.look(clock.Now()).live, func(known *peer) bool {
 		return !known.leaving && known.revision > 0 && known.lag < bound
 	})
 }
@@ -300,8 +301,8 @@
 
 func (s *Service) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		s.round(time.Now())
-		s.reportRollouts(time.Now())
+		s.round(clock.Check())
+		s.reportRollouts(clock.Now())
 		timer := time.NewTimer(tick)
 		select {
 		case <-ctx.Done():
@@ -407,7 +408,7 @@
 		if proto.Unmarshal(buffer[:n], beat) != nil || beat.GetLife() == s.life || beat.GetId() == s.options.ID {
 			continue
 		}
-		now := time.Now()
+		now := clock.Now()
 		s.takeRollouts(beat, s.take(beat, now), now)
 	}
 }
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/capersaddle/capersaddle/internal/admission"
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/checkpoint"
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/freshness"
 	"github.com/capersaddle/capersaddle/internal/gateway"
 	"github.com/capersaddle/capersaddle/internal/inbound"
@@ -134,7 +135,7 @@
 	}
 	return observe.Gauges{
 		ProofAge: func() float64 {
-			age, known := p.gateway.Proof.Age(time.Now())
+			age, known := p.gateway.Proof.Age(clock.Check())
 			if !known {
 				return -1
 			}
@@ -154,7 +155,7 @@
 			return float64(total)
 		},
 		Lag:       func() float64 { return p.lag.Lag().Seconds() },
-		HeldBack:  func() float64 { return float64(len(p.crashes.Table.Cases(time.Now()))) },
+		HeldBack:  func() float64 { return float64(len(p.crashes.Table.Cases(clock.Now()))) },
 		Evacuated: func() float64 { return float64(len(p.gateway.Balancer.Evacuated())) },
 		InFlight: func() float64 {
 			total := 0
@@ -180,7 +181,7 @@
 func (p *GatewayProcess) newSaver() *checkpoint.Saver {
 	called := func(err error) { p.observer.StoreCalled("checkpoint", err) }
 	saver := checkpoint.NewSaver(p.gateway.Balancer, p.feed, p.keepsCheckpoint, called)
-	saver.HeldBack = func() []quarantine.Record { return quarantine.AtLimit(p.crashes.Table.Records(time.Now())) }
+	saver.HeldBack = func() []quarantine.Record { return quarantine.AtLimit(p.crashes.Table.Records(clock.Now())) }
 	return saver
 }
 
@@ -203,7 +204,7 @@
 
 // proven says whether there ever was a proof that the store's content is known here.
 func (p *GatewayProcess) proven() bool {
-	_, proven := p.gateway.Proof.Age(time.Now())
+	_, proven := p.gateway.Proof.Age(clock.Check())
 	return proven
 }
 
--- a/internal/process/gateway_quarantine_http.go
+++ b/internal/process/gateway_quarantine_http.go
@@ -2,8 +2,8 @@
 
 import (
 	"net/http"
-	"time"
 
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/gateway"
 	"github.com/capersaddle/capersaddle/internal/quarantine"
 )
@@ -29,7 +29,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.Method {
 		case http.MethodGet, http.MethodHead:
-			writeJSON(w, heldBack(crashes.Table.Cases(time.Now())))
+			writeJSON(w, heldBack(crashes.Table.Cases(clock.Now())))
 		case http.MethodDelete:
 			liftQuarantine(w, r, crashes)
 		default:
@@ -55,7 +55,7 @@
 		http.Error(w, "query "+QueryQuarantine+": found \""+text+"\"; want the 16 digits that logs and the list have", http.StatusBadRequest)
 		return
 	}
-	if !crashes.Lift(print, time.Now()) {
+	if !crashes.Lift(print, clock.Now()) {
 		http.Error(w, "nothing is held against a request "+print.String(), http.StatusNotFound)
 		return
 	}
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -7,6 +7,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/checkpoint"
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/observe"
 	"github.com/capersaddle/capersaddle/internal/routing"
 )
@@ -49,7 +50,7 @@
 
 // Target takes a server that was added or changed.
 func (s *sink) Target(target balance.Target) {
-	change := s.process.gateway.Balancer.Put(target, time.Now())
+	change := s.process.gateway.Balancer.Put(target, clock.Now())
 	if !change.Any {
 		return
 	}
@@ -74,7 +75,7 @@
 
 // Gone takes a server whose entry was removed.
 func (s *sink) Gone(id string) {
-	s.process.gateway.Balancer.Drop(id, time.Now())
+	s.process.gateway.Balancer.Drop(id, clock.Now())
 	s.process.observer.TargetGone(id)
 	s.urge()
 }
@@ -83,7 +84,7 @@
 // that this was taken back. The others are notified at once: it must be in force
 // within seconds.
 func (s *sink) Evacuated(dataCenter string, evacuated bool) {
-	if !s.process.gateway.Balancer.SetEvacuated(dataCenter, evacuated, time.Now()) {
+	if !s.process.gateway.Balancer.SetEvacuated(dataCenter, evacuated, clock.Now()) {
 		return
 	}
 	s.process.observer.Evacuated(dataCenter, evacuated)
@@ -95,7 +96,7 @@
 func (s *sink) Begun() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.process.gateway.Balancer.Restore(s.kept, time.Now())
+	s.process.gateway.Balancer.Restore(s.kept, clock.Now())
 	s.kept, s.begun = nil, true
 	s.process.targetsListed()
 }
@@ -116,7 +117,7 @@
 	s.process.expectedGateways.Store(int32(min(kept.Gateways, math.MaxInt32)))
 	s.keepAside(kept.Targets)
 	for _, record := range kept.HeldBack {
-		s.process.crashes.Merge(record, time.Now())
+		s.process.crashes.Merge(record, clock.Now())
 	}
 	s.process.gateway.Balancer.Learn(kept.Placements)
 }
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/clock"
 )
 
 const (
@@ -152,7 +154,7 @@
 		ticker := time.NewTicker(stepEvery)
 		defer ticker.Stop()
 		for c.ctx.Err() == nil {
-			c.step(time.Now())
+			c.step(clock.Check())
 			select {
 			case <-ticker.C:
 			case <-c.wake:
@@ -181,7 +183,7 @@
 // Ordered takes an order from the replica of the store. It doesn't block, like
 // Withdrawn and Recorded.
 func (c *Controller) Ordered(order Order) {
-	c.ordered(order, time.Now())
+	c.ordered(order, clock.Now())
 }
 
 func (c *Controller) ordered(order Order, now time.Time) {
@@ -198,7 +200,7 @@
 
 // Withdrawn says that the store holds no order for a service any more.
 func (c *Controller) Withdrawn(service string) {
-	c.withdrawn(service, time.Now())
+	c.withdrawn(service, clock.Now())
 }
 
 func (c *Controller) withdrawn(service string, now time.Time) {
@@ -208,7 +210,7 @@
 
 // Recorded takes a record and its revision from the replica of the store.
 func (c *Controller) Recorded(record Record, revision int64) {
-	c.recorded(record, revision, "", time.Now())
+	c.recorded(record, revision, "", clock.Now())
 }
 
 func (c *Controller) recorded(record Record, revision int64, reason string, now time.Time) {
@@ -451,7 +453,7 @@
 		ctx, cancel := context.WithTimeout(c.ctx, w.within)
 		defer cancel()
 		revision, err := c.options.Store.Commit(ctx, w.commit)
-		c.committed(w, revision, err, time.Now())
+		c.committed(w, revision, err, clock.Now())
 	})
 }
 
@@ -558,7 +560,7 @@
 // Services are those with a running order, by name.
 func (c *Controller) Services() []string {
 	var names []string
-	for _, v := range c.gate.views(time.Now()) {
+	for _, v := range c.gate.views(clock.Now()) {
 		if v.running {
 			names = append(names, v.service)
 		}
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -1,6 +1,10 @@
 package rollout
 
-import "time"
+import (
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/clock"
+)
 
 // Status is how far a roll-out has come, for operators.
 type Status struct {
@@ -29,7 +33,7 @@
 
 // Rollouts are all that this process knows of, by service.
 func (c *Controller) Rollouts() []Status {
-	now := time.Now()
+	now := clock.Now()
 	views := c.gate.views(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
