What counts as a target's crash, tested; an entry that went first shows a stop

Change: an end knows whether it showed by the entry alone; a connection that breaks off after that is no crash. A request that goes silent is one still: its target may have been dead for three heartbeats.

--- a/internal/balance/ends.go
+++ b/internal/balance/ends.go
@@ -11,31 +11,45 @@
 // another life begins. What it did to the requests that it had is for others to judge;
 // here it is known that it ended, and when that was found.
 
+// End is how a target's life was found to have ended without a plan.
+type End struct {
+	// At is when that was found; zero if it was not.
+	At time.Time
+	// Unlisted says that its entry went, and that nothing else showed: a target that
+	// leaves without a word serves on after that.
+	Unlisted bool
+}
+
+// Known says whether the life has ended without a plan.
+func (e End) Known() bool { return !e.At.IsZero() }
+
 // noteEnd notes that the life has ended without a plan, unless one is known.
-func (s *state) noteEnd(now time.Time) {
-	if s.endedAt.IsZero() && s.goneAt.IsZero() && !s.Leaving {
-		s.endedAt = now
+func (s *state) noteEnd(now time.Time, unlisted bool) {
+	if !s.end.Known() && s.goneAt.IsZero() && !s.Leaving {
+		s.end = End{At: now, Unlisted: unlisted}
 	}
 }
 
-// EndedAt is when a life of a target was found to have ended without a plan; zero if it
-// was not.
-func (b *Balancer) EndedAt(life string) time.Time {
+// EndOf is how a life of a target ended without a plan, if it did.
+func (b *Balancer) EndOf(life string) End {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if target, ok := b.targets[life]; ok {
-		return target.endedAt
+		return target.end
 	}
-	return time.Time{}
+	return End{}
 }
 
-// Serving says whether a life of a target is the present one, listed, and not leaving. One
-// that is known to have ended without a plan was so until then.
+// Serving says whether a life of a target is the present one, listed, and not leaving, or
+// was so until it ended without a plan.
 func (b *Balancer) Serving(life string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	target, ok := b.targets[life]
-	return ok && (!target.endedAt.IsZero() || !target.Leaving && target.goneAt.IsZero())
+	if !ok {
+		return false
+	}
+	return target.end.Known() || !target.Leaving && target.goneAt.IsZero()
 }
 
 // NoteRefused leaves a target out that refused a connection of another gateway. It
@@ -47,7 +61,7 @@
 	if !ok {
 		return "", false
 	}
-	known.noteEnd(now)
+	known.noteEnd(now, false)
 	if known.health.ejected(now) {
 		return "", false
 	}
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -158,7 +158,7 @@
 		target.health.unreachable(now)
 		return true
 	case Refused:
-		target.noteEnd(now)
+		target.noteEnd(now, false)
 		target.health.refused(now)
 		return true
 	case Neutral:
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -79,7 +79,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if target, ok := b.current[id]; ok && target.goneAt.IsZero() {
-		target.noteEnd(now)
+		target.noteEnd(now, true)
 		target.goneAt = now
 		target.aside = true
 	}
@@ -133,7 +133,7 @@
 // outlive ends what is known of a target of which another life has begun, but for the
 // requests that are still under way at the one before; b.mu is held.
 func (b *Balancer) outlive(target *state, now time.Time) {
-	target.noteEnd(now)
+	target.noteEnd(now, false)
 	target.goneAt, target.outlived, target.aside = now, true, true
 	b.unlist(target)
 }
--- a/internal/balance/lives_test.go
+++ b/internal/balance/lives_test.go
@@ -180,7 +180,7 @@
 				is.True(!b.Serving(first.Life()))
 			}
 			tc.happens(b, now)
-			is.Equal(!b.EndedAt(first.Life()).IsZero(), tc.ended)
+			is.Equal(b.EndOf(first.Life()).Known(), tc.ended)
 		})
 	}
 }
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -84,8 +84,8 @@
 	suspicions []suspicion
 	// goneAt is when the list dropped the target; zero while it is listed.
 	goneAt time.Time
-	// endedAt is when this life was found to have ended without a plan; zero if it was not.
-	endedAt time.Time
+	// end is how this life ended without a plan, if it did.
+	end End
 	// outlived says that another life of the target has begun: this one is in no list.
 	outlived bool
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -99,6 +99,17 @@
 type loss struct {
 	print     quarantine.Fingerprint
 	began, at time.Time
+	// broke says that its connection ended.
+	broke bool
+}
+
+// under says whether the request was under way when its target ended. Where the
+// target's entry went first and its connections later, it served on, as one does that leaves.
+func (l loss) under(end balance.End) bool {
+	if end.Unlisted && l.broke && !l.at.Before(end.At) {
+		return false
+	}
+	return l.began.Before(end.At)
 }
 
 // NewCrashes returns a watch that Start begins.
@@ -159,7 +170,7 @@
 		c.open.Add(1)
 	}
 	if len(known.all) < mostLosses {
-		known.all = append(known.all, loss{print: print, began: began, at: now})
+		known.all = append(known.all, loss{print: print, began: began, at: now, broke: broke})
 	}
 	if broke && known.knocks > 0 {
 		known.knocks, known.knockAt = 0, now.Add(knockFirst)
@@ -229,8 +240,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for life, known := range c.lives {
-		if ended := c.Balancer.EndedAt(life); !ended.IsZero() {
-			c.settle(life, known, ended, now)
+		if end := c.Balancer.EndOf(life); end.Known() {
+			c.settle(life, known, end, now)
 			known.all = nil
 		}
 		known.forget(now)
@@ -259,10 +270,10 @@
 
 // settle holds the end of a target against all requests that were under way there; c.mu is
 // held.
-func (c *Crashes) settle(life string, known *losses, ended, now time.Time) {
+func (c *Crashes) settle(life string, known *losses, end balance.End, now time.Time) {
 	name := quarantine.Life(policy.HashName(life) >> 32)
 	for _, lost := range known.all {
-		if lost.began.After(ended) {
+		if !lost.under(end) {
 			continue
 		}
 		change := c.Table.Crashed(lost.print, name, now)
--- /dev/null
+++ b/internal/quarantine/table_test.go
@@ -0,0 +1,241 @@
+package quarantine_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/capersaddle/capersaddle/internal/quarantine"
+)
+
+const print = quarantine.Fingerprint(0xfeed)
+
+// crash has so many targets end under a request, numbered from a number on.
+func crash(table *quarantine.Table, print quarantine.Fingerprint, from, count int, now time.Time) quarantine.Change {
+	var change quarantine.Change
+	for life := range count {
+		change = table.Crashed(print, quarantine.Life(from+life), now)
+	}
+	return change
+}
+
+// TestHeldAfterTheThirdEnd: not before, and an end that is told twice counts once.
+func TestHeldAfterTheThirdEnd(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := quarantine.New()
+	is.True(!crash(table, print, 1, 2, now).Begins())
+	is.True(!table.Crashed(print, 2, now).News) // two of its copies were under way there
+	is.True(!table.Held(print, now))
+	is.True(table.Suspicious(print))
+	is.True(crash(table, print, 3, 1, now).Begins())
+	is.True(table.Held(print, now))
+	is.True(!table.Held(print+1, now))
+	is.Equal(table.Cases(now), []quarantine.Case{{Print: print, Ends: 3, Left: quarantine.FirstTerm}})
+}
+
+// TestTerms: it ends, and doubles with each further end, up to the last.
+func TestTerms(t *testing.T) {
+	now := time.Now()
+	cases := map[string]struct {
+		ends int
+		term time.Duration
+	}{
+		"three":      {3, quarantine.FirstTerm},
+		"four":       {4, 2 * quarantine.FirstTerm},
+		"six":        {6, 8 * quarantine.FirstTerm},
+		"sixteen":    {16, quarantine.LastTerm},
+		"a thousand": {1000, quarantine.LastTerm},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := quarantine.New()
+			crash(table, print, 1, tc.ends, now)
+			is.True(table.Held(print, now.Add(tc.term-time.Second)))
+			is.True(!table.Held(print, now.Add(tc.term)))
+		})
+	}
+}
+
+// TestOnTrialAgain: behind its term one more end holds it back anew.
+func TestOnTrialAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := quarantine.New()
+	crash(table, print, 1, 3, now)
+	now = now.Add(quarantine.FirstTerm)
+	is.True(!table.Held(print, now))
+	crash(table, print, 4, 1, now)
+	is.True(table.Held(print, now.Add(quarantine.FirstTerm)))
+}
+
+// TestAnAnswerClears: whatever was held against it, everywhere, and for good.
+func TestAnAnswerClears(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	one, other := quarantine.New(), quarantine.New()
+	crash(one, print, 1, 3, now)
+	stale := one.Records(now)[0]
+	is.True(other.Merge(stale, now).Begins())
+	cleared := other.Answered(print, now)
+	is.True(cleared.Ends())
+	is.True(cleared.Wide()) // all are to know
+	is.True(one.Merge(cleared.Record, now).Ends())
+	is.True(!one.Held(print, now))
+	late := one.Merge(stale, now) // who has not heard of it yet
+	is.True(!late.News)
+	is.True(late.Ahead) // gets it in return
+	is.True(!one.Held(print, now))
+	is.True(!other.Answered(print, now).News)
+}
+
+// TestManySendItAlike: a request that is answered all the time is not held back because a
+// data centre lost power while it was under way at many targets there.
+func TestManySendItAlike(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := quarantine.New()
+	table.Answered(print, now)
+	is.True(!table.Crashed(print, 1, now).News) // it has just been answered
+	is.True(table.Crashed(print, 2, now).News)
+	is.True(table.Answered(print, now).News)
+	table.Answered(print, now)
+	is.True(table.Crashed(print, 3, now.Add(2*time.Minute)).News) // that was too long ago
+	is.True(!table.Held(print, now))
+}
+
+// TestALiftClears: operators may have it sent again.
+func TestALiftClears(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := quarantine.New()
+	is.True(!table.Lift(print, now).News)
+	crash(table, print, 1, 5, now)
+	is.True(table.Lift(print, now).Ends())
+	is.True(!table.Held(print, now))
+	is.Equal(len(table.Cases(now)), 0)
+}
+
+// TestRecordsAreForgotten: one that says nothing any more goes.
+func TestRecordsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := quarantine.New()
+	crash(table, print, 1, 2, now)
+	crash(table, print+1, 1, 3, now)
+	is.Equal(len(table.Records(now)), 2)
+	is.Equal(len(table.Records(now.Add(quarantine.FirstTerm))), 1)
+	is.Equal(len(table.Records(now.Add(2*quarantine.FirstTerm))), 0)
+	is.True(table.Empty())
+}
+
+// TestTheConvictedStay: however many suspects there are, as after the loss of a data centre,
+// those that are held back are not the ones that are forgotten.
+func TestTheConvictedStay(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := quarantine.New()
+	for held := range 100 {
+		crash(table, quarantine.Fingerprint(held), 1, 3, now)
+	}
+	const many = 50_000
+	for suspect := range many {
+		crash(table, quarantine.Fingerprint(1000+suspect), 1, 1, now)
+	}
+	is.True(len(table.Records(now)) <= 8192)
+	for held := range 100 {
+		is.True(table.Held(quarantine.Fingerprint(held), now))
+	}
+	is.True(table.Crashed(quarantine.Fingerprint(1000+many-1), 2, now).Before == 1) // the latest are known
+}
+
+// TestRecordsJoinInAnyOrder: whatever gateways see and however their records reach each
+// other, twice or late, all come to know the same.
+func TestRecordsJoinInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		tables := []*quarantine.Table{quarantine.New(), quarantine.New(), quarantine.New()}
+		var sent []quarantine.Record
+		anyTable := rapid.IntRange(0, len(tables)-1)
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			table := tables[anyTable.Draw(t, "gateway")]
+			of := quarantine.Fingerprint(rapid.IntRange(1, 3).Draw(t, "request"))
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				sent = append(sent, table.Crashed(of, quarantine.Life(rapid.IntRange(1, 30).Draw(t, "life")), now).Record)
+			case 2:
+				sent = append(sent, table.Lift(of, now).Record)
+			case 3:
+				if len(sent) > 0 {
+					table.Merge(rapid.SampledFrom(sent).Draw(t, "late"), now)
+				}
+			}
+		}
+		for range tables {
+			for _, from := range tables {
+				records := from.Records(now)
+				for _, to := range tables {
+					for _, at := range rapid.Permutation(indices(len(records))).Draw(t, "order") {
+						to.Merge(records[at], now)
+					}
+				}
+			}
+		}
+		for _, table := range tables[1:] {
+			if !slices.EqualFunc(table.Records(now), tables[0].Records(now), quarantine.Record.Equal) {
+				t.Fatalf("%v and %v", table.Records(now), tables[0].Records(now))
+			}
+			if table.Digest() != tables[0].Digest() {
+				t.Fatal("the same records have two digests")
+			}
+		}
+	})
+}
+
+func indices(count int) []int {
+	all := make([]int, count)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+// TestADigestTellsRecordsApart: of those at the limit.
+func TestADigestTellsRecordsApart(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := quarantine.New()
+	crash(table, print, 1, 2, now)
+	is.Equal(table.Digest(), uint64(0))
+	seen := map[uint64]bool{0: true}
+	for _, change := range []func(){
+		func() { crash(table, print, 3, 1, now) },
+		func() { crash(table, print, 4, 1, now) },
+		func() { crash(table, print+1, 1, 3, now) },
+		func() { table.Lift(print+1, now); crash(table, print+1, 1, 3, now) },
+	} {
+		change()
+		is.True(!seen[table.Digest()])
+		seen[table.Digest()] = true
+	}
+}
+
+// TestWhateverAMessageHas: a record that another process wrote is in order here.
+func TestWhateverAMessageHas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		message := quarantine.Record{Print: print}.Message()
+		message.Epoch = rapid.Uint32().Draw(t, "epoch")
+		message.Lives = rapid.SliceOfN(rapid.Uint32Range(0, 40), 0, 60).Draw(t, "lives")
+		record := quarantine.RecordOf(message)
+		if len(record.Lives) > 16 || !slices.IsSorted(record.Lives) || len(slices.Compact(slices.Clone(record.Lives))) != len(record.Lives) {
+			t.Fatalf("%v", record)
+		}
+		if again := quarantine.RecordOf(record.Message()); !again.Equal(record) {
+			t.Fatalf("%v became %v", record, again)
+		}
+	})
+}
