Fatal requests while gateways are killed and begun anew, the store is away, several at once

And of the exchange between gateways: ends at several add up, also among eleven; a clear reaches all; gateways begun anew one after the other lose nothing; who missed every datagram gets it by the hash; thousands of suspects cost no more than their share of the bytes, the convicted first.

The check of the incident's own test is now by request and by the life of each target, from the sending under which the third ended: no later than before.

--- a/internal/emulator/fatal.go
+++ b/internal/emulator/fatal.go
@@ -3,12 +3,13 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
-// Fatal is a request that ends every server which begins to run it.
+// Fatal are requests that end every server which begins to run one.
 type Fatal struct {
-	// Body is that of the request.
+	// Body is how their bodies begin.
 	Body string
 	// After is the time from the begin of its run to the server's end.
 	After time.Duration
@@ -23,12 +24,28 @@
 // meets ends the server a moment after a fatal request has begun to run.
 func (s *Server) meets(run Run) {
 	fatal := s.options.Fatal
-	if fatal == nil || !run.Ran || run.Body != fatal.Body {
+	if fatal == nil || s.mended || !run.Ran || !strings.HasPrefix(run.Body, fatal.Body) {
 		return
 	}
 	time.AfterFunc(fatal.After, s.crash)
 }
 
+// Mend has requests end no server any more.
+func (p *Platform) Mend() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mended = true
+	for _, known := range p.servers {
+		known.mend()
+	}
+}
+
+func (s *Server) mend() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mended = true
+}
+
 // onEnd sets who is told when the server ends under a request.
 func (s *Server) onEnd(ended func()) {
 	s.mu.Lock()
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -91,6 +91,8 @@
 
 	mu      sync.Mutex
 	servers []listed
+	// mended says that requests end no server any more.
+	mended bool
 	// crashes are when servers ended under requests, by service.
 	crashes map[string][]time.Time
 }
@@ -153,6 +155,9 @@
 	})
 	p.mu.Lock()
 	p.servers = append(p.servers, of)
+	if p.mended {
+		server.mend()
+	}
 	p.mu.Unlock()
 	return p.Enter(of.service, of.zone, "ready", server)
 }
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -46,6 +46,8 @@
 
 // Run is one request as a server got it.
 type Run struct {
+	// Server names the life of the server.
+	Server string
 	ID     string
 	Method string
 	URI    string
@@ -79,7 +81,7 @@
 	// KeepsID says that further lives of the server have its id; its entry then tells them
 	// apart by when they began.
 	KeepsID bool
-	// Fatal is a request that ends the server; nil for none.
+	// Fatal are requests that end the server; nil for none.
 	Fatal *Fatal
 }
 
@@ -101,7 +103,9 @@
 	// crashed says that the server has ended under a request; ended is told of it.
 	crashed bool
 	ended   func()
-	wait    sync.WaitGroup
+	// mended says that no request ends the server any more.
+	mended bool
+	wait   sync.WaitGroup
 
 	silence silence
 }
@@ -216,6 +220,7 @@
 	}
 	run.Ran = mode != Shed && mode != Early
 	run.At = time.Now()
+	run.Server = s.options.ID + "@" + s.born.String()
 	s.runs = append(s.runs, run)
 	s.live++
 	s.meets(run)
--- /dev/null
+++ b/internal/peer/quarantine_test.go
@@ -0,0 +1,209 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/capersaddle/capersaddle/internal/link"
+	"github.com/capersaddle/capersaddle/internal/policy"
+	"github.com/capersaddle/capersaddle/internal/quarantine"
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+const fatal = quarantine.Fingerprint(0xfa7a1)
+
+// table is what a gateway knows of requests under which targets ended.
+func (n *node) table() *quarantine.Table { return n.service.crashes.table }
+
+// crashed has a gateway find that a life of a target ended under a request.
+func (n *node) crashed(print quarantine.Fingerprint, life quarantine.Life) {
+	if change := n.table().Crashed(print, life, time.Now()); change.News {
+		n.service.Spread(change)
+	}
+}
+
+// held says whether all of some gateways hold a request back.
+func held(nodes []*node, print quarantine.Fingerprint) bool {
+	for _, known := range nodes {
+		if !known.table().Held(print, time.Now()) {
+			return false
+		}
+	}
+	return true
+}
+
+// few are so many gateways that have discovered each other.
+func few(t *testing.T, network *link.Memory, count int) []*node {
+	t.Helper()
+	nodes := []*node{newNode(t, "node-0", network)}
+	for i := 1; i < count; i++ {
+		nodes = append(nodes, newNode(t, fmt.Sprintf("node-%d", i), network, nodes[0].service.options.Address))
+	}
+	allKnowAll(t, nodes)
+	return nodes
+}
+
+func allKnowAll(t *testing.T, nodes []*node) {
+	t.Helper()
+	until(t, "all know all", func() bool {
+		for _, known := range nodes {
+			if known.service.Live() != len(nodes)-1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestCrashesAtSeveralGatewaysAddUp: three ends that three gateways saw are three, and all
+// learn of it, also of many.
+func TestCrashesAtSeveralGatewaysAddUp(t *testing.T) {
+	cases := map[string]func(t *testing.T) []*node{
+		"few":  func(t *testing.T) []*node { return few(t, link.NewMemory(), 4) },
+		"many": newMany,
+	}
+	for name, gateways := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			nodes := gateways(t)
+			for i := range 3 {
+				nodes[i].crashed(fatal, quarantine.Life(i))
+			}
+			nodes[3].crashed(fatal+1, 7) // another request under way at one of the ends
+			until(t, "all hold it back", func() bool { return held(nodes, fatal) })
+			for _, known := range nodes {
+				is.True(!known.table().Held(fatal+1, time.Now()))
+			}
+		})
+	}
+}
+
+// TestAClearReachesAll: whoever has it answered whole, or has an operator lift it.
+func TestAClearReachesAll(t *testing.T) {
+	nodes := newMany(t)
+	for life := range 3 {
+		nodes[0].crashed(fatal, quarantine.Life(life))
+	}
+	until(t, "all hold it back", func() bool { return held(nodes, fatal) })
+	nodes[many-1].service.Spread(nodes[many-1].table().Answered(fatal, time.Now()))
+	until(t, "all send it again", func() bool {
+		for _, known := range nodes {
+			if known.table().Held(fatal, time.Now()) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestGatewaysBegunAnewOneAfterTheOther: each sees one end, is killed, and begins anew
+// without anything; what it saw is known all the same.
+func TestGatewaysBegunAnewOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	network := link.NewMemory()
+	nodes := few(t, network, 4)
+	for i := range 3 {
+		nodes[i].crashed(fatal, quarantine.Life(i))
+		until(t, "another one knows", func() bool {
+			for j, known := range nodes {
+				if records := known.table().Records(time.Now()); j != i && len(records) == 1 && len(records[0].Lives) == i+1 {
+					return true
+				}
+			}
+			return false
+		})
+		is.NoErr(nodes[i].service.Close())
+		nodes[i] = newNode(t, fmt.Sprintf("node-%d", i), network, nodes[3].service.options.Address)
+		allKnowAll(t, nodes)
+	}
+	until(t, "all hold it back", func() bool { return held(nodes, fatal) })
+	for i := range nodes { // and all of them once more
+		is.NoErr(nodes[i].service.Close())
+		nodes[i] = newNode(t, fmt.Sprintf("node-%d", i), network, nodes[(i+1)%len(nodes)].service.options.Address)
+		allKnowAll(t, nodes)
+		until(t, "the new one holds it back", func() bool { return held(nodes[i:i+1], fatal) })
+	}
+}
+
+// TestWhoMissedItGetsItByTheHash: every datagram about it was lost.
+func TestWhoMissedItGetsItByTheHash(t *testing.T) {
+	nodes := few(t, link.NewMemory(), 2)
+	for life := range 3 {
+		nodes[0].table().Crashed(fatal, quarantine.Life(life), time.Now()) // nothing is sent
+	}
+	until(t, "the other holds it back", func() bool { return held(nodes, fatal) })
+	nodes[1].table().Lift(fatal, time.Now()) // nor here
+	until(t, "the first sends it again", func() bool { return !nodes[0].table().Held(fatal, time.Now()) })
+}
+
+// TestManySuspectsLeaveBytes: thousands of requests at once, as when a data centre is lost or
+// a release is bad, cost no more than their share, and those that are held back go first.
+func TestManySuspectsLeaveBytes(t *testing.T) {
+	is := is.New(t)
+	const budget, rounds = 7000, 40
+	nodes := few(t, link.NewMemory(), 4)
+	service := nodes[0].service
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	service.crashes = newCrashMail(nodes[0].table(), budget)
+	for request := range 5000 {
+		change := nodes[0].table().Crashed(quarantine.Fingerprint(1000+request), 1, time.Now())
+		service.crashes.post(change.Record, change.Wide(), crashSends)
+	}
+	for life := range 3 {
+		change := nodes[0].table().Crashed(fatal, quarantine.Life(life), time.Now())
+		service.crashes.post(change.Record, change.Wide(), crashSends)
+	}
+	is.True(len(service.crashes.out) <= mostMail+1)
+	due := service.crashes.due()
+	is.Equal(due[0].record.Print, fatal)
+	sent, _ := service.Traffic()
+	for range rounds {
+		service.sendCrashes(time.Now())
+	}
+	after, _ := service.Traffic()
+	is.True(after-sent <= 2*budget)
+	is.Equal(len(service.crashes.out), 0) // what did not fit is not kept
+}
+
+// TestAllAgreeOnTheKeepers: of a request, whoever looks, if they know the same gateways.
+func TestAllAgreeOnTheKeepers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(2, 12).Draw(t, "gateways")
+		print := quarantine.Fingerprint(rapid.Uint64().Draw(t, "print"))
+		var all []*peer
+		for i := range count {
+			id := fmt.Sprintf("g-%d", i)
+			all = append(all, &peer{id: id, hash: policy.HashName(id)})
+		}
+		keepers := make(map[string]int)
+		for _, self := range all {
+			for _, keeper := range keepersOf(print, withoutPeer(all, self), self.hash) {
+				keepers[keeper.id]++
+			}
+		}
+		if len(keepers) != min(crashKeepers, count) {
+			t.Fatalf("%d keepers: %v", len(keepers), keepers)
+		}
+		for id, known := range keepers {
+			if known != count-1 {
+				t.Fatalf("%s is a keeper for %d of %d", id, known, count-1)
+			}
+		}
+	})
+}
+
+// TestOneEndCostsLittle: what a target's end costs each of many gateways, in bytes.
+func TestOneEndCostsLittle(t *testing.T) {
+	is := is.New(t)
+	beat := &wire.GatewayBeat{Life: 1, Sequence: 1 << 20, Brief: true, Bare: true}
+	for request := range 3 {
+		beat.CrashRecords = append(beat.CrashRecords, quarantine.Record{Print: quarantine.Fingerprint(request), Lives: []quarantine.Life{1}}.Message())
+	}
+	is.True(proto.Size(beat)*crashKeepers*crashSends < 1000)
+}
--- a/internal/process/gateway_test.go
+++ b/internal/process/gateway_test.go
@@ -25,6 +25,8 @@
 type fleet struct {
 	platform *emulator.Platform
 	config   emulator.Config
+	// mu guards gateways where one is replaced while callers send.
+	mu       sync.Mutex
 	gateways []*process.GatewayProcess
 	plain    []*emulator.Server
 	engines  []*emulator.Server
@@ -163,8 +165,15 @@
 	return f.send(gateway, http.MethodPost, path, id, "key-1", "aa:100,bb:200,"+id+":10", body)
 }
 
+// callersOf is where a gateway takes callers.
+func (f *fleet) callersOf(gateway int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gateways[gateway].Addresses().Callers
+}
+
 func (f *fleet) send(gateway int, method, path, id, key, prompt, body string) answer {
-	request, err := http.NewRequest(method, "http://"+f.gateways[gateway].Addresses().Callers+path, strings.NewReader(body))
+	request, err := http.NewRequest(method, "http://"+f.callersOf(gateway)+path, strings.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
--- a/internal/process/quarantine_test.go
+++ b/internal/process/quarantine_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,7 +14,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/capersaddle/capersaddle/internal/checkpoint"
 	"github.com/capersaddle/capersaddle/internal/emulator"
+	"github.com/capersaddle/capersaddle/internal/process"
 )
 
 // Seen: engines of a service of nine ended one after the other, most right after they had
@@ -28,7 +33,8 @@
 // under way there varied.
 
 const (
-	// fatalBody is that of the request which ends its targets.
+	// fatalBody is how the bodies of requests that end their targets begin; with a number
+	// behind it is one of several.
 	fatalBody = "a request that ends its targets"
 	// fatalTargets is how many targets its service has.
 	fatalTargets = 8
@@ -85,14 +91,16 @@
 	soundEvery = 15 * time.Millisecond
 )
 
-func (f *fleet) startFatalCallers(t *testing.T, path string) *fatalCallers {
+func (f *fleet) startFatalCallers(t *testing.T, path string, fatals int) *fatalCallers {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	c := &fatalCallers{cancel: cancel}
-	c.repeat(ctx, fatalEvery, func(number int) {
-		got := f.callWithBody(number%len(f.gateways), path, fmt.Sprintf("fatal-%d", number), fatalBody)
-		c.last.Store(&got)
-	})
+	for fatal := range fatals {
+		c.repeat(ctx, fatalEvery, func(number int) {
+			got := f.callWithBody(number%len(f.gateways), path, fmt.Sprintf("fatal-%d-%d", fatal, number), fatalNumber(fatal))
+			c.last.Store(&got)
+		})
+	}
 	c.repeat(ctx, soundEvery, func(number int) {
 		body := "alike"
 		if number%2 == 0 {
@@ -108,6 +116,11 @@
 	return c
 }
 
+// fatalNumber is the body of one of several fatal requests.
+func fatalNumber(number int) string {
+	return fmt.Sprintf("%s, number %d", fatalBody, number)
+}
+
 // repeat does something at a steady pace, beside what has been begun before.
 func (c *fatalCallers) repeat(ctx context.Context, every time.Duration, do func(number int)) {
 	c.wait.Go(func() {
@@ -129,53 +142,194 @@
 	c.wait.Wait()
 }
 
-// fatalSince counts the sendings of the fatal request from a moment on.
-func (f *fleet) fatalSince(service string, from time.Time) int {
-	count := 0
-	for _, run := range f.platform.RunsOf(service) {
-		if run.Body == fatalBody && !run.At.Before(from) {
-			count++
+// fatalRuns are the sendings of a fatal request, in order of time.
+func (f *fleet) fatalRuns(service, body string) []emulator.Run {
+	runs := slices.DeleteFunc(f.platform.RunsOf(service), func(run emulator.Run) bool { return run.Body != body })
+	slices.SortFunc(runs, func(a, b emulator.Run) int { return a.At.Compare(b.At) })
+	return runs
+}
+
+// sentLater counts the sendings of a fatal request later than the gateways had to learn
+// that three targets had ended under it. Each sending ends its target, unless another one
+// just has.
+func (f *fleet) sentLater(service, body string) int {
+	runs := f.fatalRuns(service, body)
+	var ended []string
+	for i, run := range runs {
+		if life := run.Server; !slices.Contains(ended, life) {
+			ended = append(ended, life)
+		}
+		if len(ended) == enoughCrashes {
+			return len(slices.DeleteFunc(runs[i:], func(later emulator.Run) bool { return later.At.Before(run.At.Add(learning)) }))
 		}
 	}
-	return count
+	return 0
 }
 
 // awaitStopped waits until enough targets have ended and the time to learn of it is over,
 // and some more, in which a request that is not stopped would end many others.
-func (f *fleet) awaitStopped(t *testing.T, service string, more time.Duration) (stopped time.Time) {
+func (f *fleet) awaitStopped(t *testing.T, service string, more time.Duration) {
 	t.Helper()
 	eventually(t, "three targets have ended", func() bool { return len(f.platform.Crashes(service)) >= enoughCrashes })
-	stopped = f.platform.Crashes(service)[enoughCrashes-1].Add(learning)
+	stopped := f.platform.Crashes(service)[enoughCrashes-1].Add(learning)
 	eventually(t, "a request that goes on would have shown", func() bool { return time.Now().After(stopped.Add(more)) })
-	return stopped
+}
+
+// checkStopped checks that no fatal request was sent on, and says how the others did.
+func (f *fleet) checkStopped(t *testing.T, c *fatalCallers, service string, fatals int) {
+	t.Helper()
+	is := is.New(t)
+	later := 0
+	for fatal := range fatals {
+		sent := f.sentLater(service, fatalNumber(fatal))
+		is.True(sent <= mostLater)
+		later += sent
+	}
+	t.Logf("%d fatal requests sent %d times later, %d targets ended in all; %d of %d sound requests served",
+		fatals, later, len(f.platform.Crashes(service)), c.served.Load(), c.sound.Load())
 }
 
 // TestARequestThatEndsItsTargets: it is sent no more once three targets have ended under
 // it, whichever gateways it came to, and other requests are served on, those that are alike
 // among them.
 func TestARequestThatEndsItsTargets(t *testing.T) {
+	early := emulator.Fatal{Body: fatalBody, After: 10 * time.Millisecond, Back: lifeless}
+	midway := emulator.Fatal{Body: fatalBody, After: 45 * time.Millisecond, Back: lifeless}
 	cases := map[string]struct {
 		path, service string
 		fatal         emulator.Fatal
 		keepsID       bool
 	}{
-		"a stream that may go on elsewhere": {path: "/chat/1", service: "engine", fatal: emulator.Fatal{Body: fatalBody, After: 15 * time.Millisecond, Back: lifeless}},
-		"in the middle of a stream":         {path: "/chat/1", service: "engine", fatal: emulator.Fatal{Body: fatalBody, After: 45 * time.Millisecond, Back: lifeless}},
-		"a call that may be repeated":       {path: "/ask/1", service: "plain", fatal: emulator.Fatal{Body: fatalBody, After: 10 * time.Millisecond, Back: lifeless}},
-		"a call that may not be repeated":   {path: "/pay/1", service: "plain", fatal: emulator.Fatal{Body: fatalBody, After: 10 * time.Millisecond, Back: lifeless}},
-		"targets that keep their ids":       {path: "/ask/1", service: "plain", fatal: emulator.Fatal{Body: fatalBody, After: 10 * time.Millisecond, Back: lifeless}, keepsID: true},
+		"a stream that may go on elsewhere": {path: "/chat/1", service: "engine", fatal: early},
+		"in the middle of a stream":         {path: "/chat/1", service: "engine", fatal: midway},
+		"a call that may be repeated":       {path: "/ask/1", service: "plain", fatal: early},
+		"a call that may not be repeated":   {path: "/pay/1", service: "plain", fatal: early},
+		"targets that keep their ids":       {path: "/ask/1", service: "plain", fatal: early, keepsID: true},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			f := fatalFleet(t, 4, test.fatal, test.keepsID)
-			c := f.startFatalCallers(t, test.path)
-			stopped := f.awaitStopped(t, test.service, 3*time.Second)
+			c := f.startFatalCallers(t, test.path, 1)
+			f.awaitStopped(t, test.service, 3*time.Second)
 			c.stop()
-			later, ended := f.fatalSince(test.service, stopped), len(f.platform.Crashes(test.service))
-			t.Logf("sent %d times later, %d targets ended in all; %d of %d sound requests served", later, ended, c.served.Load(), c.sound.Load())
-			is.True(later <= mostLater)
+			f.checkStopped(t, c, test.service, 1)
+			is.True(len(f.platform.Crashes(test.service)) >= enoughCrashes)
+			last := c.last.Load()
+			is.Equal(last.status, http.StatusBadRequest) // a final answer
+			is.Equal(last.header.Get("Retry-After"), "")
+			is.True(strings.Contains(last.body, `"kind":"quarantined","message":`))
+			is.True(strings.Contains(last.body, `"run_state":"not_run"`))
 		})
 	}
 }
+
+// replaceGateway kills a gateway and begins it anew, at other addresses.
+func (f *fleet) replaceGateway(t *testing.T, number int) {
+	t.Helper()
+	f.mu.Lock()
+	before, other := f.gateways[number], f.gateways[(number+1)%len(f.gateways)]
+	f.mu.Unlock()
+	_ = before.Close()
+	made := f.gateway(t, gatewayName(number), []string{other.Addresses().Link})
+	f.mu.Lock()
+	f.gateways[number] = made
+	f.mu.Unlock()
+	eventually(t, "the new gateway is ready", made.Ready)
+}
+
+// TestFatalRequestsInTrouble: whatever else goes on, each is stopped after the third end.
+func TestFatalRequestsInTrouble(t *testing.T) {
+	cases := map[string]struct {
+		fatals int
+		// trouble goes on beside the requests.
+		trouble func(t *testing.T, f *fleet)
+	}{
+		"the store is away": {1, func(_ *testing.T, f *fleet) {
+			f.platform.Store.SetFaults(emulator.StoreFaults{Silent: true})
+		}},
+		"gateways are killed and begin anew, one after the other": {1, func(t *testing.T, f *fleet) {
+			for number := range f.gateways {
+				f.replaceGateway(t, number)
+			}
+		}},
+		"so they are without the store": {1, func(t *testing.T, f *fleet) {
+			f.platform.Store.SetFaults(emulator.StoreFaults{Down: true})
+			for number := range f.gateways {
+				f.replaceGateway(t, number)
+			}
+		}},
+		"several at once": {4, func(*testing.T, *fleet) {}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := fatalFleet(t, 4, emulator.Fatal{Body: fatalBody, After: 10 * time.Millisecond, Back: lifeless}, false)
+			c := f.startFatalCallers(t, "/ask/1", test.fatals)
+			test.trouble(t, f)
+			f.awaitStopped(t, "plain", 6*time.Second)
+			c.stop()
+			f.checkStopped(t, c, "plain", test.fatals)
+		})
+	}
+}
+
+// TestAllBegunAnew: when all gateways lose power, they hold back what they held back before,
+// by what the store has kept.
+func TestAllBegunAnew(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := fatalFleet(t, 2, emulator.Fatal{Body: fatalBody, After: 10 * time.Millisecond, Back: lifeless}, false)
+	c := f.startFatalCallers(t, "/ask/1", 1)
+	f.awaitStopped(t, "plain", 0)
+	c.stop()
+	eventually(t, "the store has it", func() bool {
+		kept, ok := f.platform.Store.Get("capersaddle/placements")
+		if !ok {
+			return false
+		}
+		content, err := checkpoint.Decode(kept.Value)
+		return err == nil && len(content.HeldBack) == 1
+	})
+	for _, gateway := range f.gateways {
+		_ = gateway.Close()
+	}
+	f.gateways = nil
+	f.gateways = append(f.gateways, f.gateway(t, "anew", nil))
+	eventually(t, "the new gateway is ready", f.gateways[0].Ready)
+	before := len(f.fatalRuns("plain", fatalNumber(0)))
+	is.Equal(f.callWithBody(0, "/ask/1", "again", fatalNumber(0)).status, http.StatusBadRequest)
+	is.Equal(len(f.fatalRuns("plain", fatalNumber(0))), before)
+	is.Equal(f.callWithBody(0, "/ask/1", "other", "sound").status, http.StatusOK)
+}
+
+// TestAnOperatorLifts: the list names what is held back, and a lift has it sent again, at
+// another gateway too.
+func TestAnOperatorLifts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := fatalFleet(t, 2, emulator.Fatal{Body: fatalBody, After: 10 * time.Millisecond, Back: lifeless}, false)
+	c := f.startFatalCallers(t, "/ask/1", 1)
+	f.awaitStopped(t, "plain", 0)
+	c.stop()
+	f.platform.Mend()
+	at := "http://" + f.gateways[0].Addresses().Operators + process.PathQuarantine
+	response, err := http.Get(at)
+	is.NoErr(err)
+	var listed []process.HeldBack
+	is.NoErr(json.NewDecoder(response.Body).Decode(&listed))
+	is.NoErr(response.Body.Close())
+	is.Equal(len(listed), 1)
+	is.True(listed[0].Ends >= enoughCrashes)
+	is.Equal(f.callWithBody(1, "/ask/1", "held", fatalNumber(0)).status, http.StatusBadRequest)
+	request, err := http.NewRequest(http.MethodDelete, at+"?"+process.QueryQuarantine+"="+listed[0].Print, nil)
+	is.NoErr(err)
+	lifted, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	is.NoErr(lifted.Body.Close())
+	is.Equal(lifted.StatusCode, http.StatusNoContent)
+	eventually(t, "the other gateway sends it", func() bool {
+		return f.callWithBody(1, "/ask/1", "lifted", fatalNumber(0)).status == http.StatusOK
+	})
+}
