Attempts at a target's life before end when it begins again

Cause: where that life ended without a sign on its connections, its requests waited for a silence or their deadlines, though the target's entry said that it had begun again.

Change: they are ended then, count as broken off, and go on elsewhere if they may.

--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -17,6 +17,8 @@
 	Any bool
 	// TurnedCold says that the target is cold and was not known to be.
 	TurnedCold bool
+	// Outlived is the life of the target before, if another one has begun; else empty.
+	Outlived string
 }
 
 // Put adds a target or takes over what has changed of it.
@@ -24,12 +26,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known, ok := b.current[target.ID]
+	outlived := ""
 	if ok && (target.Born != known.Born || target.Service != known.Service) {
 		b.outlive(known, now)
 		ok = false
+		if target.Born != known.Born {
+			outlived = known.life
+		}
 	}
 	if !ok {
-		return Change{Any: true, TurnedCold: b.add(target).noteCold(target.ColdFor, now)}
+		return Change{Any: true, TurnedCold: b.add(target).noteCold(target.ColdFor, now), Outlived: outlived}
 	}
 	changed := known.Target != target || !known.goneAt.IsZero()
 	if known.Version != target.Version {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -53,6 +53,8 @@
 	// spent says that the attempt was ended for its silence and that the
 	// retry for it has been taken from the budget.
 	spent bool
+	// outlived says that it was ended since another life of its target has begun.
+	outlived bool
 }
 
 func newAttempt(c *call, pick balance.Pick) *attempt {
@@ -80,6 +82,7 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a.cancel = cancel
+	defer a.call.gateway.underWay.join(a)()
 	defer a.stopWatch()
 	defer a.watchDark()()
 	a.watch(ctx, a.silenceToHead())
@@ -159,6 +162,8 @@
 		a.outcome, a.result = delivery.Unsent, balance.Unreachable
 	case !failure.Sent:
 		a.outcome = delivery.Unsent
+	case a.isOutlived():
+		a.outcome, a.result, a.loss, a.err = delivery.Lost, balance.Lost, brokeOff, errOutlived
 	case a.endedDark():
 		a.outcome, a.result, a.loss, a.err = delivery.Lost, balance.Bad, wentSilent, errDark
 	case a.isSpent():
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -192,6 +192,43 @@
 	})
 }
 
+// TestATargetThatBeginsAgainKeepsNobody: requests at its life before waited for their
+// deadlines where their connections stayed silent.
+func TestATargetThatBeginsAgainKeepsNobody(t *testing.T) {
+	cases := map[string]struct {
+		answer  script
+		path    string
+		status  int
+		body    string
+		aborted bool
+	}{
+		"no answer yet":       {answer: silent, path: "/get/x", status: http.StatusOK, body: one},
+		"not to be repeated":  {answer: silent, path: "/once/x", status: http.StatusBadGateway},
+		"a stream that halts": {answer: goesDark(one), path: "/resumable/x", status: http.StatusOK, body: one + one},
+		"a stream for once":   {answer: goesDark(one), path: "/stream/x", status: http.StatusOK, body: one, aborted: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(tc.answer, stream(one, io.EOF))
+				watched(t, w)
+				target := only(w, 1000)
+				time.AfterFunc(50*time.Millisecond, func() {
+					target.Born++
+					w.gateway.Outlived(w.gateway.Balancer.Put(target, time.Now()).Outlived)
+				})
+				w.serve(t.Context(), tc.path)
+				is.Equal(w.caller.records[0].Took, 50*time.Millisecond)
+				is.Equal(w.caller.status, tc.status)
+				is.Equal(w.caller.body.String(), tc.body)
+				is.Equal(w.caller.aborted, tc.aborted)
+				is.Equal(len(w.gateway.Balancer.InFlight()), 0)
+			})
+		})
+	}
+}
+
 // hold has a request held back, as other gateways found out.
 func hold(w *world, subject quarantine.Subject) {
 	record := quarantine.Record{Print: subject.Fingerprint(), Lives: []quarantine.Life{1, 2, 3}}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,7 @@
 	Proof    *freshness.Proof
 	Events   Recorder
 	Options  Options
+	underWay underWay
 	// contacts and firstEventTimes are for streams whose target may be dark.
 	contacts        contacts
 	firstEventTimes firstEventTimes
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -54,6 +54,9 @@
 	if !change.Any {
 		return
 	}
+	if change.Outlived != "" {
+		s.process.gateway.Outlived(change.Outlived)
+	}
 	// A process that begins says how many there are (targetsListed): thousands of
 	// lines cost a small host as much time as the targets themselves.
 	if s.process.proven() {
