Crash records at hundreds of gateways: keepers without sorting, one digest

Change: the first three are found in one pass; records are sent to those that keep track of them now once a second at most; the hash is kept with the records.

--- a/internal/peer/quarantine.go
+++ b/internal/peer/quarantine.go
@@ -45,6 +45,9 @@
 	// mostMail bounds the records that wait to be sent: those with the fewest ends are left
 	// out first.
 	mostMail = 1024
+	// repostEvery is the least time between two sendings of all records to those that keep
+	// track of them: where many gateways come or go at once it is done once.
+	repostEvery = time.Second
 	// digestEvery is the least time between two answers to a peer with another hash.
 	digestEvery = 500 * time.Millisecond
 )
@@ -62,6 +65,9 @@
 	table  *quarantine.Table
 	bucket *rate.Limiter
 	out    map[quarantine.Fingerprint]*mail
+	// reshuffle says that gateways have come or gone: others keep track of some requests now.
+	reshuffle  bool
+	repostedAt time.Time
 }
 
 func newCrashMail(table *quarantine.Table, budget int) *crashMail {
@@ -107,6 +113,7 @@
 
 // sendCrashes sends what is due of crash records; s.mu is held.
 func (s *Service) sendCrashes(now time.Time) {
+	s.repost(now)
 	if len(s.crashes.out) == 0 {
 		return
 	}
@@ -142,24 +149,35 @@
 	return found
 }
 
-// keepersOf are the peers that keep track of a request. The gateway with the hash self may
-// be one more.
+// keepersOf are the peers that keep track of a request, the first in its rendezvous order.
+// The gateway with the hash self may be one more.
 func keepersOf(print quarantine.Fingerprint, live []*peer, self uint64) []*peer {
 	type place struct {
 		peer  *peer
 		score uint64
 	}
-	places := []place{{nil, policy.Score(uint64(print), self)}}
+	first := make([]place, 0, crashKeepers+1)
+	add := func(known *peer, hash uint64) {
+		made := place{known, policy.Score(uint64(print), hash)}
+		at := len(first)
+		for at > 0 && first[at-1].score < made.score {
+			at--
+		}
+		if at < crashKeepers {
+			first = slices.Insert(first, at, made)
+			first = first[:min(len(first), crashKeepers)]
+		}
+	}
+	add(nil, self)
 	for _, known := range live {
 		if !known.leaving {
-			places = append(places, place{known, policy.Score(uint64(print), known.hash)})
+			add(known, known.hash)
 		}
 	}
-	slices.SortFunc(places, func(a, b place) int { return cmp.Compare(b.score, a.score) })
-	var found []*peer
-	for _, first := range places[:min(len(places), crashKeepers)] {
-		if first.peer != nil {
-			found = append(found, first.peer)
+	found := make([]*peer, 0, crashKeepers)
+	for _, kept := range first {
+		if kept.peer != nil {
+			found = append(found, kept.peer)
 		}
 	}
 	return found
@@ -220,23 +238,20 @@
 	}
 }
 
-// handCrashes hands a gateway that was found the records that it keeps track of, and all that
-// concern everybody if this one is the first of a few to do so; s.mu is held.
+// handCrashes hands a gateway that was found the records that concern everybody, if this one is
+// the first of a few to do so; it may keep track of some others too. s.mu is held.
 func (s *Service) handCrashes(found *peer, now time.Time) {
 	if s.crashes.table.Empty() {
 		return
 	}
+	s.crashes.reshuffle = true
 	s.seen = nil
 	live := s.look(now).live
 	hands := len(keepersOf(quarantine.Fingerprint(found.hash), withoutPeer(live, found), s.hash)) < min(crashKeepers, len(live))
-	var records []quarantine.Record
-	for _, record := range s.crashes.table.Records(now) {
-		wide := record.Suspicious()
-		if wide && hands || !wide && slices.Contains(keepersOf(record.Print, live, s.hash), found) {
-			records = append(records, record)
-		}
+	if hands {
+		records := s.crashes.table.Records(now)
+		s.sendRecords(found, slices.DeleteFunc(records, func(record quarantine.Record) bool { return !record.Suspicious() }))
 	}
-	s.sendRecords(found, records)
 }
 
 // withoutPeer are all peers but one.
@@ -244,15 +259,15 @@
 	return slices.DeleteFunc(slices.Clone(live), func(known *peer) bool { return known == except })
 }
 
-// replaceKeeper has the records that a lost gateway kept track of sent to those that do so
-// now; s.mu is held.
-func (s *Service) replaceKeeper(lost *peer, now time.Time) {
-	if s.crashes.table.Empty() {
+// repost has all records of single ends sent again to those that keep track of them now,
+// when gateways have come or gone; s.mu is held.
+func (s *Service) repost(now time.Time) {
+	if !s.crashes.reshuffle || now.Sub(s.crashes.repostedAt) < repostEvery {
 		return
 	}
-	before := append(slices.Clone(s.look(now).live), lost)
+	s.crashes.reshuffle, s.crashes.repostedAt = false, now
 	for _, record := range s.crashes.table.Records(now) {
-		if !record.Suspicious() && slices.Contains(keepersOf(record.Print, before, s.hash), lost) {
+		if !record.Suspicious() {
 			s.crashes.post(record, false, 1)
 		}
 	}
--- a/internal/peer/quarantine_test.go
+++ b/internal/peer/quarantine_test.go
@@ -198,12 +198,46 @@
 	})
 }
 
-// TestOneEndCostsLittle: what a target's end costs each of many gateways, in bytes.
+// TestOneEndCostsLittle: what a datagram of crash records holds, in bytes.
 func TestOneEndCostsLittle(t *testing.T) {
-	is := is.New(t)
-	beat := &wire.GatewayBeat{Life: 1, Sequence: 1 << 20, Brief: true, Bare: true}
-	for request := range 3 {
-		beat.CrashRecords = append(beat.CrashRecords, quarantine.Record{Print: quarantine.Fingerprint(request), Lives: []quarantine.Life{1}}.Message())
+	cases := map[string]struct {
+		records, ends, most int
+	}{
+		"one request, its first end":  {1, 1, 45},
+		"three requests":              {3, 1, 90},
+		"one that is held back":       {1, 3, 55},
+		"as many as a datagram takes": {mostCrashRecords, 3, 1200},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			beat := &wire.GatewayBeat{Life: 1 << 60, Sequence: 1 << 20, Brief: true, Bare: true}
+			for request := range tc.records {
+				record := quarantine.Record{Print: quarantine.Fingerprint(1<<60 + request), Epoch: 1}
+				for life := range tc.ends {
+					record.Lives = append(record.Lives, quarantine.Life(1<<30+life))
+				}
+				beat.CrashRecords = append(beat.CrashRecords, record.Message())
+			}
+			t.Logf("%d bytes", proto.Size(beat))
+			is.New(t).True(proto.Size(beat) <= tc.most)
+		})
+	}
+}
+
+// BenchmarkEnd is what a gateway does when a target ends under 64 of its requests, among
+// many gateways: it finds the keepers of each and makes the datagrams.
+func BenchmarkEnd(b *testing.B) {
+	for _, gateways := range []int{100, 370} {
+		b.Run(fmt.Sprint(gateways), func(b *testing.B) {
+			var live []*peer
+			for i := range gateways {
+				live = append(live, &peer{id: fmt.Sprint(i), hash: policy.HashName(fmt.Sprint(i))})
+			}
+			for b.Loop() {
+				for print := range quarantine.Fingerprint(64) {
+					keepersOf(print, live, 7)
+				}
+			}
+		})
 	}
-	is.True(proto.Size(beat)*crashKeepers*crashSends < 1000)
 }
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -320,7 +320,7 @@
 	for _, lost := range s.table.expire(now) {
 		s.seen = nil
 		s.options.Watcher.PeerLost(lost.id, lost.address, now.Sub(lost.lastBeat))
-		s.replaceKeeper(lost, now)
+		s.crashes.reshuffle = true
 	}
 	s.sendCrashes(now)
 	for _, address := range s.table.silent(now) {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -11,9 +11,9 @@
 
 const (
 	// Limit is how many targets end under a request until it is sent no more. One or two are
-	// met by chance: a request that was under way with a fatal one comes again, and may
-	// meet it again. In the incident that this is for, one in 40 of the others had been under
-	// way at three ends, when twelve targets had ended; after three there are fewer.
+	// met by chance: a request that was under way with a fatal one comes again, and may meet
+	// it again. Where a fatal request had ended three targets, 2 of the 18 others under way
+	// there had met two ends, and none three; where it had ended 13, 18 of 104 and 4.
 	Limit = 3
 	// FirstTerm is how long a request is held back at first. It has an end since what is wrong may be mended meanwhile, and
 	// since it may be wrong; a request that is still fatal then costs one target each time.
@@ -144,6 +144,8 @@
 type Table struct {
 	mu      sync.Mutex
 	entries map[Fingerprint]*entry
+	// digest is that of the records at the limit: each beat has it.
+	digest uint64
 	// answered are requests that were answered whole a moment ago, with the time. It is
 	// nobody's but this process's.
 	answered *lru.Cache[Fingerprint, time.Time]
@@ -221,6 +223,7 @@
 		t.makeRoom(now)
 		t.entries[other.Print] = known
 	}
+	t.digest ^= known.digest() ^ joined.digest()
 	known.Record, known.changedAt = joined, now
 	return change
 }
@@ -252,15 +255,21 @@
 		return cmp.Or(cmp.Compare(len(a.Lives), len(b.Lives)), a.changedAt.Compare(b.changedAt), cmp.Compare(a.Print, b.Print))
 	})
 	for _, known := range all[:len(all)/share] {
-		delete(t.entries, known.Print)
+		t.forget(known)
 	}
 }
 
+// forget forgets a record; t.mu is held.
+func (t *Table) forget(known *entry) {
+	t.digest ^= known.digest()
+	delete(t.entries, known.Print)
+}
+
 // expire forgets records that say nothing any more; t.mu is held.
 func (t *Table) expire(now time.Time) {
-	for print, known := range t.entries {
+	for _, known := range t.entries {
 		if known.over(now) {
-			delete(t.entries, print)
+			t.forget(known)
 		}
 	}
 }
@@ -308,17 +317,14 @@
 func (t *Table) Digest() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	digest := uint64(0)
-	for _, known := range t.entries {
-		if known.atLimit() {
-			digest ^= known.digest()
-		}
-	}
-	return digest
+	return t.digest
 }
 
-// digest is a hash of the record.
+// digest is a hash of the record at the limit; zero of any other.
 func (r Record) digest() uint64 {
+	if !r.atLimit() {
+		return 0
+	}
 	const prime = 0x9e3779b97f4a7c15
 	hash := uint64(r.Print) ^ uint64(r.Epoch)*prime
 	for _, life := range r.Lives {
