--- /dev/null
+++ b/internal/rollout/controller_peers.go
@@ -0,0 +1,85 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/clock"
+)
+
+// Reports are those that are due to the gateways that decide.
+func (c *Controller) Reports(now time.Time) []Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gate.due(now, c.every, func(service string) bool {
+		d := c.duties[service]
+		return d != nil && !d.decides
+	})
+}
+
+// Report takes another gateway's report and answers it; false for no answer.
+func (c *Controller) Report(from string, report Report, now time.Time) (Grant, bool) {
+	name, ok := c.gate.nameOf(report.Service)
+	if !ok {
+		return Grant{}, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.duties[name]
+	if d == nil || !d.decides || d.decider == nil || d.decider.order.Revision != report.Order {
+		return Grant{}, false
+	}
+	d.decider.hear(from, report, now)
+	if d.decider.stage == Move {
+		c.urge()
+	}
+	if now.Sub(c.steppedAt) > stepLate {
+		return Grant{}, false
+	}
+	return d.decider.answer(report.Service, now), true
+}
+
+// Grant takes the answer to a report that was sent at sentAt, or a notice if that is
+// the zero time.
+func (c *Controller) Grant(from string, grant Grant, sentAt, now time.Time) {
+	order, halted := c.gate.obey(grant, sentAt, now)
+	if !halted {
+		return
+	}
+	c.tell(Step{
+		Kind: StepHalted, Service: order.Service, Version: order.Version, Order: order.Revision,
+		Age: grant.Age, Reason: "gateway " + from + " has halted the version; its log has the reason",
+	})
+	c.urge()
+}
+
+// Notices are to be sent to all other gateways at once; each is given out once.
+func (c *Controller) Notices(now time.Time) []Grant {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var due []Grant
+	c.notices = slices.DeleteFunc(c.notices, func(n notice) bool {
+		if now.Before(n.at) {
+			return false
+		}
+		due = append(due, n.grant)
+		return true
+	})
+	return due
+}
+
+// ServiceOf is the name of a service with an order, by the upper half of its hash.
+func (c *Controller) ServiceOf(hash uint32) (string, bool) {
+	return c.gate.nameOf(hash)
+}
+
+// Services are those with a running order, by name.
+func (c *Controller) Services() []string {
+	var names []string
+	for _, v := range c.gate.views(clock.Now()) {
+		if v.running {
+			names = append(names, v.service)
+		}
+	}
+	return names
+}
