The end of a target is looked for at once, not by the next tick

Cause: an address was tried with the second look after a loss, 50 to 100 ms later, and the answer was taken with the look after that; a fatal request that came meanwhile, or was tried again by us, ended one or two targets more.

Change: 5 ms after the loss, and each answer is taken when it comes. The test's gateways that begin anew do so where the others know them, 0.3 s apart: before, two of four never found the others, whose addresses had all changed at once.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -21,10 +21,11 @@
 // an end. One that was at several is held back. Source: docs/design/quarantine.md.
 
 const (
-	// knockFirst is how long after a loss its target's address is tried: by then a process
-	// that dies has closed all that it had. knockAgain is how long after that once more.
-	knockFirst = 30 * time.Millisecond
-	knockAgain = 250 * time.Millisecond
+	// knockFirst is how long after a loss its target's address is tried: a process that dies
+	// closes what it has within a moment. knockAgain is how long after that once more. Until
+	// the end is known the request may come again, and end the next target.
+	knockFirst = 5 * time.Millisecond
+	knockAgain = 100 * time.Millisecond
 	// mostKnocks is how often it is tried after the last loss there. In the incident the next
 	// caller's connection was the first to be refused, 1.7 s after the end.
 	mostKnocks = 2
@@ -143,9 +144,10 @@
 			return
 		}
 		for c.look(ctx, clock.Now()) {
-			timer := time.NewTimer(lookEvery)
+			timer := time.NewTimer(c.nextLook(clock.Now()))
 			select {
 			case <-timer.C:
+			case <-c.wake:
 			case <-ctx.Done():
 			}
 			timer.Stop()
@@ -156,6 +158,27 @@
 	}
 }
 
+// nextLook is the time until the next look is due.
+func (c *Crashes) nextLook(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := lookEvery
+	for _, known := range c.lives {
+		if known.knocks < mostKnocks && !known.knocking {
+			next = min(next, known.knockAt.Sub(now))
+		}
+	}
+	return max(next, 0)
+}
+
+// lookSoon has a look begin now.
+func (c *Crashes) lookSoon() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
 // lost notes a request that was lost at a target. broke says that its connection ended:
 // then whether anything listens there is worth a try.
 func (c *Crashes) lost(target balance.Target, life string, print quarantine.Fingerprint, began, now time.Time, broke bool) {
@@ -176,10 +199,7 @@
 		known.knocks, known.knockAt = 0, now.Add(knockFirst)
 	}
 	c.mu.Unlock()
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
+	c.lookSoon()
 }
 
 // heard notes an answer of a target to a request that was sent at a moment: who was lost
@@ -291,6 +311,7 @@
 		ctx, cancel := context.WithTimeout(ctx, knockTimeout)
 		defer cancel()
 		refused := c.Knocker.Knock(ctx, known.target)
+		defer c.lookSoon()
 		now := clock.Now()
 		if refused && c.Balancer.NoteSilentPort(life, now) && c.Spreader != nil {
 			c.Spreader.Refused(life)
--- a/internal/process/gateway_test.go
+++ b/internal/process/gateway_test.go
@@ -105,10 +105,16 @@
 }
 
 func (f *fleet) gateway(t *testing.T, id string, seeds []string) *process.GatewayProcess {
+	t.Helper()
+	return f.gatewayAt(t, id, "127.0.0.1:0", seeds)
+}
+
+// gatewayAt starts a gateway that takes other gateways at an address, IP:port.
+func (f *fleet) gatewayAt(t *testing.T, id, peers string, seeds []string) *process.GatewayProcess {
 	t.Helper()
 	s := &settings.Gateway{
 		Role: "gateway", ID: id, DataCenter: "zone",
-		Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Metrics: "127.0.0.1:0", Peers: "127.0.0.1:0",
+		Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Metrics: "127.0.0.1:0", Peers: peers,
 		Seeds: seeds, Store: f.platform.StoreAddress(),
 		Revocation: settings.Duration(5 * time.Second), Grace: settings.Duration(8 * time.Second),
 		// A new process spends little of the slack; these tests need many
--- a/internal/process/quarantine_test.go
+++ b/internal/process/quarantine_test.go
@@ -234,18 +234,24 @@
 	}
 }
 
-// replaceGateway kills a gateway and begins it anew, at other addresses.
+// replacePause is the time between two gateways that are killed: in it the fatal request comes
+// two or three times.
+const replacePause = 300 * time.Millisecond
+
+// replaceGateway kills a gateway and begins it anew. The others find it where it was before.
 func (f *fleet) replaceGateway(t *testing.T, number int) {
 	t.Helper()
 	f.mu.Lock()
 	before, other := f.gateways[number], f.gateways[(number+1)%len(f.gateways)]
 	f.mu.Unlock()
 	_ = before.Close()
-	made := f.gateway(t, gatewayName(number), []string{other.Addresses().Link})
+	made := f.gatewayAt(t, gatewayName(number), before.Addresses().Link, []string{other.Addresses().Link})
+	eventually(t, "the new gateway is ready", made.Ready)
 	f.mu.Lock()
 	f.gateways[number] = made
 	f.mu.Unlock()
-	eventually(t, "the new gateway is ready", made.Ready)
+	at := time.Now().Add(replacePause)
+	eventually(t, "the fatal request has come", func() bool { return time.Now().After(at) })
 }
 
 // TestFatalRequestsInTrouble: whatever else goes on, each is stopped after the third end.
