The stand-in never answers a fatal request whole, however late its end comes

Traced from the gateways' logs of a run beside eight busy processes: the stand-in ends its server by a timer, 10 ms after the begin of the run, and answers after 20 ms; on a machine that is late by more it had answered the fatal request whole (fatal-0-2, answered, 42 ms), which rightly cleared it.

Change: what runs a fatal request answers with what there is until its end, and never ends the answer.

Ruled out: lost records (all four gateways held it back within 15 ms and cleared it by the same answer), a late process, lost peers.

--- a/internal/emulator/fatal.go
+++ b/internal/emulator/fatal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -21,13 +22,25 @@
 // lapseAfter is how long after a server's end its entry goes: after three heartbeats.
 const lapseAfter = 3 * time.Second
 
-// meets ends the server a moment after a fatal request has begun to run.
-func (s *Server) meets(run Run) {
+// meets ends the server a moment after a fatal request has begun to run; true for such a
+// request. s.mu is held.
+func (s *Server) meets(run Run) bool {
 	fatal := s.options.Fatal
 	if fatal == nil || s.mended || !run.Ran || !strings.HasPrefix(run.Body, fatal.Body) {
-		return
+		return false
 	}
 	time.AfterFunc(fatal.After, s.crash)
+	return true
+}
+
+// runFatal answers a fatal request with what there is of an answer until the server ends,
+// however late that is: none of them is ever answered whole.
+func (s *Server) runFatal(w http.ResponseWriter, r *http.Request, after int) {
+	if s.options.Events > 0 {
+		s.stream(w, r, Sound, after, 1)
+	}
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
 }
 
 // Mend has requests end no server any more.
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -207,11 +207,11 @@
 }
 
 // enter records a request and gives the mode that it gets, and how many times slower
-// than a good server's its answer is.
-func (s *Server) enter(run Run) (Mode, float64) {
+// than a good server's its answer is. A fatal request has begun to end the server.
+func (s *Server) enter(run Run) (mode Mode, slower float64, fatal bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	mode, slower := s.flaw.strikes(run, s.live+1)
+	mode, slower = s.flaw.strikes(run, s.live+1)
 	if s.times != 0 || s.once.strikes(run.ID) {
 		mode = s.mode
 	}
@@ -223,8 +223,7 @@
 	run.Server = s.options.ID + "@" + s.born.String()
 	s.runs = append(s.runs, run)
 	s.live++
-	s.meets(run)
-	return mode, slower
+	return mode, slower, s.meets(run)
 }
 
 func (s *Server) leave() {
@@ -261,13 +260,16 @@
 		body, _ = io.ReadAll(r.Body)
 	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	mode, slower := s.enter(Run{ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: string(body), After: after})
+	mode, slower, fatal := s.enter(Run{ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: string(body), After: after})
 	defer s.leave()
 	w.Header().Set("X-Attempt-Id", id)
 	w.Header().Set("X-Server-Stamp", s.stamp(id))
 	if !pause(r, times(s.options.Work, slower)) {
 		return
 	}
+	if fatal {
+		s.runFatal(w, r, after)
+	}
 	s.answer(w, r, mode, after, slower)
 }
 
