A life that goes on has not ended: re-listed, or answering a second after a refusal

Cause: the first sign of an end stayed for good. After an entry had lapsed with the store and come back, or a connection had been refused to a target that lived on, its real end later was no news, and counted against no request.

Change: a target that is listed again, or answers more than a second later, has not ended. Found by reading; TestALifeThatGoesOn failed in both cases.

--- a/internal/balance/ends.go
+++ b/internal/balance/ends.go
@@ -30,6 +30,16 @@
 	}
 }
 
+// lateAnswer is how long after a target's end an answer that it gave before may be taken.
+const lateAnswer = time.Second
+
+// noteLife notes an answer: what looked like an end a while ago was none.
+func (s *state) noteLife(now time.Time) {
+	if s.end.Known() && !s.outlived && now.Sub(s.end.At) > lateAnswer {
+		s.end = End{}
+	}
+}
+
 // EndOf is how a life of a target ended without a plan, if it did.
 func (b *Balancer) EndOf(life string) End {
 	b.mu.Lock()
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -148,6 +148,7 @@
 	case Good:
 		target.health.noteAnswer(now)
 		target.health.good()
+		target.noteLife(now)
 	case Lost:
 		target.health.noteLoss(now)
 		return target.health.bad(now, b.typicalFailures(target))
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -44,7 +44,9 @@
 	}
 	known.Target = target
 	known.aside = true
-	known.goneAt = time.Time{}
+	if !known.goneAt.IsZero() {
+		known.goneAt, known.end = time.Time{}, End{}
+	}
 	return Change{Any: changed, TurnedCold: known.noteCold(target.ColdFor, now)}
 }
 
--- a/internal/balance/lives_test.go
+++ b/internal/balance/lives_test.go
@@ -224,3 +224,47 @@
 		}
 	})
 }
+
+// TestALifeThatGoesOn: an entry that lapsed with the store and came back, and a refusal after
+// which the target answers, were no ends; the real one after them counts.
+func TestALifeThatGoesOn(t *testing.T) {
+	first := lifeOf(1000)
+	cases := map[string]func(b *Balancer, now time.Time) time.Time{
+		"its entry came back": func(b *Balancer, now time.Time) time.Time {
+			b.Drop("t", now)
+			b.Put(first, now.Add(time.Second))
+			return now.Add(time.Second)
+		},
+		"it answers after a refusal": func(b *Balancer, now time.Time) time.Time {
+			b.NoteRefused(shortLife(first), now)
+			later := now.Add(5 * time.Second)
+			b.Choose(Query{Service: "s"}, later)
+			b.Release(first.Life(), Good, later)
+			return later
+		},
+	}
+	for name, goesOn := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			b := New(DefaultOptions())
+			b.Put(first, now)
+			now = goesOn(b, now)
+			is.True(!b.EndOf(first.Life()).Known())
+			b.NoteRefused(shortLife(first), now)
+			is.Equal(b.EndOf(first.Life()), End{At: now})
+		})
+	}
+}
+
+// TestALateAnswerIsNoSignOfLife: one that the target gave before its end may be taken after it.
+func TestALateAnswerIsNoSignOfLife(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	b := New(DefaultOptions())
+	b.Put(lifeOf(1000), now)
+	b.Choose(Query{Service: "s"}, now)
+	b.NoteRefused(shortLife(lifeOf(1000)), now)
+	b.Release(lifeOf(1000).Life(), Good, now.Add(10*time.Millisecond))
+	is.True(b.EndOf(lifeOf(1000).Life()).Known())
+}
