Each package's gateways have loopback addresses of their own in tests

The new tests end gateways often.

Change: the packages' tests listen on 127.0.0.2 and 127.0.0.3; a gateway that begins anew in a test does so at its address. A roll-out's test that fails prints what the log has of it, and gateways that don't find each other what they know.

Open: two fleets of one network would merge in the same way if an address went from one to the other; nothing in their datagrams names the fleet.

--- a/internal/peer/quarantine_test.go
+++ b/internal/peer/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/policy"
 	"github.com/capersaddle/capersaddle/internal/quarantine"
@@ -50,6 +52,15 @@
 
 func allKnowAll(t *testing.T, nodes []*node) {
 	t.Helper()
+	found := false
+	defer func() {
+		if !found {
+			for _, known := range nodes {
+				t.Log(known.describe())
+			}
+		}
+	}()
+	defer func() { found = !t.Failed() }()
 	until(t, "all know all", func() bool {
 		for _, known := range nodes {
 			if known.service.Live() != len(nodes)-1 {
@@ -60,6 +71,21 @@
 	})
 }
 
+// describe says what a gateway knows of the others.
+func (n *node) describe() string {
+	n.service.mu.Lock()
+	defer n.service.mu.Unlock()
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s at %s, life %x:", n.service.options.ID, n.service.options.Address, n.service.life)
+	for id, known := range n.service.table.peers {
+		fmt.Fprintf(&text, " %s at %s, life %x, heard %v ago, lost %v;", id, known.address, known.life, clock.Since(known.lastBeat), known.lost)
+	}
+	for address, made := range n.service.table.addresses {
+		fmt.Fprintf(&text, " %s called %d times, %v ago;", address, made.count, clock.Since(made.last))
+	}
+	return text.String()
+}
+
 // TestCrashesAtSeveralGatewaysAddUp: three ends that three gateways saw are three, and all
 // learn of it, also of many.
 func TestCrashesAtSeveralGatewaysAddUp(t *testing.T) {
@@ -104,7 +130,6 @@
 // TestGatewaysBegunAnewOneAfterTheOther: each sees one end, is killed, and begins anew
 // without anything; what it saw is known all the same.
 func TestGatewaysBegunAnewOneAfterTheOther(t *testing.T) {
-	is := is.New(t)
 	network := link.NewMemory()
 	nodes := few(t, network, 4)
 	for i := range 3 {
@@ -117,19 +142,25 @@
 			}
 			return false
 		})
-		is.NoErr(nodes[i].service.Close())
-		nodes[i] = newNode(t, fmt.Sprintf("node-%d", i), network, nodes[3].service.options.Address)
+		nodes[i] = beginAnew(t, nodes[i], network, nodes[3])
 		allKnowAll(t, nodes)
 	}
 	until(t, "all hold it back", func() bool { return held(nodes, fatal) })
 	for i := range nodes { // and all of them once more
-		is.NoErr(nodes[i].service.Close())
-		nodes[i] = newNode(t, fmt.Sprintf("node-%d", i), network, nodes[(i+1)%len(nodes)].service.options.Address)
+		nodes[i] = beginAnew(t, nodes[i], network, nodes[(i+1)%len(nodes)])
 		allKnowAll(t, nodes)
 		until(t, "the new one holds it back", func() bool { return held(nodes[i:i+1], fatal) })
 	}
 }
 
+// beginAnew ends a gateway and begins it again at its address, without anything.
+func beginAnew(t *testing.T, before *node, network *link.Memory, seed *node) *node {
+	t.Helper()
+	is.New(t).NoErr(before.service.Close())
+	options := before.service.options
+	return newNodeAt(t, options.Address, options.ID, network, func(*Service) {}, seed.service.options.Address)
+}
+
 // TestWhoMissedItGetsItByTheHash: every datagram about it was lost.
 func TestWhoMissedItGetsItByTheHash(t *testing.T) {
 	nodes := few(t, link.NewMemory(), 2)
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -102,7 +102,22 @@
 // newNodeWith is newNode with something done to the service before it starts.
 func newNodeWith(t *testing.T, id string, network *link.Memory, prepare func(service *Service), seeds ...string) *node {
 	t.Helper()
-	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	return newNodeAt(t, testsOwn+":0", id, network, prepare, seeds...)
+}
+
+// testsOwn is an address of loopback that no other package's tests use: gateways call an
+// address at which one has ended for minutes, and would take who listens there next for one
+// of theirs.
+const testsOwn = "127.0.0.2"
+
+// newNodeAt is newNodeWith at an address, IP:port.
+func newNodeAt(t *testing.T, address, id string, network *link.Memory, prepare func(service *Service), seeds ...string) *node {
+	t.Helper()
+	at, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.ListenUDP("udp", at)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -228,7 +243,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			network := link.NewMemory()
-			conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+			conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(testsOwn)})
 			is.NoErr(err)
 			defer func() { _ = conn.Close() }()
 			service := New(Options{
@@ -263,7 +278,7 @@
 // a second, took the sender for lost and forgot its load.
 func TestPeersAreToldInTurn(t *testing.T) {
 	is := is.New(t)
-	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(testsOwn)})
 	is.NoErr(err)
 	defer func() { _ = conn.Close() }()
 	service := bareService()
--- a/internal/peer/tree_test.go
+++ b/internal/peer/tree_test.go
@@ -139,7 +139,7 @@
 // to by hand.
 func treeNode(t *testing.T, id string, revision int64) *Service {
 	t.Helper()
-	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(testsOwn)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/process/gateway_test.go
+++ b/internal/process/gateway_test.go
@@ -106,9 +106,14 @@
 
 func (f *fleet) gateway(t *testing.T, id string, seeds []string) *process.GatewayProcess {
 	t.Helper()
-	return f.gatewayAt(t, id, "127.0.0.1:0", seeds)
+	return f.gatewayAt(t, id, testsOwn+":0", seeds)
 }
 
+// testsOwn is an address of loopback that no other package's tests use: gateways call an
+// address at which one has ended for minutes, and would take who listens there next for one
+// of theirs.
+const testsOwn = "127.0.0.3"
+
 // gatewayAt starts a gateway that takes other gateways at an address, IP:port.
 func (f *fleet) gatewayAt(t *testing.T, id, peers string, seeds []string) *process.GatewayProcess {
 	t.Helper()
--- a/internal/process/rollouts_decider_test.go
+++ b/internal/process/rollouts_decider_test.go
@@ -141,6 +141,11 @@
 func orderTrial(t *testing.T, bad *emulator.Bad) *ordered {
 	t.Helper()
 	f := trialFleet(t, trialSize)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(f.linesOf(observe.RolloutEvents), f.linesOf(observe.EventLate), f.linesOf(observe.EventPeerLost))
+		}
+	})
 	o := &ordered{fleet: f, endings: new(endings), old: f.versionServers}
 	f.platform.Store.Observe(o.endings.observe)
 	o.callers = f.startCallers(t)
