--- a/internal/emulator/fatal.go
+++ b/internal/emulator/fatal.go
@@ -59,7 +59,7 @@
 	s.mended = true
 }
 
-// onEnd sets who is told when the server ends under a request.
+// onEnd sets what is called when the server ends under a request.
 func (s *Server) onEnd(ended func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -100,7 +100,7 @@
 	flaw  *flaw
 	runs  []Run
 	live  int
-	// crashed says that the server has ended under a request; ended is told of it.
+	// crashed says that the server has ended under a request; ended is called then.
 	crashed bool
 	ended   func()
 	// mended says that no request ends the server any more.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -26,8 +26,8 @@
 	// the end is known the request may come again, and end the next target.
 	knockFirst = 5 * time.Millisecond
 	knockAgain = 100 * time.Millisecond
-	// mostKnocks is how often it is tried after the last loss there. In the incident the next
-	// caller's connection was the first to be refused, 1.7 s after the end.
+	// mostKnocks is how often it is tried after the last loss there. Left to the callers'
+	// connections, the first one was refused 1.7 s after an end.
 	mostKnocks = 2
 	// knockTimeout bounds one try.
 	knockTimeout = 300 * time.Millisecond
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -22,7 +22,7 @@
 	return change
 }
 
-// TestHeldAfterTheThirdEnd: not before, and an end that is told twice counts once.
+// TestHeldAfterTheThirdEnd: not before, and an end that is reported twice counts once.
 func TestHeldAfterTheThirdEnd(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
@@ -242,8 +242,8 @@
 
 // TestWhoHasAnsweredItObjects: three targets end at once, at three gateways, while a request
 // that many send alike is under way at each; a fourth gateway has just had it answered. It is
-// not held back, whoever learns first, and the objection is heard only once: what was sound a
-// moment ago may have become fatal.
+// not held back, whoever learns first, and an answer is an objection only once: what was sound
+// a moment ago may have become fatal.
 func TestWhoHasAnsweredItObjects(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
