A suspension is never found shorter than it was

Cause: two clocks were read one after the other, at the begin and at each look. Ruled out: virtual time and other tests' simulated suspensions (the test is alone in its process). Change: the steady clock is read before and after the other one, so that the difference has bounds; a suspension is believed by the lower one and counted by the upper one. Figures: a look 0.5 -> 0.64 microseconds.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -12,12 +12,14 @@
 )
 
 const (
-	// least is the shortest suspension that is noticed. Two clocks are read one after the
-	// other; a process that loses its processor in between sees a difference too, which
-	// reading again shows to be none.
-	least = 50 * time.Millisecond
-	// readings is how often they are read before a difference is believed.
-	readings = 3
+	// shortest is the shortest suspension that is noticed. What is shorter moves no bound that
+	// others rely on.
+	shortest = 50 * time.Millisecond
+	// mostReadings is how often the clocks are read to find the difference between them, and
+	// sharp is the uncertainty that is good enough: a process that loses its processor between
+	// two clocks can't tell what it was away from a suspension.
+	mostReadings = 4
+	sharp        = 20 * time.Microsecond
 )
 
 var (
@@ -26,8 +28,8 @@
 	suspended atomic.Int64
 	// simulated is added to what the host says, in nanoseconds.
 	simulated atomic.Int64
-	// ahead is by how much the clock that counts suspensions was ahead at the begin.
-	ahead = difference()
+	// atBegin is by how much the clock that counts suspensions was ahead at the begin.
+	atBegin = compare(read)
 )
 
 // Now is the time by what is known of suspensions: cheap, and right as long as Check was
@@ -37,18 +39,13 @@
 }
 
 // Check looks whether the host was suspended, and gives the time. What must not happen too
-// late, as the sending of a request, goes by it. It costs two system calls, 0.5 microseconds
-// together (BenchmarkCheck).
+// late, as the sending of a request, goes by it. It costs three system calls, 0.64
+// microseconds together (BenchmarkCheck).
 func Check() time.Time {
-	found := difference() - ahead
-	for range readings - 1 {
-		if found-Suspended() < least {
-			break
-		}
-		found = min(found, difference()-ahead)
-	}
-	if found -= Suspended(); found >= least {
-		suspended.Add(int64(found))
+	least, most := compare(read).since(atBegin)
+	known := Suspended()
+	if least-known >= shortest {
+		suspended.Add(int64(most - known))
 	}
 	return Now()
 }
@@ -77,18 +74,55 @@
 	}
 }
 
-// difference is by how much the clock that counts suspensions is ahead of the one that
-// does not.
-func difference() time.Duration {
-	return read(unix.CLOCK_BOOTTIME) - read(unix.CLOCK_MONOTONIC) + time.Duration(simulated.Load())
+// ahead bounds by how much the clock that counts suspensions is ahead of the one that does
+// not: they are read one after the other, and time passes between them.
+type ahead struct {
+	// most is at least least.
+	least, most time.Duration
 }
 
-// read reads one of the host's clocks.
+// compare reads the clocks until it knows the difference between them sharply, or has tried
+// often enough.
+func compare(read func(which int32) time.Duration) ahead {
+	best := compareOnce(read)
+	for range mostReadings - 1 {
+		if best.uncertainty() <= sharp {
+			break
+		}
+		if next := compareOnce(read); next.uncertainty() < best.uncertainty() {
+			best = next
+		}
+	}
+	return best
+}
+
+// compareOnce reads the steady clock before and after the other one.
+func compareOnce(read func(which int32) time.Duration) ahead {
+	before := read(unix.CLOCK_MONOTONIC)
+	counting := read(unix.CLOCK_BOOTTIME)
+	after := read(unix.CLOCK_MONOTONIC)
+	return ahead{least: counting - after, most: counting - before}
+}
+
+func (a ahead) uncertainty() time.Duration { return a.most - a.least }
+
+// since bounds how long the host was suspended between an earlier comparison and this one.
+// Who adds the most makes no age too young, and adds an uncertainty at worst.
+func (a ahead) since(earlier ahead) (least, most time.Duration) {
+	return a.least - earlier.most, a.most - earlier.least
+}
+
+// read reads one of the host's clocks, and adds what is simulated to the one that counts
+// suspensions.
 func read(which int32) time.Duration {
 	var spec unix.Timespec
 	if err := unix.ClockGettime(which, &spec); err != nil {
 		// Linux has had both since 2.6.39; without them no age can be trusted.
 		panic("clock: " + err.Error())
 	}
-	return time.Duration(spec.Nano())
+	reading := time.Duration(spec.Nano())
+	if which == unix.CLOCK_BOOTTIME {
+		reading += time.Duration(simulated.Load())
+	}
+	return reading
 }
