--- a/internal/process/quarantine_test.go
+++ b/internal/process/quarantine_test.go
@@ -52,6 +52,19 @@
 
 // fatalFleet is some gateways before targets that end under a request.
 func fatalFleet(t *testing.T, gateways int, fatal emulator.Fatal, keepsID bool) *fleet {
+	t.Helper()
+	f := fatalTargetsOnly(t, fatal, keepsID)
+	var seeds []string
+	for i := range gateways {
+		f.gateways = append(f.gateways, f.gateway(t, gatewayName(i), seeds))
+		seeds = append(seeds, f.gateways[i].Addresses().Link)
+	}
+	f.awaitReady(t)
+	return f
+}
+
+// fatalTargetsOnly are targets that end under a request, and no gateways yet.
+func fatalTargetsOnly(t *testing.T, fatal emulator.Fatal, keepsID bool) *fleet {
 	t.Helper()
 	f := newFleet(t, 0)
 	for _, server := range append(f.engines, f.plain...) {
@@ -68,15 +81,15 @@
 			}
 		}
 	}
-	var seeds []string
-	for i := range gateways {
-		f.gateways = append(f.gateways, f.gateway(t, gatewayName(i), seeds))
-		seeds = append(seeds, f.gateways[i].Addresses().Link)
-	}
+	return f
+}
+
+// awaitReady waits until all gateways take callers.
+func (f *fleet) awaitReady(t *testing.T) {
+	t.Helper()
 	for _, gateway := range f.gateways {
 		eventually(t, "a gateway is ready", gateway.Ready)
 	}
-	return f
 }
 
 // fatalCallers send the fatal request again and again, to each gateway in turn, and sound
@@ -97,11 +110,17 @@
 )
 
 func (f *fleet) startFatalCallers(t *testing.T, path string, fatals int) *fatalCallers {
+	t.Helper()
+	return f.startFatalCallersEvery(t, fatalEvery, path, fatals)
+}
+
+// startFatalCallersEvery is that with so long between two sendings of each fatal request.
+func (f *fleet) startFatalCallersEvery(t *testing.T, every time.Duration, path string, fatals int) *fatalCallers {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	c := &fatalCallers{cancel: cancel}
 	for fatal := range fatals {
-		c.repeat(ctx, fatalEvery, func(number int) {
+		c.repeat(ctx, every, func(number int) {
 			got := f.callWithBody(number%len(f.gateways), path, fmt.Sprintf("fatal-%d-%d", fatal, number), fatalNumber(fatal))
 			c.last.Store(&got)
 		})
