Crash records reach gateways that are not heard by way of the store

Cause: ends of targets were summed over the gateways that hear each other, and gateways that are cut off from one another may all reach the store, the targets and their callers. Ruled out: that the checkpoint takes the sum across (only processes that begin read it). Weighed: every record by the store always (64 requests an end, and the store may be away); one key that all join and write under a condition (a conflict for each end). While an address of a gateway is silent, the first gateway of each part that asks the store saves records with several ends there, and all of them where fewer than four hear each other. A key a gateway, with a lease of ten minutes.

--- a/internal/emulator/store_calls.go
+++ b/internal/emulator/store_calls.go
@@ -228,6 +228,16 @@
 	reply(w, http.StatusOK, leaseBody{Lease: id})
 }
 
+// EndLeases ends all leases, as the store does when it has been away for long.
+func (s *Store) EndLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.leases[id] = time.Time{}
+	}
+	s.expireLeases(time.Now())
+}
+
 // expireLeases removes the keys of leases that are over; the lock is held.
 func (s *Store) expireLeases(now time.Time) {
 	for id, end := range s.leases {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -235,9 +235,15 @@
 	return change.News
 }
 
-// Merge takes what another process has kept of a request.
+// Merge takes what another process has kept in the store of a request. Other gateways read it
+// there too, and get only what is held against it.
 func (c *Crashes) Merge(record quarantine.Record, now time.Time) {
-	if change := c.Table.Merge(record, now); change.Begins() || change.Ends() {
+	change := c.Table.Merge(record, now)
+	if change.Objects() {
+		c.changed(change)
+		return
+	}
+	if change.Begins() || change.Ends() {
 		c.Watcher.QuarantineChanged(change, "")
 	}
 }
--- a/internal/peer/quarantine.go
+++ b/internal/peer/quarantine.go
@@ -28,9 +28,9 @@
 // another hash gets the records.
 
 const (
-	// crashKeepers is how many gateways keep track of a request: two of them may be lost
+	// CrashKeepers is how many gateways keep track of a request: two of them may be lost
 	// within the moment that it takes to find others.
-	crashKeepers = 3
+	CrashKeepers = 3
 	// crashFanOut is how many gateways a record with several ends is sent to by each that
 	// learns of it, in each round; crashSends is the number of rounds. The chance that none of a
 	// hundred gateways' sendings reaches a given one is below 1 in 10,000 with 3 in 100
@@ -156,16 +156,16 @@
 		peer  *peer
 		score uint64
 	}
-	first := make([]place, 0, crashKeepers+1)
+	first := make([]place, 0, CrashKeepers+1)
 	add := func(known *peer, hash uint64) {
 		made := place{known, policy.Score(uint64(print), hash)}
 		at := len(first)
 		for at > 0 && first[at-1].score < made.score {
 			at--
 		}
-		if at < crashKeepers {
+		if at < CrashKeepers {
 			first = slices.Insert(first, at, made)
-			first = first[:min(len(first), crashKeepers)]
+			first = first[:min(len(first), CrashKeepers)]
 		}
 	}
 	add(nil, self)
@@ -174,7 +174,7 @@
 			add(known, known.hash)
 		}
 	}
-	found := make([]*peer, 0, crashKeepers)
+	found := make([]*peer, 0, CrashKeepers)
 	for _, kept := range first {
 		if kept.peer != nil {
 			found = append(found, kept.peer)
@@ -247,7 +247,7 @@
 	s.crashes.reshuffle = true
 	s.seen = nil
 	live := s.look(now).live
-	hands := len(keepersOf(quarantine.Fingerprint(found.hash), withoutPeer(live, found), s.hash)) < min(crashKeepers, len(live))
+	hands := len(keepersOf(quarantine.Fingerprint(found.hash), withoutPeer(live, found), s.hash)) < min(CrashKeepers, len(live))
 	if hands {
 		records := s.crashes.table.Records(now)
 		s.sendRecords(found, slices.DeleteFunc(records, func(record quarantine.Record) bool { return !record.Suspicious() }))
--- a/internal/peer/quarantine_test.go
+++ b/internal/peer/quarantine_test.go
@@ -218,7 +218,7 @@
 				keepers[keeper.id]++
 			}
 		}
-		if len(keepers) != min(crashKeepers, count) {
+		if len(keepers) != min(CrashKeepers, count) {
 			t.Fatalf("%d keepers: %v", len(keepers), keepers)
 		}
 		for id, known := range keepers {
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -277,6 +277,13 @@
 	return len(s.look(clock.Now()).live)
 }
 
+// Census counts the other gateways.
+func (s *Service) Census() Census {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.count(len(s.look(clock.Now()).live))
+}
+
 // Knows says whether another live gateway has a copy of the store's content.
 func (s *Service) Knows() bool {
 	s.mu.Lock()
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -201,6 +201,9 @@
 	// Known are those that may be there: also those that were lost in the last few
 	// minutes, since they may only be cut off from this one.
 	Known int
+	// Silent is how many addresses of gateways there are from which no beat comes: of
+	// those that were lost in the last few minutes, or that the settings name.
+	Silent int
 	// Before is how many of these come before this gateway in an order that all
 	// gateways share.
 	Before int
@@ -208,7 +211,7 @@
 
 // count counts the peers, of which so many are live.
 func (t *table) count(live int) Census {
-	census := Census{Live: live}
+	census := Census{Live: live, Silent: len(t.addresses)}
 	own := policy.HashName(t.self)
 	for _, known := range t.peers {
 		if known.leaving {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -113,6 +113,7 @@
 		func() error { return p.joinRollouts(registry) },
 		func() error { return p.kernel.Register("feed", p.feed) },
 		func() error { return p.kernel.Register("checkpoint", p.newSaver()) },
+		p.saveCrashes,
 		p.serveCallers,
 		p.serveReady,
 		func() error { return p.serveMetrics(registry) },
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -9,6 +9,7 @@
 	"github.com/capersaddle/capersaddle/internal/checkpoint"
 	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/observe"
+	"github.com/capersaddle/capersaddle/internal/quarantine"
 	"github.com/capersaddle/capersaddle/internal/routing"
 )
 
@@ -125,6 +126,19 @@
 	s.process.gateway.Balancer.Learn(kept.Placements)
 }
 
+// Crashes takes what a gateway knows of requests under which targets ended. It may not
+// be heard here.
+func (s *sink) Crashes(data []byte) {
+	records, err := quarantine.Decode(data)
+	if err != nil {
+		s.process.observer.BadValue("crashes", err)
+		return
+	}
+	for _, record := range records {
+		s.process.crashes.Merge(record, clock.Now())
+	}
+}
+
 // takeFirst says whether no checkpoint was taken before.
 func (s *sink) takeFirst() bool {
 	s.mu.Lock()
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -1,6 +1,11 @@
 package quarantine
 
-import "github.com/capersaddle/capersaddle/internal/wire"
+import (
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
 
 // Message is the record as gateways send it to each other, and as the checkpoint has it.
 func (r Record) Message() *wire.CrashRecord {
@@ -19,3 +24,26 @@
 	}
 	return record.Normal()
 }
+
+// Encode writes records as bytes.
+func Encode(records []Record) ([]byte, error) {
+	message := new(wire.CrashRecords)
+	for _, record := range records {
+		message.Records = append(message.Records, record.Message())
+	}
+	data, err := proto.Marshal(message)
+	return data, errors.Wrap(err, "encode crash records")
+}
+
+// Decode reads what Encode wrote.
+func Decode(data []byte) ([]Record, error) {
+	message := new(wire.CrashRecords)
+	if err := proto.Unmarshal(data, message); err != nil {
+		return nil, errors.Wrap(err, "decode crash records")
+	}
+	records := make([]Record, 0, len(message.GetRecords()))
+	for _, one := range message.GetRecords() {
+		records = append(records, RecordOf(one))
+	}
+	return records, nil
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -104,6 +104,9 @@
 	return c.Suspicious() || c.objects || c.Before >= Limit-1
 }
 
+// Objects says that this process clears what others hold against the request.
+func (c Change) Objects() bool { return c.objects }
+
 // Begins says whether the request is held back from now on, and Ends that it is no more.
 func (c Change) Begins() bool { return c.News && c.atLimit() && c.Before < Limit }
 
@@ -148,6 +151,8 @@
 	entries map[Fingerprint]*entry
 	// digest is that of the records at the limit: each beat has it.
 	digest uint64
+	// changes counts the records that became known or changed.
+	changes uint64
 	// answered are requests that were answered whole a moment ago, with the time. It is
 	// nobody's but this process's.
 	answered *lru.Cache[Fingerprint, time.Time]
@@ -247,6 +252,7 @@
 	}
 	t.digest ^= known.digest() ^ joined.digest()
 	known.Record, known.changedAt = joined, now
+	t.changes++
 	return change
 }
 
@@ -320,6 +326,13 @@
 	return len(t.entries) == 0
 }
 
+// Changes counts the records that became known or changed so far.
+func (t *Table) Changes() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changes
+}
+
 // Records are what is known of all requests, those with the most ends first.
 func (t *Table) Records(now time.Time) []Record {
 	t.mu.Lock()
