--- a/internal/process/budget_test.go
+++ b/internal/process/budget_test.go
@@ -88,7 +88,7 @@
 			is := is.New(t)
 			is.NoErr(err)
 			urged := 0
-			taker := &sink{process: p, store: p.observer.NewStoreDependency(), urge: func() { urged++ }}
+			taker := &sink{process: p, urge: func() { urged++ }}
 			taker.Target(ready)
 			tc.tell(taker)
 			is.Equal(urged, tc.want)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -61,6 +61,7 @@
 	observer *observe.Observer
 	gateway  *gateway.Gateway
 	feed     *platform.Feed
+	store    *observe.Dependency
 	peers    *peer.Service
 	crashes  *gateway.Crashes
 	rollouts *rollout.Controller
@@ -102,7 +103,8 @@
 	}
 	p.crashes = gateway.NewCrashes(quarantine.New(), p.gateway.Balancer, sender, p.observer)
 	p.gateway.Crashes = p.crashes
-	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, store: p.observer.NewStoreDependency(), urge: p.urge}, p.storeRole, p.yields)
+	p.store = p.observer.NewStoreDependency()
+	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, urge: p.urge}, p.storeRole, p.yields)
 	p.front = &platform.Front{Gateway: p.gateway}
 	observe.RegisterGauges(registry, p.gauges())
 	steps := []func() error{
--- a/internal/process/gateway_crashes.go
+++ b/internal/process/gateway_crashes.go
@@ -16,7 +16,7 @@
 		Table:   p.crashes.Table,
 		Store:   p.feed,
 		Turn:    p.crashTurn,
-		Called:  func(err error) { p.observer.StoreCalled("crashes", err) },
+		Called:  func(err error) { p.store.Called("crashes", err) },
 	}))
 }
 
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -8,7 +8,6 @@
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/checkpoint"
 	"github.com/capersaddle/capersaddle/internal/clock"
-	"github.com/capersaddle/capersaddle/internal/observe"
 	"github.com/capersaddle/capersaddle/internal/quarantine"
 	"github.com/capersaddle/capersaddle/internal/routing"
 )
@@ -16,7 +15,6 @@
 // sink takes what the platform's store holds.
 type sink struct {
 	process *GatewayProcess
-	store   *observe.Dependency
 	// urge has the other gateways told at once of what must be in force soon.
 	urge func()
 
@@ -168,5 +166,5 @@
 
 // Called notes the result of a call to the store.
 func (s *sink) Called(call string, err error) {
-	s.store.Called(call, err)
+	s.process.store.Called(call, err)
 }
