A target whose address another one has is left out at once

Cause: 421, another target answers at the address, counted as no news of the target that was meant. Where targets end and begin again under other ids, their old entries stay for some 3 s, and each request that met two of them was refused as if all were full. Change: 421 is taken like a refused connection: the life has ended, the other gateways learn of it, and what was lost there counts as lost with it. The tests of fatal requests say what was not served, and when.

--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -125,7 +125,7 @@
 	Lost
 	// Unreachable: no connection could be made.
 	Unreachable
-	// Refused: nothing listens at its address any more.
+	// Refused: nothing listens at its address any more, or another target does.
 	Refused
 	// Neutral says nothing of the target.
 	Neutral
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -183,6 +183,11 @@
 // pass hands the answer on as the route's kind wants it.
 func (a *attempt) pass(ctx context.Context, answer *Answer) bool {
 	switch {
+	case answer.Misdirected:
+		// Its life has ended, as if nothing listened at its address any more.
+		a.outcome, a.result = delivery.Rejected, balance.Refused
+		a.err = errors.New("another target answers at its address")
+		return false
 	case answer.NotRun:
 		a.outcome = delivery.Rejected
 		a.err = errors.Newf("the target did not run it: status %d", answer.Status)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -91,6 +91,9 @@
 	Body io.ReadCloser
 	// NotRun says that the target did not run the request and will not.
 	NotRun bool
+	// Misdirected says that it was not for the target that answered: the one that was meant
+	// is no longer at its address. NotRun holds too.
+	Misdirected bool
 	// Signed says that the answer carries the target's signature.
 	Signed bool
 	// Load is what the target said of its load; nil if nothing.
--- a/internal/process/quarantine_test.go
+++ b/internal/process/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -98,12 +99,47 @@
 	sound, served atomic.Int64
 	// heldSound counts the sound requests that were refused as if they ended targets.
 	heldSound atomic.Int64
+	// unserved are the sound ones that were not served: how each was answered, and when.
+	unserved unserved
 	// last is the last answer to the fatal request.
 	last   atomic.Pointer[answer]
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
 }
 
+// unserved counts answers that are no success by what they were and by half seconds since
+// the first.
+type unserved struct {
+	mu    sync.Mutex
+	began time.Time
+	count map[string]int
+}
+
+func (u *unserved) note(got answer) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.count == nil {
+		u.began, u.count = time.Now(), make(map[string]int)
+	}
+	what := fmt.Sprint(got.status)
+	if got.err != nil {
+		what = got.err.Error()
+	}
+	since := time.Since(u.began).Truncate(500 * time.Millisecond)
+	u.count[fmt.Sprintf("%5.1f s: %s", since.Seconds(), what)]++
+}
+
+// String lists them.
+func (u *unserved) String() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var text strings.Builder
+	for _, what := range slices.Sorted(maps.Keys(u.count)) {
+		fmt.Fprintf(&text, "\n%s, %d times", what, u.count[what])
+	}
+	return text.String()
+}
+
 const (
 	fatalEvery = 120 * time.Millisecond
 	soundEvery = 15 * time.Millisecond
@@ -134,6 +170,8 @@
 		c.sound.Add(1)
 		if got.err == nil && got.status == http.StatusOK {
 			c.served.Add(1)
+		} else {
+			c.unserved.note(got)
 		}
 		if got.err == nil && got.status == http.StatusBadRequest {
 			c.heldSound.Add(1)
@@ -212,8 +250,8 @@
 		is.True(sent <= mostLater)
 		later += sent
 	}
-	t.Logf("%d fatal requests sent %d times later, %d targets ended in all; %d of %d sound requests served, %d held back",
-		fatals, later, len(f.platform.Crashes(service)), c.served.Load(), c.sound.Load(), c.heldSound.Load())
+	t.Logf("%d fatal requests sent %d times later, %d targets ended in all; %d of %d sound requests served, %d held back; not served:%s",
+		fatals, later, len(f.platform.Crashes(service)), c.served.Load(), c.sound.Load(), c.heldSound.Load(), &c.unserved)
 	is.True(c.heldSound.Load() <= mostHeldSound)
 }
 
