--- a/internal/peer/quarantine.go
+++ b/internal/peer/quarantine.go
@@ -230,7 +230,7 @@
 		return
 	}
 	from.comparedAt = now
-	records := quarantine.AtLimit(s.crashes.table.Records(now))
+	records := s.crashes.table.AtLimit(now)
 	if len(records) > 0 {
 		// Where there are more than the bytes allow, it is others each time.
 		at := rand.IntN(len(records))
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -184,7 +184,7 @@
 func (p *GatewayProcess) newSaver() *checkpoint.Saver {
 	called := func(err error) { p.observer.StoreCalled("checkpoint", err) }
 	saver := checkpoint.NewSaver(p.gateway.Balancer, p.feed, p.keepsCheckpoint, called)
-	saver.HeldBack = func() []quarantine.Record { return quarantine.AtLimit(p.crashes.Table.Records(clock.Now())) }
+	saver.HeldBack = func() []quarantine.Record { return p.crashes.Table.AtLimit(clock.Now()) }
 	return saver
 }
 
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -15,13 +15,18 @@
 	// it again. Where a fatal request had ended three targets, 2 of the 18 others under way
 	// there had met two ends, and none three; where it had ended 13, 18 of 104 and 4.
 	Limit = 3
-	// FirstTerm is how long a request is held back at first. It has an end since what is wrong may be mended meanwhile, and
-	// since it may be wrong; a request that is still fatal then costs one target each time.
+	// FirstTerm is how long a request is held back at first. It has an end since what is wrong
+	// may be mended meanwhile, and since holding it back may be wrong. A request that is still
+	// fatal then costs one target each time.
 	FirstTerm = 10 * time.Minute
-	// LastTerm is the longest term; each further end doubles the first one up to that.
-	LastTerm = 24 * time.Hour
-	// suspectLife is how long an end counts if no further one follows.
-	suspectLife = 10 * time.Minute
+	// termGrowth is by how much each further end prolongs the term, up to LastTerm, the longest
+	// one: 10 minutes, 2 hours, a day, so that no more than three targets end later than the
+	// third in a day. Terms that doubled let seven.
+	termGrowth = 12
+	LastTerm   = 24 * time.Hour
+	// suspectLife is how long an end counts if no further one follows. A request that comes
+	// less often than that is a new one each time.
+	suspectLife = time.Hour
 	// mostLives bounds the ends that are told apart for one request; with as many its term
 	// has long been the last one.
 	mostLives = 16
@@ -124,7 +129,7 @@
 func (e *entry) term() time.Duration {
 	term := FirstTerm
 	for range len(e.Lives) - Limit {
-		term = min(2*term, LastTerm)
+		term = min(termGrowth*term, LastTerm)
 	}
 	return term
 }
@@ -138,8 +143,8 @@
 func (e *entry) over(now time.Time) bool {
 	life := suspectLife
 	if e.atLimit() {
-		// Behind its term it is on trial for as long again.
-		life += e.term()
+		// Behind its term it is on trial for as long again, or for an hour.
+		life = e.term() + max(e.term(), suspectLife)
 	}
 	return now.Sub(e.changedAt) >= life
 }
@@ -238,6 +243,10 @@
 // take joins a record with what is known; t.mu is held.
 func (t *Table) take(other Record, now time.Time) Change {
 	known, ok := t.entries[other.Print]
+	if ok && known.over(now) {
+		t.forget(known)
+		ok = false
+	}
 	if !ok {
 		known = &entry{Record: Record{Print: other.Print}}
 	}
@@ -335,12 +344,25 @@
 
 // Records are what is known of all requests, those with the most ends first.
 func (t *Table) Records(now time.Time) []Record {
+	return t.records(now, 0)
+}
+
+// AtLimit are the records of requests that are held back, or were until lately, those with
+// the most ends first.
+func (t *Table) AtLimit(now time.Time) []Record {
+	return t.records(now, Limit)
+}
+
+// records are those with so many ends at least.
+func (t *Table) records(now time.Time, least int) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
 	records := make([]Record, 0, len(t.entries))
 	for _, known := range t.entries {
-		records = append(records, known.Record)
+		if len(known.Lives) >= least {
+			records = append(records, known.Record)
+		}
 	}
 	slices.SortFunc(records, func(a, b Record) int {
 		return cmp.Or(cmp.Compare(len(b.Lives), len(a.Lives)), cmp.Compare(a.Print, b.Print))
@@ -369,17 +391,6 @@
 	return hash
 }
 
-// AtLimit are the records of requests that are held back, or were until lately.
-func AtLimit(records []Record) []Record {
-	var found []Record
-	for _, record := range records {
-		if record.atLimit() {
-			found = append(found, record)
-		}
-	}
-	return found
-}
-
 // Case is a request that is held back, as operators see it.
 type Case struct {
 	Print Fingerprint
