That a request was cleared is known for ten minutes, its ends for an hour

Cause: with ends that count for an hour, thousands of cleared requests would stay as long after a data centre lost power, and go to their keepers again whenever a gateway comes or goes. Change: a record without ends is forgotten after ten minutes, as before.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -27,6 +27,9 @@
 	// suspectLife is how long an end counts if no further one follows. A request that comes
 	// less often than that is a new one each time.
 	suspectLife = time.Hour
+	// clearedLife is how long it is known that a request was cleared: for longer than any
+	// record of its ends is on its way between gateways.
+	clearedLife = 10 * time.Minute
 	// mostLives bounds the ends that are told apart for one request; with as many its term
 	// has long been the last one.
 	mostLives = 16
@@ -142,7 +145,10 @@
 // over says whether the record says nothing any more.
 func (e *entry) over(now time.Time) bool {
 	life := suspectLife
-	if e.atLimit() {
+	switch {
+	case len(e.Lives) == 0:
+		life = clearedLife
+	case e.atLimit():
 		// Behind its term it is on trial for as long again, or for an hour.
 		life = e.term() + max(e.term(), suspectLife)
 	}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -150,7 +150,10 @@
 	table := quarantine.New()
 	crash(table, print, 1, 2, now)
 	crash(table, print+1, 1, 3, now)
-	is.Equal(len(table.Records(now)), 2)
+	crash(table, print+2, 1, 1, now)
+	table.Answered(print+2, now)
+	is.Equal(len(table.Records(now)), 3)
+	is.Equal(len(table.Records(now.Add(10*time.Minute))), 2) // that it was cleared is old
 	is.Equal(len(table.Records(now.Add(time.Hour))), 1)
 	is.Equal(len(table.Records(now.Add(quarantine.FirstTerm+time.Hour))), 0)
 	is.True(table.Empty())
