An entry that lacks the start of a known life ends nothing

Cause: a target that had stated its start, and whose entry was replaced by one without it, was taken for another life: all that was under way there was broken off, though the target served on. Ruled out: taking every entry without a start for odd: targets of older software would all be left out. Change: such an entry leaves the target out until its own is back, as other odd entries do. Test: balance.TestAnEntryThatLacksTheStart, failed first (the life t@1000 was ended).

--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -17,6 +17,9 @@
 	Any bool
 	// TurnedCold says that the target is cold and was not known to be.
 	TurnedCold bool
+	// Unusable says that the entry lacks the start of a life that the target has stated: it
+	// is another writer's, and the target is left out.
+	Unusable bool
 	// Outlived is the life of the target before, if another one has begun; else empty.
 	Outlived string
 }
@@ -26,6 +29,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known, ok := b.current[target.ID]
+	if ok && target.Born == 0 && known.Born != 0 {
+		left := known.leaveOut()
+		return Change{Any: left, Unusable: left}
+	}
 	outlived := ""
 	if ok && (target.Born != known.Born || target.Service != known.Service) {
 		b.outlive(known, now)
@@ -75,10 +82,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	target, ok := b.current[id]
-	if !ok || target.Leaving {
+	return ok && target.leaveOut()
+}
+
+// leaveOut has the target get nothing new; false if it is so already.
+func (s *state) leaveOut() bool {
+	if s.Leaving {
 		return false
 	}
-	target.Leaving, target.aside = true, true
+	s.Leaving, s.aside = true, true
 	return true
 }
 
--- a/internal/balance/lives_test.go
+++ b/internal/balance/lives_test.go
@@ -121,6 +121,27 @@
 	is.Equal(len(b.targets)+len(b.current)+len(b.byHash)+len(b.byShort), 0)
 }
 
+// TestAnEntryThatLacksTheStart: of a target that has stated it, such an entry is not its own. It
+// was taken for another life, and what was under way at the target was broken off.
+func TestAnEntryThatLacksTheStart(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	b := New(DefaultOptions())
+	b.Put(lifeOf(1000), now)
+	b.Choose(Query{Service: "s"}, now)
+	change := b.Put(lifeOf(0), now)
+	is.Equal(change.Outlived, "")
+	is.True(change.Unusable)
+	is.True(!b.Put(lifeOf(0), now).Any) // nor is it news again
+	_, ok := b.Choose(Query{Service: "s"}, now)
+	is.True(!ok) // it gets nothing until its entry is whole
+	is.True(!b.EndOf(lifeOf(1000).Life()).Known())
+	is.True(b.Put(lifeOf(1000), now).Any)
+	pick, ok := b.Choose(Query{Service: "s"}, now)
+	is.True(ok)
+	is.Equal(pick.Load, 1) // the request before is still under way
+}
+
 // TestAnotherService: an entry that names another service takes the target there.
 func TestAnotherService(t *testing.T) {
 	is := is.New(t)
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -53,6 +53,11 @@
 	if !change.Any {
 		return
 	}
+	if change.Unusable {
+		s.process.observer.TargetUnusable(target.ID)
+		s.urge()
+		return
+	}
 	if change.Outlived != "" {
 		s.process.gateway.Outlived(change.Outlived)
 	}
