--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -30,6 +30,10 @@
 // mostAttempts bounds the attempts that reached a target.
 const mostAttempts = 8
 
+// mostReruns bounds the attempts after an answer that broke off: a chat that ends the engines
+// which run it ends three by one call, and not eight.
+const mostReruns = 2
+
 // chatHash hashes what stays the same when a chat returns: the caller's own
 // name for it, or its first messages.
 func chatHash(workspace string, chat *target.ChatBody) uint64 {
@@ -210,7 +214,7 @@
 	if failure.State != fault.NotRun {
 		c.reruns++
 		c.search.After(policy.Gone)
-		return c.reruns < mostAttempts && c.router.rerun.spend()
+		return c.reruns <= mostReruns && c.router.rerun.spend()
 	}
 	outcome := policy.Gone
 	if failure.Kind == fault.Overloaded {
