--- a/internal/crashstore/saver.go
+++ b/internal/crashstore/saver.go
@@ -40,7 +40,7 @@
 type Turn int
 
 const (
-	// Nothing: it hears all others, or another one that it hears saves.
+	// Nothing where it hears all others, or hears another one that saves.
 	Nothing Turn = iota
 	// Spread is what all gateways are to know: requests with several ends, and those that were
 	// cleared. The gateways that hear each other know of all of them.
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -9,6 +9,7 @@
 // Where to look:
 //
 //   - service.go: rounds of beats, and receiving; beat.go: what a beat says
+//   - standing.go: what other parts ask of the others; quarantine.go: crash records
 //   - table.go: who the others are; tree.go: who gets the store's changes from whom
 //   - replica.go: fetching the store's content from another gateway
 //   - directory.go: asking where a prompt is cached; refused.go: targets that are gone
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -10,11 +10,6 @@
 )
 
 const (
-	// Limit is how many targets end under a request until it is sent no more. One or two are
-	// met by chance: a request that was under way with a fatal one comes again, and may meet
-	// it again. Where a fatal request had ended three targets, 2 of the 18 others under way
-	// there had met two ends, and none three; where it had ended 13, 18 of 104 and 4.
-	Limit = 3
 	// FirstTerm is how long a request is held back at first. It has an end since what is wrong
 	// may be mended meanwhile, and since holding it back may be wrong. A request that is still
 	// fatal then costs one target each time.
@@ -23,16 +18,14 @@
 	// one: 10 minutes, 2 hours, a day, so that no more than three targets end later than the
 	// third in a day. Terms that doubled let seven.
 	termGrowth = 12
-	LastTerm   = 24 * time.Hour
+	// LastTerm is the longest a request is held back without another end.
+	LastTerm = 24 * time.Hour
 	// suspectLife is how long an end counts if no further one follows. A request that comes
 	// less often than that is a new one each time.
 	suspectLife = time.Hour
 	// clearedLife is how long it is known that a request was cleared: for longer than any
 	// record of its ends is on its way between gateways.
 	clearedLife = 10 * time.Minute
-	// mostLives bounds the ends that are told apart for one request; with as many its term
-	// has long been the last one.
-	mostLives = 16
 	// mostRecords bounds the requests that are known, at 150 bytes each. A data centre that
 	// loses power has some thousand under way, each once.
 	mostRecords = 8192
@@ -42,85 +35,6 @@
 	answerLife   = time.Minute
 )
 
-// Life names one life of a target that ended: the upper half of the hash of its name.
-type Life uint32
-
-// Record is what is known of one request. Records of the same request from several
-// gateways make one, in whatever order they come, however often.
-type Record struct {
-	Print Fingerprint
-	// Epoch is how often the request was cleared: of two records the one with the higher
-	// epoch holds.
-	Epoch uint32
-	// Lives are those that have ended under the request since it was last cleared, in
-	// order, without repeats, at most mostLives.
-	Lives []Life
-}
-
-// atLimit says whether the request is to be held back, for a while at least.
-func (r Record) atLimit() bool {
-	return len(r.Lives) >= Limit
-}
-
-// Suspicious says whether the request was under way at more ends than one.
-func (r Record) Suspicious() bool {
-	return len(r.Lives) >= Limit-1
-}
-
-// join makes one of two records of the same request.
-func (r Record) join(other Record) Record {
-	if other.Epoch != r.Epoch {
-		if other.Epoch > r.Epoch {
-			return other
-		}
-		return r
-	}
-	r.Lives = append(slices.Clone(r.Lives), other.Lives...)
-	return r.Normal()
-}
-
-// Normal is a record that came from elsewhere, in the form that the fields promise.
-func (r Record) Normal() Record {
-	lives := slices.Clone(r.Lives)
-	slices.Sort(lives)
-	lives = slices.Compact(lives)
-	r.Lives = lives[:min(len(lives), mostLives)]
-	return r
-}
-
-// Equal says whether two records are the same.
-func (r Record) Equal(other Record) bool {
-	return r.Print == other.Print && r.Epoch == other.Epoch && slices.Equal(r.Lives, other.Lives)
-}
-
-// Change is what has become of a request's record.
-type Change struct {
-	// Record is what is known now.
-	Record
-	// Before is how many ends were held against the request before.
-	Before int
-	// News says that the record has changed, and Ahead that it differs from the one that
-	// was taken: it would be news to whoever that came from.
-	News, Ahead bool
-	// objects says that this process clears what others hold against the request.
-	objects bool
-}
-
-// Wide says whether all gateways are to have the record, and not just those that keep
-// track of the request.
-func (c Change) Wide() bool {
-	return c.Suspicious() || c.objects || c.Before >= Limit-1
-}
-
-// Objects says that this process clears what others hold against the request.
-func (c Change) Objects() bool { return c.objects }
-
-// Begins says whether the request is held back from now on, and Ends that it is no more.
-func (c Change) Begins() bool { return c.News && c.atLimit() && c.Before < Limit }
-
-// Ends says whether the request was held back, and is cleared.
-func (c Change) Ends() bool { return c.News && !c.atLimit() && c.Before >= Limit }
-
 // entry is a record as the table keeps it.
 type entry struct {
 	Record
@@ -383,20 +297,6 @@
 	return t.digest
 }
 
-// digest is a hash of the record at the limit; zero of any other.
-func (r Record) digest() uint64 {
-	if !r.atLimit() {
-		return 0
-	}
-	const prime = 0x9e3779b97f4a7c15
-	hash := uint64(r.Print) ^ uint64(r.Epoch)*prime
-	for _, life := range r.Lives {
-		hash = (hash ^ uint64(life)) * prime
-		hash ^= hash >> 29
-	}
-	return hash
-}
-
 // Case is a request that is held back, as operators see it.
 type Case struct {
 	Print Fingerprint
