--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/observe"
 )
 
@@ -46,6 +47,8 @@
 	WaitedMs int64           `json:"waited_ms,omitempty"`
 	Route    string          `json:"route,omitempty"`
 	Prompt   string          `json:"prompt,omitempty"`
+	// Print names what a request asked, in its line and in those of its quarantine.
+	Print string `json:"print,omitempty"`
 	// DataCenter is that of the process, in the line of its start.
 	DataCenter string `json:"data_center,omitempty"`
 	// Count is that of requests which were not logged.
@@ -96,13 +99,14 @@
 }
 
 // Tell puts the story of a subject together: a request's id, a target's id,
-// a configuration's version, written as version:N, or the roll-outs of a service,
-// written as rollout:SERVICE.
+// a configuration's version, written as version:N, the roll-outs of a service, written
+// as rollout:SERVICE, or whatever became of a request that came again, written as print:P.
+// To the story of a request that was held back belongs why.
 func Tell(subject string, lines []Line) *Story {
 	story := &Story{Subject: subject}
 	around := aroundRequest(subject, lines)
 	for _, line := range lines {
-		if concerns(subject, line) || around.has(line) {
+		if concerns(subject, line) || around.has(line) || around.holds(line) {
 			story.Lines = append(story.Lines, line)
 		}
 	}
@@ -127,6 +131,13 @@
 	targets map[string]bool
 	from    time.Time
 	to      time.Time
+	// held is the request's print if it was held back.
+	held string
+}
+
+// holds says whether a line tells why the request was held back.
+func (s *surroundings) holds(line Line) bool {
+	return s.held != "" && line.Print == s.held && line.Event != observe.EventRequest
 }
 
 // aroundRequest finds what surrounds a request; nothing for other subjects.
@@ -139,6 +150,9 @@
 		for _, target := range targetsOf(line.Attempts) {
 			around.targets[target] = true
 		}
+		if line.Ending == string(fault.Quarantined) {
+			around.held = line.Print
+		}
 		if end, err := time.Parse(time.RFC3339Nano, line.Time); err == nil {
 			around.from, around.to = end.Add(-before), end.Add(after)
 		}
@@ -162,6 +176,9 @@
 	if service, ok := strings.CutPrefix(subject, "rollout:"); ok {
 		return strings.HasPrefix(line.Event, observe.RolloutEvents) && line.Service == service
 	}
+	if print, ok := strings.CutPrefix(subject, "print:"); ok {
+		return line.Print == print
+	}
 	return line.ID == subject || line.Target == subject || strings.Contains(line.Attempts, subject+"@")
 }
 
@@ -192,6 +209,7 @@
 	"deadline":       "the time ran out while a target was silent; it may have run",
 	"body_too_large": "the body is larger than the configuration allows",
 	"bad_request":    "the request lacks what it must have",
+	"quarantined":    "several targets had ended while they ran this request, so that it is sent to no other; the lines of its print say which",
 }
 
 // cause names the likely cause of a request's end.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -18,6 +18,10 @@
 {"time":"2026-12-02T10:00:08Z","level":"warn","msg":"rollout_halted","process":"gw-2","service":"s","version":"v2","order":9,"reason":"12 of 20 failed"}
 {"time":"2026-12-02T10:00:07Z","level":"info","msg":"rollout_ordered","process":"gw-1","service":"t","version":2,"order":11}
 {"time":"2026-12-02T10:00:08Z","level":"info","msg":"request","process":"gw-1","id":"r3","service":"s","ending":"target_failed","status":502,"attempts":"i-3@10.0.0.3:80=failed(took_ms:5,version:v2,reason:status_500,version:odd) i-4@10.0.0.4:80=lost(took_ms:9,version:v1)"}
+{"time":"2026-12-02T10:00:09Z","level":"warn","msg":"target_crashed","process":"gw-2","target":"i-8","print":"00000000000000aa","ends":2}
+{"time":"2026-12-02T10:00:10Z","level":"warn","msg":"request_held_back","process":"gw-1","print":"00000000000000aa","ends":3}
+{"time":"2026-12-02T10:00:11Z","level":"info","msg":"request","process":"gw-1","id":"r4","ending":"quarantined","status":400,"print":"00000000000000aa"}
+{"time":"2026-12-02T10:00:12Z","level":"info","msg":"request","process":"gw-1","id":"r5","ending":"quarantined","status":400,"print":"00000000000000aa"}
 `
 
 func TestTell(t *testing.T) {
@@ -32,6 +36,8 @@
 		"versions":        {"r3", []string{"request"}, "; versions: i-3 v2, i-4 v1"},
 		"a roll-out":      {"rollout:s", []string{"rollout_ordered", "rollout_halted"}, ""},
 		"another service": {"rollout:t", []string{"rollout_ordered"}, ""},
+		"held back":       {"r4", []string{"target_crashed", "request_held_back", "request"}, "sent to no other"},
+		"what came again": {"print:00000000000000aa", []string{"target_crashed", "request_held_back", "request", "request"}, ""},
 		"nothing":         {"r9", nil, ""},
 	}
 	lines, unread, err := explain.Read(strings.NewReader(logs))
--- /dev/null
+++ b/internal/process/gateway_quarantine_http_test.go
@@ -0,0 +1,54 @@
+package process
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/clock"
+	"github.com/capersaddle/capersaddle/internal/gateway"
+	"github.com/capersaddle/capersaddle/internal/observe"
+	"github.com/capersaddle/capersaddle/internal/quarantine"
+	"github.com/capersaddle/capersaddle/internal/settings"
+)
+
+func TestQuarantineHandler(t *testing.T) {
+	held := quarantine.Fingerprint(0xaa)
+	cases := map[string]struct {
+		method, query string
+		held          bool
+		status        int
+		body          string
+		stays         bool
+	}{
+		"none":                {http.MethodGet, "", false, http.StatusOK, "[]\n", false},
+		"one":                 {http.MethodGet, "", true, http.StatusOK, `{"print":"00000000000000aa","ends":3,"left_ms":`, true},
+		"lifted":              {http.MethodDelete, "?print=00000000000000aa", true, http.StatusNoContent, "", false},
+		"another":             {http.MethodDelete, "?print=00000000000000ab", true, http.StatusNotFound, "00000000000000ab", true},
+		"none named":          {http.MethodDelete, "", true, http.StatusBadRequest, "want the 16 digits", true},
+		"no print":            {http.MethodDelete, "?print=all", true, http.StatusBadRequest, `found "all"`, true},
+		"to hold a request":   {http.MethodPut, "?print=00000000000000ab", true, http.StatusMethodNotAllowed, "lifted with DELETE", true},
+		"to hold it, by POST": {http.MethodPost, "", true, http.StatusMethodNotAllowed, "read with GET", true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := quarantine.New()
+			if tc.held {
+				table.Merge(quarantine.Record{Print: held, Lives: []quarantine.Life{1, 2, 3}}, clock.Now())
+			}
+			observer := observe.New(NewLogger(nowhere{}, settings.Log{}), observe.NewMetrics(prometheus.NewRegistry()))
+			crashes := gateway.NewCrashes(table, balance.New(balance.DefaultOptions()), nil, observer)
+			out := httptest.NewRecorder()
+			quarantineHandler(crashes).ServeHTTP(out, httptest.NewRequest(tc.method, PathQuarantine+tc.query, nil))
+			is.Equal(out.Code, tc.status)
+			is.True(strings.Contains(out.Body.String(), tc.body))
+			is.Equal(table.Held(held, clock.Now()), tc.stays)
+		})
+	}
+}
--- a/pkg/cmd/explain/explain.go
+++ b/pkg/cmd/explain/explain.go
@@ -37,9 +37,9 @@
 		Use:   "explain {<id> | --summary} [<log file>...]",
 		Short: "Tell from logs what became of a request, target, configuration or roll-out",
 		Long: `Put together, from the log lines of many processes, the story of one
-request (its attempt id), target (its id), configuration (version:N) or service's
-roll-outs (rollout:SERVICE), in order of time, and name the likely cause of a request's
-end.
+request (its attempt id), target (its id), configuration (version:N), service's
+roll-outs (rollout:SERVICE) or request that came again (print:P), in order of time, and
+name the likely cause of a request's end.
 
 With --summary, say instead which requests were not answered in time and why,
 summed by route and reason, as a whole, by spans of time and by the gateways' data
--- /dev/null
+++ b/pkg/cmd/quarantine/list/list.go
@@ -0,0 +1,63 @@
+// Package list holds the command that lists the requests that are held back.
+package list
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/capersaddle/capersaddle/pkg/cmdutil"
+	"github.com/capersaddle/capersaddle/pkg/iostreams"
+)
+
+// ListOptions are the command's options.
+type ListOptions struct {
+	IO      *iostreams.IOStreams
+	Gateway func(address string) *cmdutil.GatewayClient
+
+	Address string
+	JSON    bool
+}
+
+// NewCmdList returns the command; runF replaces its work in tests.
+func NewCmdList(f *cmdutil.Factory, runF func(*ListOptions) error) *cobra.Command {
+	opts := &ListOptions{IO: f.IOStreams, Gateway: f.Gateway}
+	cmd := &cobra.Command{
+		Use:   "list <address>",
+		Short: "List the requests that a gateway holds back",
+		Long: `List the requests that the gateway at a metrics address sends to no target, since
+several targets ended while they ran them. All gateways hold the same ones back.
+
+What a request asked is in the logs: its line has the same print.`,
+		Example: `  $ capersaddle quarantine list 127.0.0.1:8302
+  $ capersaddle quarantine list 127.0.0.1:8302 --json`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			opts.Address = args[0]
+			if runF != nil {
+				return runF(opts)
+			}
+			return listRun(cmd.Context(), opts)
+		},
+	}
+	cmdutil.AddJSONFlag(cmd, &opts.JSON)
+	return cmd
+}
+
+func listRun(ctx context.Context, opts *ListOptions) error {
+	held, err := opts.Gateway(opts.Address).HeldBack(ctx)
+	if err != nil {
+		return err
+	}
+	if opts.JSON {
+		return cmdutil.PrintJSON(opts.IO.Out, held)
+	}
+	rows := make([][]string, 0, len(held))
+	for _, request := range held {
+		left := (time.Duration(request.LeftMS) * time.Millisecond).Round(time.Second)
+		rows = append(rows, []string{request.Print, fmt.Sprint(request.Ends), left.String()})
+	}
+	return cmdutil.Table(opts.IO.Out, []string{"PRINT", "TARGETS ENDED", "HELD BACK FOR"}, rows)
+}
--- /dev/null
+++ b/pkg/cmd/quarantine/quarantine_test.go
@@ -0,0 +1,79 @@
+package quarantine
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/pkg/cmdutil"
+	"github.com/capersaddle/capersaddle/pkg/iostreams"
+)
+
+const (
+	answer = `[{"print":"19ce43b63e82f588","ends":3,"left_ms":512400},{"print":"00000000000000aa","ends":9,"left_ms":38400000}]`
+	table  = `PRINT             TARGETS ENDED  HELD BACK FOR
+19ce43b63e82f588  3              8m32s
+00000000000000aa  9              10h40m0s
+`
+)
+
+// run runs a command of the group against an answer; it returns what it prints and asks.
+func run(t *testing.T, status int, body string, args ...string) (printed, asked string, err error) {
+	t.Helper()
+	gateway := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked = r.Method + " " + r.URL.String()
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
+	defer gateway.Close()
+	f := cmdutil.NewFactory()
+	streams, out, _ := iostreams.Test()
+	f.IOStreams = streams
+	cmd := NewCmdQuarantine(f)
+	cmd.SilenceErrors, cmd.SilenceUsage = true, true
+	cmd.SetArgs(append([]string{args[0], gateway.Listener.Addr().String()}, args[1:]...))
+	err = cmd.ExecuteContext(t.Context())
+	return out.String(), asked, err
+}
+
+func TestList(t *testing.T) {
+	is := is.New(t)
+	printed, asked, err := run(t, http.StatusOK, answer, "list")
+	is.NoErr(err)
+	is.Equal(asked, "GET /quarantine")
+	is.Equal(strings.ReplaceAll(printed, " \n", "\n"), table)
+	printed, _, err = run(t, http.StatusOK, answer, "list", "--json")
+	is.NoErr(err)
+	is.True(strings.Contains(printed, `"left_ms": 512400`))
+}
+
+func TestLift(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		body   string
+		kind   fault.Kind
+		says   string
+	}{
+		"lifted":          {http.StatusNoContent, "", "", "19ce43b63e82f588 is sent again"},
+		"not held back":   {http.StatusNotFound, "nothing is held against a request\n", fault.BadRequest, "nothing is held against a request"},
+		"another process": {http.StatusMethodNotAllowed, "", fault.BadRequest, "Method Not Allowed"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			printed, asked, err := run(t, tc.status, tc.body, "lift", "19ce43b63e82f588")
+			is.Equal(asked, "DELETE /quarantine?print=19ce43b63e82f588")
+			if tc.kind == "" {
+				is.NoErr(err)
+				is.True(strings.Contains(printed, tc.says))
+				return
+			}
+			is.Equal(fault.KindOf(err), tc.kind)
+			is.True(strings.Contains(err.Error(), tc.says))
+		})
+	}
+}
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -15,6 +15,7 @@
 	"github.com/capersaddle/capersaddle/pkg/cmd/fake"
 	"github.com/capersaddle/capersaddle/pkg/cmd/gateway"
 	"github.com/capersaddle/capersaddle/pkg/cmd/member"
+	"github.com/capersaddle/capersaddle/pkg/cmd/quarantine"
 	"github.com/capersaddle/capersaddle/pkg/cmd/query"
 	"github.com/capersaddle/capersaddle/pkg/cmd/rollouts"
 	"github.com/capersaddle/capersaddle/pkg/cmd/router"
@@ -54,6 +55,7 @@
 		exec.NewCmdExec(f, nil),
 		explain.NewCmdExplain(f, nil),
 		rollouts.NewCmdRollouts(f, nil),
+		quarantine.NewCmdQuarantine(f),
 		config.NewCmdConfig(f),
 		target.NewCmdTarget(f),
 		member.NewCmdMember(f),
