The stand-in of a server says that it leaves, and asks for rest

Servers say both in their answers; the stand-in said neither, so that no test could show what becomes of it. It says them in each form that an answer has, and knows which requests came from a gateway in spite of them.

--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -22,6 +22,8 @@
 	Error Mode = "error"
 	// Shed: it does not run the request and says so.
 	Shed Mode = "shed"
+	// Busy: it runs the request and answers 503.
+	Busy Mode = "busy"
 	// ResetAfter: it runs the request and resets the connection.
 	ResetAfter Mode = "reset"
 	// Mute: it takes the request and says nothing until its caller leaves.
@@ -100,6 +102,8 @@
 	flaw  *flaw
 	runs  []Run
 	live  int
+	says  Says
+	said  []Said
 	// crashed says that the server has ended under a request; ended is called then.
 	crashed bool
 	ended   func()
@@ -281,16 +285,23 @@
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, mode Mode, after int, slower float64) {
 	switch mode {
 	case Error:
+		s.sayIn(w.Header(), http.StatusInternalServerError)
 		w.WriteHeader(http.StatusInternalServerError)
 		_, _ = io.WriteString(w, "the server's own failure")
 		return
+	case Busy:
+		s.sayIn(w.Header(), http.StatusServiceUnavailable)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	case Shed:
 		w.Header().Del("X-Server-Stamp")
 		w.Header().Set("X-Not-Executed", "1")
+		s.sayIn(w.Header(), http.StatusServiceUnavailable)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case Early:
 		w.Header().Set("X-Not-Executed", "1")
+		s.sayIn(w.Header(), http.StatusServiceUnavailable)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case Mute:
@@ -306,6 +317,7 @@
 		s.raw(w, mode)
 		return
 	}
+	s.sayIn(w.Header(), http.StatusOK)
 	if s.options.Events > 0 {
 		s.stream(w, r, mode, after, slower)
 		return
@@ -356,6 +368,10 @@
 	}
 	defer func() { _ = conn.Close() }()
 	id := w.Header().Get("X-Attempt-Id")
+	said := ""
+	if mode != ResetAfter && mode != Garbage {
+		said = s.sayRaw(id)
+	}
 	switch mode {
 	case ResetAfter:
 		if tcp, ok := conn.(*net.TCPConn); ok {
@@ -366,14 +382,14 @@
 		if mode == EndInside && s.options.Events > 0 {
 			body = Event(1) + Event(2)[:6]
 		}
-		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\n\r\n%s", id, s.stamp(id), body)
+		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\n%s\r\n%s", id, s.stamp(id), said, body)
 		_ = buffered.Flush()
 	case Foreign:
 		// The connection ends behind the second answer, which says so: a
 		// request sent on it again might meet its end.
-		const answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\nConnection: %s\r\nContent-Length: %d\r\n\r\n%s"
-		_, _ = fmt.Fprintf(buffered, answer, "another", s.stamp("another"), "keep-alive", len(s.whole()), s.whole())
-		_, _ = fmt.Fprintf(buffered, answer, id, s.stamp(id), "close", len(s.whole()), s.whole())
+		const answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\n%sConnection: %s\r\nContent-Length: %d\r\n\r\n%s"
+		_, _ = fmt.Fprintf(buffered, answer, "another", s.stamp("another"), said, "keep-alive", len(s.whole()), s.whole())
+		_, _ = fmt.Fprintf(buffered, answer, id, s.stamp(id), "", "close", len(s.whole()), s.whole())
 		_ = buffered.Flush()
 	case Garbage:
 		_, _ = io.WriteString(buffered, "\x00\x01 no answer at all\r\n\r\n")
