--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -33,6 +33,8 @@
 	failedItself bool
 	// loss is how it was lost, if it was.
 	loss lossKind
+	// notice is what the target said of itself.
+	notice balance.Notice
 	// confirmed says that the target has read the prompt.
 	confirmed bool
 	// events is how many events were passed on, and span the time that the target took
@@ -88,10 +90,12 @@
 	a.watch(ctx, a.silenceToHead())
 	answer, failure := a.call.gateway.Sender.Send(attemptCtx, a.outgoing(), a.admit)
 	if failure != nil {
+		a.notice = failure.Notice
 		a.failed(failure)
 		return false
 	}
 	defer func() { _ = answer.Body.Close() }()
+	a.notice = answer.Notice
 	a.noteHead(answer)
 	return a.pass(ctx, answer)
 }
@@ -316,6 +320,7 @@
 		Took:       now.Sub(a.started),
 		Events:     a.events,
 		Outcome:    outcomeNames[a.outcome],
+		Notice:     a.notice,
 		Ejected:    ejected,
 	}
 	if a.err == nil {
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -82,6 +82,8 @@
 	Events     int
 	Outcome    string
 	Reason     string
+	// Notice is what the target said of itself in its answer.
+	Notice balance.Notice
 	// Ejected says that the target was left out for this attempt's result.
 	Ejected bool
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -98,6 +98,9 @@
 	Signed bool
 	// Load is what the target said of its load; nil if nothing.
 	Load *balance.Load
+	// Notice is what the target said of itself besides, in this answer and in any that
+	// stood before it.
+	Notice balance.Notice
 }
 
 // SendError is an attempt without a usable answer.
@@ -108,7 +111,9 @@
 	// was since nothing listens at the target's address.
 	Unreachable bool
 	Refused     bool
-	Err         error
+	// Notice is what the target said of itself in what was read.
+	Notice balance.Notice
+	Err    error
 }
 
 // Error gives the cause.
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 	"golang.org/x/time/rate"
 
+	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/gateway"
 )
 
@@ -166,6 +167,7 @@
 			text.WriteString(",events:")
 			text.WriteString(strconv.Itoa(attempt.Events))
 		}
+		describeNotice(&text, attempt.Notice)
 		if attempt.Reason != "" {
 			text.WriteString(",reason:")
 			text.WriteString(strings.ReplaceAll(attempt.Reason, " ", "_"))
@@ -174,3 +176,26 @@
 	}
 	return text.String()
 }
+
+// describeNotice writes what a target said of itself, if it said anything.
+func describeNotice(text *strings.Builder, notice balance.Notice) {
+	if notice.Leaving {
+		text.WriteString(",leaving:true")
+	}
+	if notice.Rest > 0 {
+		text.WriteString(",rest_ms:")
+		text.WriteString(strconv.FormatInt(notice.Rest.Milliseconds(), 10))
+	}
+	if notice.Unreadable != "" {
+		text.WriteString(",rest_unreadable:")
+		text.WriteString(strings.Map(plainRune, notice.Unreadable))
+	}
+}
+
+// plainRune replaces what would part the fields of an attempt.
+func plainRune(r rune) rune {
+	if strings.ContainsRune(" ,:()=\n\r\t", r) {
+		return '_'
+	}
+	return r
+}
