Failing tests: targets say in their answers that they leave, and are asked on

Symptom: with four gateways, ten engines and three plain targets, two engines and a plain target that say so in all answers get requests 2 s and more after that from gateways that were told, up to 22 after one such answer: while entries go on saying ready, the store is away, a gateway is killed, some or all entries lapse and come back.

--- a/internal/process/gateway_test.go
+++ b/internal/process/gateway_test.go
@@ -24,7 +24,10 @@
 // fleet is some gateways before a stand-in of the platform.
 type fleet struct {
 	platform *emulator.Platform
-	config   emulator.Config
+	// leave is how long targets serve on after they have said that they leave; zero is not
+	// stated, and then no entry is taken to have lapsed.
+	leave  time.Duration
+	config emulator.Config
 	// mu guards gateways where one is replaced while callers send.
 	mu       sync.Mutex
 	gateways []*process.GatewayProcess
@@ -121,7 +124,7 @@
 		Role: "gateway", ID: id, DataCenter: "zone",
 		Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Metrics: "127.0.0.1:0", Peers: peers,
 		Seeds: seeds, Store: f.platform.StoreAddress(),
-		Revocation: settings.Duration(5 * time.Second), Grace: settings.Duration(8 * time.Second),
+		Revocation: settings.Duration(5 * time.Second), Grace: settings.Duration(8 * time.Second), Leave: settings.Duration(f.leave),
 		// A new process spends little of the slack; these tests need many
 		// retries in its first seconds.
 		Retry:   settings.RetryBudget{Ratio: 0.2, Slack: 2000, Window: settings.Duration(10 * time.Second)},
