A target that turns a request away and asks for rest gets it

Callers saw later answers, and refusals where resting targets had used up the retry budget. Targets that had asked for 3 s of rest got 7 and 4 requests from one gateway meanwhile. Cause: of an answer that was not run only the status was read; nothing could keep that a target wants nothing for a while. Turned away at once, such targets looked idle, and got more. Ruled out by the logs: requests under way (they are spread over the whole rest) and repeats of the same request. Change: the longest rest in force is kept with the target's life (internal/balance/rest.go), by the clock that counts suspensions. The choice leaves it out, as the sending does right before the first byte; its share goes to the others within the bound on the mean of all. At the end one request tries, gateways 5 ms apart, and others follow the head of its answer; a try without an answer keeps others back for a second at most. When all rest, callers are refused at once, not run, with the time at which the first is back, spread over a quarter of it (50 ms to 1 s); nobody waits in line for them. Not shared: the target asked one gateway, and each takes off its own part. A resting target is not judged: what it turned away says nothing of it, as before. A 503 that was run is a failure still. A resting target costs one retry a rest (three in 7 s where a budget of four is all there is).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -227,6 +227,9 @@
 	Unread int
 	// Cold says that the target has just started.
 	Cold bool
+	// Try says that the target has rested, and gets no other request until this one is
+	// answered; EndTry ends that.
+	Try bool
 	// Load and Mean are what decided: requests in flight at the target and
 	// the mean over the service's targets.
 	Load int
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -42,11 +42,15 @@
 	if chosen.cold.yet {
 		chosen.cold.sentAt = now
 	}
+	if chosen.said.rest.untried() {
+		pick.Try = true
+		chosen.said.rest.triedAt = now
+	}
 	return pick, true
 }
 
-// open are the targets that may take the request: listed, not leaving, not in an
-// evacuated data centre, of an admitted version, not tried and not ejected; cold ones
+// open are the targets that may take the request: listed, not leaving, not resting, not in
+// an evacuated data centre, of an admitted version, not tried and not ejected; cold ones
 // only while it is this gateway's turn. When all others are ejected the ejected ones serve.
 // When the entries of half of a service's targets or more have disappeared, these
 // targets keep serving for a while: entries lapse while the store is down, and
@@ -81,16 +85,16 @@
 			present++
 		}
 		switch {
-		case !gone && !target.leaving() && (b.evacuated[target.DataCenter] || b.holdsBack(target, now)):
+		case !gone && !target.leaving() && (b.evacuated[target.DataCenter] || target.said.rest.holdsBack(now) || b.holdsBack(target, now)):
 			b.scratch.idle.add(target)
-		case target.leaving() || b.evacuated[target.DataCenter] || slices.Contains(exclude, target.life) || b.holdsBack(target, now):
+		case target.leaving() || target.said.rest.holdsBack(now) || b.evacuated[target.DataCenter] || slices.Contains(exclude, target.life) || b.holdsBack(target, now):
 		case gone && target.goneFor(now) <= b.options.Lapse && !target.health.ejected(now):
 			lapsed = append(lapsed, target)
 		case gone:
 		case target.health.ejected(now) || target.doubted(now):
 			ejected = append(ejected, target)
 		default:
-			target.aside = target.cold.yet
+			target.aside = target.cold.yet || target.said.rest.untried()
 			healthy = append(healthy, target)
 		}
 	}
@@ -117,8 +121,8 @@
 	return ejected[:count]
 }
 
-// idleTargets are those that are registered and get nothing for a while, since they are
-// cold, their data centre is evacuated, or other versions take the requests.
+// idleTargets are those that are registered and get nothing for a while, since they rest or
+// are cold, their data centre is evacuated, or other versions take the requests.
 type idleTargets struct {
 	count int
 	// load is the requests that they still have in flight.
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -47,7 +47,9 @@
 	}
 	if !ok {
 		added := b.add(target)
-		added.said.leaving = added.said.leaving || before.leaving
+		if before.any(now) {
+			added.said = before
+		}
 		return Change{Any: true, TurnedCold: added.noteCold(target.ColdFor, now), Outlived: outlived}
 	}
 	changed := known.Target != target || !known.goneAt.IsZero()
--- a/internal/balance/lives_test.go
+++ b/internal/balance/lives_test.go
@@ -36,7 +36,7 @@
 		"failures":                     func(b *Balancer, now time.Time) { failRow(b, first, now) },
 		"that it is cold":              func(b *Balancer, now time.Time) { b.Put(coldFor(first, time.Hour), now) },
 		"that it leaves":               func(b *Balancer, now time.Time) { b.Put(leaving(first), now) },
-		"that it said that it leaves":  func(b *Balancer, _ time.Time) { b.Heed(first.Life(), Notice{Leaving: true}) },
+		"that it said that it leaves":  func(b *Balancer, _ time.Time) { b.Heed(first.Life(), Notice{Leaving: true}, time.Time{}) },
 		"that its entry was gone":      func(b *Balancer, now time.Time) { b.Drop("t", now) },
 		"that its entry named nothing": func(b *Balancer, _ time.Time) { b.SetUnusable("t") },
 	}
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -64,8 +64,9 @@
 }
 
 // Room is how many more requests the open targets of a service that are of the versions
-// which take its requests can take, at most so many. Where no target is open, or one has
-// slots unknown, nothing bounds it.
+// which take its requests can take, at most so many. Where no target is open, only such
+// as are to be tried first, or one has slots unknown, nothing bounds it: who waited would be
+// refused later.
 func (b *Balancer) Room(service string, versions Versions, most int, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -81,7 +82,7 @@
 		return most
 	}
 	open := b.open(known, nil, versions, now)
-	if len(open) == 0 {
+	if len(open) == 0 || onlyTries(open) {
 		return most
 	}
 	return roomOf(open, headroom, most)
@@ -133,6 +134,9 @@
 	if s.cold.yet && s.service.cold.Rate > 0 {
 		return 1 // until this gateway's next turn
 	}
+	if s.said.rest.untried() {
+		return 1 // until that is answered
+	}
 	if slots == 0 {
 		return unbounded
 	}
--- a/internal/balance/said.go
+++ b/internal/balance/said.go
@@ -12,12 +12,13 @@
 // said is what a life of a target has said of itself to this gateway.
 type said struct {
 	leaving bool
+	rest    rest
 	// unreadable says that it has said something that could not be read.
 	unreadable bool
 }
 
 // any says whether anything is to be remembered of it.
-func (s said) any() bool { return s.leaving }
+func (s said) any(now time.Time) bool { return s.leaving || s.rest.wanted(now) }
 
 // leaving says whether the target gets nothing new since it ends, by its entry or by its
 // answers.
@@ -25,12 +26,15 @@
 
 // News is what of a notice was not known yet.
 type News struct {
-	Leaving    bool
+	Leaving bool
+	// Resting says that the target asked for rest and had not, or for so much more that
+	// it is worth telling.
+	Resting    bool
 	Unreadable bool
 }
 
 // Heed takes what a life of a target says of itself in an answer to this gateway.
-func (b *Balancer) Heed(life string, notice Notice) News {
+func (b *Balancer) Heed(life string, notice Notice, now time.Time) News {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	target, ok := b.targets[life]
@@ -45,16 +49,20 @@
 	if news.Leaving {
 		target.said.leaving, target.aside = true, true
 	}
+	if notice.Rest > 0 {
+		news.Resting = target.said.rest.extend(now.Add(notice.Rest), b.tryOffset(target), now)
+		target.aside = true
+	}
 	return news
 }
 
 // Closed says whether nothing may be sent to a life of a target any more, though it was
 // chosen a moment ago: the way to the first byte may take the time of a new connection.
-func (b *Balancer) Closed(life string) bool {
+func (b *Balancer) Closed(life string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	target, ok := b.targets[life]
-	return ok && (target.leaving() || b.evacuated[target.DataCenter])
+	return ok && (target.leaving() || target.said.rest.wanted(now) || b.evacuated[target.DataCenter])
 }
 
 // parted is what a life has said of which nothing else is known any more.
@@ -76,7 +84,7 @@
 			delete(b.parted, life)
 		}
 	}
-	if target.said.any() {
+	if target.said.any(now) {
 		b.parted[target.life] = parted{said: target.said, at: now}
 	}
 }
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -67,7 +67,7 @@
 	// service is the target's.
 	service *service
 	// aside is false only while the target is registered, warm, not leaving, not
-	// ejected and not in an evacuated data centre. It may be true for longer.
+	// resting, not ejected and not in an evacuated data centre. It may be true for longer.
 	aside bool
 	// version is that of its software, among the service's.
 	version versionID
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -37,6 +37,8 @@
 	notice balance.Notice
 	// withdrawn says that nothing was sent since the target wants nothing new any more.
 	withdrawn bool
+	// tried says that the end of a try has been noted.
+	tried bool
 	// confirmed says that the target has read the prompt.
 	confirmed bool
 	// events is how many events were passed on, and span the time that the target took
@@ -98,6 +100,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	a.heed(answer.Notice)
+	a.endTry(true)
 	a.noteHead(answer)
 	return a.pass(ctx, answer)
 }
@@ -136,7 +139,7 @@
 		a.refusal = errHeld(fault.NotRun)
 		return a.refusal
 	}
-	if a.call.gateway.Balancer.Closed(a.life) {
+	if a.call.gateway.Balancer.Closed(a.life, now) {
 		a.withdrawn = true
 		return errWithdrawn
 	}
@@ -309,6 +312,7 @@
 		a.call.gateway.contacts.note(a.life, now)
 		a.call.gateway.Balancer.NoteHold(a.call.service, now.Sub(a.started), a.call.route.TargetLatency)
 	}
+	a.endTry(false)
 	a.observe(now)
 	ejected := a.call.gateway.Balancer.Release(a.life, a.result, now)
 	if a.result == balance.Refused && a.call.gateway.Directory != nil {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -353,7 +353,7 @@
 	case c.delivery.MayHaveRun():
 		c.refuse(fault.New(fault.TargetFailed, fault.Unknown, "no further target is open"))
 	default:
-		c.refuse(fault.New(fault.NoTarget, fault.NotRun, "no target of the service is open").After(retrySoon))
+		c.refuse(fault.New(fault.NoTarget, fault.NotRun, "no target of the service is open").After(c.comeBackToTarget()))
 	}
 }
 
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/clock"
 )
 
 // errWithdrawn is why an attempt sent nothing.
-var errWithdrawn = errors.New("the target wants nothing new any more")
+var errWithdrawn = errors.New("the target wants nothing new")
 
 // NoticeRecord tells what a target said of itself in an answer that was not known yet.
 type NoticeRecord struct {
@@ -29,7 +32,7 @@
 	if notice == (balance.Notice{}) {
 		return
 	}
-	news := a.call.gateway.Balancer.Heed(a.life, notice)
+	news := a.call.gateway.Balancer.Heed(a.life, notice, clock.Check())
 	if news == (balance.News{}) {
 		return
 	}
@@ -43,3 +46,34 @@
 		News:    news,
 	})
 }
+
+// endTry says how the first request after a rest has ended: others may follow the head of its
+// answer, however long that goes on.
+func (a *attempt) endTry(answered bool) {
+	if !a.pick.Try || a.tried {
+		return
+	}
+	a.tried = true
+	a.call.gateway.Balancer.EndTry(a.life, answered, clock.Now())
+}
+
+// comeBack is when the caller of a request that did not run is to come back: when a target that
+// rests is back, if nobody else is open, else when the service has room.
+func (c *call) comeBack() time.Duration {
+	now := clock.Now()
+	if back, ok := c.gateway.Balancer.BackIn(c.query(), now); ok {
+		return back
+	}
+	if c.gateway.Limiters == nil {
+		return retrySoon
+	}
+	return c.gateway.Limiters.Of(c.service).ComeBack(c.deadline.Sub(now), now)
+}
+
+// comeBackToTarget is the same where no target was open at all.
+func (c *call) comeBackToTarget() time.Duration {
+	if back, ok := c.gateway.Balancer.BackIn(c.query(), clock.Now()); ok {
+		return back
+	}
+	return retrySoon
+}
--- /dev/null
+++ b/internal/gateway/rest_test.go
@@ -0,0 +1,290 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/admission"
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/clock"
+	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/gateway"
+	"github.com/capersaddle/capersaddle/internal/retrybudget"
+)
+
+const restTime = 3 * time.Second
+
+// resting has target a turn everything away and ask for rest, until a moment.
+func resting(until time.Time) script {
+	return func(ctx context.Context, out *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
+		if time.Now().Before(until) {
+			return saying(balance.Notice{Rest: restTime}, rejected)(ctx, out)
+		}
+		return whole(http.StatusOK, one)(ctx, out)
+	}
+}
+
+// TestARestIsKept: the target gets one request in each of its rests, the sound callers cost no
+// more of the retry budget than that, and it has its share again once it takes requests.
+func TestARestIsKept(t *testing.T) {
+	for _, path := range []string{"/once/", "/get/", "/stream/", "/resumable/"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(resting(time.Now().Add(7 * time.Second)))
+				w.gateway.Budgets = retrybudget.New(retrybudget.Options{Slack: 4, Window: time.Minute})
+				for number := range 700 {
+					w.gateway.Proof.Note(time.Now())
+					is.Equal(w.serveAs(t.Context(), fmt.Sprintf("%s%d", path, number)).status, http.StatusOK)
+					time.Sleep(10 * time.Millisecond)
+				}
+				is.Equal(w.sentTo("a"), 3) // at 0, 3 and 6 s
+				for _, attempts := range w.caller.records {
+					for _, attempt := range attempts.Attempts {
+						is.True(!attempt.Ejected)
+					}
+				}
+				time.Sleep(restTime)
+				w.gateway.Proof.Note(time.Now())
+				for number := range 60 {
+					w.serve(t.Context(), fmt.Sprintf("%slater-%d", path, number))
+				}
+				is.True(w.sentTo("a") > 10)
+				is.Equal(len(w.gateway.Balancer.InFlight()), 0)
+			})
+		})
+	}
+}
+
+// TestALateWordOfRest: requests that were under way when the target asked first have it rest
+// for as long as the last of them says.
+func TestALateWordOfRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(whole(http.StatusOK, "yes"))
+		w.gateway.Balancer.Heed("a", balance.Notice{Rest: restTime}, clock.Now())
+		time.Sleep(time.Second)
+		w.gateway.Balancer.Heed("a", balance.Notice{Rest: restTime}, clock.Now())
+		time.Sleep(restTime - time.Millisecond)
+		for number := range 50 {
+			w.serve(t.Context(), fmt.Sprintf("/once/%d", number))
+		}
+		is.Equal(w.sentTo("a"), 0)
+	})
+}
+
+// TestASuspensionIsRest: the time for which this host was suspended counts.
+func TestASuspensionIsRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(whole(http.StatusOK, "yes"))
+		w.gateway.Options.KeyFreshness = 0
+		w.gateway.Balancer.Heed("a", balance.Notice{Rest: time.Minute}, clock.Check())
+		w.serve(t.Context(), "/once/x")
+		defer clock.Simulate(2 * time.Minute)()
+		for number := range 50 {
+			w.serve(t.Context(), fmt.Sprintf("/once/%d", number))
+		}
+		is.True(w.sentTo("a") > 0)
+	})
+}
+
+// TestAllRest: callers are refused at once, told when somebody is back, not all the same, and
+// served then; nothing is sent to anybody meanwhile, nor taken from the retry budget.
+func TestAllRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		w := newWorld(whole(http.StatusOK, "yes"))
+		w.gateway.Limiters = admission.NewLimiters(admission.DefaultLimiterOptions())
+		for _, id := range []string{"a", "b", "c"} {
+			w.gateway.Balancer.Heed(id, balance.Notice{Rest: restTime}, clock.Now())
+		}
+		told := make(map[time.Duration]bool)
+		for time.Since(began) < restTime {
+			at := time.Now()
+			w.gateway.Proof.Note(at)
+			caller := w.serveAs(t.Context(), "/once/x")
+			is.Equal(time.Since(at), time.Duration(0))
+			is.Equal(caller.refusal.Kind, fault.NoTarget)
+			is.Equal(caller.refusal.State, fault.NotRun)
+			back := restTime - at.Sub(began)
+			is.True(caller.refusal.RetryAfter >= back && caller.refusal.RetryAfter <= back+time.Second)
+			told[caller.refusal.RetryAfter] = true
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.True(len(told) > 25)
+		is.Equal(len(w.sender.sent), 0)
+		w.gateway.Proof.Note(time.Now())
+		is.Equal(w.serveAs(t.Context(), "/once/x").status, http.StatusOK)
+	})
+}
+
+// TestTheLastTargetAsksForRest: the request that it turned away is refused with the time at which
+// somebody is back.
+func TestTheLastTargetAsksForRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(saying(balance.Notice{Rest: restTime}, rejected))
+		for _, id := range []string{"b", "c"} {
+			w.gateway.Balancer.Heed(id, balance.Notice{Leaving: true}, clock.Now())
+		}
+		w.serve(t.Context(), "/once/x")
+		is.Equal(w.caller.refusal.State, fault.NotRun)
+		is.True(w.caller.refusal.RetryAfter >= restTime)
+	})
+}
+
+// TestWhoWaitsForATurnAtATargetThatRests: is refused once it does, and not sent.
+func TestWhoWaitsForATurnAtATargetThatRests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newFullWorld(func(ctx context.Context, out *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
+			time.Sleep(5 * time.Millisecond)
+			return saying(balance.Notice{Rest: restTime}, rejected)(ctx, out)
+		})
+		first := make(chan *recorder, 1)
+		go func() { first <- w.serveAs(t.Context(), "/once/first") }()
+		synctest.Wait()
+		waiting := w.serveAs(t.Context(), "/once/second")
+		is.Equal(waiting.refusal.State, fault.NotRun)
+		is.True(waiting.refusal.RetryAfter >= restTime-time.Second)
+		is.Equal((<-first).refusal.State, fault.NotRun)
+		is.Equal(len(w.sender.sent), 1)
+	})
+}
+
+// TestWhatWasChosenBeforeARestIsNotSentAfter: and costs no retry.
+func TestWhatWasChosenBeforeARestIsNotSentAfter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(whole(http.StatusOK, one))
+		held := &heldSender{fakeSender: w.sender, let: make(chan struct{})}
+		w.gateway.Sender = held
+		w.gateway.Budgets = retrybudget.New(retrybudget.Options{Window: 10 * time.Second})
+		callers := make([]*recorder, 9)
+		for i := range callers {
+			go func() { callers[i] = w.serveAs(t.Context(), "/once/x") }()
+		}
+		synctest.Wait()
+		w.gateway.Balancer.Heed("a", balance.Notice{Rest: restTime}, clock.Now())
+		close(held.let)
+		synctest.Wait()
+		is.Equal(w.sentTo("a"), 0)
+		for _, caller := range callers {
+			is.Equal(caller.status, http.StatusOK)
+		}
+	})
+}
+
+// TestAStreamIsNotResumedWhereRestIsWanted: nor where the target leaves, when its target has
+// broken it off.
+func TestAStreamIsNotResumedWhereRestIsWanted(t *testing.T) {
+	for name, notice := range map[string]balance.Notice{"rest": {Rest: time.Minute}, "leaving": {Leaving: true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var w *world
+				w = newWorld(func(ctx context.Context, out *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
+					if out.After != "" {
+						return stream(two, io.EOF)(ctx, out)
+					}
+					for _, id := range []string{"a", "b", "c"} {
+						if id != out.Target.ID && id != "c" {
+							w.gateway.Balancer.Heed(id, notice, clock.Now())
+						}
+					}
+					return stream(one+two[:5], io.ErrUnexpectedEOF)(ctx, out)
+				})
+				w.serve(t.Context(), "/resumable/x")
+				for _, out := range w.sender.sent[1:] {
+					is.Equal(out.Target.ID, "c")
+				}
+				is.True(w.caller.body.String() == one+two || w.caller.aborted)
+			})
+		})
+	}
+}
+
+// TestWhoeverShedsWithoutAWordIsJudgedAsBefore: a target that turns requests away and says
+// nothing of rest gets the next ones too.
+func TestWhoeverShedsWithoutAWordIsJudgedAsBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(saying(balance.Notice{}, rejected))
+		w.gateway.Budgets = retrybudget.New(retrybudget.Options{Slack: 1000, Window: time.Minute})
+		for number := range 60 {
+			w.serve(t.Context(), fmt.Sprintf("/once/%d", number))
+		}
+		is.True(w.sentTo("a") > 5)
+	})
+}
+
+// TestATryThatIsNotAnswered: another one follows after a while, or as soon as it is known to have
+// ended.
+func TestATryThatIsNotAnswered(t *testing.T) {
+	cases := map[string]struct {
+		answers script
+		// after is when others may follow.
+		after time.Duration
+	}{
+		"it is lost":  {lost, 0},
+		"it is mute":  {silent, time.Second},
+		"it is whole": {whole(http.StatusOK, one), 0},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(saying(balance.Notice{}, test.answers))
+				for _, id := range []string{"b", "c"} {
+					w.gateway.Balancer.Heed(id, balance.Notice{Leaving: true}, clock.Now())
+				}
+				w.gateway.Balancer.Heed("a", balance.Notice{Rest: time.Second}, clock.Now())
+				time.Sleep(time.Second)
+				go w.serveAs(t.Context(), "/stream/first")
+				synctest.Wait()
+				is.Equal(w.sentTo("a"), 1)
+				if test.after > 0 {
+					w.serveAs(t.Context(), "/stream/early")
+					is.Equal(w.sentTo("a"), 1)
+				}
+				time.Sleep(test.after)
+				go w.serveAs(t.Context(), "/stream/next")
+				synctest.Wait()
+				is.Equal(w.sentTo("a"), 2)
+				time.Sleep(20 * time.Second) // until all have ended
+			})
+		})
+	}
+}
+
+// TestOthersFollowTheHeadOfATry: not its end, which for a stream may be far.
+func TestOthersFollowTheHeadOfATry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(func(context.Context, *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
+			body, rest := io.Pipe()
+			time.AfterFunc(5*time.Second, func() { _ = rest.Close() })
+			return &gateway.Answer{Status: http.StatusOK, Size: -1, Signed: true, Body: body}, nil
+		})
+		for _, id := range []string{"b", "c"} {
+			w.gateway.Balancer.Heed(id, balance.Notice{Leaving: true}, clock.Now())
+		}
+		w.gateway.Balancer.Heed("a", balance.Notice{Rest: time.Second}, clock.Now())
+		time.Sleep(time.Second)
+		for range 5 {
+			go w.serveAs(t.Context(), "/stream/x")
+			synctest.Wait()
+		}
+		is.Equal(w.sentTo("a"), 5)
+		time.Sleep(20 * time.Second) // until all have ended
+	})
+}
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -82,15 +82,6 @@
 	c.turn = nil
 }
 
-// comeBack is when the caller of a request that did not run is to come back.
-func (c *call) comeBack() time.Duration {
-	if c.gateway.Limiters == nil {
-		return retrySoon
-	}
-	now := clock.Now()
-	return c.gateway.Limiters.Of(c.service).ComeBack(c.deadline.Sub(now), now)
-}
-
 // hasRoom says whether the service has room for a retry: those who wait for
 // their first attempt go before.
 func (g *Gateway) hasRoom(service string) bool {
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -22,6 +22,7 @@
 // Values of the label notice.
 const (
 	noticeLeaving    = "leaving"
+	noticeRest       = "rest"
 	noticeUnreadable = "unreadable"
 )
 
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -23,6 +23,7 @@
 	EventTargetGone = "target_gone"
 	EventUnusable   = "target_unusable"
 	EventLeaving    = "target_leaves"
+	EventRests      = "target_rests"
 	EventUnreadable = "target_notice_unreadable"
 	EventEjected    = "target_ejected"
 	EventEvacuated  = "data_center_evacuated"
@@ -60,7 +61,7 @@
 	return []string{
 		EventRequest, EventConfig, EventTarget, EventTargets, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
 		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventDoubted, EventStart, EventDrain, EventStop, EventReload, EventLate, EventInTime, EventSampled,
-		EventUnusable, EventLeaving, EventUnreadable, EventCrash, EventHeldBack, EventCleared,
+		EventUnusable, EventLeaving, EventRests, EventUnreadable, EventCrash, EventHeldBack, EventCleared,
 		EventRolloutOrdered, EventRolloutStage, EventRolloutHalted, EventRolloutRecorded, EventRolloutCommitFailed,
 	}
 }
--- a/internal/observe/state.go
+++ b/internal/observe/state.go
@@ -83,6 +83,10 @@
 		o.metrics.notices.WithLabelValues(record.Service, noticeLeaving).Inc()
 		o.log.Info(EventLeaving, "target", record.Target, "life", record.Life, "address", record.Address, "service", record.Service, "request", record.Request)
 	}
+	if record.News.Resting {
+		o.metrics.notices.WithLabelValues(record.Service, noticeRest).Inc()
+		o.log.Info(EventRests, "target", record.Target, "life", record.Life, "address", record.Address, "service", record.Service, "request", record.Request, "rest_ms", wholeMillis(record.Notice.Rest))
+	}
 	if record.News.Unreadable {
 		o.metrics.notices.WithLabelValues(record.Service, noticeUnreadable).Inc()
 		o.log.Warn(EventUnreadable, "target", record.Target, "life", record.Life, "address", record.Address, "service", record.Service, "request", record.Request, "retry_after", record.Notice.Unreadable)
--- a/internal/process/rest_test.go
+++ b/internal/process/rest_test.go
@@ -19,6 +19,11 @@
 // such answer for how long they wanted nothing from the gateway. All gateways sent the
 // rejected request to another target and the next one as before: turned away at once, these
 // targets looked idle.
+//
+// Cause: the answer's head was read for its status alone; that a target wants nothing for a
+// while had no place where a gateway could keep it. Proved by the logs: rejected requests are spread
+// evenly over each rest, no request met such a target twice; and by these tests, in which
+// nothing but the answers asks for rest.
 
 // rest has servers turn away a share of what comes, and ask for rest.
 func rest(retryAfter string, share float64, servers ...*emulator.Server) {
