The soak's servers leave and ask for rest in their answers, and a checker holds gateways to it

What is new: in each seed up to one server says in its answers, and nowhere else, that it leaves, and up to three turn requests away and ask for rest, in seven forms of which three are no time. Drawn by a source of their own: older seeds draw the faults they drew. Checked: a call sent to the same process over 2 s after it has passed such an answer on does not reach the server; no more than two requests from half a second after a wish for rest to its end, unless a proxy or a pause held things up.

--- a/internal/emulator/notice.go
+++ b/internal/emulator/notice.go
@@ -26,10 +26,12 @@
 	At time.Time
 }
 
-// Say sets what the server says of itself from now on.
+// Say sets what the server says of itself from now on. Once it has said that it leaves, it goes on
+// saying so.
 func (s *Server) Say(says Says) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	says.Leaving = says.Leaving || s.says.Leaving
 	s.says = says
 }
 
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -52,6 +52,7 @@
 	}
 	stopping := g.stopping.Load()
 	made.send(transport, g.callers, key)
+	made.endedAt = time.Now()
 	made.stopping = stopping || g.stopping.Load()
 	if made.life != g.life() {
 		made.life = "" // one of two: it tells nothing of either
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -20,6 +20,8 @@
 	// path is /pay/ (at most once), /ask/ (repeatable) or /chat/ (resumable).
 	path   string
 	sentAt time.Time
+	// endedAt is when its caller had the answer.
+	endedAt time.Time
 	// life names the gateway and which of its processes took the call.
 	life string
 	// gateway is the id of the one that took it.
@@ -69,6 +71,10 @@
 	records, statuses []recorded
 	// deaf are times in which the gateway named, or all, might hear nobody.
 	deaf []span
+	// told is what servers said of themselves, and links are the times in which a proxy
+	// disturbed the way to the server named.
+	told  []told
+	links []span
 }
 
 const (
@@ -118,7 +124,7 @@
 // broken lists the promises that a history breaks.
 func (h *history) broken() []string {
 	return slices.Concat(h.brokenCalls(), h.brokenBudget(), h.brokenVersions(), h.brokenEvacuations(), h.brokenColds(),
-		h.brokenExposure(), h.brokenRefusals(), h.brokenStates())
+		h.brokenExposure(), h.brokenRefusals(), h.brokenStates(), h.brokenNotices())
 }
 
 // brokenCalls checks what each caller got against what servers saw of it.
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -37,6 +37,10 @@
 	// cold; both are planned work.
 	evacuate action = "evacuate"
 	turnCold action = "turn_cold"
+	// leaveInAnswers has a server say in its answers that it leaves, and nowhere else, and
+	// askForRest has one turn requests away for a while and ask for rest; both are planned work.
+	leaveInAnswers action = "leave_in_answers"
+	askForRest     action = "ask_for_rest"
 )
 
 var (
@@ -56,10 +60,12 @@
 	lasts time.Duration
 	mode  emulator.Mode
 	link  condition
+	// rest is what a server asks for.
+	rest string
 }
 
 func (e event) String() string {
-	return fmt.Sprintf("%v %s which=%d lasts=%v mode=%q link=%d", e.at, e.action, e.which, e.lasts, e.mode, e.link)
+	return fmt.Sprintf("%v %s which=%d lasts=%v mode=%q link=%d rest=%q", e.at, e.action, e.which, e.lasts, e.mode, e.link, e.rest)
 }
 
 // draw draws a schedule from a seed and nothing else. Every third seed has
@@ -86,6 +92,7 @@
 		schedule = append(schedule, made)
 	}
 	schedule = append(schedule, drawPlaces(seed, servers, length)...)
+	schedule = append(schedule, drawNotices(seed, servers, length)...)
 	slices.SortFunc(schedule, func(a, b event) int { return int(a.at - b.at) })
 	return schedule, calm
 }
@@ -108,6 +115,30 @@
 	return schedule
 }
 
+// rests are what servers ask for, as they write it.
+var rests = []string{"0.7", "1", "2.5", "4", "soon", "-1", "1e99"}
+
+// drawNotices draws what servers say of themselves; by a source of their own, as above. One
+// leaves at most, so that each service has others.
+func drawNotices(seed uint64, servers int, length time.Duration) []event {
+	source := rand.New(rand.NewPCG(seed, 3))
+	var schedule []event
+	for number := range 1 + source.IntN(3) {
+		made := event{
+			at:     time.Duration(source.Int64N(int64(length * 2 / 3))),
+			action: askForRest,
+			which:  source.IntN(servers),
+			lasts:  length/6 + time.Duration(source.Int64N(int64(length/3))),
+			rest:   rests[source.IntN(len(rests))],
+		}
+		if number == 0 && source.IntN(3) > 0 {
+			made.action, made.rest = leaveInAnswers, ""
+		}
+		schedule = append(schedule, made)
+	}
+	return schedule
+}
+
 func describe(schedule []event) string {
 	var text strings.Builder
 	for _, made := range schedule {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -98,9 +98,9 @@
 	revokedAt time.Time
 	// places is held during an evacuation and while a server is cold.
 	places sync.Mutex
-	// evacuations and colds are over.
-	evacuations, colds []span
-	ids                atomic.Int64
+	// evacuations and colds are over, and so are linkFaults, on the ways to servers.
+	evacuations, colds, linkFaults []span
+	ids                            atomic.Int64
 
 	// trial is ordered in the schedule; orders, records and statuses are what came of it.
 	trial    trial
@@ -145,9 +145,13 @@
 
 func (s *soak) judge(schedule []event) {
 	seen := &history{calls: s.calls, configs: s.configs, revokedAt: s.revokedAt, evacuations: s.evacuations, colds: s.colds, calm: s.calm}
+	seen.links = s.linkFaults
 	seen.orders, seen.records, seen.statuses, seen.deaf = s.orders, s.records, s.statuses, s.deaf
 	for _, server := range s.servers {
 		seen.runs = append(seen.runs, server.Runs()...)
+		for _, said := range server.Said() {
+			seen.told = append(seen.told, told{Said: said, server: server.ID()})
+		}
 	}
 	served := 0
 	for _, c := range s.calls {
@@ -155,7 +159,7 @@
 			served++
 		}
 	}
-	s.t.Logf("seed %d, calm %v: %d calls, %d served, %d arrivals at servers, %d faults", s.seed, s.calm, len(s.calls), served, len(seen.runs), len(schedule))
+	s.t.Logf("seed %d, calm %v: %d calls, %d served, %d arrivals at servers, %d notices of them, %d faults", s.seed, s.calm, len(s.calls), served, len(seen.runs), len(seen.told), len(schedule))
 	s.t.Logf("%s: %s", s.trial, seen.ends())
 	if served < len(s.calls)/4 {
 		s.t.Errorf("only %d of %d calls were served", served, len(s.calls))
--- a/internal/soak/system_test.go
+++ b/internal/soak/system_test.go
@@ -255,11 +255,28 @@
 		s.turnCold(number, made.lasts)
 	case storeLink:
 		disturbLink(g.store, made)
+	case leaveInAnswers:
+		s.servers[number].Say(emulator.Says{Leaving: true})
+	case askForRest:
+		s.askForRest(s.servers[number], made)
 	case serverLink:
+		from := time.Now()
 		disturbLink(s.links[number], made)
+		s.mu.Lock()
+		s.linkFaults = append(s.linkFaults, span{name: s.servers[number].ID(), from: from, until: time.Now()})
+		s.mu.Unlock()
 	}
 }
 
+// askForRest has a server turn away what comes for a while.
+func (s *soak) askForRest(server *emulator.Server, made event) {
+	server.Say(emulator.Says{RetryAfter: made.rest})
+	server.TurnBad(&emulator.Bad{Share: 1, Fails: emulator.Shed})
+	time.Sleep(made.lasts)
+	server.TurnBad(nil)
+	server.Say(emulator.Says{})
+}
+
 func disturbLink(link *proxy, made event) {
 	link.set(made.link)
 	time.Sleep(made.lasts)
