--- a/internal/balance/rest.go
+++ b/internal/balance/rest.go
@@ -90,6 +90,9 @@
 	backShare       = 0.25
 	leastBackSpread = 50 * time.Millisecond
 	mostBackSpread  = time.Second
+	// mostBack bounds that time: who joins meanwhile serves at once, and a target that wants
+	// hours of rest is no reason to stay away for hours.
+	mostBack = 30 * time.Second
 )
 
 // BackIn is when a caller for whom no target is open may come back, since a target that rests
@@ -115,6 +118,7 @@
 	if !found {
 		return 0, false
 	}
+	back = min(back, mostBack)
 	spread := min(max(time.Duration(backShare*float64(back)), leastBackSpread), mostBackSpread)
 	return back + rand.N(spread), true
 }
--- a/internal/balance/rest_test.go
+++ b/internal/balance/rest_test.go
@@ -212,6 +212,10 @@
 	back, ok := b.BackIn(query, now)
 	is.True(ok)
 	is.True(back >= 8*time.Second)
+	b.Heed("other@1000", restOf(time.Hour), now)
+	back, ok = b.BackIn(query, now)
+	is.True(ok)
+	is.True(back >= mostBack && back <= mostBack+mostBackSpread) // somebody else may join
 	b.Heed("other@1000", Notice{Leaving: true}, now)
 	_, ok = b.BackIn(query, now)
 	is.True(!ok) // nobody is known to come back
