--- a/internal/process/gateway_test.go
+++ b/internal/process/gateway_test.go
@@ -26,8 +26,10 @@
 	platform *emulator.Platform
 	// leave is how long targets serve on after they have said that they leave; zero is not
 	// stated, and then no entry is taken to have lapsed.
-	leave  time.Duration
-	config emulator.Config
+	leave time.Duration
+	// retrySlack is that of the retry budget.
+	retrySlack float64
+	config     emulator.Config
 	// mu guards gateways where one is replaced while callers send.
 	mu       sync.Mutex
 	gateways []*process.GatewayProcess
@@ -38,6 +40,10 @@
 	log            *syncBuffer
 }
 
+// manyRetries is a retry slack for tests that need many in a process's first seconds, of which
+// it spends little then.
+const manyRetries = 2000
+
 // syncBuffer gathers what processes log.
 type syncBuffer struct {
 	mu   sync.Mutex
@@ -63,7 +69,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = made.Close() })
-	f := &fleet{platform: made, log: new(syncBuffer)}
+	f := &fleet{platform: made, log: new(syncBuffer), retrySlack: manyRetries}
 	f.config = emulator.Config{
 		Version: 3,
 		Routes: []emulator.Route{
@@ -125,9 +131,7 @@
 		Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Metrics: "127.0.0.1:0", Peers: peers,
 		Seeds: seeds, Store: f.platform.StoreAddress(),
 		Revocation: settings.Duration(5 * time.Second), Grace: settings.Duration(8 * time.Second), Leave: settings.Duration(f.leave),
-		// A new process spends little of the slack; these tests need many
-		// retries in its first seconds.
-		Retry:   settings.RetryBudget{Ratio: 0.2, Slack: 2000, Window: settings.Duration(10 * time.Second)},
+		Retry:   settings.RetryBudget{Ratio: 0.2, Slack: f.retrySlack, Window: settings.Duration(10 * time.Second)},
 		Rollout: settings.Rollout{Share: 0.1, Slack: 50, Rollback: settings.Duration(5 * time.Second)},
 	}
 	made, err := process.NewGateway(s, process.NewLogger(f.log, settings.Log{Format: "json"}))
--- a/internal/process/notices_test.go
+++ b/internal/process/notices_test.go
@@ -17,6 +17,8 @@
 )
 
 const (
+	// usualRetries is a retry slack as deployments have it: resting targets must not use it up.
+	usualRetries = 54
 	// sayingEngines and sayingPlain are how many targets there are of each service.
 	sayingEngines = 10
 	sayingPlain   = 3
@@ -35,7 +37,7 @@
 func sayingFleet(t *testing.T, gateways int) *fleet {
 	t.Helper()
 	f := newFleet(t, 0)
-	f.leave = 2 * time.Second
+	f.leave, f.retrySlack = 2*time.Second, usualRetries
 	for _, server := range append(f.engines, f.plain...) {
 		f.platform.Leave(server)
 	}
