A target that asks its agent for rest gets it

Cause: the same as at the gateways. An agent read of an answer that was turned away its status alone; its gate knew bounds and leaving, and no rest. Ruled out: that routers send on regardless; each call passes the one gate of its target. Change: the adapters give the time with what was refused, or with the service's own 503, and the gate keeps the longest. It refuses what comes and what waits, not run, with the time that is left; at the end one request tries, and who waits follows its answer. Left: loads don't say it, so that routers learn of it by a refusal each, at the cost of a retry. Tests: TestATargetThatAsksItsAgentForRestGetsIt, red before; the gate in virtual time.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -83,6 +83,7 @@
 	mean    float64
 	meanAt  time.Time
 	leaving bool
+	rest    rest
 	queues  *queues
 	// pace is the smoothed time between two places that come free.
 	pace     time.Duration
@@ -132,13 +133,25 @@
 }
 
 func (g *Gate) free() bool {
+	if g.rest.trying {
+		return false
+	}
 	return g.inFlight+g.foreign < g.limit()
 }
 
 // Place is one admitted request; Release gives it back.
 type Place struct {
 	gate *Gate
-	once sync.Once
+	// tries says that the request is the first after a rest of the target.
+	tries bool
+	once  sync.Once
+}
+
+// take admits one request; g.mu is held.
+func (g *Gate) take() *Place {
+	g.inFlight++
+	g.rest.trying = g.rest.untried()
+	return &Place{gate: g, tries: g.rest.trying}
 }
 
 // Admit takes a place. A refusal means that the request was never admitted.
@@ -146,12 +159,15 @@
 	g.mu.Lock()
 	if g.leaving {
 		g.mu.Unlock()
-		return nil, fault.New(fault.Leaving, fault.NotRun, "the target is leaving")
+		return nil, errLeaving()
 	}
-	if g.free() && g.queues.len() == 0 {
-		g.inFlight++
+	if left := g.rest.left(); left > 0 {
 		g.mu.Unlock()
-		return &Place{gate: g}, nil
+		return nil, errResting(left)
+	}
+	if g.free() && g.queues.len() == 0 {
+		defer g.mu.Unlock()
+		return g.take(), nil
 	}
 	waiter, refusal := g.enqueue(ctx, ticket)
 	g.mu.Unlock()
@@ -204,9 +220,9 @@
 	defer g.mu.Unlock()
 	switch w.state {
 	case waiterAdmitted:
-		return &Place{gate: g}, nil
+		return w.place, nil
 	case waiterRefused:
-		return nil, fault.New(fault.Leaving, fault.NotRun, "the target is leaving")
+		return nil, w.refusal
 	}
 	g.queues.remove(w)
 	if ctx.Err() == nil {
@@ -228,6 +244,9 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.inFlight--
+		if p.tries {
+			g.rest.trying = false
+		}
 		g.measurePace()
 		g.admitWaiting()
 		g.checkDrained()
@@ -250,7 +269,7 @@
 		if w == nil {
 			return
 		}
-		g.inFlight++
+		w.place = g.take()
 		w.state = waiterAdmitted
 		close(w.admitted)
 	}
@@ -261,11 +280,21 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.leaving = true
+	g.refuseWaiting(errLeaving())
+	g.checkDrained()
+}
+
+// refuseWaiting refuses all that waits; g.mu is held.
+func (g *Gate) refuseWaiting(refusal *fault.Error) {
 	for w := g.queues.pop(); w != nil; w = g.queues.pop() {
-		w.state = waiterRefused
+		w.state, w.refusal = waiterRefused, refusal
 		close(w.admitted)
 	}
-	g.checkDrained()
+}
+
+// errLeaving is the refusal of a request while the target is leaving.
+func errLeaving() *fault.Error {
+	return fault.New(fault.Leaving, fault.NotRun, "the target is leaving")
 }
 
 // Return opens a gate again whose target is no longer leaving.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"time"
+
+	"github.com/capersaddle/capersaddle/internal/fault"
 )
 
 type waiterState int
@@ -15,9 +17,12 @@
 
 // waiter is one queued request; the gate's lock guards it.
 type waiter struct {
-	ticket   Ticket
-	since    time.Time
-	state    waiterState
+	ticket Ticket
+	since  time.Time
+	state  waiterState
+	// place is set with waiterAdmitted, and refusal with waiterRefused.
+	place    *Place
+	refusal  *fault.Error
 	admitted chan struct{}
 	element  *list.Element
 	lane     *lane
--- /dev/null
+++ b/internal/admission/rest_test.go
@@ -0,0 +1,82 @@
+package admission
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/fault"
+)
+
+// TestAGateRests: it refuses what comes and what waits, with the time that is left; then one
+// request tries, and the others that wait follow its answer.
+func TestAGateRests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := NewGate(DefaultOptions())
+		var before []*Place
+		for range g.Load().Limit {
+			place, refusal := g.Admit(t.Context(), Ticket{})
+			is.True(refusal == nil)
+			before = append(before, place)
+		}
+		waiting := make(chan *fault.Error, 1)
+		go func() {
+			_, refusal := g.Admit(t.Context(), Ticket{Wait: true})
+			waiting <- refusal
+		}()
+		synctest.Wait()
+		g.Rest(3 * time.Second)
+		is.Equal((<-waiting).RetryAfter, 3*time.Second)
+		g.Rest(time.Second) // the longest holds
+		g.Answered()        // what was under way before says nothing
+		before[0].Release()
+		time.Sleep(2 * time.Second)
+		_, refusal := g.Admit(t.Context(), Ticket{Wait: true})
+		is.Equal(refusal.Kind, fault.Overloaded)
+		is.Equal(refusal.State, fault.NotRun)
+		is.Equal(refusal.RetryAfter, time.Second)
+		time.Sleep(time.Second)
+		try, refusal := g.Admit(t.Context(), Ticket{})
+		is.True(refusal == nil)
+		for range 2 {
+			go func() {
+				place, _ := g.Admit(t.Context(), Ticket{Wait: true})
+				place.Release()
+			}()
+		}
+		before[1].Release()
+		synctest.Wait()
+		is.Equal(g.Load().Queued, 2)
+		g.Answered()
+		synctest.Wait()
+		is.Equal(g.Load().Queued, 0)
+		try.Release()
+		for _, place := range before[2:] {
+			place.Release()
+		}
+		is.Equal(g.Own(), 0)
+	})
+}
+
+// TestATryThatEndsWithoutAnAnswer: the next one tries.
+func TestATryThatEndsWithoutAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := NewGate(DefaultOptions())
+		g.Rest(time.Second)
+		time.Sleep(time.Second)
+		for range 3 {
+			try, refusal := g.Admit(t.Context(), Ticket{})
+			is.True(refusal == nil)
+			short, cancel := context.WithTimeout(t.Context(), time.Second)
+			_, refusal = g.Admit(short, Ticket{Wait: true})
+			is.True(refusal != nil)
+			cancel()
+			try.Release()
+		}
+	})
+}
--- a/internal/agent/chat.go
+++ b/internal/agent/chat.go
@@ -64,6 +64,7 @@
 		Prefix:    work.GetPrefix(),
 		Priority:  priority,
 	})
+	p.heedRest(target.RestOf(err), err)
 	if err != nil {
 		answer.refuse(engineRefusal(err))
 		return
@@ -78,6 +79,9 @@
 
 // engineRefusal tells an engine that took nothing from one that failed.
 func engineRefusal(err error) *fault.Error {
+	if rest := target.RestOf(err); rest > 0 {
+		return fault.New(fault.Overloaded, fault.NotRun, "the engine has asked for rest: %v", err).After(rest)
+	}
 	if errors.Is(err, target.ErrRefused) {
 		return fault.New(fault.TargetFailed, fault.NotRun, "the engine refused: %v", err)
 	}
--- a/internal/agent/outcome.go
+++ b/internal/agent/outcome.go
@@ -9,6 +9,17 @@
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
+// heedRest has the gate go by how a call of the target ended: what the target wants binds every
+// call that comes here, whoever sent it.
+func (p *place) heedRest(rest time.Duration, err error) {
+	switch {
+	case rest > 0:
+		p.gate.Rest(rest)
+	case err == nil:
+		p.gate.Answered()
+	}
+}
+
 // end records an outcome; if the slot has gone meanwhile, its new owner is
 // told.
 func (k *keeper) end(record *once.Record, state once.State, outcome once.Outcome) {
--- a/internal/agent/rest_test.go
+++ b/internal/agent/rest_test.go
@@ -24,6 +24,9 @@
 // Seen: at the gateways targets that had asked for rest got requests on. An agent passes calls
 // to its targets by the same kind of answer, and read of one that was turned away its status
 // alone: a service's or engine's Retry-After bound nobody here either.
+//
+// Cause: the same as there; the agent's gate knew bounds and leaving, and no rest. Proved by these
+// calls: each of five within the rest reached the target.
 
 // restingTarget turns away what comes while it rests, and asks for a time.
 type restingTarget struct {
--- a/internal/target/httpengine.go
+++ b/internal/target/httpengine.go
@@ -139,7 +139,11 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorText))
-	return nil, errors.Wrapf(ErrRefused, "engine answered %d: %s", response.StatusCode, text)
+	refusal := errors.Wrapf(ErrRefused, "engine answered %d: %s", response.StatusCode, text)
+	if rest := restIn(response); rest > 0 {
+		return nil, &RestError{Rest: rest, Err: refusal}
+	}
+	return nil, refusal
 }
 
 // maxErrorText bounds how much of an error body is kept, in bytes.
--- a/internal/target/httpservice.go
+++ b/internal/target/httpservice.go
@@ -6,8 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/retryafter"
 )
 
 // HTTPService speaks to one server of a plain service.
@@ -47,5 +50,15 @@
 		}
 		return ServiceResponse{}, errors.Wrap(err, "call service")
 	}
-	return ServiceResponse{Status: response.StatusCode, Header: response.Header, Body: response.Body}, nil
+	return ServiceResponse{Status: response.StatusCode, Header: response.Header, Body: response.Body, Rest: restIn(response)}, nil
+}
+
+// restIn is for how long a target wants nothing that has answered so. What is no time asks
+// for none: the caller gets the answer as it is, or its text is in the error.
+func restIn(response *http.Response) time.Duration {
+	if response.StatusCode != http.StatusServiceUnavailable {
+		return 0
+	}
+	rest, _ := retryafter.Of(response.Header, time.Now())
+	return rest
 }
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -17,6 +18,28 @@
 // ErrRefused says that the target took nothing of the request.
 var ErrRefused = errors.New("target refused the request")
 
+// RestError is a refusal of a target that wants nothing for a while.
+type RestError struct {
+	// Rest is for how long.
+	Rest time.Duration
+	Err  error
+}
+
+// Error gives the cause.
+func (e *RestError) Error() string { return e.Err.Error() }
+
+// Unwrap gives the cause.
+func (e *RestError) Unwrap() error { return e.Err }
+
+// RestOf is for how long the target wants nothing that failed with an error; zero is not said.
+func RestOf(err error) time.Duration {
+	var resting *RestError
+	if errors.As(err, &resting) {
+		return resting.Rest
+	}
+	return 0
+}
+
 // GenerateRequest asks an engine for one chat completion.
 type GenerateRequest struct {
 	RequestID string
@@ -113,6 +136,9 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// Rest is for how long the server wants nothing, if it has turned the call away; zero is
+	// not said.
+	Rest time.Duration
 }
 
 // Service is one server of a plain service.
