--- a/internal/balance/rest_test.go
+++ b/internal/balance/rest_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -312,3 +313,29 @@
 		})
 	}
 }
+
+// BenchmarkHeed is what an answer costs that says something, among many targets.
+func BenchmarkHeed(b *testing.B) {
+	now := time.Now()
+	made := New(DefaultOptions())
+	lives := make([]string, 1900)
+	for i := range lives {
+		target := Target{ID: fmt.Sprint("t-", i), Born: 1, Service: "s", Slots: 64}
+		lives[i] = target.Life()
+		made.Put(target, now)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		made.Heed(lives[i%len(lives)], restOf(time.Second), now)
+	}
+}
+
+// BenchmarkClosed is what the look right before a first byte costs.
+func BenchmarkClosed(b *testing.B) {
+	now := time.Now()
+	made := saying(now)
+	b.ReportAllocs()
+	for b.Loop() {
+		made.Closed("t@1000", now)
+	}
+}
