--- a/internal/rollout/orders_test.go
+++ b/internal/rollout/orders_test.go
@@ -334,30 +334,48 @@
 	})
 }
 
-// TestAGatewayThatBeginsWhileTheVersionIsCompleted finds targets of the version, or of the one
-// before, at every moment.
+// TestAGatewayThatLearnsLateOfACompletion finds targets of the version, or of the one before, at
+// every moment.
 //
-// Seen: a gateway refused requests for 30 to 90 ms, since the targets of the old version had
-// stopped and it took the roll-out to be running. How it came about: it had reported that it sends
-// everything to the version, and began anew a tenth of a second before the completion was
-// written by that report. Its new life had read the record as it was, held no grant of the move,
-// and learnt of the completion with the store's changes.
-func TestAGatewayThatBeginsWhileTheVersionIsCompleted(t *testing.T) {
-	const lasts = 6 * time.Second
-	w := newWorld(t, 2, forms["good"], 0)
-	w.rate = 158
-	kill := func(mends time.Duration) { w.after(mends, faults["half of them killed"](w, w.nodes[0])) }
-	w.order(newVersion, lasts)
-	w.run(300 * time.Millisecond)
-	kill(100 * time.Millisecond)
-	w.order(newVersion, lasts)
-	w.order(newVersion, lasts)
-	kill(100 * time.Millisecond)
-	w.run(91 * time.Millisecond)
-	kill(4801 * time.Millisecond)
-	w.run(8 * time.Second)
-	w.run(lasts + 4*time.Second)
-	w.end()
+// Seen: a gateway refused requests for 10 to 90 ms, since the targets of the old version had
+// stopped and it took the roll-out to be running. How it came about: it held no grant of the
+// move, and learnt of the completion with the store's changes, which take a tenth of a second.
+// Either it had reported that it sends everything to the version, and begun anew since, or it had
+// been cut off from everything when the completion was written, and was connected a moment later.
+func TestAGatewayThatLearnsLateOfACompletion(t *testing.T) {
+	cases := map[string]struct {
+		lasts time.Duration
+		rate  float64
+		play  func(w *world, strike func(fault string, mends time.Duration))
+	}{
+		"it begins anew": {6 * time.Second, 158, func(w *world, strike func(string, time.Duration)) {
+			strike("half of them killed", 100*time.Millisecond)
+			w.order(newVersion, 6*time.Second)
+			w.order(newVersion, 6*time.Second)
+			strike("half of them killed", 100*time.Millisecond)
+			w.run(91 * time.Millisecond)
+			strike("half of them killed", 4801*time.Millisecond)
+		}},
+		"it is connected again": {14 * time.Second, 20, func(w *world, strike func(string, time.Duration)) {
+			w.run(271 * time.Millisecond)
+			strike("answers lost, done", 100*time.Millisecond)
+			w.run(6 * time.Second)
+			strike("half of them killed", 101*time.Millisecond)
+			strike("cut off", 5611*time.Millisecond)
+		}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, forms["good"], 0)
+			w.rate = test.rate
+			w.order(newVersion, test.lasts)
+			w.run(300 * time.Millisecond)
+			test.play(w, func(fault string, mends time.Duration) { w.after(mends, faults[fault](w, w.nodes[0])) })
+			w.run(8 * time.Second)
+			w.run(test.lasts + 4*time.Second)
+			w.end()
+		})
+	}
 }
 
 // heldStore answers when the context ends.
