--- a/internal/admission/rest.go
+++ b/internal/admission/rest.go
@@ -8,8 +8,8 @@
 )
 
 // A target that turns a request away may ask for rest. Until its end the gate refuses what comes
-// and what waits: who would ask the target all the same is told when to come back. Then one
-// request tries, and others follow its answer.
+// and what waits, with the time that is left. Then one request tries, and others follow its
+// answer.
 
 // rest is what the target has asked for.
 type rest struct {
--- a/internal/process/notices_test.go
+++ b/internal/process/notices_test.go
@@ -110,20 +110,10 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	c := &steadyCallers{cancel: cancel}
 	paths := []string{"/chat/1", "/ask/1", "/chat/2", "/pay/1"}
-	c.wait.Go(func() {
-		ticker := time.NewTicker(sayingEvery)
-		defer ticker.Stop()
-		for number := 0; ; number++ {
-			select {
-			case <-ticker.C:
-			case <-ctx.Done():
-				return
-			}
-			path := paths[number%len(paths)]
-			// Another gateway for the same path in the next round.
-			gateway := (number + number/len(paths)) % len(f.gateways)
-			c.wait.Go(func() { c.ask(f, gateway, path, number) })
-		}
+	repeat(ctx, &c.wait, sayingEvery, func(number int) {
+		// Another gateway for the same path in the next round.
+		gateway := (number + number/len(paths)) % len(f.gateways)
+		c.ask(f, gateway, paths[number%len(paths)], number)
 	})
 	t.Cleanup(c.stop)
 	return c
--- a/internal/process/quarantine_test.go
+++ b/internal/process/quarantine_test.go
@@ -156,12 +156,12 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	c := &fatalCallers{cancel: cancel}
 	for fatal := range fatals {
-		c.repeat(ctx, every, func(number int) {
+		repeat(ctx, &c.wait, every, func(number int) {
 			got := f.callWithBody(number%len(f.gateways), path, fmt.Sprintf("fatal-%d-%d", fatal, number), fatalNumber(fatal))
 			c.last.Store(&got)
 		})
 	}
-	c.repeat(ctx, soundEvery, func(number int) {
+	repeat(ctx, &c.wait, soundEvery, func(number int) {
 		body := "alike"
 		if number%2 == 0 {
 			body = fmt.Sprintf("sound %d", number)
@@ -186,9 +186,10 @@
 	return fmt.Sprintf("%s, number %d", fatalBody, number)
 }
 
-// repeat does something at a steady pace, beside what has been begun before.
-func (c *fatalCallers) repeat(ctx context.Context, every time.Duration, do func(number int)) {
-	c.wait.Go(func() {
+// repeat does something at a steady pace, beside what has been begun before, until the context
+// ends.
+func repeat(ctx context.Context, wait *sync.WaitGroup, every time.Duration, do func(number int)) {
+	wait.Go(func() {
 		ticker := time.NewTicker(every)
 		defer ticker.Stop()
 		for number := 0; ; number++ {
@@ -197,7 +198,7 @@
 			case <-ctx.Done():
 				return
 			}
-			c.wait.Go(func() { do(number) })
+			wait.Go(func() { do(number) })
 		}
 	})
 }
