--- a/internal/balance/rest_test.go
+++ b/internal/balance/rest_test.go
@@ -271,3 +271,40 @@
 		})
 	})
 }
+
+// TestStandings: each reason for which a target gets nothing, in the order in which they hold.
+func TestStandings(t *testing.T) {
+	now := time.Now()
+	t1 := lifeOf(1000)
+	cases := map[string]struct {
+		happens func(b *Balancer)
+		want    Reason
+		left    time.Duration
+	}{
+		"nothing":                     {func(*Balancer) {}, ReasonNone, 0},
+		"its entry says that it ends": {func(b *Balancer) { b.Put(leaving(t1), now) }, ReasonEntry, 0},
+		"its answers say so": {func(b *Balancer) {
+			b.Heed(t1.Life(), restOf(time.Minute), now)
+			b.Heed(t1.Life(), Notice{Leaving: true}, now)
+		}, ReasonAnswer, 0},
+		"its entry is gone":           {func(b *Balancer) { b.Drop("t", now) }, ReasonUnlisted, 0},
+		"its data centre is emptied":  {func(b *Balancer) { b.SetEvacuated("", true, now) }, ReasonEvacuated, 0},
+		"it rests":                    {func(b *Balancer) { b.Heed(t1.Life(), restOf(time.Minute), now) }, ReasonRest, time.Minute},
+		"its rest is over":            {func(b *Balancer) { b.Heed(t1.Life(), restOf(time.Second), now.Add(-2*time.Second)) }, ReasonTried, 0},
+		"it has refused a connection": {func(b *Balancer) { b.NoteRefused(shortLife(t1), now) }, ReasonEjected, unreachableFor},
+		"others get no answer":        {func(b *Balancer) { suspectBoth(b, t1, now) }, ReasonDoubted, 0},
+		"it has just started":         {func(b *Balancer) { b.Put(coldFor(t1, time.Minute), now) }, ReasonCold, time.Minute},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := saying(now)
+			test.happens(b)
+			found := b.Standings(now)
+			is.Equal(len(found), 2)
+			is.Equal(found[1].Life, t1.Life())
+			is.Equal(found[1].Reason, test.want)
+			is.Equal(found[1].Left, test.left)
+		})
+	}
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -133,6 +133,9 @@
 	to      time.Time
 	// held is the request's print if it was held back.
 	held string
+	// closed is the service of which the process found no target open; empty if the request
+	// did not end so.
+	closed, process string
 }
 
 // holds says whether a line tells why the request was held back.
@@ -153,6 +156,9 @@
 		if line.Ending == string(fault.Quarantined) {
 			around.held = line.Print
 		}
+		if line.Ending == string(fault.NoTarget) {
+			around.closed, around.process = line.Service, line.Process
+		}
 		if end, err := time.Parse(time.RFC3339Nano, line.Time); err == nil {
 			around.from, around.to = end.Add(-before), end.Add(after)
 		}
@@ -160,9 +166,17 @@
 	return around
 }
 
+// closes says whether a line tells that a target of the request's service wanted nothing new.
+func (s *surroundings) closes(line Line) bool {
+	if s.closed == "" || line.Service != s.closed || line.Process != s.process {
+		return false
+	}
+	return line.Event == observe.EventLeaving || line.Event == observe.EventRests
+}
+
 // has says whether a line tells of one of the targets at the time.
 func (s *surroundings) has(line Line) bool {
-	if line.ID != "" || !s.targets[line.Target] {
+	if line.ID != "" || !s.targets[line.Target] && !s.closes(line) {
 		return false
 	}
 	at, err := time.Parse(time.RFC3339Nano, line.Time)
@@ -203,7 +217,7 @@
 	"not_ready":      "the process knew no configuration yet",
 	"unknown_route":  "no route of the configuration in force has this host and path",
 	"bad_api_key":    "the key is in no workspace of the configuration in force",
-	"no_target":      "no target of the service could be reached or was open; the request was not run",
+	"no_target":      "no target of the service could be reached or was open; the request was not run; capersaddle targets says why none is open",
 	"overloaded":     "the targets of the service were full, or every one that was asked turned the request away; it was not run",
 	"target_failed":  "the request was sent and its answer was lost or no answer; it may have run, and may not be repeated",
 	"deadline":       "the time ran out while a target was silent; it may have run",
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -22,6 +22,11 @@
 {"time":"2026-12-02T10:00:10Z","level":"warn","msg":"request_held_back","process":"gw-1","print":"00000000000000aa","ends":3}
 {"time":"2026-12-02T10:00:11Z","level":"info","msg":"request","process":"gw-1","id":"r4","ending":"quarantined","status":400,"print":"00000000000000aa"}
 {"time":"2026-12-02T10:00:12Z","level":"info","msg":"request","process":"gw-1","id":"r5","ending":"quarantined","status":400,"print":"00000000000000aa"}
+{"time":"2026-12-02T10:00:13Z","level":"info","msg":"target_rests","process":"gw-1","target":"i-5","service":"s","rest_ms":3000}
+{"time":"2026-12-02T10:00:13Z","level":"info","msg":"target_rests","process":"gw-2","target":"i-5","service":"s","rest_ms":3000}
+{"time":"2026-12-02T10:00:13Z","level":"info","msg":"target_leaves","process":"gw-1","target":"i-6","service":"other"}
+{"time":"2026-12-02T10:00:14Z","level":"info","msg":"target_leaves","process":"gw-1","target":"i-6","service":"s"}
+{"time":"2026-12-02T10:00:15Z","level":"info","msg":"request","process":"gw-1","id":"r6","service":"s","ending":"no_target","status":503}
 `
 
 func TestTell(t *testing.T) {
@@ -38,6 +43,8 @@
 		"another service": {"rollout:t", []string{"rollout_ordered"}, ""},
 		"held back":       {"r4", []string{"target_crashed", "request_held_back", "request"}, "sent to no other"},
 		"what came again": {"print:00000000000000aa", []string{"target_crashed", "request_held_back", "request", "request"}, ""},
+		"nobody was open": {"r6", []string{"target_rests", "target_leaves", "request"}, "says why none is open"},
+		"one that rests":  {"i-5", []string{"target_rests", "target_rests"}, ""},
 		"nothing":         {"r9", nil, ""},
 	}
 	lines, unread, err := explain.Read(strings.NewReader(logs))
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -172,6 +172,10 @@
 	Waiting func() float64
 	// Lag is how late this process's timers fire, in seconds.
 	Lag func() float64
+	// Resting counts the targets that want nothing from this gateway for a while, and
+	// Leaving those of which only their answers say that they leave.
+	Resting func() float64
+	Leaving func() float64
 	// Evacuated counts the data centres to which nothing is sent.
 	Evacuated func() float64
 	// HeldBack counts the requests that are sent to no target, since targets ended under
@@ -202,6 +206,14 @@
 			Namespace: namespace, Name: "in_flight",
 			Help: "This gateway's requests at targets.",
 		}, gauges.InFlight),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "resting_targets",
+			Help: "Targets that want nothing from this gateway for a while.",
+		}, gauges.Resting),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "leaving_targets",
+			Help: "Targets that have said in an answer that they leave, and whose entries don't.",
+		}, gauges.Leaving),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "waiting",
 			Help: "Requests that wait for room at their service.",
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -159,6 +159,8 @@
 		},
 		Lag:       func() float64 { return p.lag.Lag().Seconds() },
 		HeldBack:  func() float64 { return float64(len(p.crashes.Table.Cases(clock.Now()))) },
+		Resting:   func() float64 { return p.countReason(balance.ReasonRest) },
+		Leaving:   func() float64 { return p.countReason(balance.ReasonAnswer) },
 		Evacuated: func() float64 { return float64(len(p.gateway.Balancer.Evacuated())) },
 		InFlight: func() float64 {
 			total := 0
--- a/internal/process/gateway_http.go
+++ b/internal/process/gateway_http.go
@@ -72,7 +72,8 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-	mux.Handle(PathRollouts, rolloutsHandler(p.rollouts.Rollouts))
+	mux.Handle(PathRollouts, listHandler("rollouts", p.rollouts.Rollouts))
+	mux.Handle(PathTargets, listHandler("targets", p.targets))
 	mux.Handle(PathQuarantine, quarantineHandler(p.crashes))
 	address, err := p.serveHTTP("metrics", p.settings.Metrics, mux)
 	p.addresses.Operators = address
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -21,6 +21,7 @@
 	"github.com/capersaddle/capersaddle/pkg/cmd/router"
 	"github.com/capersaddle/capersaddle/pkg/cmd/slot"
 	"github.com/capersaddle/capersaddle/pkg/cmd/target"
+	"github.com/capersaddle/capersaddle/pkg/cmd/targets"
 	"github.com/capersaddle/capersaddle/pkg/cmdutil"
 )
 
@@ -55,6 +56,7 @@
 		exec.NewCmdExec(f, nil),
 		explain.NewCmdExplain(f, nil),
 		rollouts.NewCmdRollouts(f, nil),
+		targets.NewCmdTargets(f, nil),
 		quarantine.NewCmdQuarantine(f),
 		config.NewCmdConfig(f),
 		target.NewCmdTarget(f),
--- a/pkg/cmdutil/gateway.go
+++ b/pkg/cmdutil/gateway.go
@@ -29,6 +29,11 @@
 	return list[rollout.Status](ctx, c, process.PathRollouts, "roll-outs")
 }
 
+// Targets are all targets as the gateway sees them.
+func (c *GatewayClient) Targets(ctx context.Context) ([]process.TargetStanding, error) {
+	return list[process.TargetStanding](ctx, c, process.PathTargets, "targets")
+}
+
 // HeldBack are the requests that the gateway holds back.
 func (c *GatewayClient) HeldBack(ctx context.Context) ([]process.HeldBack, error) {
 	return list[process.HeldBack](ctx, c, process.PathQuarantine, "requests")
