Targets on shared hosts: their pace is read, reported and used

Cause: a load report of four figures was dropped whole, since three were wanted.

Change: each figure of a report stands for itself. A target's pace is kept with the time it was told and fades to the usual within seconds; the choice weighs expected work by it, reads short prompts elsewhere than on a host that is held up, and new ones too. Gateways report up to six paces in a beat that differ from what the others believe. A pace better than usual counts as usual, so that nobody rushes to the fastest.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -141,6 +141,9 @@
 	suspectedBy map[string][]uint32
 	// parted is what lives have said of which nothing else is known any more.
 	parted map[string]parted
+	// pacesHeard are the paces that targets told this process and that wait to be
+	// reported, by the target's short hash.
+	pacesHeard map[uint32]heardPace
 	// evacuated are the data centres whose targets get nothing.
 	evacuated map[string]bool
 	// manyPeers says that more than a few other gateways share the targets.
@@ -167,6 +170,7 @@
 		evacuated:   make(map[string]bool),
 		suspectedBy: make(map[string][]uint32),
 		parted:      make(map[string]parted),
+		pacesHeard:  make(map[uint32]heardPace),
 
 		tightness: 1,
 		totalLife: totalLife,
@@ -242,11 +246,11 @@
 }
 
 // Sample notes how long a target took to the head of its answer.
-func (b *Balancer) Sample(life string, took time.Duration) {
+func (b *Balancer) Sample(life string, took time.Duration, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if target, ok := b.targets[life]; ok {
-		target.sample(took)
+		target.sample(took, now)
 		b.serviceOf(target.Service).samples++
 	}
 }
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -333,7 +333,7 @@
 			for b.Loop() {
 				i++
 				pick, _ := balancer.Choose(queries[i%len(queries)], start)
-				balancer.Sample(pick.Target.ID, time.Millisecond)
+				balancer.Sample(pick.Target.ID, time.Millisecond, start)
 				balancer.Release(pick.Target.ID, balance.Good, start)
 			}
 		})
@@ -371,7 +371,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				pick, _ := balancer.Choose(query, start)
-				balancer.Sample(pick.Target.ID, time.Millisecond)
+				balancer.Sample(pick.Target.ID, time.Millisecond, start)
 				balancer.Release(pick.Target.ID, balance.Good, start)
 			}
 		})
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -30,9 +30,9 @@
 	pick := Pick{Mean: mean, Candidates: candidates}
 	var chosen *state
 	if len(query.Parts) == 0 {
-		chosen = b.lightest(open, known.typicalLatency())
+		chosen = b.lightest(open, known.speedsAt(now))
 	} else {
-		chosen = b.home(query, open, limit, known.typicalLatency())
+		chosen = b.home(query, open, limit, known.speedsAt(now))
 		pick.FetchFrom, pick.Source, pick.Unread = b.fetchFrom(query, known.targets, chosen, now)
 		pick.Fills = b.noteFills(query, chosen, now)
 		b.expect(query.Parts, chosen)
@@ -63,12 +63,12 @@
 
 // lightest is the target with the least expected wait: requests in flight,
 // weighed by how slowly it answers. Ties go to this data centre.
-func (b *Balancer) lightest(open []*state, typical float64) *state {
+func (b *Balancer) lightest(open []*state, typical speeds) *state {
 	best, bestCost := open[0], math.Inf(1)
 	start := rand.IntN(len(open))
 	for i := range open {
 		target := open[(start+i)%len(open)]
-		cost := (target.load() + 1) * slowness(target, typical)
+		cost := (target.load() + 1) * typical.slowness(target)
 		if target.DataCenter != b.options.DataCenter {
 			cost += farCost
 		}
@@ -79,46 +79,45 @@
 	return best
 }
 
-const (
-	// farCost breaks ties in favour of the near.
-	farCost = 0.05
-	// coldFactor is how much slower a target is taken to be from its start.
-	coldFactor = 1.6
-	// mostSlowness bounds the weight of one target's delay.
-	mostSlowness = 8
-)
-
-// slowness is how many times as long as typical a target takes, at least a
-// half.
-func slowness(target *state, typical float64) float64 {
-	factor := 1.0
-	if target.latency > 0 && typical > 0 {
-		factor = min(max(target.latency/typical, 0.5), mostSlowness)
-	}
-	if target.cold.yet {
-		factor *= coldFactor
-	}
-	return factor
-}
+// farCost breaks ties in favour of the near.
+const farCost = 0.05
 
 // home is where a request of a session goes: a target that holds the session's
 // prefix if one is below the bound, else the first target in the session's
 // rendezvous order that is, else the least loaded. Targets in a holder's data
 // centre come first in that order: to move a prefix between data centres costs
-// twice as much. b.mu is held.
-func (b *Balancer) home(query Query, open []*state, limit sessionLimit, typical float64) *state {
+// twice as much. A target on a host that is held up gets no prompt that it doesn't hold,
+// and no short one at all while another has room: that is read elsewhere in less time than
+// the first event takes there. b.mu is held.
+func (b *Balancer) home(query Query, open []*state, limit sessionLimit, typical speeds) *state {
 	session, bound := query.Parts[len(query.Parts)-1], limit.most
 	b.mark(open)
 	if limit.tight && len(b.holders.of(shortOf(session))) > 0 {
 		return b.lighter(session, open, bound, typical)
 	}
-	if holder := b.holderFor(shortOf(session), bound, typical); holder != nil {
+	holder := b.holderFor(shortOf(session), bound, typical)
+	if holder != nil && (query.long() || !typical.heldUp(holder)) {
+		return holder
+	}
+	if quick := b.firstOf(session, open, func(target *state) bool { return fits(target, bound, typical) && !typical.heldUp(target) }); quick != nil {
+		return quick
+	}
+	if holder != nil {
 		return holder
 	}
+	if first := b.firstOf(session, open, func(target *state) bool { return fits(target, bound, typical) }); first != nil {
+		return first
+	}
+	return b.lightest(open, typical)
+}
+
+// firstOf is the first of the targets in a session's order that may be taken; nil if none
+// may. b.mu is held.
+func (b *Balancer) firstOf(session uint64, open []*state, may func(target *state) bool) *state {
 	near := b.nearHolders(shortOf(session))
 	var best preference
 	for _, target := range open {
-		if !fits(target, bound, typical) {
+		if !may(target) {
 			continue
 		}
 		next := preference{target: target, near: slices.Contains(near, target.DataCenter), score: policy.Score(session, target.hash)}
@@ -126,9 +125,6 @@
 			best = next
 		}
 	}
-	if best.target == nil {
-		return b.lightest(open, typical)
-	}
 	return best.target
 }
 
@@ -146,7 +142,7 @@
 // way. Among many, all would go to the same one until reports show that it is
 // full: there the least loaded one gets the request, one that surely holds the
 // part before all others. b.mu is held.
-func (b *Balancer) holderFor(part uint32, bound, typical float64) *state {
+func (b *Balancer) holderFor(part uint32, bound float64, typical speeds) *state {
 	var best *state
 	bestSure := false
 	for _, known := range b.holders.of(part) {
@@ -169,7 +165,7 @@
 // learns late of what the others send, all of them would go to the least loaded one at
 // once; of two that each draws anew it is another one each time (Mitzenmacher, 2001).
 // b.mu is held.
-func (b *Balancer) lighter(part uint64, open []*state, bound, typical float64) *state {
+func (b *Balancer) lighter(part uint64, open []*state, bound float64, typical speeds) *state {
 	from := b.scratch.drawn[:0]
 	for _, known := range b.holders.of(shortOf(part)) {
 		target := b.byShort[known.target]
@@ -183,7 +179,7 @@
 	}
 	draw, count := policy.Score(part, b.choices), uint64(len(from))
 	one, other := from[(draw>>32)%count], from[uint64(uint32(draw))%count]
-	if other.load()*slowness(other, typical) < one.load()*slowness(one, typical) {
+	if other.load()*typical.slowness(other) < one.load()*typical.slowness(one) {
 		return other
 	}
 	return one
@@ -221,7 +217,7 @@
 }
 
 // fits says whether a target's load is below a bound, less for a slow target.
-func fits(target *state, bound, typical float64) bool {
+func fits(target *state, bound float64, typical speeds) bool {
 	return target.load() <= lessForSlow(bound, target, typical)
 }
 
@@ -240,8 +236,8 @@
 
 // lessForSlow lowers the bound for a target that answers much more slowly than
 // the others.
-func lessForSlow(bound float64, target *state, typical float64) float64 {
-	if slow := slowness(target, typical); slow > slowFactor {
+func lessForSlow(bound float64, target *state, typical speeds) float64 {
+	if slow := typical.slowness(target); slow > slowFactor {
 		return bound * slowFactor / slow
 	}
 	return bound
--- a/internal/balance/directory.go
+++ b/internal/balance/directory.go
@@ -51,11 +51,11 @@
 	if len(open) == 0 {
 		return true
 	}
-	bound := b.limitOf(query, meanLoad(open)).most
+	bound, typical := b.limitOf(query, meanLoad(open)).most, known.speedsAt(now)
 	b.mark(open)
 	for _, holder := range b.holders.of(shortOf(query.Parts[len(query.Parts)-1])) {
 		target := b.byShort[holder.target]
-		if holder.sure && target != nil && target.choice == b.choices && fits(target, bound, known.typicalLatency()) {
+		if holder.sure && target != nil && target.choice == b.choices && fits(target, bound, typical) {
 			return true
 		}
 	}
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -53,13 +53,20 @@
 	known.pacing.wanted += holdWeight * (wanted.Seconds() - known.pacing.wanted)
 }
 
-// NoteSlots records how many requests a target reports to work on at once, for
-// targets whose entry does not state it.
-func (b *Balancer) NoteSlots(life string, slots int) {
+// NoteLoad records what a target said of itself in an answer, in flight or done: how many
+// requests it works on at once, for targets whose entry does not state it, and its pace.
+func (b *Balancer) NoteLoad(life string, load Load, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if target, ok := b.targets[life]; ok && target.Slots == 0 {
-		target.reportedSlots = slots
+	target, ok := b.targets[life]
+	if !ok {
+		return
+	}
+	if target.Slots == 0 && load.Slots > 0 {
+		target.reportedSlots = load.Slots
+	}
+	if load.Pace > 0 {
+		b.notePace(target, load.Pace, now)
 	}
 }
 
--- a/internal/balance/room_test.go
+++ b/internal/balance/room_test.go
@@ -59,9 +59,9 @@
 func TestSlotsThatTargetsTell(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer(1)
-	b.NoteSlots("t0", 4)
+	b.NoteLoad("t0", balance.Load{Slots: 4}, start)
 	is.Equal(b.Room("s", balance.Versions{}, 100, start), 5)
-	b.NoteSlots("unknown", 4)
+	b.NoteLoad("unknown", balance.Load{Slots: 4}, start)
 }
 
 // TestAFullTargetIsPassedOver: a session's holder that is full gets no more
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -42,11 +42,13 @@
 	return t.ID + "@" + strconv.FormatInt(t.Born, base)
 }
 
-// Load is what a target said of itself in an answer.
+// Load is what a target said of itself in an answer; what it did not say is zero.
 type Load struct {
-	Running int
-	Waiting int
-	Slots   int
+	// Slots is how many requests it works on at once.
+	Slots int
+	// Pace is how many times as long as usual work takes there now, since its host is
+	// shared with others.
+	Pace float64
 }
 
 // state is what the balancer knows of one target.
@@ -77,7 +79,9 @@
 	life string
 	// latency is the moving mean of the time to an answer's head, in seconds;
 	// zero before the first.
+	// It is that at the usual pace.
 	latency float64
+	pace    pace
 	health  health
 	cold    coldness
 	// suspicions are other gateways'.
@@ -119,10 +123,13 @@
 // latencyWeight is the share of a new sample in the moving mean.
 const latencyWeight = 0.15
 
-func (s *state) sample(took time.Duration) {
+// sample takes one more time to the head of an answer. What the host's other work has
+// added to it is left out: the pace says that, and changes sooner than the mean.
+func (s *state) sample(took time.Duration, now time.Time) {
+	usual := took.Seconds() / s.pace.at(now)
 	if s.latency == 0 {
-		s.latency = took.Seconds()
+		s.latency = usual
 		return
 	}
-	s.latency += latencyWeight * (took.Seconds() - s.latency)
+	s.latency += latencyWeight * (usual - s.latency)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -114,10 +114,11 @@
 	if a.dark.contact != nil {
 		a.noteContact(clock.Now())
 	}
-	a.call.gateway.Balancer.Sample(a.life, a.head)
+	now := clock.Now()
 	if answer.Load != nil {
-		a.call.gateway.Balancer.NoteSlots(a.life, answer.Load.Slots)
+		a.call.gateway.Balancer.NoteLoad(a.life, *answer.Load, now)
 	}
+	a.call.gateway.Balancer.Sample(a.life, a.head, now)
 	if answer.Status < http.StatusBadRequest && len(a.call.parts) > 0 {
 		a.confirmed = true
 		placed := a.call.gateway.Balancer.Confirm(a.life, a.call.prompt())
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -68,6 +69,7 @@
 	beat.Echo = to.sequence
 	s.addLoads(beat, now)
 	s.addSuspects(beat, now)
+	s.addPaces(beat, now)
 	beat.QuarantineDigest = s.crashes.table.Digest()
 	s.addPlacements(beat, to, now)
 	if to.beats < introduceFirst || to.beats%introduceEvery == 0 {
@@ -111,6 +113,36 @@
 	return max(int(bytes/countSize), fewCounts)
 }
 
+// mostPaces bounds the paces of targets in a beat: with all of them it is half as long
+// again. One that does not fit is as good as old by the next beat.
+const mostPaces = 6
+
+// paceUnit is how a beat counts paces: in hundredths of the usual one.
+const paceUnit = 0.01
+
+// addPaces adds the paces that targets told this process a moment ago.
+func (s *Service) addPaces(beat *wire.GatewayBeat, now time.Time) {
+	for _, told := range s.options.Balancer.PaceNews(mostPaces, now) {
+		beat.Paced = append(beat.Paced, told.Target)
+		beat.Paces = append(beat.Paces, uint32(math.Round(told.Factor/paceUnit)))
+		beat.PaceAgesMs = append(beat.PaceAgesMs, uint32(told.Age.Milliseconds()))
+	}
+}
+
+// pacesOf reads the paces of targets; lists that are longer than the shortest end with it.
+func pacesOf(beat *wire.GatewayBeat) []balance.Pace {
+	targets, factors, ages := beat.GetPaced(), beat.GetPaces(), beat.GetPaceAgesMs()
+	paces := make([]balance.Pace, 0, len(targets))
+	for i := range min(len(targets), len(factors), len(ages)) {
+		paces = append(paces, balance.Pace{
+			Target: targets[i],
+			Factor: paceUnit * float64(factors[i]),
+			Age:    time.Duration(ages[i]) * time.Millisecond,
+		})
+	}
+	return paces
+}
+
 // largest are the largest counts, at most so many.
 func largest(counts []balance.Count, most int) []balance.Count {
 	ordered := slices.Clone(counts)
@@ -222,6 +254,7 @@
 	if !beat.GetBrief() {
 		s.options.Balancer.Observe(from.id, countsOf(beat), now)
 		s.options.Balancer.ObserveTotals(from.id, totalsOf(beat), now)
+		s.options.Balancer.ObservePaces(pacesOf(beat), now)
 		for _, target := range s.options.Balancer.ObserveSuspects(from.id, beat.GetSuspects(), now) {
 			s.options.Watcher.TargetDoubted(target, from.id)
 		}
