What callers have not read is held, bounded, and read on; a body is held as it arrives

Cause: a gateway wrote each part of an answer to its caller before it read the next from the target. A caller that stopped to read had its target's answer left unread, which targets cut off after some seconds, and a request's body took its announced length of memory at once, for as long as its caller pleased. A caller that could not be written to was booked as a failure of the target when the answer was large.

Change: internal/spool holds what a caller has not read: 256 KiB for one, an eighth of the host's memory for all with bodies; the one that has read nothing for longest is ended first (caller_slow, caller_ended, held_bytes). Bodies grow as they arrive and are read until their caller has stopped to wait. Where streams show lost packets, events that come within 0.4 of the time that callers allow go in one write; else each goes at once.

Ruled out: one deadline for each write to a caller: a caller that reads a byte a second is no fault.

TestABodyThatComesTooLate found on its way that the bound must stay after a failure: the library reads on for a while before it closes.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -212,6 +212,7 @@
 	"answered":       "the caller has the target's whole answer",
 	"relayed":        "the target itself answered with a failure, and no other attempt was allowed or did better; look at the target's own logs",
 	"cut":            "the target's answer broke off after a part of it was passed on, and the stream can't be resumed, or no target, time or retry budget was left",
+	"caller_slow":    "the caller read its answer too slowly, and it was broken off",
 	"caller_left":    "the caller closed its connection before the end",
 	"store_away":     "the process was cut off from the configuration, by itself and through its peers, for longer than a key may be vouched for",
 	"not_ready":      "the process knew no configuration yet",
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -255,7 +255,7 @@
 	}
 	a.result = balance.Good
 	a.answered(answer)
-	if err := whole.send(a.call.responder); err != nil {
+	if err := whole.send(a.call); err != nil {
 		a.err = err
 	}
 	return true
@@ -269,7 +269,12 @@
 		a.callerGone(err)
 		return false
 	}
-	_, err := io.Copy(writerFunc(a.call.responder.Write), answer.Body)
+	to := &outputWriter{call: a.call}
+	_, err := io.Copy(to, answer.Body)
+	if to.err != nil {
+		a.callerGone(to.err)
+		return false
+	}
 	if err != nil {
 		a.outcome, a.result, a.loss, a.err = delivery.Cut, balance.Lost, brokeOff, err
 		return false
@@ -361,14 +366,3 @@
 	}
 	return a.err.Error()
 }
-
-// writerFunc makes a function an io.Writer.
-type writerFunc func(data []byte) error
-
-// Write passes all of data on.
-func (f writerFunc) Write(data []byte) (int, error) {
-	if err := f(data); err != nil {
-		return 0, err
-	}
-	return len(data), nil
-}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -15,6 +15,7 @@
 	"github.com/capersaddle/capersaddle/internal/quarantine"
 	"github.com/capersaddle/capersaddle/internal/rollout"
 	"github.com/capersaddle/capersaddle/internal/routing"
+	"github.com/capersaddle/capersaddle/internal/spool"
 )
 
 // call is one request while it is served. One goroutine works on it.
@@ -62,6 +63,8 @@
 	// was asked. asked is how long that took.
 	found balance.Finding
 	asked time.Duration
+	// output holds what the caller has not read yet; nil before any is passed on as it comes.
+	output *spool.Spool
 	// gone says that the caller could not be written to any more.
 	gone bool
 	// firstAfter is the time to the answer's head; zero if there was none.
@@ -149,6 +152,7 @@
 		return
 	}
 	c.tryTargets(ctx)
+	c.endOutput(ctx)
 }
 
 // tryTargets makes attempts until the delivery says how the request ends.
@@ -325,7 +329,7 @@
 	}
 	c.ending = EndingRelayed
 	c.status = c.failure.status
-	if err := c.failure.send(c.responder); err != nil {
+	if err := c.failure.send(c); err != nil {
 		c.ending = EndingCallerLeft
 	}
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -52,6 +52,16 @@
 	}
 }
 
+// ready is how many whole events can be read without waiting, as far as they have been
+// received together.
+func (e *events) ready() int {
+	held, err := e.reader.Peek(e.reader.Buffered())
+	if err != nil {
+		return 0
+	}
+	return bytes.Count(held, []byte("\n\n")) + bytes.Count(held, []byte("\n\r\n"))
+}
+
 // endsEvent says whether the last line is empty.
 func endsEvent(event []byte) bool {
 	return bytes.HasSuffix(event, []byte("\n\n")) ||
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/capersaddle/capersaddle/internal/retrybudget"
 	"github.com/capersaddle/capersaddle/internal/rollout"
 	"github.com/capersaddle/capersaddle/internal/routing"
+	"github.com/capersaddle/capersaddle/internal/spool"
 )
 
 // Options bound what the gateway does by itself.
@@ -28,6 +29,9 @@
 	// Late says whether this process lacks processor time now, so that its own
 	// time limits pass before it has read what a target sent; nil is never.
 	Late func() bool
+	// Pass is within which time of its making callers want each event of a stream; zero
+	// passes on each at once.
+	Pass time.Duration
 	// OthersKnow says whether another live gateway has a configuration; nil is
 	// always.
 	OthersKnow func() bool
@@ -63,7 +67,12 @@
 	Proof    *freshness.Proof
 	Events   Recorder
 	Options  Options
+	// Spools hold what callers have not read yet; nil has each of them keep its target
+	// waiting.
+	Spools   *spool.Spools
 	underWay underWay
+	// stalls are losses of packets that streams have shown.
+	stalls stalls
 	// contacts and firstEventTimes are for streams whose target may be dark.
 	contacts        contacts
 	firstEventTimes firstEventTimes
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -138,6 +138,8 @@
 
 func (r *recorder) Abort() { r.aborted = true }
 
+func (r *recorder) Interrupt() {}
+
 func (r *recorder) Request(record *gateway.RequestRecord) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/internal/gateway/output.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/clock"
+	"github.com/capersaddle/capersaddle/internal/spool"
+)
+
+// spooledFrom is the size from which a whole answer is handed to the caller's spool, in bytes:
+// a smaller one fits into the buffers of a connection, however slowly its caller reads.
+const spooledFrom = 16 << 10
+
+// write passes a part of an answer on. It doesn't wait for the caller to read, unless much is
+// held for it already.
+func (c *call) write(data []byte) error {
+	if c.gateway.Spools == nil {
+		return c.responder.Write(data)
+	}
+	if c.output == nil {
+		c.output = c.gateway.Spools.Open(c.responder, c.gateway.window(clock.Now()))
+	}
+	return c.output.Write(data)
+}
+
+// writeWhole passes the body of a whole answer on.
+func (c *call) writeWhole(body []byte) error {
+	if len(body) < spooledFrom {
+		return c.responder.Write(body)
+	}
+	return c.write(body)
+}
+
+// endOutput waits until the caller has been sent what it is to get. If that fails, the answer
+// must not look complete.
+func (c *call) endOutput(ctx context.Context) {
+	if c.output == nil {
+		return
+	}
+	if c.gone || c.callerLeft(ctx) {
+		c.output.Drop()
+	}
+	err := c.output.Close()
+	if err == nil {
+		return
+	}
+	c.responder.Abort()
+	if reason := endingOf(err); reason != "" {
+		c.ending = reason
+	} else if c.ending == EndingAnswered {
+		c.ending = EndingCallerLeft
+	}
+}
+
+// endingOf is the ending of a request whose caller's spool was ended; empty if the caller
+// ended it.
+func endingOf(err error) string {
+	if errors.Is(err, spool.ErrSlowest) || errors.Is(err, spool.ErrStuck) {
+		return EndingCallerSlow
+	}
+	return ""
+}
+
+// outputWriter makes a call's output an io.Writer, and keeps what went wrong with it: a
+// caller that can't be written to is no fault of the target.
+type outputWriter struct {
+	call *call
+	err  error
+}
+
+// Write passes all of data on.
+func (w *outputWriter) Write(data []byte) (int, error) {
+	if w.err = w.call.write(data); w.err != nil {
+		return 0, w.err
+	}
+	return len(data), nil
+}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -27,6 +27,8 @@
 	EndingCut = "cut"
 	// EndingCallerLeft: the caller left before the end.
 	EndingCallerLeft = "caller_left"
+	// EndingCallerSlow: the answer was broken off since the caller read it too slowly.
+	EndingCallerSlow = "caller_slow"
 )
 
 // RequestRecord tells how a request was served and what decided it.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -138,6 +138,9 @@
 	Write(data []byte) error
 	// Refuse sends a whole answer of the router's own.
 	Refuse(refusal *fault.Error) error
+	// Interrupt makes a Write that is under way, and all later ones, fail. It may be called
+	// at any time until the request has been served.
+	Interrupt()
 	// Abort ends a begun answer so that it can't look complete.
 	Abort()
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -31,6 +31,7 @@
 			return false
 		}
 		a.noteEvent(asked)
+		a.noteStall(clock.Since(asked), source)
 		// A pause before the end of a stream that broke off is its target's.
 		halted = halted || a.events > 0 && a.isHalt(clock.Since(asked))
 		if err := a.passListening(answer, event); err != nil {
@@ -57,6 +58,15 @@
 	a.span += clock.Since(asked)
 }
 
+// noteStall notes whether an event came late together with others. A delay of this process
+// itself looks alike, and is none.
+func (a *attempt) noteStall(waited time.Duration, source *events) {
+	if a.events == 0 || a.isLate() {
+		return
+	}
+	a.call.gateway.stalls.note(waited, source.ready(), clock.Now())
+}
+
 // haltShare of the longest pause that callers want is how long a pause counts
 // as a halt.
 const haltShare = 0.5
@@ -82,7 +92,7 @@
 	if err := a.beginStream(answer); err != nil {
 		return err
 	}
-	return a.call.responder.Write(event)
+	return a.call.write(event)
 }
 
 func (a *attempt) beginStream(answer *Answer) error {
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -29,12 +29,12 @@
 }
 
 // send passes the answer on.
-func (w *wholeAnswer) send(responder Responder) error {
-	if err := responder.Begin(w.status, w.header, int64(len(w.body))); err != nil {
+func (w *wholeAnswer) send(c *call) error {
+	if err := c.responder.Begin(w.status, w.header, int64(len(w.body))); err != nil {
 		return err
 	}
 	if len(w.body) == 0 {
 		return nil
 	}
-	return responder.Write(w.body)
+	return c.writeWhole(w.body)
 }
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -181,6 +181,8 @@
 	// HeldBack counts the requests that are sent to no target, since targets ended under
 	// them.
 	HeldBack func() float64
+	// Held is how many bytes are held for callers.
+	Held func() float64
 }
 
 // RegisterGauges adds what a gateway tells of its state.
@@ -230,5 +232,9 @@
 			Namespace: namespace, Name: "held_back_requests",
 			Help: "Requests that are sent to no target, since targets ended under them.",
 		}, gauges.HeldBack),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "held_bytes",
+			Help: "Bytes held for callers, of answers that they have not read and of their requests.",
+		}, gauges.Held),
 	)
 }
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -24,6 +24,7 @@
 	EventUnusable   = "target_unusable"
 	EventLeaving    = "target_leaves"
 	EventRests      = "target_rests"
+	EventSlow       = "caller_ended"
 	EventUnreadable = "target_notice_unreadable"
 	EventEjected    = "target_ejected"
 	EventEvacuated  = "data_center_evacuated"
@@ -61,7 +62,7 @@
 	return []string{
 		EventRequest, EventConfig, EventTarget, EventTargets, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
 		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventDoubted, EventStart, EventDrain, EventStop, EventReload, EventLate, EventInTime, EventSampled,
-		EventUnusable, EventLeaving, EventRests, EventUnreadable, EventCrash, EventHeldBack, EventCleared,
+		EventUnusable, EventLeaving, EventRests, EventSlow, EventUnreadable, EventCrash, EventHeldBack, EventCleared,
 		EventRolloutOrdered, EventRolloutStage, EventRolloutHalted, EventRolloutRecorded, EventRolloutCommitFailed,
 	}
 }
--- a/internal/observe/state.go
+++ b/internal/observe/state.go
@@ -65,6 +65,11 @@
 	o.log.Warn(event, "lag_ms", wholeMillis(lag), "others_in_time", othersInTime)
 }
 
+// CallerEnded logs that an answer was broken off since its caller read too slowly.
+func (o *Observer) CallerEnded(unread int, reason error) {
+	o.log.Warn(EventSlow, "unread", unread, "reason", reason.Error())
+}
+
 // BadValue logs a value of the store that could not be read; what was known
 // before stays in force.
 func (o *Observer) BadValue(what string, err error) {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/capersaddle/capersaddle/internal/retrybudget"
 	"github.com/capersaddle/capersaddle/internal/rollout"
 	"github.com/capersaddle/capersaddle/internal/settings"
+	"github.com/capersaddle/capersaddle/internal/spool"
 	"github.com/capersaddle/capersaddle/platform"
 )
 
@@ -64,6 +65,8 @@
 	store    *observe.Dependency
 	peers    *peer.Service
 	crashes  *gateway.Crashes
+	// held is what is held for callers.
+	held     *spool.Budget
 	rollouts *rollout.Controller
 	lag      *lag.Monitor
 	// late is what the log last said of the lag.
@@ -99,13 +102,15 @@
 		Limiters: admission.NewLimiters(admission.DefaultLimiterOptions()),
 		Proof:    new(freshness.Proof),
 		Events:   p.observer,
-		Options:  gateway.Options{KeyFreshness: keyFreshness(s), DenyFreshness: denyFreshness, Accompanied: p.accompanied, OthersKnow: p.othersKnow, Late: p.lag.Late},
+		Options:  gateway.Options{KeyFreshness: keyFreshness(s), DenyFreshness: denyFreshness, Accompanied: p.accompanied, OthersKnow: p.othersKnow, Late: p.lag.Late, Pass: time.Duration(s.Pass)},
 	}
+	p.held = spool.NewBudget(heldBytes(s))
+	p.gateway.Spools = spool.New(spool.Options{Each: spool.DefaultEach, Stuck: spool.DefaultStuck, Ended: p.observer.CallerEnded}, p.held)
 	p.crashes = gateway.NewCrashes(quarantine.New(), p.gateway.Balancer, sender, p.observer)
 	p.gateway.Crashes = p.crashes
 	p.store = p.observer.NewStoreDependency()
 	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, urge: p.urge}, p.storeRole, p.yields)
-	p.front = &platform.Front{Gateway: p.gateway}
+	p.front = &platform.Front{Gateway: p.gateway, Held: p.held}
 	observe.RegisterGauges(registry, p.gauges())
 	steps := []func() error{
 		func() error { return p.kernel.Register("lag", p.lag) },
@@ -158,6 +163,7 @@
 			return float64(total)
 		},
 		Lag:       func() float64 { return p.lag.Lag().Seconds() },
+		Held:      func() float64 { return float64(p.held.Held()) },
 		HeldBack:  func() float64 { return float64(len(p.crashes.Table.Cases(clock.Now()))) },
 		Resting:   func() float64 { return p.countReason(balance.ReasonRest) },
 		Leaving:   func() float64 { return p.countReason(balance.ReasonAnswer) },
@@ -242,6 +248,13 @@
 	return options
 }
 
+// heldBytes is how many bytes are held for callers at most: the rest of the memory is for
+// the process itself, twice over for the collector.
+func heldBytes(s *settings.Gateway) int64 {
+	const share = 1.0 / 8
+	return int64(share * s.Host.MemoryMB * (1 << 20))
+}
+
 func retryOptions(s *settings.Gateway) retrybudget.Options {
 	return retrybudget.Options{
 		Ratio:  retryShare * s.Retry.Ratio,
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -39,6 +39,9 @@
 	// Evacuate is how long after the operators have asked for it the targets of a
 	// data centre may still get requests.
 	Evacuate Duration `json:"evacuate,omitempty"`
+	// Pass is within which time of its making callers want each event of a stream; zero is
+	// at once.
+	Pass Duration `json:"pass,omitempty"`
 	// Host is what the process's host has.
 	Host Host `json:"host"`
 	// Grace is the time between SIGTERM and the end.
@@ -71,6 +74,8 @@
 	Cores float64 `json:"cores,omitempty"`
 	// LinkMbps is what the host's link carries, in Mbit/s.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
+	// MemoryMB is the memory that the process may use, in MB.
+	MemoryMB float64 `json:"memory_mb,omitempty"`
 }
 
 // LoadBound bounds the load of one target.
@@ -106,6 +111,7 @@
 	defaultEvacuate     = 5 * time.Second
 	defaultGrace        = 8 * time.Second
 	defaultHostCores    = 1
+	defaultMemoryMB     = 128
 	defaultLoadMultiple = 2
 	defaultLoadExtra    = 3
 	defaultColdMultiple = 1
@@ -173,6 +179,7 @@
 	s.Evacuate = Duration(orTime(s.Evacuate, defaultEvacuate))
 	s.Grace = Duration(orTime(s.Grace, defaultGrace))
 	s.Host.Cores = or(s.Host.Cores, defaultHostCores)
+	s.Host.MemoryMB = or(s.Host.MemoryMB, defaultMemoryMB)
 	s.Load.Multiple = or(s.Load.Multiple, defaultLoadMultiple)
 	s.Load.Extra = or(s.Load.Extra, defaultLoadExtra)
 	s.Cold.Multiple = or(s.Cold.Multiple, defaultColdMultiple)
@@ -200,8 +207,8 @@
 		c.address("seeds", seed)
 	}
 	c.address("store", s.Store)
-	if s.Host.Share < 0 || s.Host.Cores < 0 || s.Host.LinkMbps < 0 {
-		c.say("host", "", "found a negative share, cores or link_mbps; want 0 or more")
+	if s.Host.Share < 0 || s.Host.Cores < 0 || s.Host.LinkMbps < 0 || s.Host.MemoryMB < 0 {
+		c.say("host", "", "found a negative share, cores, link_mbps or memory_mb; want 0 or more")
 	}
 	if s.Load.Multiple != 0 && s.Load.Multiple < 1 {
 		c.say("load.multiple", "", "found %v; want 1 or more", s.Load.Multiple)
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -34,6 +34,8 @@
 		"an unknown field": {[2]string{`"id"`, `"idd": 1, "id"`}, `unknown field "idd"`},
 		"a bad time":       {[2]string{`"id"`, `"grace": 8, "id"`}, "a time with its unit"},
 		"a bad link":       {[2]string{`"id"`, `"host": {"link_mbps": -1}, "id"`}, "want 0 or more"},
+		"a bad memory":     {[2]string{`"id"`, `"host": {"memory_mb": -1}, "id"`}, "want 0 or more"},
+		"a bad pass":       {[2]string{`"id"`, `"pass": "-1ms", "id"`}, "a time that is not negative"},
 		"a bad multiple":   {[2]string{`"id"`, `"load": {"multiple": 0.5}, "id"`}, "want 1 or more"},
 		"a negative share": {[2]string{`"id"`, `"rollout": {"share": -0.1}, "id"`}, `g.json:3: field "rollout.share": found -0.1; want a share above 0, and 1 at most`},
 		"a share over 1":   {[2]string{`"id"`, `"rollout": {"share": 10}, "id"`}, "want a share above 0, and 1 at most"},
@@ -99,7 +101,7 @@
 		"bounds.retry_budget_ratio": "0.1", "bounds.retry_slack": "54", "bounds.retry_window_s": "12",
 		"bounds.evacuation_ms": "4500", "bounds.cold_overage": "1.5", "bounds.cold_slack": "5",
 		"bounds.exposure_share": "0.05", "bounds.exposure_slack": "50", "bounds.rollback_ms": "4000",
-		"limits.cpu_share": "0.144", "limits.cores": "1.5", "limits.link_mbps": "10.0",
+		"limits.cpu_share": "0.144", "limits.cores": "1.5", "limits.link_mbps": "10.0", "limits.memory_mb": "184", "bounds.pass_ms": "200",
 	}
 	text, err := os.ReadFile("../../deploy/gateway.json")
 	is.New(t).NoErr(err)
@@ -109,8 +111,9 @@
 	}{
 		"all": {bounds, settings.Gateway{
 			Revocation: settings.Duration(6 * time.Second), Grace: settings.Duration(9 * time.Second),
+			Pass:  settings.Duration(200 * time.Millisecond),
 			Apply: settings.Duration(3 * time.Second), Leave: settings.Duration(1500 * time.Millisecond), Evacuate: settings.Duration(4500 * time.Millisecond),
-			Host:    settings.Host{Share: 0.144, Cores: 1.5, LinkMbps: 10},
+			Host:    settings.Host{Share: 0.144, Cores: 1.5, LinkMbps: 10, MemoryMB: 184},
 			Load:    settings.LoadBound{Multiple: 1.5, Extra: 3},
 			Cold:    settings.ColdBound{Multiple: 1.5, Extra: 5},
 			Retry:   settings.RetryBudget{Ratio: 0.1, Slack: 54, Window: settings.Duration(12 * time.Second)},
@@ -118,7 +121,7 @@
 		}},
 		"a share only": {map[string]string{"bounds.exposure_share": "0.2"}, settings.Gateway{
 			Grace: settings.Duration(8 * time.Second), Apply: settings.Duration(2 * time.Second), Leave: settings.Duration(2 * time.Second), Evacuate: settings.Duration(5 * time.Second),
-			Host:    settings.Host{Cores: 1},
+			Host:    settings.Host{Cores: 1, MemoryMB: 128},
 			Load:    settings.LoadBound{Multiple: 2, Extra: 3},
 			Cold:    settings.ColdBound{Multiple: 1},
 			Retry:   settings.RetryBudget{Ratio: 0.2, Window: settings.Duration(10 * time.Second)},
@@ -126,7 +129,7 @@
 		}},
 		"none": {nil, settings.Gateway{
 			Grace: settings.Duration(8 * time.Second), Apply: settings.Duration(2 * time.Second), Leave: settings.Duration(2 * time.Second), Evacuate: settings.Duration(5 * time.Second),
-			Host:    settings.Host{Cores: 1},
+			Host:    settings.Host{Cores: 1, MemoryMB: 128},
 			Load:    settings.LoadBound{Multiple: 2, Extra: 3},
 			Cold:    settings.ColdBound{Multiple: 1},
 			Retry:   settings.RetryBudget{Ratio: 0.2, Window: settings.Duration(10 * time.Second)},
@@ -143,6 +146,7 @@
 			is.Equal(problems, nil)
 			is.Equal(read.Revocation, tc.want.Revocation)
 			is.Equal(read.Grace, tc.want.Grace)
+			is.Equal(read.Pass, tc.want.Pass)
 			is.Equal(read.Apply, tc.want.Apply)
 			is.Equal(read.Leave, tc.want.Leave)
 			is.Equal(read.Evacuate, tc.want.Evacuate)
--- /dev/null
+++ b/internal/spool/budget.go
@@ -0,0 +1,33 @@
+package spool
+
+import "sync/atomic"
+
+// Budget is how many bytes a process holds for its callers. It is safe for concurrent use.
+type Budget struct {
+	most int64
+	held atomic.Int64
+}
+
+// NewBudget returns a budget of so many bytes.
+func NewBudget(most int64) *Budget {
+	return &Budget{most: most}
+}
+
+// Take takes bytes; false, and nothing is taken, if there are not as many.
+func (b *Budget) Take(size int) bool {
+	if b.held.Add(int64(size)) <= b.most {
+		return true
+	}
+	b.held.Add(-int64(size))
+	return false
+}
+
+// Give gives bytes back.
+func (b *Budget) Give(size int) {
+	b.held.Add(-int64(size))
+}
+
+// Held is how many bytes are taken.
+func (b *Budget) Held() int64 {
+	return b.held.Load()
+}
--- /dev/null
+++ b/internal/spool/main_test.go
@@ -0,0 +1,9 @@
+package spool
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
