Gateways that begin together send their first beats in an order of their own, and rest between rounds

Each sends its beats to who has waited longest, and in a fleet that begins all have: the ties went by id, so that all sent their first 64 beats to the same 64 gateways, while the bytes last for 64 a second. Who hears nobody takes itself for alone, reads the store and watches it: 993 watches in the second after the start, with a change every 0.1 s.

Change: ties go by a score of the two gateways, so that everybody is heard by somebody at once; two rounds are 15 ms apart at least, since a gateway named as a seed made one for each of hundreds that found it.

--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -26,6 +27,9 @@
 const (
 	// tick is the time between two looks at what there is to report.
 	tick = 80 * time.Millisecond
+	// leastRest is the least time between two rounds: hundreds of gateways that are found
+	// within a moment are answered by a few rounds, not by one each.
+	leastRest = 15 * time.Millisecond
 	// beatMost is the longest time between two beats to a peer.
 	beatMost = 320 * time.Millisecond
 	// mostPlacements and mostKnown bound what one beat carries.
@@ -252,7 +256,10 @@
 	for ctx.Err() == nil {
 		s.round(clock.Check())
 		s.reportRollouts(clock.Now())
-		timer := time.NewTimer(tick)
+		if !wait.For(ctx, leastRest) {
+			return
+		}
+		timer := time.NewTimer(tick - leastRest)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -321,13 +328,22 @@
 	return false
 }
 
-// broadcast sends a beat to each live peer, as far as the budget goes; who has
-// waited longest comes first. What is urgent goes to all, and the budget is
-// made up for later.
+// inTurn puts peers in the order of their beats: who has waited longest comes first. Those
+// that have waited alike, as all have in a fleet that begins, come in an order of this
+// gateway's own: in one that all share, the last would hear nobody until the first had heard
+// everybody.
+func inTurn(live []*peer, own uint64) {
+	slices.SortFunc(live, func(a, b *peer) int {
+		return cmp.Or(a.reportedAt.Compare(b.reportedAt), cmp.Compare(policy.Score(own, a.hash), policy.Score(own, b.hash)))
+	})
+}
+
+// broadcast sends a beat to each live peer in turn, as far as the budget goes. What is urgent
+// goes to all, and the budget is made up for later.
 func (s *Service) broadcast(now time.Time, urgent bool) {
 	live := slices.Clone(s.look(now).live)
 	s.options.Counted(s.table.count(len(live)))
-	slices.SortStableFunc(live, func(a, b *peer) int { return a.reportedAt.Compare(b.reportedAt) })
+	inTurn(live, s.hash)
 	for _, to := range live {
 		reported := to.reported
 		if !s.send(to.address, s.beat(to, now), urgent) {
