A large fleet that begins asks the store little

By what it knows of the others each gateway is among the first two that ask the store, until all beats have gone round, 6 s at 385; and each of them asks ten times a second, since the targets register then. 385 more asked for the number of gateways.

Change: a gateway whose first copy came from a peer asks that one for proofs until it has had the time to hear the others, and says so; one that has read the store asks it only while it hears of no other such one that comes first. Those that hear nobody are answered first, and their addresses are passed on first. The number of gateways is asked for after a moment, if it is still needed.

--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -25,6 +25,8 @@
 		Revision:       s.options.Replica.Revision(),
 		Leaving:        s.leaving.Load(),
 		StoreReachable: s.options.Replica.Reachable(),
+		Follows:        s.look(now).source != nil,
+		Alone:          len(s.look(now).live) == 0,
 	}
 	if s.options.Lag != nil {
 		beat.LagMs = uint32(s.options.Lag().Milliseconds())
@@ -193,16 +195,19 @@
 	return parts, targets
 }
 
-// someAddresses are a few addresses of live peers.
+// someAddresses are a few addresses of live peers, those that hear nobody yet before the
+// others: whoever gets them calls there.
 func (s *Service) someAddresses(now time.Time, except string) []string {
+	live := slices.Clone(s.look(now).live)
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	slices.SortStableFunc(live, func(a, b *peer) int { return compareBool(b.alone, a.alone) })
 	var addresses []string
-	for _, known := range s.look(now).live {
-		if known.address != except {
+	for _, known := range live {
+		if known.address != except && len(addresses) < mostKnown {
 			addresses = append(addresses, known.address)
 		}
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(len(addresses), mostKnown)]
+	return addresses
 }
 
 // send sends one datagram; false if the budget is spent. An urgent one is sent
--- a/internal/peer/replica.go
+++ b/internal/peer/replica.go
@@ -103,6 +103,10 @@
 	defer s.mu.Unlock()
 	s.pulling = false
 	s.behindSince = time.Time{}
+	if from == 0 && err == nil {
+		s.table.follow(id)
+		s.seen = nil
+	}
 	if known := s.table.peers[id]; known != nil && err != nil {
 		known.failedAt = clock.Now()
 	}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -190,6 +190,7 @@
 		directory: newDirectory(),
 	}
 	service.table.class = options.Class
+	service.table.begin(clock.Now())
 	if options.Quarantine == nil {
 		options.Quarantine = quarantine.New()
 	}
@@ -242,6 +243,7 @@
 // look gives a view of the table; s.mu is held.
 func (s *Service) look(now time.Time) *view {
 	if s.seen == nil || now.Sub(s.seen.at) >= viewLife || now.Before(s.seen.at) {
+		s.table.loaded = s.options.Replica.Revision() > 0
 		s.seen = s.table.look(now)
 	}
 	return s.seen
@@ -331,13 +333,25 @@
 // inTurn puts peers in the order of their beats: who has waited longest comes first. Those
 // that have waited alike, as all have in a fleet that begins, come in an order of this
 // gateway's own: in one that all share, the last would hear nobody until the first had heard
-// everybody.
+// everybody. Before all others come those that have heard nobody yet: a gateway that the
+// settings name as a seed has no bytes for hundreds at once.
 func inTurn(live []*peer, own uint64) {
 	slices.SortFunc(live, func(a, b *peer) int {
-		return cmp.Or(a.reportedAt.Compare(b.reportedAt), cmp.Compare(policy.Score(own, a.hash), policy.Score(own, b.hash)))
+		return cmp.Or(compareBool(b.alone, a.alone), a.reportedAt.Compare(b.reportedAt), cmp.Compare(policy.Score(own, a.hash), policy.Score(own, b.hash)))
 	})
 }
 
+// compareBool puts false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // broadcast sends a beat to each live peer in turn, as far as the budget goes. What is urgent
 // goes to all, and the budget is made up for later.
 func (s *Service) broadcast(now time.Time, urgent bool) {
--- a/internal/peer/standing.go
+++ b/internal/peer/standing.go
@@ -23,7 +23,8 @@
 func (s *Service) First() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.options.Replica.Reachable() && s.look(clock.Now()).rank == 0
+	seen := s.look(clock.Now())
+	return s.options.Replica.Reachable() && seen.source == nil && seen.rank == 0
 }
 
 // Leads says whether this process is among the first in the order of those that
@@ -41,6 +42,13 @@
 	return len(s.look(clock.Now()).live)
 }
 
+// Many says whether more than a few other gateways are there.
+func (s *Service) Many() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.look(clock.Now()).many
+}
+
 // Census counts the other gateways.
 func (s *Service) Census() Census {
 	s.mu.Lock()
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -35,6 +35,10 @@
 	// reachesStore says that its last call to the store was answered.
 	reachesStore bool
 	leaving      bool
+	// alone says that it heard nobody when it sent its last beat.
+	alone bool
+	// follows says that it has just begun and follows another gateway.
+	follows bool
 	// lag is how late its timers fired when it sent its last beat.
 	lag time.Duration
 	// lost says that its loss has been reported.
@@ -79,6 +83,14 @@
 	seeds     []string
 	// budget is how many bytes a second each gateway sends in beats.
 	budget int
+	// startedAt is when this gateway began, and source the peer from which its first copy of
+	// the store came; nil if it has read the store itself.
+	startedAt time.Time
+	source    *peer
+	// hasSettled says that it has had the time to hear the others.
+	hasSettled bool
+	// loaded says that it has a copy.
+	loaded bool
 }
 
 func newTable(self string, seeds []string, own string, budget int) *table {
@@ -141,6 +153,8 @@
 	known.revision = beat.GetRevision()
 	known.reachesStore = beat.GetStoreReachable()
 	known.leaving = beat.GetLeaving()
+	known.follows = beat.GetFollows()
+	known.alone = beat.GetAlone()
 	known.lag = time.Duration(beat.GetLagMs()) * time.Millisecond
 	known.proofAge = -1
 	if beat.GetHasProof() {
--- a/internal/peer/tree.go
+++ b/internal/peer/tree.go
@@ -52,6 +52,10 @@
 	candidates []*peer
 	// rank is how many of them come before this gateway.
 	rank int
+	// source is the peer that this gateway follows since it has just begun; nil for none.
+	source *peer
+	// reads says that it has just begun and read the store itself.
+	reads bool
 }
 
 // look works out a view.
@@ -62,8 +66,11 @@
 	if v.many {
 		v.silence = max(watcherSilentOfMany, beatsMissed*t.beatInterval())
 	}
+	if v.many {
+		v.source, v.reads = t.followed(now), t.reads(now)
+	}
 	v.candidates = slices.DeleteFunc(slices.Clone(v.live), func(known *peer) bool {
-		return known.leaving || !known.reachesStore || known.unanswered >= mostUnanswered || now.Sub(known.lastBeat) > v.silence
+		return known.leaving || known.follows || t.loaded && known.revision == 0 || !known.reachesStore || known.unanswered >= mostUnanswered || now.Sub(known.lastBeat) > v.silence
 	})
 	slices.SortFunc(v.candidates, inAskOrder)
 	own := &peer{id: t.self, class: t.class, askScore: askScore(t.self)}
@@ -82,6 +89,12 @@
 
 // asks says whether this gateway is among those that ask the store.
 func (v *view) asks() bool {
+	switch {
+	case v.source != nil:
+		return false
+	case v.reads:
+		return v.rank == 0
+	}
 	return v.rank < watchers
 }
 
@@ -91,7 +104,7 @@
 	if place < 0 {
 		return false
 	}
-	if place >= v.rank {
+	if v.source == nil && place >= v.rank {
 		place++ // this gateway stands before it
 	}
 	return place < watchers
@@ -125,6 +138,14 @@
 	if !v.many {
 		return nil
 	}
+	switch {
+	case v.source != nil:
+		return v.source
+	case v.reads && v.rank > 0:
+		return v.candidates[0]
+	case v.reads:
+		return nil
+	}
 	place := parentRank(v.rank)
 	if place < 0 || place >= len(v.candidates) {
 		return nil
@@ -134,6 +155,9 @@
 
 // children are the peers that get the store's changes from this gateway.
 func (v *view) children() []*peer {
+	if v.source != nil {
+		return nil
+	}
 	var children []*peer
 	for place := v.rank; place < len(v.candidates); place++ {
 		// This gateway stands before all of them.
--- a/internal/peer/turn_test.go
+++ b/internal/peer/turn_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -53,3 +55,39 @@
 	inTurn(live, 12345)
 	is.Equal(live[0], longest)
 }
+
+// TestThoseThatHearNobodyComeFirst: a gateway that the settings name as a seed hears hundreds
+// at once that hear nobody but it. They are answered before those that hear others, and their
+// addresses are passed on before others', so that more gateways call them.
+func TestThoseThatHearNobodyComeFirst(t *testing.T) {
+	is := is.New(t)
+	n := treeNode(t, "self", 1)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	for i := range 60 {
+		beat := beatOf(fmt.Sprint(i), 1)
+		beat.Life, beat.Alone = uint64(i+2), i%10 == 0
+		n.table.take(beat, now)
+	}
+	n.seen = nil
+	live := n.table.live(now)
+	for _, known := range live {
+		if known.alone {
+			known.reportedAt = now // even so
+		}
+	}
+	inTurn(live, n.hash)
+	for place, known := range live {
+		is.Equal(known.alone, place < 6)
+	}
+	addresses := n.someAddresses(now, "")
+	is.Equal(len(addresses), mostKnown)
+	for _, address := range addresses {
+		is.True(strings.HasSuffix(address, "0")) // theirs
+	}
+	beat := beatOf("0", 2)
+	beat.Life = 2
+	known, _ := n.table.take(beat, now)
+	is.True(!known.alone) // it has heard somebody since
+}
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -48,7 +48,8 @@
 	}, conn, pool)
 	p.gateway.Directory, p.crashes.Spreader = p.peers, p.peers
 	if p.mayLeaveReading() {
-		p.feed.CountGateways()
+		turn := peer.Turn(p.settings.ID)
+		p.feed.CountGateways(time.Duration(turn*float64(countPatience)), func() bool { return !p.peers.Many() })
 	}
 	server := link.NewServer(listener, hello, nil, p.log, p.peers.Handle)
 	return errors.Join(
@@ -205,6 +206,10 @@
 	// last checkpoint; four of them read within 28 ms, where up to 2 s cost a
 	// deployment of four gateways 0.4 s after each loss of all of them.
 	patienceEach = 7 * time.Millisecond
+	// countPatience is within which time processes that begin ask for the number of
+	// gateways, each at a moment of its own: those that have heard many by then, or have got
+	// a copy of the store, need not.
+	countPatience = 200 * time.Millisecond
 	// leaderPatience is how long they wait for the copy of one that comes before them.
 	leaderPatience = time.Second
 )
@@ -249,10 +254,16 @@
 	return slices.ContainsFunc(p.settings.Seeds, func(seed string) bool { return seed != p.addresses.Link })
 }
 
+// hasJustRead says whether this process has read the store and may not have heard the others
+// yet: of hundreds that begin together each would go on to watch it.
+func (p *GatewayProcess) hasJustRead() bool {
+	return p.peers != nil && p.feed.Loaded() && p.othersSeeded() && time.Since(p.started) < discoverPatience
+}
+
 // storeRole is this process's part in asking the store.
 func (p *GatewayProcess) storeRole() platform.Role {
 	switch {
-	case p.awaitsPeer() || p.leavesReading():
+	case p.awaitsPeer() || p.leavesReading() || p.hasJustRead():
 		return platform.Follows
 	case p.peers == nil || p.peers.First():
 		return platform.AsksFirst
