Where the host's memory is not known nothing bounds what is held for callers

Cause: settings that are made in code, as the tests of processes do, have no memory stated; an eighth of nothing was held, and every request refused for want of memory (go test ./internal/process: 429 for all).

Change: a budget of zero is without bound. TestOnlyThoseWhoAskAreUrgent has its peers hold the copy that they are asked for: one that holds nothing is no parent of one that does.

--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -255,6 +255,7 @@
 				beat := beatOf(fmt.Sprint(number), 1)
 				beat.Life = uint64(number + 2)
 				beat.Address = "127.0.0.1:9"
+				beat.Revision = 7 // one that holds nothing is not asked
 				if askScore(beat.GetId()) > askScore("self") == (tc.before > 0) {
 					service.table.take(beat, now)
 				}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -248,7 +248,8 @@
 	return options
 }
 
-// heldBytes is how many bytes are held for callers at most: the rest of the memory is for
+// heldBytes is how many bytes are held for callers at most, without bound if the host's memory
+// is not known: the rest of the memory is for
 // the process itself, twice over for the collector.
 func heldBytes(s *settings.Gateway) int64 {
 	const share = 1.0 / 8
--- a/internal/spool/budget.go
+++ b/internal/spool/budget.go
@@ -8,14 +8,14 @@
 	held atomic.Int64
 }
 
-// NewBudget returns a budget of so many bytes.
+// NewBudget returns a budget of so many bytes; zero is without bound.
 func NewBudget(most int64) *Budget {
 	return &Budget{most: most}
 }
 
 // Take takes bytes; false, and nothing is taken, if there are not as many.
 func (b *Budget) Take(size int) bool {
-	if b.held.Add(int64(size)) <= b.most {
+	if held := b.held.Add(int64(size)); b.most == 0 || held <= b.most {
 		return true
 	}
 	b.held.Add(-int64(size))
