Revert: the loss of a gateway is found by beats as before

Watchers and watched work the ring out from what each knows; while not all have heard all they differ, a gateway sends its pulses to others than those that wait for them, and each false loss makes more rings differ. The test began with whole views and did not show it.

Conclusion: reverted. A watch has to begin with the first pulse that reaches the watcher and end with its word, and the test has to begin with partial views.

--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -48,7 +48,6 @@
 // introduce adds who sends a beat.
 func (s *Service) introduce(beat *wire.GatewayBeat) {
 	beat.Id, beat.Address, beat.HostClass = s.options.ID, s.options.Address, uint32(s.options.Class)
-	beat.Pulses = true
 }
 
 // brief puts a beat together that says nothing of loads.
@@ -268,7 +267,6 @@
 	s.takePlacements(beat, now)
 	s.takeRefused(beat, from, now)
 	s.takeCrashes(beat, from, now)
-	s.takeWords(beat, from, now)
 	switch {
 	case beat.GetQuestion() != 0:
 		s.answer(from, beat, now)
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -160,8 +160,6 @@
 	askedAt time.Time
 	// directory is this gateway's part in keeping track of placements.
 	directory *directory
-	// losses finds out which gateways are lost.
-	losses *lossWatch
 	// crashes are the records of requests under which targets ended that wait to be sent.
 	crashes *crashMail
 	// rollouts is nil where none are carried.
@@ -193,7 +191,6 @@
 	}
 	service.table.class = options.Class
 	service.table.begin(clock.Now())
-	service.losses = newLossWatch(service.table, service.hash)
 	if options.Quarantine == nil {
 		options.Quarantine = quarantine.New()
 	}
@@ -279,9 +276,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, lost := range s.table.expire(now) {
-		s.noteLost(lost, now)
+		s.seen = nil
+		s.options.Watcher.PeerLost(lost.id, lost.address, now.Sub(lost.lastBeat))
+		s.crashes.reshuffle = true
 	}
-	s.watchOthers(now)
 	s.sendCrashes(now)
 	for _, address := range s.table.silent(now) {
 		s.send(address, s.beat(nil, now), false)
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -41,10 +41,8 @@
 	follows bool
 	// lag is how late its timers fired when it sent its last beat.
 	lag time.Duration
-	// lost says that it is taken as lost, and that this has been reported.
+	// lost says that its loss has been reported.
 	lost bool
-	// pulses says that it sends pulses to those that watch it.
-	pulses bool
 	// reported is the number of the next placement to report to it.
 	reported int
 	// reportedAt is when the last beat was sent to it.
@@ -146,7 +144,6 @@
 	}
 	known.address = beat.GetAddress()
 	known.class = Class(min(beat.GetHostClass(), mostClass))
-	known.pulses = known.pulses || beat.GetPulses()
 	known.lastBeat = now
 	known.unanswered, known.unfound = 0, 0
 	known.sequence = beat.GetSequence()
@@ -203,7 +200,7 @@
 	var peers []*peer
 	longest := t.lostAfter()
 	for _, known := range t.peers {
-		if !known.lost && now.Sub(known.lastBeat) <= longest {
+		if now.Sub(known.lastBeat) <= longest {
 			peers = append(peers, known)
 		}
 	}
