--- a/internal/gateway/output_test.go
+++ b/internal/gateway/output_test.go
@@ -104,6 +104,7 @@
 			w.gateway.Serve(t.Context(), request("/stream/x"), caller)
 		}()
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		is.Equal(len(body.parts), 0) // the target has been rid of it
 		close(caller.reads)
 		<-done
