--- a/internal/balance/pace_test.go
+++ b/internal/balance/pace_test.go
@@ -113,7 +113,7 @@
 	is.Equal(got, 10) // its share
 }
 
-// TestPacesAreReported: what one gateway is told others know, the most different first; one
+// TestPacesAreReported: a pace reported to one gateway reaches the others, the most different first; one
 // that changes nothing, or is old, is no news; and an older report changes nothing.
 func TestPacesAreReported(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/output_test.go
+++ b/internal/gateway/output_test.go
@@ -18,7 +18,7 @@
 	"github.com/capersaddle/capersaddle/internal/spool"
 )
 
-// pausedCaller reads nothing until it is told to.
+// pausedCaller reads nothing until its channel is closed.
 type pausedCaller struct {
 	recorder
 	reads chan struct{}
--- a/internal/peer/source.go
+++ b/internal/peer/source.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Gateways that begin together know few of the others for seconds: each is heard by all
+// Gateways that begin together know few of the others for seconds: a heartbeat of each reaches all
 // only after as many beats as there are gateways. By what it knows each of them would be among
 // the first to ask the store, and all would. So one that has got its first copy of the store
 // from a peer goes on asking that one for proofs until it has had the time to hear the others,
