A gateway that begins gets the records of fatal requests at once

Callers saw: while gateways were killed and begun anew one after the other, a request that ends its targets ended nine of them in place of three (work of 800 ms; four at 20 ms).

Cause: who finds a gateway hands it the crash records in a bare datagram, which does not say who sent it. The new gateway knows no life yet and drops it as of an unknown sender; it got them with a later full beat, up to half a second after it took callers.

Evidence: gateway-1 began at 20.085 s, was found by all three others by 20.101 s, sent the fatal request at 20.372 and 20.384 s and held it back from 20.388 s on. Ruled out: nobody hands records, bytes run out, the restarted gateway is taken for the one before.

TestAGatewayThatBeginsGetsRecordsAtOnce fails on the code before (the records came from "").

--- a/internal/peer/quarantine.go
+++ b/internal/peer/quarantine.go
@@ -187,7 +187,7 @@
 // held. What is left out comes again with later rounds, or with the peer's hash.
 func (s *Service) sendRecords(to *peer, records []quarantine.Record) {
 	for chunk := range slices.Chunk(records, mostCrashRecords) {
-		beat := s.bare()
+		beat := s.bare(to)
 		for _, record := range chunk {
 			beat.CrashRecords = append(beat.CrashRecords, record.Message())
 		}
--- a/internal/peer/quarantine_test.go
+++ b/internal/peer/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -272,3 +273,37 @@
 		})
 	}
 }
+
+// TestAGatewayThatBeginsGetsRecordsAtOnce: those that find it hand it what is held back before it
+// has found them.
+//
+// Seen: it dropped them, since they didn't say who sent them, and let one more target end under
+// each fatal request. It got them with the next full beat, some tenths of a second later.
+func TestAGatewayThatBeginsGetsRecordsAtOnce(t *testing.T) {
+	is := is.New(t)
+	first := newNode(t, "node-0", link.NewMemory())
+	for life := range 3 {
+		first.table().Crashed(fatal, quarantine.Life(life), time.Now())
+	}
+	begun, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(testsOwn)})
+	is.NoErr(err)
+	defer func() { _ = begun.Close() }()
+	hello, err := proto.Marshal(&wire.GatewayBeat{Id: "node-1", Address: begun.LocalAddr().String(), Life: 7, Sequence: 1, Alone: true})
+	is.NoErr(err)
+	to, err := net.ResolveUDPAddr("udp", first.service.options.Address)
+	is.NoErr(err)
+	_, err = begun.WriteToUDP(hello, to)
+	is.NoErr(err)
+	buffer := make([]byte, receiveBuffer)
+	for {
+		n, _, err := begun.ReadFromUDP(buffer)
+		is.NoErr(err)
+		got := new(wire.GatewayBeat)
+		is.NoErr(proto.Unmarshal(buffer[:n], got))
+		if len(got.GetCrashRecords()) > 0 {
+			is.Equal(got.GetId(), "node-0")
+			is.Equal(got.GetAddress(), first.service.options.Address)
+			return
+		}
+	}
+}
--- a/internal/peer/refused.go
+++ b/internal/peer/refused.go
@@ -58,7 +58,7 @@
 		if to == from {
 			continue
 		}
-		beat := s.bare()
+		beat := s.bare(to)
 		beat.Refused = targets
 		s.sendBare(to, beat)
 		if notified++; notified == refusedFanOut {
