A gateway that learns late of a completion goes on serving

Callers saw: 503, not run, for 10 to 90 ms from a gateway that began anew, or was connected again, within 0.1 s of a roll-out's completion, though targets of the version were there.

Cause: old targets stop as soon as the store has the completion, and the record takes up to 0.17 s to a gateway. Until then the version could take over only where a grant of the move was held lately.

Evidence: the world's log, store has completed at 5.00 s, refusals 5.00 to 5.03 s, record at 5.10 s, no grant since the gateway began. Ruled out: a lost record, a halt, targets that were not listed.

Change: while an order runs, the version takes the place of others that have all said that they leave, unless it was halted. Where they are gone without a word a request waits for news of an order or record, 0.3 s from the first such request on; then it is refused at once. A first try took entries that turned odd for planned leaving: the test showed it, and they are told apart now.

--- /dev/null
+++ b/internal/balance/left_test.go
@@ -0,0 +1,58 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+)
+
+// TestWhatHasLeftByPlan: a version's targets have if each of them said so; a loss is no plan.
+func TestWhatHasLeftByPlan(t *testing.T) {
+	now := time.Now()
+	target := func(id, version string, leaving bool) balance.Target {
+		return balance.Target{ID: id, Service: "s", Version: version, Address: id, Leaving: leaving}
+	}
+	cases := map[string]struct {
+		prepare func(b *balance.Balancer)
+		left    bool
+	}{
+		"none is known":      {func(*balance.Balancer) {}, false},
+		"it serves":          {func(b *balance.Balancer) { b.Put(target("a", "v1", false), now) }, false},
+		"its entry says so":  {func(b *balance.Balancer) { b.Put(target("a", "v1", true), now) }, true},
+		"another one serves": {func(b *balance.Balancer) { b.Put(target("a", "v1", true), now); b.Put(target("b", "v1", false), now) }, false},
+		"another version serves": {func(b *balance.Balancer) {
+			b.Put(target("a", "v1", true), now)
+			b.Put(target("b", "v2", false), now)
+		}, true},
+		"it said so itself": {func(b *balance.Balancer) {
+			b.Put(target("a", "v1", false), now)
+			b.Heed("a", balance.Notice{Leaving: true}, now)
+		}, true},
+		"its entry went after that": {func(b *balance.Balancer) {
+			b.Put(target("a", "v1", true), now)
+			b.Drop("a", now)
+		}, false}, // it is forgotten, and the record of what it left for was there before
+		"its entry went": {func(b *balance.Balancer) {
+			b.Put(target("a", "v1", false), now)
+			b.Drop("a", now)
+		}, false},
+		"its entry turned odd": {func(b *balance.Balancer) {
+			b.Put(target("a", "v1", false), now)
+			b.SetUnusable("a")
+		}, false},
+		"nothing listens there": {func(b *balance.Balancer) {
+			b.Put(target("a", "v1", false), now)
+			b.NoteSilentPort("a", now)
+		}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := balance.New(balance.DefaultOptions())
+			tc.prepare(b)
+			is.New(t).Equal(b.Left("s", balance.Versions{Not: []string{"v2"}}), tc.left)
+		})
+	}
+}
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -58,7 +58,7 @@
 		known.version = known.service.join(target.Version)
 	}
 	known.Target = target
-	known.aside = true
+	known.unusable, known.aside = false, true
 	if !known.goneAt.IsZero() {
 		known.goneAt, known.end = time.Time{}, End{}
 	}
@@ -100,7 +100,7 @@
 	if s.Leaving {
 		return false
 	}
-	s.Leaving, s.aside = true, true
+	s.Leaving, s.unusable, s.aside = true, true, true
 	return true
 }
 
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -92,6 +92,8 @@
 	end End
 	// said is what it has said of itself in its answers.
 	said said
+	// unusable says that it counts as leaving since its entry names no target any more.
+	unusable bool
 	// outlived says that another life of the target has begun: this one is in no list.
 	outlived bool
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -169,6 +169,9 @@
 		if c.gateway.Directory != nil {
 			c.gateway.Directory.Filling(pick.Fills)
 		}
+		if !ok && c.awaitRecord(ctx, now) {
+			continue
+		}
 		if !ok {
 			c.finishWithoutTarget()
 			return
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/rollout"
 )
 
@@ -15,7 +17,8 @@
 		return
 	}
 	c.giveBack()
-	ask := rollout.Ask{Service: c.service, Route: c.route.Name, Again: len(c.tried) > 0}
+	left := func(versions balance.Versions) bool { return c.gateway.Balancer.Left(c.service, versions) }
+	ask := rollout.Ask{Service: c.service, Route: c.route.Name, Again: len(c.tried) > 0, Left: left}
 	c.assignment, c.assigned, c.assignedAt = gate.Assign(ask, now), true, now
 	c.versions = c.assignment.Versions
 	if c.assignment.Otherwise != nil && !c.gateway.Balancer.Has(c.query(), now) {
@@ -53,6 +56,30 @@
 	return pick, true
 }
 
+// awaitRecord waits for the news that the version on trial takes all requests, where no other target
+// is open and some of the version are; false if none came in time.
+func (c *call) awaitRecord(ctx context.Context, now time.Time) bool {
+	gate := c.gateway.Rollouts
+	if gate == nil || !c.gateway.Balancer.Has(c.prompt(), now) {
+		return false
+	}
+	news, until, ok := gate.Await(c.service, now)
+	if !ok {
+		return false
+	}
+	limit := time.NewTimer(until.Sub(now))
+	defer limit.Stop()
+	select {
+	case <-news:
+	case <-limit.C:
+	case <-ctx.Done():
+		return false
+	}
+	later := clock.Now()
+	c.assign(later)
+	return c.gateway.Balancer.Has(c.query(), later)
+}
+
 // giveBack returns an assignment that no attempt followed.
 func (c *call) giveBack() {
 	if c.assigned {
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -31,6 +31,8 @@
 	services map[string]*service
 	// byHash are the services by the upper half of the hash of their name.
 	byHash map[uint32]*service
+	// news is closed, and another one made, when an order or a record becomes known.
+	news chan struct{}
 }
 
 // NewGate returns a gate that knows of no order.
@@ -38,15 +40,42 @@
 	return &Gate{
 		options: options, random: rand.Float64,
 		services: make(map[string]*service), byHash: make(map[uint32]*service),
+		news: make(chan struct{}),
 	}
 }
 
+// announce wakes those that wait for news; g.mu is held.
+func (g *Gate) announce() {
+	close(g.news)
+	g.news = make(chan struct{})
+}
+
+// Await is for a request that has found no target though the version of a running order may
+// have some: the order may be completed, and the news of that on its way. It gives a channel
+// that is closed when an order or a record becomes known, and until when to wait for that;
+// false where there is nothing to wait for, or no more.
+func (g *Gate) Await(service string, now time.Time) (news <-chan struct{}, until time.Time, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.services[service]
+	if s == nil || s.trial == nil || s.trial.halted || s.trial.current {
+		return nil, time.Time{}, false
+	}
+	if s.bareSince.IsZero() {
+		s.bareSince = now
+	}
+	until = s.bareSince.Add(newsLag)
+	return g.news, until, now.Before(until)
+}
+
 // Ask is a request that needs a target.
 type Ask struct {
 	Service string
 	Route   string
 	// Again says that another target has had it before.
 	Again bool
+	// Left says whether all targets of some versions have left by plan; nil is never.
+	Left func(versions balance.Versions) bool
 }
 
 // Assignment is which versions a request may go to.
@@ -74,7 +103,7 @@
 	if s.trial == nil {
 		return assignment
 	}
-	if s.trial.lately(now) {
+	if s.trial.lately(now) || s.trial.succeeds(ask, s.base) {
 		assignment.Otherwise = &balance.Versions{Only: s.trial.order.Version}
 	}
 	switch s.trial.stageAt(now) {
@@ -106,6 +135,9 @@
 	s.flight[version]++
 	s.noteChosen(version, now)
 	t := s.trial
+	if t == nil || version != t.order.Version {
+		s.bareSince = time.Time{}
+	}
 	reserved := assignment.reserved
 	if reserved != nil && (reserved != t || version != reserved.order.Version) {
 		reserved.share.Return()
@@ -240,6 +272,7 @@
 	s.order = order
 	s.withdrawn = false
 	s.settle(now)
+	g.announce()
 	return true
 }
 
@@ -254,6 +287,7 @@
 	s.order = Order{}
 	s.withdrawn = true
 	s.settle(now)
+	g.announce()
 }
 
 // Recorded takes a record with its revision in the store, and says whether it is new.
@@ -273,6 +307,7 @@
 	}
 	s.record, s.revision, s.recordedAt = record, revision, now
 	s.settle(now)
+	g.announce()
 	return before, true
 }
 
--- a/internal/rollout/gate_test.go
+++ b/internal/rollout/gate_test.go
@@ -455,3 +455,43 @@
 		})
 	}
 }
+
+// TestAVersionSucceedsWhatHasLeft: before the record of a completion is known here, the version takes
+// the place of others whose targets have all left by plan; a halted or withdrawn one never, nor
+// one that is not on trial.
+func TestAVersionSucceedsWhatHasLeft(t *testing.T) {
+	all := func(balance.Versions) bool { return true }
+	none := func(balance.Versions) bool { return false }
+	cases := map[string]struct {
+		play  func(g *Gate)
+		left  func(versions balance.Versions) bool
+		takes string
+	}{
+		"the others have left":        {func(g *Gate) { g.Ordered(orderOf("v2", 1), noon) }, all, "v2"},
+		"they are there, or lost":     {func(g *Gate) { g.Ordered(orderOf("v2", 1), noon) }, none, ""},
+		"whether is not known":        {func(g *Gate) { g.Ordered(orderOf("v2", 1), noon) }, nil, ""},
+		"no order":                    {func(*Gate) {}, all, ""},
+		"another order has its place": {func(g *Gate) { g.Ordered(orderOf("v2", 1), noon); g.Ordered(orderOf("v3", 2), noon) }, all, "v3"},
+		"it was halted": {func(g *Gate) {
+			g.Ordered(orderOf("v2", 1), noon)
+			g.obey(haltOf(1), time.Time{}, noon)
+		}, all, ""},
+		"its order was withdrawn": {func(g *Gate) {
+			g.Ordered(orderOf("v2", 1), noon)
+			g.Withdrawn(theService, noon)
+		}, all, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := NewGate(theOptions)
+			c.play(g)
+			assignment := g.Assign(Ask{Service: theService, Left: c.left}, noon)
+			takes := ""
+			if assignment.Otherwise != nil {
+				takes = assignment.Otherwise.Only
+			}
+			is.Equal(takes, c.takes)
+		})
+	}
+}
--- a/internal/rollout/probation.go
+++ b/internal/rollout/probation.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/policy"
 )
 
@@ -197,6 +198,13 @@
 	return !t.halted && !t.current && now.Before(t.moveUntil.Add(recordLag))
 }
 
+// succeeds says whether the version takes the place of the others: all their targets have
+// left by plan, which operators have them do once the order is completed. The record of
+// that is on its way. Where the version was rolled back its own targets leave.
+func (t *probation) succeeds(ask Ask, others balance.Versions) bool {
+	return !t.halted && !t.current && ask.Left != nil && ask.Left(others)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/rollout/service.go
+++ b/internal/rollout/service.go
@@ -35,6 +35,8 @@
 	// recordLag is how long the record of a move may be on its way to gateways: the old
 	// targets stop as soon as the store has it.
 	recordLag = 5 * time.Second
+	// newsLag is how long the store's changes may be on their way to a gateway.
+	newsLag = 300 * time.Millisecond
 	// servedWithin is how long after its last request a version that the first order
 	// doesn't name counts as serving: entries that lapsed are back by then, and versions
 	// that were replaced without an order are forgotten.
@@ -71,6 +73,9 @@
 	// served are the versions that served when the first order came, by chosen.
 	served []string
 	pace   *Pace
+	// bareSince is when a request first found no target besides those of the version on trial;
+	// zero if the last one found some.
+	bareSince time.Time
 }
 
 func newService(name string, options Options, random func() float64) *service {
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -95,6 +95,8 @@
 	completed bool
 	// movedTo is the version of the last completion that had the others' targets stop.
 	movedTo string
+	// stopped are the versions whose targets stopped at a completion.
+	stopped []string
 	finals  map[int64]State
 	broken  []string
 	// newLately is the moving share of requests that go to the new version.
@@ -338,7 +340,7 @@
 func (n *node) request(route string, again bool) {
 	w := n.w
 	gate := n.control.Gate()
-	assignment := gate.Assign(Ask{Service: theService, Route: route, Again: again}, w.now)
+	assignment := gate.Assign(Ask{Service: theService, Route: route, Again: again, Left: w.left}, w.now)
 	version := w.pick(assignment.Versions)
 	if version == "" && assignment.Otherwise != nil {
 		version = w.pick(*assignment.Otherwise)
@@ -370,6 +372,17 @@
 	})
 }
 
+// left says whether all targets of some versions have stopped by plan, as those of the other
+// versions do after a completion.
+func (w *world) left(v balance.Versions) bool {
+	for version, count := range w.targets {
+		if count > 0 && v.Admits(version) {
+			return false
+		}
+	}
+	return slices.ContainsFunc(w.stopped, v.Admits)
+}
+
 func (w *world) pick(v balance.Versions) string {
 	if v.Rather != "" && w.targets[v.Rather] > 0 {
 		return v.Rather
@@ -639,6 +652,7 @@
 		for version := range s.w.targets {
 			if version != record.Current {
 				s.w.movedTo = record.Current
+				s.w.stopped = append(s.w.stopped, version)
 				delete(s.w.targets, version)
 			}
 		}
