Copies that outlive others no longer speak for a request; fresh ends are always in doubt

Change: survivors are gone. For two seconds after a request's last end, or that of one that shares an end, it is in doubt whether or not others are known; records that the store has kept are settled.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,8 +51,7 @@
 	// none came.
 	head time.Duration
 
-	dark     darkWatch
-	standing standing
+	dark darkWatch
 
 	// mu guards the fields that the silence timer shares.
 	mu     sync.Mutex
@@ -92,7 +91,6 @@
 	defer cancel()
 	a.cancel = cancel
 	defer a.call.gateway.underWay.join(a)()
-	defer a.joinCopies()()
 	defer a.stopWatch()
 	defer a.watchDark()()
 	a.watch(ctx, a.silenceToHead())
@@ -112,7 +110,6 @@
 // noteHead tells the balancer what the head of an answer shows.
 func (a *attempt) noteHead(answer *Answer) {
 	a.head = clock.Since(a.started)
-	a.standing.headed(clock.Now())
 	if crashes := a.call.gateway.Crashes; crashes != nil {
 		crashes.heard(a.life, a.started)
 	}
@@ -149,7 +146,6 @@
 		a.withdrawn = true
 		return errWithdrawn
 	}
-	a.standing.sent(now)
 	return nil
 }
 
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -65,9 +65,6 @@
 	// QuarantineChanged: a request is held back from now on, or no more; the peer is the one
 	// that said so, empty for none.
 	QuarantineChanged(change quarantine.Change, peer string)
-	// SurvivorSpoke: a request is not held back for an end, since a copy of it has been under
-	// way elsewhere for so long.
-	SurvivorSpoke(print quarantine.Fingerprint, lasted time.Duration)
 	// TrialBegan: one copy of a request that is held back is sent to a target.
 	TrialBegan(target string, change quarantine.Change)
 }
@@ -81,7 +78,6 @@
 	// Spreader is nil where no other gateways are.
 	Spreader Spreader
 	Watcher  CrashWatcher
-	copies   *copies
 
 	mu sync.Mutex
 	// lives are those of targets at which requests were lost a moment ago, by name.
@@ -110,9 +106,6 @@
 	began, at time.Time
 	// broke says that its connection ended.
 	broke bool
-	// reached is how far it had come, and spoke says that it had spoken for its request.
-	reached progress
-	spoke   bool
 }
 
 // under says whether the request was under way when its target ended. Where the
@@ -126,21 +119,7 @@
 
 // NewCrashes returns a watch that Start begins.
 func NewCrashes(table *quarantine.Table, balancer *balance.Balancer, knocker Knocker, watcher CrashWatcher) *Crashes {
-	c := &Crashes{
-		Table: table, Balancer: balancer, Knocker: knocker, Watcher: watcher,
-		copies: newCopies(), lives: make(map[string]*losses), wake: make(chan struct{}, 1),
-	}
-	table.Survives = c.survives
-	return c
-}
-
-// survives says whether a copy of a request speaks against an end being held against it.
-func (c *Crashes) survives(print quarantine.Fingerprint, now time.Time) bool {
-	reached, ok := c.copies.survivor(print, now)
-	if ok {
-		c.Watcher.SurvivorSpoke(print, reached.lasted)
-	}
-	return ok
+	return &Crashes{Table: table, Balancer: balancer, Knocker: knocker, Watcher: watcher, lives: make(map[string]*losses), wake: make(chan struct{}, 1)}
 }
 
 // Start begins to look at what is lost.
@@ -219,11 +198,7 @@
 		c.open.Add(1)
 	}
 	if len(known.all) < mostLosses {
-		reached, _ := a.standing.progress(now)
-		known.all = append(known.all, loss{
-			print: a.call.print, began: a.started, at: now, broke: broke,
-			reached: reached, spoke: a.standing.hasSpoken(),
-		})
+		known.all = append(known.all, loss{print: a.call.print, began: a.started, at: now, broke: broke})
 	}
 	if broke && known.knocks > 0 {
 		known.knocks, known.knockAt = 0, now.Add(knockFirst)
@@ -255,7 +230,6 @@
 
 // answered notes that a target has answered a request whole.
 func (c *Crashes) answered(print quarantine.Fingerprint, now time.Time) {
-	c.copies.answered(print)
 	c.changed(c.Table.Answered(print, now))
 }
 
@@ -269,7 +243,7 @@
 // Merge takes what another process has kept in the store of a request. Other gateways read it
 // there too, and get only what is held against it.
 func (c *Crashes) Merge(record quarantine.Record, now time.Time) {
-	change := c.Table.Merge(record, now)
+	change := c.Table.Restore(record, now)
 	if change.Objects() {
 		c.changed(change)
 		return
@@ -329,7 +303,6 @@
 // held.
 func (c *Crashes) settle(life string, known *losses, end balance.End, now time.Time) {
 	name := lifeName(life)
-	c.noteFurthest(known, end, now)
 	for _, lost := range known.all {
 		if !lost.under(end) {
 			continue
@@ -347,25 +320,6 @@
 	return quarantine.Life(policy.HashName(life) >> 32)
 }
 
-// noteFurthest keeps how far each request had come that was lost at a target which ended.
-func (c *Crashes) noteFurthest(known *losses, end balance.End, now time.Time) {
-	furthest := make(map[quarantine.Fingerprint]loss)
-	for _, lost := range known.all {
-		if !lost.under(end) {
-			continue
-		}
-		before, ok := furthest[lost.print]
-		if ok && before.reached.beyond(lost.reached, 0) {
-			lost.reached = before.reached
-		}
-		lost.spoke = lost.spoke || before.spoke
-		furthest[lost.print] = lost
-	}
-	for print, lost := range furthest {
-		c.copies.lostAt(print, lost.reached, lost.spoke, now)
-	}
-}
-
 // knock tries a target's address; c.mu is held.
 func (c *Crashes) knock(ctx context.Context, life string, known *losses) {
 	known.knocking = true
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -47,8 +47,6 @@
 
 func (k *knocks) TrialPlace(quarantine.Fingerprint) int { return 0 }
 
-func (k *knocks) SurvivorSpoke(quarantine.Fingerprint, time.Duration) {}
-
 func (k *knocks) TrialBegan(string, quarantine.Change) {}
 
 func (k *knocks) CrashNoted(target string, _ quarantine.Change) {
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -98,11 +98,3 @@
 	}
 	return begun
 }
-
-// joinCopies notes the attempt as a copy of its request; the result ends that.
-func (a *attempt) joinCopies() (leave func()) {
-	if crashes := a.call.gateway.Crashes; crashes != nil {
-		return crashes.copies.join(a)
-	}
-	return func() {}
-}
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -47,7 +47,6 @@
 	EventCrash      = "target_crashed"
 	EventHeldBack   = "request_held_back"
 	EventCleared    = "request_cleared"
-	EventSurvivor   = "survivor_spoke"
 	EventTrial      = "trial_began"
 
 	// RolloutEvents begins the events of roll-outs.
@@ -64,7 +63,7 @@
 	return []string{
 		EventRequest, EventConfig, EventTarget, EventTargets, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
 		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventDoubted, EventStart, EventDrain, EventStop, EventReload, EventLate, EventInTime, EventSampled,
-		EventUnusable, EventLeaving, EventRests, EventSlow, EventUnreadable, EventCrash, EventHeldBack, EventCleared, EventSurvivor, EventTrial,
+		EventUnusable, EventLeaving, EventRests, EventSlow, EventUnreadable, EventCrash, EventHeldBack, EventCleared, EventTrial,
 		EventRolloutOrdered, EventRolloutStage, EventRolloutHalted, EventRolloutRecorded, EventRolloutCommitFailed,
 	}
 }
--- a/internal/observe/quarantine.go
+++ b/internal/observe/quarantine.go
@@ -1,10 +1,6 @@
 package observe
 
-import (
-	"time"
-
-	"github.com/capersaddle/capersaddle/internal/quarantine"
-)
+import "github.com/capersaddle/capersaddle/internal/quarantine"
 
 // CrashNoted counts that a target ended without a plan while a request was under way there,
 // and logs it if that request was under way at others before: of the first there are as many
@@ -26,12 +22,6 @@
 	o.log.Warn(event, "print", change.Print, "ends", len(change.Lives), "before", change.Before, "peer", peer)
 }
 
-// SurvivorSpoke logs that a request is not held back for an end, since a copy of it has been
-// under way elsewhere for so long.
-func (o *Observer) SurvivorSpoke(print quarantine.Fingerprint, lasted time.Duration) {
-	o.log.Info(EventSurvivor, "print", print, "lasted_ms", lasted.Milliseconds())
-}
-
 // TrialBegan logs that one copy of a request that is held back is sent to a target.
 func (o *Observer) TrialBegan(target string, change quarantine.Change) {
 	o.log.Warn(EventTrial, "target", target, "print", change.Print, "ends", len(change.Lives), "trial", change.Trial)
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -40,6 +40,9 @@
 	Record
 	// changedAt is when the last end became known, or the last clearing.
 	changedAt time.Time
+	// settled says that all that may show who is to blame was known before: the record was
+	// kept in the store.
+	settled bool
 }
 
 // term is how long the request is held back.
@@ -72,11 +75,6 @@
 // Table is what this process knows of requests under which targets ended. It is safe for
 // concurrent use.
 type Table struct {
-	// Survives says whether another copy of a request, which has outlasted those that were lost
-	// with their targets, speaks against a further end being held against it; nil for never.
-	// It is called with the table locked, and not for the first end: most requests have no other.
-	Survives func(print Fingerprint, now time.Time) bool
-
 	mu      sync.Mutex
 	entries map[Fingerprint]*entry
 	// digest is that of the records at the limit: each beat has it.
@@ -111,19 +109,14 @@
 	return t.take(Record{Print: print, Epoch: t.epochOf(print), Lives: []Life{life}}, now)
 }
 
-// excuse says whether the request was answered whole here a moment ago, or a copy of it has
-// outlasted those that were lost. An answer excuses it once: what was sound then may be fatal
-// now. t.mu is held.
+// excuse says whether the request was answered whole here a moment ago. An answer excuses it
+// once: what was sound then may be fatal now. t.mu is held.
 func (t *Table) excuse(print Fingerprint, now time.Time) bool {
 	at, ok := t.answered.Peek(print)
 	if ok {
 		t.answered.Remove(print)
 	}
-	if ok && now.Sub(at) < answerLife {
-		return true
-	}
-	known, suspected := t.entries[print]
-	return suspected && len(known.Lives) > 0 && t.Survives != nil && t.Survives(print, now)
+	return ok && now.Sub(at) < answerLife
 }
 
 // Answered notes that a target answered a request whole, which clears it.
@@ -170,6 +163,17 @@
 	return change
 }
 
+// Restore is Merge for a record that the store has kept.
+func (t *Table) Restore(kept Record, now time.Time) Change {
+	change := t.Merge(kept, now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known, ok := t.entries[kept.Print]; ok && known.Equal(kept) {
+		known.settled = true
+	}
+	return change
+}
+
 // take joins a record with what is known; t.mu is held.
 func (t *Table) take(other Record, now time.Time) Change {
 	known, ok := t.entries[other.Print]
@@ -190,7 +194,7 @@
 		t.entries[other.Print] = known
 	}
 	t.digest ^= known.digest() ^ joined.digest()
-	known.Record, known.changedAt = joined, now
+	known.Record, known.changedAt, known.settled = joined, now, false
 	t.changes++
 	return change
 }
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -21,8 +21,8 @@
 	// mostUnexplained is how many ends of a request may be left that no other one explains, while
 	// others may be to blame: the one that met one of its ends may not have come again.
 	mostUnexplained = 1
-	// settleTime is how long after the last end of a request, or of one that shared an end with
-	// it, it may yet show who is to blame.
+	// settleTime is how long after a request's last end, or that of one which shared an end with
+	// it, it may yet show that others were there.
 	settleTime = 2 * time.Second
 	// trialQuiet is how long no request that shares an end may have met another one before a
 	// trial: what ends targets is to be known first.
@@ -59,7 +59,7 @@
 		return Sendable
 	}
 	blame := t.blame(known)
-	if blame.doubtful(now) {
+	if blame.explained || known.unsettled(blame, now) {
 		return Doubtful
 	}
 	return Fatal
@@ -135,13 +135,12 @@
 	// changedAt is when the last end became known that it, or a request which shares an end
 	// with it, had.
 	changedAt time.Time
-	// shared says that there is such a request.
-	shared bool
 }
 
-// doubtful says whether it is open who is to blame.
-func (b blame) doubtful(now time.Time) bool {
-	return b.explained || b.shared && now.Sub(b.changedAt) < settleTime
+// unsettled says whether the ends of the request, or of others that were at some of them, are so
+// fresh that it may yet show who else was there.
+func (e *entry) unsettled(blame blame, now time.Time) bool {
+	return !e.settled && !e.convicted() && now.Sub(blame.changedAt) < settleTime
 }
 
 // blame compares a request with all others; t.mu is held.
@@ -152,7 +151,6 @@
 		if other == known || !other.shares(known) {
 			continue
 		}
-		found.shared = true
 		if other.changedAt.After(found.changedAt) {
 			found.changedAt = other.changedAt
 		}
@@ -162,7 +160,7 @@
 	}
 	found.explained = len(own) <= mostUnexplained
 	if known.convicted() && slices.Contains(own, known.TrialLife) {
-		found.explained, found.shared = false, false
+		found.explained = false
 	}
 	return found
 }
--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -43,10 +43,23 @@
 			table: func() *quarantine.Table { return ended(alike, 2, now) },
 			want:  quarantine.Sendable,
 		},
+		"three, a moment ago": {
+			table: func() *quarantine.Table { return ended(alike, 3, now) },
+			want:  quarantine.Doubtful,
+		},
 		"three, and nobody else there": {
 			table: func() *quarantine.Table { return ended(alike, 3, now) },
+			after: quiet,
 			want:  quarantine.Fatal,
 		},
+		"three, as the store has kept": {
+			table: func() *quarantine.Table {
+				table := quarantine.New()
+				table.Restore(ended(alike, 3, now).Records(now)[0], now)
+				return table
+			},
+			want: quarantine.Fatal,
+		},
 		"three, and its term is over": {
 			table: func() *quarantine.Table { return ended(alike, 3, now) },
 			after: quarantine.FirstTerm,
@@ -135,6 +148,7 @@
 	is.Equal(table.Standing(alike, now), quarantine.Sendable)
 	is.Equal(table.Standing(fatalOne, now), quarantine.Fatal)
 	is.Equal(table.Standing(fatalTwo, now), quarantine.Fatal)
+	is.True(table.Held(fatalOne, now))
 	is.True(!table.MayTry(fatalOne, 0, now.Add(quiet)))
 }
 
