--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -9,8 +9,8 @@
 	"github.com/capersaddle/capersaddle/internal/quarantine"
 )
 
-// comeBackDoubtful is when callers of a request come back of which it is open whether it ends
-// its targets: a trial begins by then, where it is one of few that are in doubt.
+// comeBackDoubtful is when callers of a request that is in doubt come back: most trials have begun
+// by then.
 const comeBackDoubtful = time.Second
 
 // held says whether the call is to be sent to no target.
@@ -20,8 +20,7 @@
 }
 
 // mayTrial says whether the call, which is held back, may be the one copy of its request that
-// is tried now. What has been sent before is none: if it is lost, its target may have ended
-// under that.
+// is tried now. A call that was sent before may not: it has had its try.
 func (c *call) mayTrial(now time.Time) bool {
 	return len(c.tried) == 0 && c.gateway.Crashes.mayTry(c.print, now)
 }
@@ -33,7 +32,7 @@
 	if a.trial || !c.held(now) {
 		return nil
 	}
-	a.trial = len(c.tried) <= 1 && c.gateway.Crashes.try(c.print, a.life, now)
+	a.trial = len(c.tried) <= 1 && c.gateway.Crashes.try(a, now)
 	if a.trial {
 		return nil
 	}
@@ -89,11 +88,12 @@
 	return c.Table.Standing(print, now) == quarantine.Doubtful && c.Table.MayTry(print, c.place(print), now)
 }
 
-// try begins a trial at a life of a target, if this process may.
-func (c *Crashes) try(print quarantine.Fingerprint, life string, now time.Time) bool {
-	change, begun := c.Table.Try(print, c.place(print), lifeName(life), now)
+// try has an attempt be the trial of its request, if this process may begin one.
+func (c *Crashes) try(a *attempt, now time.Time) bool {
+	print := a.call.print
+	change, begun := c.Table.Try(print, c.place(print), lifeName(a.life), now)
 	if begun {
-		c.Watcher.TrialBegan(life, change)
+		c.Watcher.TrialBegan(a.pick.Target.ID, change)
 		c.changed(change)
 	}
 	return begun
