--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -33,8 +33,8 @@
 	// trialPatience is how long an outcome is waited for: the gateway that tries may be lost.
 	trialPatience = 10 * time.Second
 	// trialOrder is how long requests that shared an end with one that is to be tried before
-	// them wait for that: it may not come again.
-	trialOrder = 30 * time.Second
+	// them wait from when it may be: callers come back sooner, if they do.
+	trialOrder = 5 * time.Second
 )
 
 // Standing is whether a request may be sent.
@@ -119,7 +119,7 @@
 // isNext says whether no request that shares an end is to be tried before; t.mu is held.
 func (t *Table) isNext(known *entry, now time.Time) bool {
 	for _, other := range t.entries {
-		waits := other != known && other.held(now) && now.Sub(other.changedAt) < trialOrder
+		waits := other != known && other.held(now) && now.Sub(other.changedAt) < trialQuiet+trialOrder
 		if waits && other.before(known) && other.shares(known) && t.blame(other).explained {
 			return false
 		}
