Where others have met two ends each, a request is in doubt for longer

The log: alike requests had five ends at 17.4 s, the fatal ones two each; their third came at 20.2 to 21.4 s, when targets were back and had processor time. From 19.4 s on nothing was fresh, and nothing explained the five ends. Now it is in doubt for five seconds where each of its ends is also one of a request that has met two. Trials still need others that are held back.

--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -24,6 +24,9 @@
 	// settleTime is how long after a request's last end, or that of one which shared an end with
 	// it, it may yet show that others were there.
 	settleTime = 2 * time.Second
+	// coveredTime is the same where each of its ends was also one of a request that needs only one
+	// more to be held back: that comes again when targets are back.
+	coveredTime = 5 * time.Second
 	// trialQuiet is how long no request that shares an end may have met another one before a
 	// trial: what ends targets is to be known first.
 	trialQuiet = time.Second
@@ -132,6 +135,8 @@
 	// explained says that others which are held back were there at its ends, but for
 	// mostUnexplained at most.
 	explained bool
+	// covered says that at each of its ends another request was which has met several.
+	covered bool
 	// changedAt is when the last end became known that it, or a request which shares an end
 	// with it, had.
 	changedAt time.Time
@@ -140,13 +145,17 @@
 // unsettled says whether the ends of the request, or of others that were at some of them, are so
 // fresh that it may yet show who else was there.
 func (e *entry) unsettled(blame blame, now time.Time) bool {
-	return !e.settled && !e.convicted() && now.Sub(blame.changedAt) < settleTime
+	lasts := settleTime
+	if blame.covered {
+		lasts = coveredTime
+	}
+	return !e.settled && !e.convicted() && now.Sub(blame.changedAt) < lasts
 }
 
 // blame compares a request with all others; t.mu is held.
 func (t *Table) blame(known *entry) blame {
 	found := blame{changedAt: known.changedAt}
-	own := slices.Clone(known.Lives)
+	own, uncovered := slices.Clone(known.Lives), slices.Clone(known.Lives)
 	for _, other := range t.entries {
 		if other == known || !other.shares(known) {
 			continue
@@ -154,11 +163,15 @@
 		if other.changedAt.After(found.changedAt) {
 			found.changedAt = other.changedAt
 		}
+		met := func(life Life) bool { return slices.Contains(other.Lives, life) }
+		if other.Suspicious() {
+			uncovered = slices.DeleteFunc(uncovered, met)
+		}
 		if other.atLimit() {
-			own = slices.DeleteFunc(own, func(life Life) bool { return slices.Contains(other.Lives, life) })
+			own = slices.DeleteFunc(own, met)
 		}
 	}
-	found.explained = len(own) <= mostUnexplained
+	found.explained, found.covered = len(own) <= mostUnexplained, len(uncovered) == 0
 	if known.convicted() && slices.Contains(own, known.TrialLife) {
 		found.explained = false
 	}
--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -74,6 +74,26 @@
 			after: quiet,
 			want:  quarantine.Fatal,
 		},
+		"others that were at all ends have met two each, and come later": {
+			table: func() *quarantine.Table {
+				table := ended(alike, 4, now)
+				crash(table, fatalOne, 1, 2, now)
+				crash(table, fatalTwo, 3, 2, now)
+				return table
+			},
+			after: 4 * time.Second,
+			want:  quarantine.Doubtful,
+		},
+		"they don't come": {
+			table: func() *quarantine.Table {
+				table := ended(alike, 4, now)
+				crash(table, fatalOne, 1, 2, now)
+				crash(table, fatalTwo, 3, 2, now)
+				return table
+			},
+			after: quiet,
+			want:  quarantine.Fatal,
+		},
 		"another one explains all ends": {
 			table: func() *quarantine.Table { return beside(ended(alike, 3, now), 3, now) },
 			after: quiet,
