Logs and metrics tell what a retry followed, and why none did

Cause of the change: two hypotheses of the incident differ in what a repeat followed and in whether a budget was left. The request line showed the former only in the text of a reason, left lines out just when much failed, and never showed the latter.

Change: attempts that another target answered have the outcome misdirected instead of rejected, in lines and in attempts_total; retries_total counts by service and outcome of the attempt before what targets received beyond the first attempt, exactly what the budget limits; retries_denied_total and the field no_retry say whether time, a target, capacity or the budget was lacking. No decision changes: a caller is told the same as before.

Tests: TestRetriesAreCounted; the cases of delivery with the new outcome.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -15,6 +15,8 @@
 	Unsent Outcome = iota
 	// Rejected: the target reported that it did not run the request and will not.
 	Rejected
+	// Misdirected: another target received the request at this address, and did not run it.
+	Misdirected
 	// Lost: the request was sent and no usable answer arrived; it may have run.
 	Lost
 	// Failed: the target ran the request and answered with a failure.
@@ -26,6 +28,11 @@
 	Cut
 )
 
+// NotRun reports whether it is certain that no target ran the request in this attempt.
+func (o Outcome) NotRun() bool {
+	return o == Unsent || o == Rejected || o == Misdirected
+}
+
 // RepeatPolicy is how often a request may run.
 type RepeatPolicy int
 
@@ -125,7 +132,7 @@
 func (d *Delivery) count(outcome Outcome) {
 	switch outcome {
 	case Unsent:
-	case Rejected:
+	case Rejected, Misdirected:
 		d.sent++
 	default:
 		d.sent++
@@ -162,7 +169,7 @@
 // target can have run the request.
 func (d *Delivery) giveUp(outcome Outcome) Verdict {
 	switch {
-	case d.ran == 0 && outcome == Rejected:
+	case d.ran == 0 && (outcome == Rejected || outcome == Misdirected):
 		return Verdict{Step: GiveUp, Kind: fault.Overloaded, State: fault.NotRun}
 	case d.ran == 0:
 		return Verdict{Step: GiveUp, Kind: fault.NoTarget, State: fault.NotRun}
--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -27,6 +27,8 @@
 	}{
 		"unsent is retried":                      {delivery.AtMostOnce, 1, false, retryAvailable, delivery.Unsent, delivery.Again, "", ""},
 		"rejected is retried":                    {delivery.AtMostOnce, 1, false, retryAvailable, delivery.Rejected, delivery.Again, "", ""},
+		"misdirected is retried":                 {delivery.AtMostOnce, 1, false, retryAvailable, delivery.Misdirected, delivery.Again, "", ""},
+		"misdirected without retry was not run":  {delivery.AtMostOnce, 1, false, noRetry, delivery.Misdirected, delivery.GiveUp, fault.Overloaded, fault.NotRun},
 		"rejected without retry was not run":     {delivery.AtMostOnce, 1, false, noRetry, delivery.Rejected, delivery.GiveUp, fault.Overloaded, fault.NotRun},
 		"unsent without retry was not run":       {delivery.AtMostOnce, 1, false, noRetry, delivery.Unsent, delivery.GiveUp, fault.NoTarget, fault.NotRun},
 		"lost at most once may have run":         {delivery.AtMostOnce, 2, false, retryAvailable, delivery.Lost, delivery.GiveUp, fault.TargetFailed, fault.Unknown},
@@ -63,7 +65,7 @@
 // twice, that the number of targets is limited, that only a resumable stream is sent again after
 // its answer has begun, and that a request reported as not run has not run.
 func TestDeliveryInvariants(t *testing.T) {
-	outcomes := []delivery.Outcome{delivery.Unsent, delivery.Rejected, delivery.Lost, delivery.Failed, delivery.Silent, delivery.Cut}
+	outcomes := []delivery.Outcome{delivery.Unsent, delivery.Rejected, delivery.Misdirected, delivery.Lost, delivery.Failed, delivery.Silent, delivery.Cut}
 	rapid.Check(t, func(t *rapid.T) {
 		policy := rapid.SampledFrom([]delivery.RepeatPolicy{delivery.AtMostOnce, delivery.Repeatable, delivery.Resumable}).Draw(t, "repeat")
 		maxRuns := rapid.IntRange(1, 4).Draw(t, "maxRuns")
@@ -81,7 +83,7 @@
 			if outcome == delivery.Cut && !begun {
 				outcome = delivery.Lost
 			}
-			if outcome != delivery.Unsent && outcome != delivery.Rejected {
+			if outcome != delivery.Unsent && outcome != delivery.Rejected && outcome != delivery.Misdirected {
 				ran++
 			}
 			retry := rapid.Bool().Draw(t, "retry")
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -201,7 +201,7 @@
 	switch {
 	case answer.Misdirected:
 		// The incarnation has ended, as if its address refused connections.
-		a.outcome, a.result = delivery.Rejected, balance.Refused
+		a.outcome, a.result = delivery.Misdirected, balance.Refused
 		a.err = errors.New("another target answers at this address")
 		return false
 	case answer.NotRun:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -53,6 +53,8 @@
 	failedAnswer *bufferedAnswer
 	status       int
 	ending       string
+	// retryDenial is why the last further attempt was denied; empty for none.
+	retryDenial RetryDenial
 	// turn is the admission to the service; nil for none.
 	turn *admission.Turn
 	// queueTime is how long the request waited in the queue.
@@ -288,14 +290,23 @@
 // left to its caller.
 func (c *call) canRetry(ctx context.Context) bool {
 	if crashes := c.gateway.Crashes; crashes != nil && crashes.Table.Suspicious(c.fingerprint) {
-		return false
+		return c.denyRetry(DeniedSuspicious)
 	}
 	if ctx.Err() != nil || clock.Until(c.deadline) < minAttemptTime {
-		return false
+		return c.denyRetry(DeniedTime)
 	}
 	now := clock.Now()
 	c.assignVersions(now)
-	return c.gateway.Balancer.Has(c.attemptQuery(), now)
+	if !c.gateway.Balancer.Has(c.attemptQuery(), now) {
+		return c.denyRetry(DeniedTarget)
+	}
+	return true
+}
+
+// denyRetry records why a further attempt is denied, and returns false.
+func (c *call) denyRetry(reason RetryDenial) bool {
+	c.retryDenial = reason
+	return false
 }
 
 // takeRetry takes one retry from the budget if there is time and a target for it.
@@ -304,9 +315,12 @@
 		return false
 	}
 	if !c.delivery.Begun() && !c.gateway.hasCapacity(c.service) {
-		return false
+		return c.denyRetry(DeniedCapacity)
+	}
+	if !c.gateway.Budgets.Spend(c.service, clock.Now()) {
+		return c.denyRetry(DeniedBudget)
 	}
-	return c.gateway.Budgets.Spend(c.service, clock.Now())
+	return true
 }
 
 // applyVerdict carries out a verdict and reports whether another attempt follows.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
-	"github.com/capersaddle/capersaddle/internal/delivery"
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/quarantine"
 )
@@ -42,7 +41,7 @@
 // endTrial records that the target did not run the attempt, if it was a trial.
 func (a *attempt) endTrial(now time.Time) {
 	answered := a.err == nil || a.result == balance.Good
-	if a.trial && !answered && (a.outcome == delivery.Unsent || a.outcome == delivery.Rejected) {
+	if a.trial && !answered && (a.outcome.NotRun()) {
 		crashes := a.call.gateway.Crashes
 		crashes.publish(crashes.Table.TrialNotRun(a.call.fingerprint, quarantineIncarnation(a.incarnation), now))
 	}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -63,6 +63,9 @@
 	Status int
 	// Ending is one of the Ending constants or the kind of the refusal.
 	Ending string
+	// RetryDenial is why no further attempt followed the last one although the delivery allowed
+	// one; empty if none was denied.
+	RetryDenial RetryDenial
 	// TargetLatency is the time within which the route's callers want the answer or its first
 	// event; zero if the route sets none.
 	TargetLatency time.Duration
@@ -71,6 +74,23 @@
 	Took       time.Duration
 }
 
+// RetryDenial is why a further attempt was denied.
+type RetryDenial string
+
+// The reasons to deny a further attempt.
+const (
+	// DeniedSuspicious: the request was in flight at targets that crashed.
+	DeniedSuspicious RetryDenial = "suspicious"
+	// DeniedTime: the deadline is too close, or the caller left.
+	DeniedTime RetryDenial = "time"
+	// DeniedTarget: no further target is open.
+	DeniedTarget RetryDenial = "target"
+	// DeniedCapacity: the service has no capacity left for retries.
+	DeniedCapacity RetryDenial = "capacity"
+	// DeniedBudget: the retry budget is spent.
+	DeniedBudget RetryDenial = "budget"
+)
+
 // AttemptRecord describes one attempt.
 type AttemptRecord struct {
 	Target string
@@ -92,13 +112,22 @@
 	Ejected bool
 }
 
+// outcomeUnsent is the name of the outcome of an attempt of which nothing reached a target.
+const outcomeUnsent = "unsent"
+
+// Received reports whether a target received the request in this attempt.
+func (r *AttemptRecord) Received() bool {
+	return r.Outcome != outcomeUnsent
+}
+
 var outcomeNames = map[delivery.Outcome]string{
-	delivery.Unsent:   "unsent",
-	delivery.Rejected: "rejected",
-	delivery.Lost:     "lost",
-	delivery.Failed:   "failed",
-	delivery.Silent:   "silent",
-	delivery.Cut:      "cut",
+	delivery.Unsent:      outcomeUnsent,
+	delivery.Rejected:    "rejected",
+	delivery.Misdirected: "misdirected",
+	delivery.Lost:        "lost",
+	delivery.Failed:      "failed",
+	delivery.Silent:      "silent",
+	delivery.Cut:         "cut",
 }
 
 // record summarizes the call.
@@ -117,6 +146,7 @@
 		HolderLookupTime: c.holderLookupTime,
 		Status:           c.status,
 		Ending:           c.ending,
+		RetryDenial:      c.retryDenial,
 		TimeToHead:       c.timeToHead,
 		Took:             now.Sub(c.request.Arrived),
 		ProofAge:         -1,
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -34,6 +34,8 @@
 	requests        *prometheus.CounterVec
 	attempts        *prometheus.CounterVec
 	versionAttempts *prometheus.CounterVec
+	retries         *prometheus.CounterVec
+	retriesDenied   *prometheus.CounterVec
 	holderLookups   *prometheus.CounterVec
 	prompts         *prometheus.CounterVec
 	storeCalls      *prometheus.CounterVec
@@ -102,6 +104,14 @@
 			Namespace: namespace, Name: "version_sendings_total",
 			Help: "Sendings to targets that state a version, by service, version and result.",
 		}, []string{"service", "version", "result"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "retries_total",
+			Help: "Attempts that a target received after an earlier one had been received, by service and outcome of the earlier one.",
+		}, []string{"service", "after"}),
+		retriesDenied: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "retries_denied_total",
+			Help: "Requests that ended without a further attempt that they might have had, by service and reason.",
+		}, []string{"service", "reason"}),
 		holderLookups: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "holder_questions_total",
 			Help: "Questions to other gateways for where a prompt is cached, by outcome.",
@@ -137,7 +147,7 @@
 		workspaces: boundedLabel{limit: maxWorkspaces},
 		versions:   boundedLabel{limit: maxVersions},
 	}
-	registry.MustRegister(m.requestSeconds, m.firstSeconds, m.requests, m.attempts, m.versionAttempts, m.holderLookups, m.prompts, m.storeCalls, m.replicas, m.badValues, m.crashes, m.notices, m.configVersion)
+	registry.MustRegister(m.requestSeconds, m.firstSeconds, m.requests, m.attempts, m.versionAttempts, m.retries, m.retriesDenied, m.holderLookups, m.prompts, m.storeCalls, m.replicas, m.badValues, m.crashes, m.notices, m.configVersion)
 	return m
 }
 
@@ -150,6 +160,7 @@
 	if record.HolderLookup != "" {
 		m.holderLookups.WithLabelValues(string(record.HolderLookup)).Inc()
 	}
+	m.recordRetries(record)
 	for _, attempt := range record.Attempts {
 		m.attempts.WithLabelValues(record.Service, attempt.Outcome).Inc()
 		if attempt.Version != "" {
@@ -162,6 +173,23 @@
 	}
 }
 
+// recordRetries counts what targets received beyond the first attempt, which the retry budget limits.
+func (m *Metrics) recordRetries(record *gateway.RequestRecord) {
+	earlier := ""
+	for _, attempt := range record.Attempts {
+		if !attempt.Received() {
+			continue
+		}
+		if earlier != "" {
+			m.retries.WithLabelValues(record.Service, earlier).Inc()
+		}
+		earlier = attempt.Outcome
+	}
+	if record.RetryDenial != "" && record.Ending != gateway.EndingAnswered {
+		m.retriesDenied.WithLabelValues(record.Service, string(record.RetryDenial)).Inc()
+	}
+}
+
 // Gauges are functions that are called when the metrics are collected.
 type Gauges struct {
 	// ProofAge is the age in seconds of the proof that the configuration is the newest; -1 for
--- a/internal/process/reference_test.go
+++ b/internal/process/reference_test.go
@@ -97,7 +97,7 @@
 	is.New(t).Equal(len(lines), 2) // the ejection and the request
 	var fields map[string]any
 	is.New(t).NoErr(json.Unmarshal([]byte(lines[1]), &fields))
-	for _, name := range []string{"time", "level", "msg", "id", "ending", "status", "route", "kind", "workspace", "service", "session", "print", "config", "proof_ms", "first_ms", "took_ms", "attempts"} {
+	for _, name := range []string{"time", "level", "msg", "id", "ending", "status", "route", "kind", "workspace", "service", "session", "print", "config", "proof_ms", "first_ms", "took_ms", "no_retry", "attempts"} {
 		if _, ok := fields[name]; !ok {
 			t.Errorf("the log line of a request lacks %s", name)
 		}
@@ -114,7 +114,7 @@
 	})
 	// A series is exported only once it has been used.
 	observer := observe.New(log.New(io.Discard), metrics)
-	observer.Request(&gateway.RequestRecord{TimeToHead: 1, HolderLookup: balance.Answered, Attempts: []gateway.AttemptRecord{{Source: balance.SourceHeld, Version: "v2"}}})
+	observer.Request(&gateway.RequestRecord{TimeToHead: 1, HolderLookup: balance.Answered, RetryDenial: gateway.DeniedBudget, Attempts: []gateway.AttemptRecord{{Source: balance.SourceHeld, Version: "v2", Outcome: "lost"}, {Outcome: "lost"}}})
 	observer.Notice(&gateway.NoticeRecord{Change: balance.NoticeChange{Leaving: true}})
 	observer.StoreCalled("watch", nil)
 	observer.ReplicaFetched("p", 1, 2, nil)
