A retry after a 421 is charged to the retry budget

Cause: what an attempt costs was read off the verdict on the target's health. An answer "another target answers here" and a refused connection share the verdict Refused, and refused connections are free, since nothing was received. After a 421 something was.

Change: what an attempt costs follows from its outcome, so from whether anything reached a target. Without a retry left the caller is told no target (503), not that all are full.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -169,7 +169,7 @@
 // target can have run the request.
 func (d *Delivery) giveUp(outcome Outcome) Verdict {
 	switch {
-	case d.ran == 0 && (outcome == Rejected || outcome == Misdirected):
+	case d.ran == 0 && outcome == Rejected:
 		return Verdict{Step: GiveUp, Kind: fault.Overloaded, State: fault.NotRun}
 	case d.ran == 0:
 		return Verdict{Step: GiveUp, Kind: fault.NoTarget, State: fault.NotRun}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -271,18 +271,20 @@
 // anything.
 const maxRefusedConnections = 3
 
-// mayRetryAfter reports whether another attempt may follow the last one. If nothing was received
-// because the target is gone or accepts no new requests, the attempt doesn't count, and no retry is
-// taken from the budget, which limits what targets receive.
+// mayRetryAfter reports whether another attempt may follow the last one. If nothing was sent
+// because the target accepts no new requests or refused the connection, no retry is taken from the
+// budget, which limits what targets receive.
 func (c *call) mayRetryAfter(ctx context.Context, last *attempt) bool {
-	if last.withdrawn {
-		return c.canRetry(ctx)
-	}
-	if last.result != balance.Refused || c.refusedConnections >= maxRefusedConnections {
+	switch {
+	case last.outcome != delivery.Unsent:
 		return c.takeRetry(ctx)
+	case last.withdrawn:
+		return c.canRetry(ctx)
+	case last.result == balance.Refused && c.refusedConnections < maxRefusedConnections:
+		c.refusedConnections++
+		return c.canRetry(ctx)
 	}
-	c.refusedConnections++
-	return c.canRetry(ctx)
+	return c.takeRetry(ctx)
 }
 
 // canRetry reports whether there is time for another attempt, and a target of the versions assigned
--- a/internal/gateway/misdirected_test.go
+++ b/internal/gateway/misdirected_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/gateway"
+	"github.com/capersaddle/capersaddle/internal/retrybudget"
 )
 
 // answerMisdirected is the answer of another target at the address of the intended one.
@@ -63,3 +64,37 @@
 		is.True(w.gateway.Balancer.EndOf("a").Known()) // its losses count as losses to its end
 	})
 }
+
+// TestReceivedAttemptsCostRetries guards against retries that targets receive and no budget pays
+// for: requests answered by another target at the address were retried as if nothing had arrived.
+func TestReceivedAttemptsCostRetries(t *testing.T) {
+	cases := map[string]struct {
+		scripts []script
+		budget  float64
+		sends   int
+		status  int
+	}{
+		"misdirected, no budget":             {[]script{answerMisdirected}, 0, 1, http.StatusServiceUnavailable},
+		"misdirected, a budget of one":       {[]script{answerMisdirected}, 1, 2, http.StatusServiceUnavailable},
+		"misdirected, then served":           {[]script{answerMisdirected, respond(200, "yes")}, 1, 2, http.StatusOK},
+		"refused first":                      {[]script{refused, answerMisdirected, respond(200, "yes")}, 0, 2, http.StatusServiceUnavailable},
+		"refused in between":                 {[]script{answerMisdirected, refused, respond(200, "yes")}, 1, 3, http.StatusOK},
+		"rejected, no budget":                {[]script{rejected}, 0, 1, http.StatusTooManyRequests},
+		"misdirected as often as is allowed": {[]script{answerMisdirected}, 100, 5, http.StatusServiceUnavailable},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newTestGateway(tc.scripts...)
+				w.gateway.Budgets = retrybudget.New(retrybudget.Options{Slack: tc.budget, Window: 10 * time.Second})
+				for _, id := range []string{"d", "e", "f"} {
+					w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id}, time.Now())
+				}
+				w.serve(t.Context(), "/once/x")
+				is.Equal(len(w.sender.sent), tc.sends)
+				is.Equal(w.caller.status, tc.status)
+			})
+		})
+	}
+}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -41,7 +41,7 @@
 // endTrial records that the target did not run the attempt, if it was a trial.
 func (a *attempt) endTrial(now time.Time) {
 	answered := a.err == nil || a.result == balance.Good
-	if a.trial && !answered && (a.outcome.NotRun()) {
+	if a.trial && !answered && a.outcome.NotRun() {
 		crashes := a.call.gateway.Crashes
 		crashes.publish(crashes.Table.TrialNotRun(a.call.fingerprint, quarantineIncarnation(a.incarnation), now))
 	}
