Targets whose addresses others have never fill in for ejected ones

What callers saw: 503 and late answers from a gateway that was cut off from most targets: their requests went to five targets that no longer existed, up to four times each.

Cause: while more than half of a service's targets are ejected, those whose ejections end first serve all the same.

Change: the result of such an attempt is Replaced; a replaced target is not among those that may serve although they are ejected. It is tried again after its ejection, since the answer may have been a mistake.

--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -127,8 +127,10 @@
 	Lost
 	// Unreachable: no connection could be made.
 	Unreachable
-	// Refused: nothing listens at the target's address any more, or another target does.
+	// Refused: nothing listens at the target's address any more.
 	Refused
+	// Replaced: another target answers at the target's address.
+	Replaced
 	// Neutral: the result says nothing about the target.
 	Neutral
 )
@@ -143,13 +145,14 @@
 		return false
 	}
 	target.addInFlight(-1)
-	if result == Bad || result == Lost || result == Unreachable || result == Refused {
+	if result != Good && result != Neutral {
 		target.needsCheck = true
 	}
 	switch result {
 	case Good:
 		target.health.recordAnswer(now)
 		target.health.recordSuccess()
+		target.replaced = false
 		target.cancelMistakenEnd(now)
 	case Lost:
 		target.health.recordLoss(now)
@@ -160,9 +163,10 @@
 		target.health.recordLoss(now)
 		target.health.recordUnreachable(now)
 		return true
-	case Refused:
+	case Refused, Replaced:
 		target.recordEnd(now, false)
 		target.health.recordRefused(now)
+		target.replaced = result == Replaced
 		return true
 	case Neutral:
 	}
--- a/internal/balance/open.go
+++ b/internal/balance/open.go
@@ -9,7 +9,7 @@
 // openTargets returns the targets that may take the request: listed, not leaving, not backing
 // off, not in an evacuated data centre, of an admitted version, not tried and not ejected.
 // Cold targets are open only in this gateway's window. When all other targets are ejected, the
-// ejected ones serve. When the entries of at least half of a service's targets have
+// ejected ones serve, except those at whose addresses other targets answer. When the entries of at least half of a service's targets have
 // disappeared, these targets keep serving for a while: entries expire while the store is down,
 // and are registered again soon after its return. Among ejected and expired targets, too, only
 // admitted versions count: if the others were removed together, no entry expired. The caller
@@ -37,6 +37,9 @@
 			healthy = append(healthy, target)
 			continue
 		}
+		if target.replaced && target.health.ejected(now) {
+			continue
+		}
 		unlisted := !target.unlistedAt.IsZero()
 		if !unlisted {
 			present++
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -200,8 +200,7 @@
 func (a *attempt) passAnswer(ctx context.Context, answer *Answer) bool {
 	switch {
 	case answer.Misdirected:
-		// The incarnation has ended, as if its address refused connections.
-		a.outcome, a.result = delivery.Misdirected, balance.Refused
+		a.outcome, a.result = delivery.Misdirected, balance.Replaced
 		a.err = errors.New("another target answers at this address")
 		return false
 	case answer.NotRun:
@@ -324,7 +323,8 @@
 	a.endProbe(false)
 	a.reportToRollout(now)
 	ejected := a.call.gateway.Balancer.Release(a.incarnation, a.result, now)
-	if a.result == balance.Refused && a.call.gateway.Directory != nil {
+	hasEnded := a.result == balance.Refused || a.result == balance.Replaced
+	if hasEnded && a.call.gateway.Directory != nil {
 		a.call.gateway.Directory.Refused(a.incarnation)
 	}
 	record := AttemptRecord{
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -129,5 +129,6 @@
 	balance.Lost:        rollout.Failed,
 	balance.Unreachable: rollout.Neutral,
 	balance.Refused:     rollout.Neutral,
+	balance.Replaced:    rollout.Neutral,
 	balance.Neutral:     rollout.Neutral,
 }
