Retries are earned by requests and expire, whoever received them

Cause: the budget of each gateway was a sliding window in its memory. A life could spend 0.17 of the ten seconds before it, and each further life 0.17 of its own requests and a share of the slack besides; callers who move to another gateway brought a second budget in the same way. Class: a bound over the fleet and a window, kept in a process that may last shorter than the window.

Change: a request earns 0.8 of the ratio, to be spent within a twentieth of the window by the gateway that received it; slack accrues from a process's start. What is spent in a window was earned by requests in it or just before it, over any number of lives and however callers move. retryShare and minGateways are not needed any more. Ways weighed: docs/design/platform.md, Retry budget.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -175,12 +175,22 @@
 	caller  *recorder
 }
 
+// retries returns a budget of this many retries for each service, as good as none of which come
+// back.
+func retries(count float64) *retrybudget.Budgets {
+	const window = 1000 * time.Hour
+	return retrybudget.New(retrybudget.Options{Slack: slackPerSaved * count, Window: window}, time.Now().Add(-window))
+}
+
+// slackPerSaved is how much slack a router needs for each retry that it may save up.
+const slackPerSaved = 3
+
 func newTestGateway(scripts ...script) *testGateway {
 	w := &testGateway{sender: &fakeSender{scripts: scripts}, caller: new(recorder)}
 	w.gateway = &gateway.Gateway{
 		Sender:   w.sender,
 		Balancer: balance.New(balance.DefaultOptions()),
-		Budgets:  retrybudget.New(retrybudget.Options{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}),
+		Budgets:  retries(10),
 		Proof:    new(freshness.Proof),
 		Events:   w.caller,
 		Options:  gateway.Options{KeyFreshness: 4 * time.Second, DenyFreshness: 4 * time.Second},
@@ -321,7 +331,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newTestGateway(lost)
-		w.gateway.Budgets = retrybudget.New(retrybudget.Options{Window: 10 * time.Second})
+		w.gateway.Budgets = retries(0)
 		w.serve(t.Context(), "/get/x")
 		is.Equal(len(w.sender.sent), 1)
 		is.Equal(w.caller.status, http.StatusBadGateway)
@@ -590,7 +600,7 @@
 				w := newTestGateway(tc.scripts...)
 				directory := new(fakeDirectory)
 				w.gateway.Directory = directory
-				w.gateway.Budgets = retrybudget.New(retrybudget.Options{Window: 10 * time.Second})
+				w.gateway.Budgets = retries(0)
 				for i := 3; i < tc.targets; i++ {
 					id := strings.Repeat("x", i)
 					w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id}, time.Now())
--- a/internal/gateway/misdirected_test.go
+++ b/internal/gateway/misdirected_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/gateway"
-	"github.com/capersaddle/capersaddle/internal/retrybudget"
 )
 
 // answerMisdirected is the answer of another target at the address of the intended one.
@@ -87,7 +86,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				w := newTestGateway(tc.scripts...)
-				w.gateway.Budgets = retrybudget.New(retrybudget.Options{Slack: tc.budget, Window: 10 * time.Second})
+				w.gateway.Budgets = retries(tc.budget)
 				for _, id := range []string{"d", "e", "f"} {
 					w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id}, time.Now())
 				}
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/gateway"
-	"github.com/capersaddle/capersaddle/internal/retrybudget"
 )
 
 // withNotice adds a notice of target a to each answer of a script.
@@ -132,7 +131,7 @@
 					w := newTestGateway(respond(http.StatusOK, one))
 					sender := &blockedSender{fakeSender: w.sender, release: make(chan struct{})}
 					w.gateway.Sender = sender
-					w.gateway.Budgets = retrybudget.New(retrybudget.Options{Window: 10 * time.Second})
+					w.gateway.Budgets = retries(0)
 					callers := make([]*recorder, 9)
 					for i := range callers {
 						go func() { callers[i] = w.serveAs(t.Context(), path) }()
@@ -182,7 +181,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					is := is.New(t)
 					w := newTestGateway(withNotice(balance.Notice{Leaving: true}, answers))
-					w.gateway.Budgets = retrybudget.New(retrybudget.Options{Slack: 1, Window: time.Minute})
+					w.gateway.Budgets = retries(1)
 					for number := range 300 {
 						w.gateway.Proof.Note(time.Now())
 						is.Equal(w.serveAs(t.Context(), fmt.Sprintf("%s%d", path, number)).status, http.StatusOK)
--- a/internal/gateway/retry_after_test.go
+++ b/internal/gateway/retry_after_test.go
@@ -16,7 +16,6 @@
 	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/gateway"
-	"github.com/capersaddle/capersaddle/internal/retrybudget"
 )
 
 const backoffTime = 3 * time.Second
@@ -40,7 +39,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				w := newTestGateway(backoffUntil(time.Now().Add(7 * time.Second)))
-				w.gateway.Budgets = retrybudget.New(retrybudget.Options{Slack: 4, Window: time.Minute})
+				w.gateway.Budgets = retries(4)
 				for number := range 700 {
 					w.gateway.Proof.Note(time.Now())
 					is.Equal(w.serveAs(t.Context(), fmt.Sprintf("%s%d", path, number)).status, http.StatusOK)
@@ -173,7 +172,7 @@
 		w := newTestGateway(respond(http.StatusOK, one))
 		sender := &blockedSender{fakeSender: w.sender, release: make(chan struct{})}
 		w.gateway.Sender = sender
-		w.gateway.Budgets = retrybudget.New(retrybudget.Options{Window: 10 * time.Second})
+		w.gateway.Budgets = retries(0)
 		callers := make([]*recorder, 9)
 		for i := range callers {
 			go func() { callers[i] = w.serveAs(t.Context(), "/once/x") }()
@@ -224,7 +223,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newTestGateway(withNotice(balance.Notice{}, rejected))
-		w.gateway.Budgets = retrybudget.New(retrybudget.Options{Slack: 1000, Window: time.Minute})
+		w.gateway.Budgets = retries(1000)
 		for number := range 60 {
 			w.serve(t.Context(), fmt.Sprintf("/once/%d", number))
 		}
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -15,7 +15,6 @@
 	"github.com/capersaddle/capersaddle/internal/admission"
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/gateway"
-	"github.com/capersaddle/capersaddle/internal/retrybudget"
 	"github.com/capersaddle/capersaddle/internal/rollout"
 )
 
@@ -98,7 +97,7 @@
 	t.Helper()
 	w := &rolloutGateway{testGateway: newTestGateway(), sender: &versionSender{scripts: scripts}, caller: new(recorder)}
 	w.gateway.Sender, w.gateway.Events = w.sender, w.caller
-	w.gateway.Budgets = retrybudget.New(retrybudget.Options{Ratio: 1, Slack: 1000, Window: 10 * time.Second})
+	w.gateway.Budgets = retries(1000)
 	for id, version := range map[string]string{"a": oldVersion, "b": oldVersion, "c": newVersion, "d": newVersion} {
 		w.put(id, version, false)
 	}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -35,12 +35,8 @@
 	proofMargin = 400 * time.Millisecond
 	// denyFreshness is the maximum age of the freshness proof for denying a request.
 	denyFreshness = 4 * time.Second
-	// retryShare is the fraction of the allowed retry ratio that one gateway spends. It is below
-	// 1 because the gateways' windows do not start at the same time.
-	retryShare = 0.85
-	// minGateways is the minimum number of gateways that the retry slack is divided by, and
-	// gatewayGrowthFactor the number assumed per gateway seen, since more can join at any time.
-	minGateways         = 8
+	// gatewayGrowthFactor is the number of gateways that the retry slack is divided by per gateway
+	// seen, since more can join at any time.
 	gatewayGrowthFactor = 1.3
 	// assumedGateways is the number of gateways assumed while a process may not yet have
 	// discovered the others, which takes up to discoveryTime.
@@ -97,7 +93,7 @@
 	p.gateway = &gateway.Gateway{
 		Sender:   sender,
 		Balancer: balance.New(balanceOptions(s)),
-		Budgets:  retrybudget.New(retryOptions(s)),
+		Budgets:  retrybudget.New(retryOptions(s), p.started),
 		Limiters: admission.NewLimiters(admission.DefaultLimiterOptions()),
 		Proof:    new(freshness.Proof),
 		Events:   p.observer,
@@ -261,7 +257,7 @@
 
 func retryOptions(s *settings.Gateway) retrybudget.Options {
 	return retrybudget.Options{
-		Ratio:  retryShare * s.Retry.Ratio,
+		Ratio:  s.Retry.Ratio,
 		Slack:  s.Retry.Slack / assumedGateways,
 		Window: time.Duration(s.Retry.Window),
 	}
@@ -338,5 +334,5 @@
 	if level, err := log.ParseLevel(s.Log.Level); err == nil && s.Log.Level != "" {
 		p.log.SetLevel(level)
 	}
-	p.gateway.Budgets.SetRatio(retryShare * s.Retry.Ratio)
+	p.gateway.Budgets.SetRatio(s.Retry.Ratio)
 }
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -66,12 +66,20 @@
 	p.gateway.Balancer.SetPeers(census.Live)
 	p.gateway.Balancer.SetGateways(p.gatewayPlace(census))
 	p.maxPeers = max(p.maxPeers, census.Live)
-	gateways := max(minGateways, gatewayGrowthFactor*float64(p.maxPeers+1))
+	p.gateway.Budgets.SetSlack(p.settings.Retry.Slack / p.gatewaysSharingSlack())
+	p.gateway.AdmitWaiting()
+}
+
+// gatewaysSharingSlack returns the number of gateways that the retry slack is divided by: the most
+// that were ever seen or, if that is more, as many as when the last checkpoint was written. Until
+// the process has had time to discover the others, it is at least assumedGateways.
+func (p *GatewayProcess) gatewaysSharingSlack() float64 {
+	known := max(p.maxPeers+1, int(p.expectedGateways.Load()))
+	gateways := gatewayGrowthFactor * float64(known)
 	if time.Since(p.started) < discoveryTime {
-		gateways = max(gateways, assumedGateways)
+		return max(gateways, assumedGateways)
 	}
-	p.gateway.Budgets.SetSlack(p.settings.Retry.Slack / gateways)
-	p.gateway.AdmitWaiting()
+	return gateways
 }
 
 // gatewayPlace returns the number of gateways and this process's position among them. Until the
--- a/internal/process/options_test.go
+++ b/internal/process/options_test.go
@@ -36,7 +36,7 @@
 			is := is.New(t)
 			s := &settings.Gateway{Retry: settings.RetryBudget{Ratio: 0.2, Slack: 100, Window: settings.Duration(10 * time.Second)}}
 			p := &GatewayProcess{settings: s, started: time.Now().Add(-tc.uptime)}
-			p.gateway = &gateway.Gateway{Balancer: balance.New(balance.DefaultOptions()), Budgets: retrybudget.New(retryOptions(s))}
+			p.gateway = &gateway.Gateway{Balancer: balance.New(balance.DefaultOptions()), Budgets: retrybudget.New(retryOptions(s), p.started)}
 			p.applyCensus(peer.Census{Live: tc.peers, Known: tc.peers})
 			if name == "thirty, then none live" {
 				p.applyCensus(peer.Census{}) // partitioned, but the others keep spending
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -1,6 +1,9 @@
-// Package retrybudget limits, over sliding windows, how many additional attempts a router may
-// add to a service's requests, so that retries never multiply an overload. It does no I/O; the
+// Package retrybudget limits how many attempts all routers together may add to a service's
+// requests within a sliding window, so that retries never multiply an overload. The routers share
+// no state, and a router that restarts knows nothing of what it spent before. It does no I/O; the
 // caller passes in the time.
+//
+// Source: docs/design/platform.md, "Retry budget".
 package retrybudget
 
 import (
@@ -10,7 +13,7 @@
 
 // Options limits the retries of one router.
 type Options struct {
-	// Ratio is how many retries one request of this router earns.
+	// Ratio is how many retries per request the whole fleet may make in a window.
 	Ratio float64
 	// Slack is how many retries a window may contain in addition; it is this router's share of
 	// what all routers together may spend.
@@ -19,60 +22,34 @@
 	Window time.Duration
 }
 
-// buckets is the number of buckets that a window is counted in.
-const buckets = 20
-
-// counter counts events in a sliding window that is slightly longer than requested.
-type counter struct {
-	width  time.Duration
-	start  time.Time
-	counts [buckets + 1]int
-	// newest is the number of the newest bucket, counted from start.
-	newest int64
-}
-
-func (c *counter) advance(now time.Time) {
-	if c.start.IsZero() {
-		c.start = now
-	}
-	at := int64(now.Sub(c.start) / c.width)
-	for steps := 0; c.newest < at && steps <= buckets; steps++ {
-		c.newest++
-		c.counts[c.newest%int64(len(c.counts))] = 0
-	}
-	c.newest = max(c.newest, at)
-}
-
-func (c *counter) add(now time.Time) {
-	c.advance(now)
-	c.counts[c.newest%int64(len(c.counts))]++
-}
-
-func (c *counter) sum(now time.Time) int {
-	c.advance(now)
-	total := 0
-	for _, count := range c.counts {
-		total += count
-	}
-	return total
-}
-
-// serviceBudget counts one service's requests and retries.
-type serviceBudget struct {
-	requests counter
-	retries  counter
-}
+const (
+	// earnedLife is how long an earned retry may be spent, as a share of the window. What is
+	// spent in a window was then earned by requests in it or shortly before it, whichever router
+	// received them and however often it has restarted since.
+	earnedLife = 0.05
+	// maxDelay allows for requests that are counted later than callers sent them, and for retries
+	// that arrive later than they were taken, as a share of the window.
+	maxDelay = 0.2
+	// earnShare is the part of the ratio that requests earn, so that those of the window,
+	// earnedLife and maxDelay stay within the ratio times those of the window.
+	earnShare = 1 / (1 + earnedLife + maxDelay)
+	// slackParts is the number of equal parts of the slack. One accrues per window, one is the
+	// most that is saved up, and one covers the fraction of a retry that each router has earned
+	// before a window.
+	slackParts = 3
+)
 
 // Budgets holds a retry budget for each service. It is safe for concurrent use.
 type Budgets struct {
 	mu        sync.Mutex
 	options   Options
-	byService map[string]*serviceBudget
+	started   time.Time
+	byService map[string]*budget
 }
 
-// New returns budgets in which nothing has been spent.
-func New(options Options) *Budgets {
-	return &Budgets{options: options, byService: make(map[string]*serviceBudget)}
+// New returns the budgets of a router that started at a time. Slack accrues from then on.
+func New(options Options, started time.Time) *Budgets {
+	return &Budgets{options: options, started: started, byService: make(map[string]*budget)}
 }
 
 // SetSlack changes this router's share of the slack.
@@ -82,39 +59,77 @@
 	b.options.Slack = slack
 }
 
-// SetRatio changes how many retries a request earns.
+// SetRatio changes how many retries per request the fleet may make.
 func (b *Budgets) SetRatio(ratio float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.options.Ratio = ratio
 }
 
-func (b *Budgets) of(service string) *serviceBudget {
-	budget, ok := b.byService[service]
-	if !ok {
-		width := b.options.Window / buckets
-		budget = &serviceBudget{requests: counter{width: width}, retries: counter{width: width}}
-		b.byService[service] = budget
-	}
-	return budget
-}
-
 // Request counts a caller's request for a service.
 func (b *Budgets) Request(service string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.of(service).requests.add(now)
+	b.of(service).earn(earnShare*b.options.Ratio, now)
 }
 
-// Spend takes one retry from the budget; false if the window has none left.
+// Spend takes one retry from the budget; false if there is none left.
 func (b *Budgets) Spend(service string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	budget := b.of(service)
-	allowed := b.options.Ratio*float64(budget.requests.sum(now)) + b.options.Slack
-	if float64(budget.retries.sum(now)+1) > allowed {
+	return budget.earned.take(now) || budget.takeFromSlack(b.options, now)
+}
+
+// of returns the budget of a service, creating it if necessary. The caller must hold b.mu.
+func (b *Budgets) of(service string) *budget {
+	found, ok := b.byService[service]
+	if !ok {
+		life := time.Duration(earnedLife * float64(b.options.Window))
+		found = &budget{earned: expiringCount{width: max(life/expiringBuckets, 1), start: b.started}, accruedAt: b.started}
+		b.byService[service] = found
+	}
+	return found
+}
+
+// budget holds what may be spent on one service's requests.
+type budget struct {
+	// fraction is the part of the next whole retry that requests have earned; below 1.
+	fraction float64
+	// earned are the whole retries that requests have earned.
+	earned expiringCount
+	// slack is what has accrued up to accruedAt.
+	slack     float64
+	accruedAt time.Time
+}
+
+// earn adds a part of a retry.
+func (b *budget) earn(part float64, now time.Time) {
+	b.fraction += part
+	for b.fraction >= 1 {
+		b.fraction--
+		b.earned.add(now)
+	}
+}
+
+// takeFromSlack completes the earned part of a retry with slack, and takes it.
+func (b *budget) takeFromSlack(options Options, now time.Time) bool {
+	b.accrue(options, now)
+	missing := 1 - b.fraction
+	if b.slack < missing {
 		return false
 	}
-	budget.retries.add(now)
+	b.slack -= missing
+	b.fraction = 0
 	return true
 }
+
+// accrue adds the slack that has accrued since the last call.
+func (b *budget) accrue(options Options, now time.Time) {
+	part := options.Slack / slackParts
+	if elapsed := now.Sub(b.accruedAt); elapsed > 0 {
+		b.slack += part * elapsed.Seconds() / options.Window.Seconds()
+		b.accruedAt = now
+	}
+	b.slack = min(b.slack, part)
+}
