--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,6 +4,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -127,17 +128,11 @@
 
 // New returns an agent. Start begins its loops.
 func New(options Options) *Agent {
-	if options.PieceWait == 0 {
-		options.PieceWait = defaultPieceWait
-	}
+	options.PieceWait = cmp.Or(options.PieceWait, defaultPieceWait)
 	options.Cache.defaults()
 	options.Placement.defaults()
-	if options.RunTimeout == 0 {
-		options.RunTimeout = defaultRunTimeout
-	}
-	if options.MaxAnswerBytes == 0 {
-		options.MaxAnswerBytes = defaultMaxAnswerBytes
-	}
+	options.RunTimeout = cmp.Or(options.RunTimeout, defaultRunTimeout)
+	options.MaxAnswerBytes = cmp.Or(options.MaxAnswerBytes, defaultMaxAnswerBytes)
 	a := &Agent{
 		options:      options,
 		log:          options.Log,
--- a/internal/agent/held_chats.go
+++ b/internal/agent/held_chats.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -39,18 +40,10 @@
 )
 
 func (o *CacheOptions) defaults() {
-	if o.Tokens == 0 {
-		o.Tokens = defaultCacheTokens
-	}
-	if o.PrefillPerSecond == 0 {
-		o.PrefillPerSecond = defaultPrefill
-	}
-	if o.HomeWaitFactor == 0 {
-		o.HomeWaitFactor = defaultHomeWaitFactor
-	}
-	if o.MaxHomeWait == 0 {
-		o.MaxHomeWait = defaultMaxHomeWait
-	}
+	o.Tokens = cmp.Or(o.Tokens, defaultCacheTokens)
+	o.PrefillPerSecond = cmp.Or(o.PrefillPerSecond, defaultPrefill)
+	o.HomeWaitFactor = cmp.Or(o.HomeWaitFactor, defaultHomeWaitFactor)
+	o.MaxHomeWait = cmp.Or(o.MaxHomeWait, defaultMaxHomeWait)
 }
 
 // heldChat is the record of one cached chat.
--- a/internal/agent/placer.go
+++ b/internal/agent/placer.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -42,15 +43,9 @@
 )
 
 func (o *PlacementOptions) defaults() {
-	if o.Settle == 0 {
-		o.Settle = defaultSettle
-	}
-	if o.LoadsPerSecond == 0 {
-		o.LoadsPerSecond = defaultLoadsPerSecond
-	}
-	if o.Freshness == 0 {
-		o.Freshness = defaultFreshness
-	}
+	o.Settle = cmp.Or(o.Settle, defaultSettle)
+	o.LoadsPerSecond = cmp.Or(o.LoadsPerSecond, defaultLoadsPerSecond)
+	o.Freshness = cmp.Or(o.Freshness, defaultFreshness)
 }
 
 // pendingModel is the model that an engine should load, and when, on the boot clock.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -78,9 +78,6 @@
 // another request, as a share of the route's target latency.
 const maxPrefillWaitShare = 0.5
 
-// minAttemptTime is the minimum time left that makes another attempt worthwhile.
-const minAttemptTime = 10 * time.Millisecond
-
 // prepare computes what all attempts share.
 func (c *call) prepare() {
 	c.lastEventID = c.request.LastEventID
@@ -266,65 +263,6 @@
 	c.responder.Abort()
 }
 
-// maxRefusedConnections is how many refused connections a request may have before a further attempt
-// costs a retry. This many targets ended at nearly the same time, and none of them received
-// anything.
-const maxRefusedConnections = 3
-
-// mayRetryAfter reports whether another attempt may follow the last one. If nothing was sent
-// because the target accepts no new requests or refused the connection, no retry is taken from the
-// budget, which limits what targets receive.
-func (c *call) mayRetryAfter(ctx context.Context, last *attempt) bool {
-	switch {
-	case last.outcome != delivery.Unsent:
-		return c.takeRetry(ctx)
-	case last.withdrawn:
-		return c.canRetry(ctx)
-	case last.result == balance.Refused && c.refusedConnections < maxRefusedConnections:
-		c.refusedConnections++
-		return c.canRetry(ctx)
-	}
-	return c.takeRetry(ctx)
-}
-
-// canRetry reports whether there is time for another attempt, and a target of the versions assigned
-// to it. A request that was in flight at targets that ended gets one attempt only. A further one is
-// left to its caller.
-func (c *call) canRetry(ctx context.Context) bool {
-	if crashes := c.gateway.Crashes; crashes != nil && crashes.Table.Suspicious(c.fingerprint) {
-		return c.denyRetry(DeniedSuspicious)
-	}
-	if ctx.Err() != nil || clock.Until(c.deadline) < minAttemptTime {
-		return c.denyRetry(DeniedTime)
-	}
-	now := clock.Now()
-	c.assignVersions(now)
-	if !c.gateway.Balancer.Has(c.attemptQuery(), now) {
-		return c.denyRetry(DeniedTarget)
-	}
-	return true
-}
-
-// denyRetry records why a further attempt is denied, and returns false.
-func (c *call) denyRetry(reason RetryDenial) bool {
-	c.retryDenial = reason
-	return false
-}
-
-// takeRetry takes one retry from the budget if there is time and a target for it.
-func (c *call) takeRetry(ctx context.Context) bool {
-	if !c.canRetry(ctx) {
-		return false
-	}
-	if !c.delivery.Begun() && !c.gateway.hasCapacity(c.service) {
-		return c.denyRetry(DeniedCapacity)
-	}
-	if !c.gateway.Budgets.Spend(c.service, clock.Now()) {
-		return c.denyRetry(DeniedBudget)
-	}
-	return true
-}
-
 // applyVerdict carries out a verdict and reports whether another attempt follows.
 func (c *call) applyVerdict(verdict delivery.Verdict, last *attempt) bool {
 	switch verdict.Step {
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -74,23 +74,6 @@
 	Took       time.Duration
 }
 
-// RetryDenial is why a further attempt was denied.
-type RetryDenial string
-
-// The reasons to deny a further attempt.
-const (
-	// DeniedSuspicious: the request was in flight at targets that crashed.
-	DeniedSuspicious RetryDenial = "suspicious"
-	// DeniedTime: the deadline is too close, or the caller left.
-	DeniedTime RetryDenial = "time"
-	// DeniedTarget: no further target is open.
-	DeniedTarget RetryDenial = "target"
-	// DeniedCapacity: the service has no capacity left for retries.
-	DeniedCapacity RetryDenial = "capacity"
-	// DeniedBudget: the retry budget is spent.
-	DeniedBudget RetryDenial = "budget"
-)
-
 // AttemptRecord describes one attempt.
 type AttemptRecord struct {
 	Target string
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -180,6 +180,27 @@
 	return "urgent"
 }
 
+// serveAdmitted serves a request of an admitted caller and records its end. The function that it
+// calls also reports whether a part of the answer was sent.
+func (r *Router) serveAdmitted(w http.ResponseWriter, req *http.Request, serve func(id string, client caller) (headersSent bool, err error)) {
+	id := newRequestID()
+	w.Header().Set(HeaderRequestID, id)
+	client, release, refusal := r.admit(req)
+	if refusal != nil {
+		writeError(w, id, refusal)
+		return
+	}
+	defer release()
+	start := time.Now()
+	headersSent, err := serve(id, client)
+	r.finishRequest(id, client, start, err)
+	if err != nil && headersSent {
+		// Abort the connection: a client that checks little could take an answer that simply ends
+		// for a complete one.
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // finishRequest records a request's end in the metrics and the log.
 func (r *Router) finishRequest(id string, client caller, start time.Time, err error) {
 	kind := ""
--- a/internal/router/httpchat.go
+++ b/internal/router/httpchat.go
@@ -20,22 +20,9 @@
 
 // serveChatHTTP handles POST /v1/chat/completions.
 func (r *Router) serveChatHTTP(w http.ResponseWriter, req *http.Request) {
-	id := newRequestID()
-	w.Header().Set(HeaderRequestID, id)
-	client, release, refusal := r.admit(req)
-	if refusal != nil {
-		writeError(w, id, refusal)
-		return
-	}
-	defer release()
-	start := time.Now()
-	headersSent, err := r.chatHTTP(w, req, id, client)
-	r.finishRequest(id, client, start, err)
-	if err != nil && headersSent {
-		// Abort the connection: a client that checks little could take a stream that
-		// simply ends for a complete answer.
-		panic(http.ErrAbortHandler)
-	}
+	r.serveAdmitted(w, req, func(id string, client caller) (headersSent bool, err error) {
+		return r.chatHTTP(w, req, id, client)
+	})
 }
 
 // chatHTTP serves one chat. It also reports whether a part of the answer was sent.
--- a/internal/router/httpservice.go
+++ b/internal/router/httpservice.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"net/textproto"
-	"time"
 
 	"github.com/go-chi/chi/v5"
 
@@ -30,22 +29,11 @@
 
 // serveServiceHTTP handles /v1/services/{service}/*.
 func (r *Router) serveServiceHTTP(w http.ResponseWriter, req *http.Request) {
-	id := newRequestID()
-	w.Header().Set(HeaderRequestID, id)
-	client, release, refusal := r.admit(req)
-	if refusal != nil {
-		writeError(w, id, refusal)
-		return
-	}
-	defer release()
-	start := time.Now()
 	writer := &serviceWriter{w: w}
-	err := r.serviceHTTP(w, req, id, client, writer)
-	r.finishRequest(id, client, start, err)
-	if err != nil && writer.headersSent {
-		// Abort the connection: a body that simply ends would look complete.
-		panic(http.ErrAbortHandler)
-	}
+	r.serveAdmitted(w, req, func(id string, client caller) (headersSent bool, err error) {
+		err = r.serviceHTTP(w, req, id, client, writer)
+		return writer.headersSent, err
+	})
 }
 
 func (r *Router) serviceHTTP(w http.ResponseWriter, req *http.Request, id string, client caller, writer *serviceWriter) error {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,6 +5,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -80,12 +81,8 @@
 
 // New returns a router. Start begins its loops.
 func New(options Options) *Router {
-	if options.Timeout == 0 {
-		options.Timeout = defaultTimeout
-	}
-	if options.MaxBodyBytes == 0 {
-		options.MaxBodyBytes = defaultMaxBodyBytes
-	}
+	options.Timeout = cmp.Or(options.Timeout, defaultTimeout)
+	options.MaxBodyBytes = cmp.Or(options.MaxBodyBytes, defaultMaxBodyBytes)
 	if options.Seed == 0 {
 		options.Seed = rand.Uint64()
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"time"
 
@@ -180,14 +181,14 @@
 	s.Leave = Duration(durationOrDefault(s.Leave, defaultLeave))
 	s.Evacuate = Duration(durationOrDefault(s.Evacuate, defaultEvacuate))
 	s.Grace = Duration(durationOrDefault(s.Grace, defaultGrace))
-	s.Host.Cores = orDefault(s.Host.Cores, defaultHostCores)
-	s.Host.MemoryMB = orDefault(s.Host.MemoryMB, defaultMemoryMB)
-	s.Load.Multiple = orDefault(s.Load.Multiple, defaultLoadMultiple)
-	s.Load.Extra = orDefault(s.Load.Extra, defaultLoadExtra)
-	s.Cold.Multiple = orDefault(s.Cold.Multiple, defaultColdMultiple)
-	s.Retry.Ratio = orDefault(s.Retry.Ratio, defaultRetryRatio)
+	s.Host.Cores = cmp.Or(s.Host.Cores, defaultHostCores)
+	s.Host.MemoryMB = cmp.Or(s.Host.MemoryMB, defaultMemoryMB)
+	s.Load.Multiple = cmp.Or(s.Load.Multiple, defaultLoadMultiple)
+	s.Load.Extra = cmp.Or(s.Load.Extra, defaultLoadExtra)
+	s.Cold.Multiple = cmp.Or(s.Cold.Multiple, defaultColdMultiple)
+	s.Retry.Ratio = cmp.Or(s.Retry.Ratio, defaultRetryRatio)
 	s.Retry.Window = Duration(durationOrDefault(s.Retry.Window, defaultRetryWindow))
-	s.Rollout.Share = orDefault(s.Rollout.Share, defaultRolloutShare)
+	s.Rollout.Share = cmp.Or(s.Rollout.Share, defaultRolloutShare)
 	s.Rollout.Rollback = Duration(durationOrDefault(s.Rollout.Rollback, defaultRolloutRollback))
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/capersaddle/capersaddle/internal/admission"
@@ -134,26 +135,18 @@
 // defaultBudget leaves room for configuration messages within 8 KB/s.
 const defaultBudget = 4000
 
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
-
 func durationOrDefault(value Duration, fallback time.Duration) time.Duration {
-	return orDefault(time.Duration(value), fallback)
+	return cmp.Or(time.Duration(value), fallback)
 }
 
 // AdmissionOptions returns the admission options, with defaults for fields that are not set.
 func (s *Settings) AdmissionOptions() admission.Options {
 	options := admission.DefaultOptions()
-	options.Factor = orDefault(s.Admission.Factor, options.Factor)
-	options.Floor = orDefault(s.Admission.Floor, options.Floor)
-	options.MaxInFlight = orDefault(s.Admission.MaxInFlight, options.MaxInFlight)
-	options.QueueCount = orDefault(s.Admission.QueueCount, options.QueueCount)
-	options.QueueBytes = orDefault(s.Admission.QueueBytes, options.QueueBytes)
+	options.Factor = cmp.Or(s.Admission.Factor, options.Factor)
+	options.Floor = cmp.Or(s.Admission.Floor, options.Floor)
+	options.MaxInFlight = cmp.Or(s.Admission.MaxInFlight, options.MaxInFlight)
+	options.QueueCount = cmp.Or(s.Admission.QueueCount, options.QueueCount)
+	options.QueueBytes = cmp.Or(s.Admission.QueueBytes, options.QueueBytes)
 	options.Patience = durationOrDefault(s.Admission.Patience, options.Patience)
 	return options
 }
@@ -190,5 +183,5 @@
 
 // Budget returns the bytes per second that membership may send.
 func (s *Settings) Budget() int {
-	return orDefault(s.Membership.BytesPerSecond, defaultBudget)
+	return cmp.Or(s.Membership.BytesPerSecond, defaultBudget)
 }
