--- a/internal/balance/open.go
+++ b/internal/balance/open.go
@@ -27,6 +27,45 @@
 	return candidates
 }
 
+// standing is what an open choice may do with a target.
+type standing int
+
+const (
+	// standingClosed: the target gets no request.
+	standingClosed standing = iota
+	// standingOpen: the target may get a request.
+	standingOpen
+	// standingIdle: the target gets none now, and keeps its part of the load bound.
+	standingIdle
+	// standingEjected: the target serves while too many others are ejected.
+	standingEjected
+	// standingExpired: the target serves if the entries of many others disappeared at the same time.
+	standingExpired
+)
+
+// standingOf returns the standing of a target for a request that has tried the excluded
+// incarnations. The caller must hold b.mu.
+func (b *Balancer) standingOf(target *state, exclude []string, now time.Time) standing {
+	unlisted := !target.unlistedAt.IsZero()
+	switch {
+	case b.isIdle(target, now):
+		if unlisted || target.leaving() {
+			return standingClosed
+		}
+		return standingIdle
+	case target.leaving() || slices.Contains(exclude, target.incarnation):
+		return standingClosed
+	case unlisted:
+		if target.unlistedFor(now) > b.options.ExpiryGrace || target.health.ejected(now) {
+			return standingClosed
+		}
+		return standingExpired
+	case target.health.ejected(now) || target.suspectedByPeers(now):
+		return standingEjected
+	}
+	return standingOpen
+}
+
 // openAmong returns the open targets among those listed. The caller must hold b.mu.
 func (b *Balancer) openAmong(listed []*state, exclude []string, now time.Time) []*state {
 	healthy, ejected, expired := b.scratch.healthy[:0], b.scratch.ejected[:0], b.scratch.expired[:0]
@@ -38,25 +77,22 @@
 			continue
 		}
 		if target.replaced && target.health.ejected(now) {
-			continue
+			continue // it no longer exists, so it is no better than none
 		}
-		unlisted := !target.unlistedAt.IsZero()
-		if !unlisted {
+		if target.unlistedAt.IsZero() {
 			present++
 		}
-		idle := b.isIdle(target, now)
-		switch {
-		case idle && !unlisted && !target.leaving():
-			b.scratch.idle.add(target)
-		case idle || target.leaving() || slices.Contains(exclude, target.incarnation):
-		case unlisted && target.unlistedFor(now) <= b.options.ExpiryGrace && !target.health.ejected(now):
-			expired = append(expired, target)
-		case unlisted:
-		case target.health.ejected(now) || target.suspectedByPeers(now):
-			ejected = append(ejected, target)
-		default:
+		switch b.standingOf(target, exclude, now) {
+		case standingOpen:
 			target.needsCheck = target.cold.isCold || target.announced.backoff.unprobed()
 			healthy = append(healthy, target)
+		case standingIdle:
+			b.scratch.idle.add(target)
+		case standingEjected:
+			ejected = append(ejected, target)
+		case standingExpired:
+			expired = append(expired, target)
+		case standingClosed:
 		}
 	}
 	if len(expired) >= minExpired && len(expired) >= present {
