The test of the shared retry slack counts a window, not a moment

Slack accrues now, so what can be spent at once is only half of what a window may hold: the check counts ten seconds. A case is added for a gateway that sees nobody and knows the fleet's size from the checkpoint only.

--- a/internal/process/options_test.go
+++ b/internal/process/options_test.go
@@ -21,15 +21,21 @@
 // that each took an eighth of it broke the retry budget together.
 func TestRetrySlackSharedByGateways(t *testing.T) {
 	cases := map[string]struct {
-		peers  int
-		uptime time.Duration
+		// seen is the number of peers seen at first; none is live later if they are lost.
+		seen int
+		lost bool
+		// checkpoint is the number of gateways beside the last checkpoint; zero if none was read.
+		checkpoint int
+		uptime     time.Duration
+		gateways   int
 	}{
-		"alone and new":          {0, 0},
-		"four":                   {3, time.Minute},
-		"thirty":                 {29, time.Minute},
-		"thirty and new":         {29, 0},
-		"three hundred":          {299, time.Minute},
-		"thirty, then none live": {29, time.Minute},
+		"alone and new":          {gateways: 1},
+		"four":                   {seen: 3, uptime: time.Minute, gateways: 4},
+		"thirty":                 {seen: 29, uptime: time.Minute, gateways: 30},
+		"thirty and new":         {seen: 29, gateways: 30},
+		"three hundred":          {seen: 299, uptime: time.Minute, gateways: 300},
+		"thirty, then none live": {seen: 29, lost: true, uptime: time.Minute, gateways: 30}, // the others keep spending
+		"thirty, none seen":      {checkpoint: 30, uptime: time.Minute, gateways: 30},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -37,15 +43,19 @@
 			s := &settings.Gateway{Retry: settings.RetryBudget{Ratio: 0.2, Slack: 100, Window: settings.Duration(10 * time.Second)}}
 			p := &GatewayProcess{settings: s, started: time.Now().Add(-tc.uptime)}
 			p.gateway = &gateway.Gateway{Balancer: balance.New(balance.DefaultOptions()), Budgets: retrybudget.New(retryOptions(s), p.started)}
-			p.applyCensus(peer.Census{Live: tc.peers, Known: tc.peers})
-			if name == "thirty, then none live" {
-				p.applyCensus(peer.Census{}) // partitioned, but the others keep spending
+			p.expectedGateways.Store(int32(tc.checkpoint))
+			p.applyCensus(peer.Census{Live: tc.seen, Known: tc.seen})
+			if tc.lost {
+				p.applyCensus(peer.Census{})
 			}
 			spent := 0
-			for p.gateway.Budgets.Spend("s", time.Now()) {
-				spent++
+			began := time.Now()
+			for after := time.Duration(0); after < 10*time.Second; after += 100 * time.Millisecond {
+				for p.gateway.Budgets.Spend("s", began.Add(after)) {
+					spent++
+				}
 			}
-			is.True(spent*(tc.peers+1) <= 100) // the total stays within the slack
+			is.True(spent*tc.gateways <= 100) // the total in a window stays within the slack
 		})
 	}
 }
