The fleet of the retry budget's test is played in short steps, and in directed surges

The rapid test held the whole simulation in one function. Its parts have names now, and a table plays what random draws hardly meet: all targets begin to fail just as a surge ends, and another surge follows six seconds later.

--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -1,10 +1,12 @@
 package retrybudget_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"github.com/capersaddle/capersaddle/internal/retrybudget"
@@ -35,6 +37,16 @@
 	arrived int
 }
 
+// conditions are what happens to a fleet in one second.
+type conditions struct {
+	// surge is the number of times the usual requests that callers send.
+	surge int
+	// killed and frozen are the shares of the routers that restart and that stand still, for
+	// down and still steps.
+	killed, frozen float64
+	down, still    int
+}
+
 // simulatedFleet counts what callers send to a service and what its targets receive repeatedly, by
 // step.
 type simulatedFleet struct {
@@ -47,6 +59,56 @@
 	failsFrom int
 }
 
+// newSimulatedFleet returns a fleet whose routers have just started.
+func newSimulatedFleet(routers int, slack float64, seed uint64) *simulatedFleet {
+	fleet := &simulatedFleet{random: rand.New(rand.NewPCG(seed, 1)), slack: slack}
+	for range routers {
+		fleet.routers = append(fleet.routers, new(simulatedRouter))
+	}
+	for _, router := range fleet.routers {
+		fleet.restart(router, 0, 0)
+	}
+	return fleet
+}
+
+// play lets callers send so many requests in each second of usual traffic.
+func (f *simulatedFleet) play(perSecond, seconds int, conditionsAt func(second int) conditions) {
+	const perStep = int(time.Second / step)
+	f.requests, f.repeats = make([]int, seconds*perStep), make([]int, seconds*perStep)
+	var current conditions
+	for at := range f.requests {
+		if at%perStep == 0 {
+			current = conditionsAt(at / perStep)
+			f.disturb(at, current)
+		}
+		f.send(at, perSecond*current.surge/perStep)
+		for _, router := range f.routers {
+			f.serve(router, at)
+		}
+	}
+}
+
+// disturb restarts routers and lets others stand still.
+func (f *simulatedFleet) disturb(at int, current conditions) {
+	for _, router := range f.routers {
+		if f.random.Float64() < current.killed {
+			f.restart(router, at, current.down)
+		} else if f.random.Float64() < current.frozen {
+			router.frozenUntil = at + current.still
+		}
+	}
+}
+
+// excess returns by how much the repeats of the worst window exceed what is allowed; zero or less
+// if none does.
+func (f *simulatedFleet) excess() float64 {
+	worst := math.Inf(-1)
+	for from := range len(f.requests) - window {
+		worst = max(worst, float64(sum(f.repeats, from))-f.allowed(from))
+	}
+	return worst
+}
+
 func (f *simulatedFleet) options(now, started time.Time) retrybudget.Options {
 	sharedBy := growth * float64(len(f.routers))
 	if now.Sub(started) < unsureTime {
@@ -113,71 +175,71 @@
 // TestFleetStaysWithinBudget guards against retries beyond the fleet's budget when routers restart:
 // each life spent a budget of its own, and what the one before it had spent was forgotten.
 func TestFleetStaysWithinBudget(t *testing.T) {
+	const seconds = 40
 	rapid.Check(t, func(t *rapid.T) {
-		const seconds = 40
-		steps := int(seconds * time.Second / step)
 		routers := rapid.IntRange(1, 12).Draw(t, "routers")
-		fleet := &simulatedFleet{
-			random:   rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
-			slack:    2.5 * float64(routers),
-			requests: make([]int, steps),
-			repeats:  make([]int, steps),
-		}
-		for range routers {
-			fleet.routers = append(fleet.routers, new(simulatedRouter))
-		}
-		for _, router := range fleet.routers {
-			fleet.restart(router, 0, 0)
-		}
 		perSecond := rapid.IntRange(5, 40).Draw(t, "requests per router and second") * routers
-		fleet.failsFrom = rapid.IntRange(0, steps/2).Draw(t, "fails from")
-		surge, killed, frozen := 1, 0.0, 0.0
-		for at := range steps {
-			if at%int(time.Second/step) == 0 {
-				surge = rapid.IntRange(1, 9).Draw(t, "surge")
-				killed = rapid.SampledFrom([]float64{0, 0, 0.75, 1}).Draw(t, "killed")
-				if at < fleet.failsFrom {
-					killed = 0
-				}
-				frozen = rapid.SampledFrom([]float64{0, 0, 0, 0.3}).Draw(t, "frozen")
-				for _, router := range fleet.routers {
-					if fleet.random.Float64() < killed {
-						fleet.restart(router, at, rapid.IntRange(0, 12).Draw(t, "down"))
-					} else if fleet.random.Float64() < frozen {
-						router.frozenUntil = at + rapid.IntRange(1, 20).Draw(t, "stands still")
-					}
-				}
+		fleet := newSimulatedFleet(routers, 2.5*float64(routers), rapid.Uint64().Draw(t, "seed"))
+		failsFrom := rapid.IntRange(0, seconds/2).Draw(t, "fails from")
+		fleet.failsFrom = failsFrom * int(time.Second/step)
+		fleet.play(perSecond, seconds, func(second int) conditions {
+			drawn := conditions{
+				surge:  rapid.IntRange(1, 9).Draw(t, "surge"),
+				killed: rapid.SampledFrom([]float64{0, 0, 0.75, 1}).Draw(t, "killed"),
+				frozen: rapid.SampledFrom([]float64{0, 0, 0, 0.3}).Draw(t, "frozen"),
+				down:   rapid.IntRange(0, 12).Draw(t, "down"),
+				still:  rapid.IntRange(1, 20).Draw(t, "still"),
 			}
-			fleet.send(at, perSecond*surge/int(time.Second/step))
-			for _, router := range fleet.routers {
-				fleet.serve(router, at)
-			}
-		}
-		for from := range steps - window {
-			if spent := sum(fleet.repeats, from); float64(spent) > fleet.allowed(from) {
-				t.Fatalf("%d repeats in the window from step %d, %.1f allowed", spent, from, fleet.allowed(from))
+			if second < failsFrom {
+				drawn.killed = 0
 			}
+			return drawn
+		})
+		if excess := fleet.excess(); excess > 0 {
+			t.Fatalf("%.1f repeats too many in a window", excess)
 		}
 	})
 }
 
-// TestFleetUsesItsBudget checks that a fleet without restarts spends most of the ratio.
-func TestFleetUsesItsBudget(t *testing.T) {
-	const steps = 2 * int(10*time.Second/step)
-	fleet := &simulatedFleet{random: rand.New(rand.NewPCG(1, 1)), requests: make([]int, steps), repeats: make([]int, steps)}
-	for range 8 {
-		fleet.routers = append(fleet.routers, new(simulatedRouter))
+// TestFleetStaysWithinBudgetInSurges checks the budget when all targets begin to fail at the end of
+// a surge, whose requests were counted before the window, and another surge follows.
+func TestFleetStaysWithinBudgetInSurges(t *testing.T) {
+	const failsFrom, perSecond = 15, 240
+	cases := map[string]struct {
+		surge, first, second, killed int
+	}{
+		"steady":                         {surge: 1},
+		"a short surge":                  {surge: 9, first: 1},
+		"two short surges":               {surge: 9, first: 1, second: 1},
+		"two long surges":                {surge: 9, first: 4, second: 4},
+		"two surges and restarts":        {surge: 5, first: 2, second: 2, killed: 4},
+		"two short surges, all restart":  {surge: 9, first: 1, second: 1, killed: 6},
+		"steady, all restart every time": {surge: 1, killed: 12},
 	}
-	for _, router := range fleet.routers {
-		fleet.restart(router, 0, 0)
-	}
-	for at := range steps {
-		fleet.send(at, 5)
-		for _, router := range fleet.routers {
-			fleet.serve(router, at)
-		}
-	}
-	if spent, requests := sum(fleet.repeats, window), sum(fleet.requests, window); float64(spent) < 0.15*float64(requests) {
-		t.Fatalf("%d retries for %d requests", spent, requests)
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			fleet := newSimulatedFleet(4, 54, 7)
+			fleet.failsFrom = failsFrom * int(time.Second/step)
+			fleet.play(perSecond, 3*failsFrom, func(second int) conditions {
+				current := conditions{surge: 1, down: 4}
+				sinceFailing := second - failsFrom
+				if -tc.first <= sinceFailing && sinceFailing < 0 || 6 <= sinceFailing && sinceFailing < 6+tc.second {
+					current.surge = tc.surge
+				}
+				if sinceFailing >= 0 && sinceFailing < tc.killed {
+					current.killed = 1
+				}
+				return current
+			})
+			is.New(t).True(fleet.excess() <= 0)
+		})
 	}
 }
+
+// TestFleetUsesItsBudget checks that a fleet without restarts spends most of the ratio.
+func TestFleetUsesItsBudget(t *testing.T) {
+	is := is.New(t)
+	fleet := newSimulatedFleet(8, 0, 1)
+	fleet.play(100, 20, func(int) conditions { return conditions{surge: 1} })
+	is.True(float64(sum(fleet.repeats, window)) >= 0.15*float64(sum(fleet.requests, window)))
+}
