--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/gateway"
 	"github.com/capersaddle/capersaddle/internal/observe"
 )
 
@@ -37,15 +38,17 @@
 	Ending   string          `json:"ending,omitempty"`
 	Status   int             `json:"status,omitempty"`
 	Attempts string          `json:"attempts,omitempty"`
-	Reason   string          `json:"reason,omitempty"`
-	ProofMs  int64           `json:"proof_ms,omitempty"`
-	TookMs   int64           `json:"took_ms,omitempty"`
-	FirstMs  int64           `json:"first_ms,omitempty"`
-	WantedMs int64           `json:"wanted_ms,omitempty"`
-	QueuedMs int64           `json:"queued_ms,omitempty"`
-	WaitedMs int64           `json:"waited_ms,omitempty"`
-	Route    string          `json:"route,omitempty"`
-	Prompt   string          `json:"prompt,omitempty"`
+	// NoRetry is why no further attempt of a request followed; empty if none was denied.
+	NoRetry  gateway.RetryDenial `json:"no_retry,omitempty"`
+	Reason   string              `json:"reason,omitempty"`
+	ProofMs  int64               `json:"proof_ms,omitempty"`
+	TookMs   int64               `json:"took_ms,omitempty"`
+	FirstMs  int64               `json:"first_ms,omitempty"`
+	WantedMs int64               `json:"wanted_ms,omitempty"`
+	QueuedMs int64               `json:"queued_ms,omitempty"`
+	WaitedMs int64               `json:"waited_ms,omitempty"`
+	Route    string              `json:"route,omitempty"`
+	Prompt   string              `json:"prompt,omitempty"`
 	// Fingerprint identifies the content of a request, in its own line and in those of its
 	// quarantine.
 	Fingerprint string `json:"print,omitempty"`
@@ -228,12 +231,24 @@
 	"quarantined":    "several targets had crashed while they ran this request, so it is sent to no other; the lines with its print say which",
 }
 
+// denials maps the reasons to deny a further attempt to explanations.
+var denials = map[gateway.RetryDenial]string{
+	gateway.DeniedSuspicious: "targets had crashed while they ran the request",
+	gateway.DeniedTime:       "the deadline was too close, or the caller had left",
+	gateway.DeniedTarget:     "no other target was open",
+	gateway.DeniedCapacity:   "the service had no capacity left for retries",
+	gateway.DeniedBudget:     "the retry budget was spent",
+}
+
 // likelyCause returns the likely cause of a request's end.
 func likelyCause(line Line) string {
 	text, ok := causes[line.Ending]
 	if !ok {
 		return "ended as " + line.Ending
 	}
+	if denial, ok := denials[line.NoRetry]; ok && line.Ending != gateway.EndingAnswered {
+		text += "; no further attempt: " + denial
+	}
 	if line.Attempts == "" {
 		return text
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -27,6 +27,7 @@
 {"time":"2026-12-02T10:00:13Z","level":"info","msg":"target_leaves","process":"gw-1","target":"i-6","service":"other"}
 {"time":"2026-12-02T10:00:14Z","level":"info","msg":"target_leaves","process":"gw-1","target":"i-6","service":"s"}
 {"time":"2026-12-02T10:00:15Z","level":"info","msg":"request","process":"gw-1","id":"r6","service":"s","ending":"no_target","status":503}
+{"time":"2026-12-02T10:00:16Z","level":"info","msg":"request","process":"gw-1","id":"r7","ending":"overloaded","status":429,"no_retry":"budget","attempts":"i-9@10.0.0.9:80=rejected(took_ms:1)"}
 `
 
 func TestTimeline(t *testing.T) {
@@ -45,6 +46,7 @@
 		"a fingerprint":    {"print:00000000000000aa", []string{"target_crashed", "request_held_back", "request", "request"}, ""},
 		"no open target":   {"r6", []string{"target_rests", "target_leaves", "request"}, "says why none is open"},
 		"a resting target": {"i-5", []string{"target_rests", "target_rests"}, ""},
+		"no budget":        {"r7", []string{"request"}, "it was not run; no further attempt: the retry budget was spent; attempts: i-9@"},
 		"nothing":          {"r9", nil, ""},
 	}
 	lines, unread, err := explain.Read(strings.NewReader(logs))
