Earned retries that expire fill up the saved slack

Cause: a gateway with five requests a second to a service earns a retry each 1.25 s, which lasts half a second, so that a failure finds one in two of five cases; slack accrues a tenth of a retry a second.

Change: what expires unused is saved, up to the part of the slack that may be saved anyway. The bound of a window stays: at its beginning no more than that part is saved, and what expires within it was earned within it or half a second before.

TestExpiredRetriesAreSaved; TestFleetStaysWithinBudget passes 3,000 draws, its surges too.

--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -34,8 +34,8 @@
 	// earnedLife and maxDelay stay within the ratio times those of the window.
 	earnShare = 1 / (1 + earnedLife + maxDelay)
 	// slackParts is the number of equal parts of the slack. One accrues per window, one is the
-	// most that is saved up, and one covers the fraction of a retry that each router has earned
-	// before a window.
+	// most that is saved up, of slack and of earned retries that have expired, and one covers the
+	// fraction of a retry that each router has earned before a window.
 	slackParts = 3
 )
 
@@ -70,7 +70,9 @@
 func (b *Budgets) Request(service string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.of(service).earn(earnShare*b.options.Ratio, now)
+	budget := b.of(service)
+	budget.advance(b.options, now)
+	budget.earn(earnShare * b.options.Ratio)
 }
 
 // Spend takes one retry from the budget; false if there is none left.
@@ -78,7 +80,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	budget := b.of(service)
-	return budget.earned.take(now) || budget.takeFromSlack(b.options, now)
+	budget.advance(b.options, now)
+	return budget.earned.take() || budget.takeSaved()
 }
 
 // of returns the budget of a service, creating it if necessary. The caller must hold b.mu.
@@ -98,38 +101,38 @@
 	fraction float64
 	// earned are the whole retries that requests have earned.
 	earned expiringCount
-	// slack is what has accrued up to accruedAt.
-	slack     float64
+	// saved is slack that has accrued up to accruedAt and earned retries that have expired, at
+	// most a part of the slack.
+	saved     float64
 	accruedAt time.Time
 }
 
+// advance saves the slack that has accrued since the last call and the retries that have expired.
+func (b *budget) advance(options Options, now time.Time) {
+	part := options.Slack / slackParts
+	if elapsed := now.Sub(b.accruedAt); elapsed > 0 {
+		b.saved += part * elapsed.Seconds() / options.Window.Seconds()
+		b.accruedAt = now
+	}
+	b.saved = min(b.saved+float64(b.earned.expire(now)), part)
+}
+
 // earn adds a part of a retry.
-func (b *budget) earn(part float64, now time.Time) {
+func (b *budget) earn(part float64) {
 	b.fraction += part
 	for b.fraction >= 1 {
 		b.fraction--
-		b.earned.add(now)
+		b.earned.add()
 	}
 }
 
-// takeFromSlack completes the earned part of a retry with slack, and takes it.
-func (b *budget) takeFromSlack(options Options, now time.Time) bool {
-	b.accrue(options, now)
+// takeSaved completes the earned part of a retry with what is saved, and takes it.
+func (b *budget) takeSaved() bool {
 	missing := 1 - b.fraction
-	if b.slack < missing {
+	if b.saved < missing {
 		return false
 	}
-	b.slack -= missing
+	b.saved -= missing
 	b.fraction = 0
 	return true
 }
-
-// accrue adds the slack that has accrued since the last call.
-func (b *budget) accrue(options Options, now time.Time) {
-	part := options.Slack / slackParts
-	if elapsed := now.Sub(b.accruedAt); elapsed > 0 {
-		b.slack += part * elapsed.Seconds() / options.Window.Seconds()
-		b.accruedAt = now
-	}
-	b.slack = min(b.slack, part)
-}
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -92,6 +92,29 @@
 	}
 }
 
+// TestExpiredRetriesAreSaved checks that earned retries that expire are saved up to a third of the
+// slack, so that a router with few requests can retry a failure whenever it happens.
+func TestExpiredRetriesAreSaved(t *testing.T) {
+	cases := map[string]struct {
+		requests int
+		want     int
+	}{
+		"none":             {0, 0},
+		"two":              {14, 2},
+		"more than a part": {1000, 5},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			budgets := retrybudget.New(options, start)
+			for range tc.requests {
+				budgets.Request("a", start)
+			}
+			is.Equal(spendAll(budgets, "a", start.Add(500*time.Millisecond)), tc.want)
+		})
+	}
+}
+
 // TestSlackCompletesEarnedFraction checks that a router with few requests can spend a share of the
 // slack below one retry: among hundreds of routers no share is larger.
 func TestSlackCompletesEarnedFraction(t *testing.T) {
