The load bound counts ejected targets into the mean

Cause: a target's bound is a multiple of the mean of the targets that are open to a choice. Evacuated, cold and resting targets were counted into that mean, ejected and suspected ones were not, so that with half of them ejected the others may hold four times the mean.

Ruled out: old or missing reports.

Change: ejected and suspected targets count as idle ones do. Where even shares come close to the whole bound, the limit stays one request below it.

--- a/internal/balance/open.go
+++ b/internal/balance/open.go
@@ -100,12 +100,17 @@
 		present += len(expired)
 	}
 	if maxEjected := int(b.options.MaxEjected * float64(present)); len(ejected) > maxEjected {
-		healthy = append(healthy, soonestBack(ejected, len(ejected)-maxEjected)...)
+		serving := len(ejected) - maxEjected
+		healthy = append(healthy, soonestBack(ejected, serving)...)
+		ejected = ejected[serving:]
 	}
 	b.scratch.healthy, b.scratch.ejected, b.scratch.expired = healthy, ejected, expired
 	if len(healthy) == 0 {
 		return ejected
 	}
+	for _, target := range ejected {
+		b.scratch.idle.add(target)
+	}
 	return healthy
 }
 
@@ -126,8 +131,8 @@
 }
 
 // idleTargets counts targets that are registered and get no requests for a while because they
-// are backing off or cold, their data centre is evacuated, or other versions take the
-// requests.
+// are backing off, cold or ejected, their data centre is evacuated, or other versions take
+// the requests.
 type idleTargets struct {
 	count int
 	// load is the number of requests that they still have in flight.
@@ -175,8 +180,7 @@
 
 // sessionLimitFor returns the load up to which a target gets requests of a session, given the mean
 // load of the targets that openTargets returned last. The limit is lower while some targets are
-// idle: on a day with an evacuated data centre and a surge, 4 in 100 requests reached targets above
-// the bound. The caller must hold b.mu.
+// idle, because the whole bound refers to the mean of all targets. The caller must hold b.mu.
 func (b *Balancer) sessionLimitFor(query Query, mean float64) sessionLimit {
 	usual := b.boundOf(query).limitAt(mean)
 	idle, open := b.scratch.idle, float64(len(b.scratch.healthy))
@@ -188,5 +192,16 @@
 		limit := max(min(idleShare*whole, whole-unreportedMargin), evenTightBound.limitAt(mean))
 		return sessionLimit{max: min(usual, limit), tight: true}
 	}
-	return sessionLimit{max: min(usual, max(idleShare*whole, evenBound.limitAt(mean)))}
+	return sessionLimit{max: min(usual, max(idleShare*whole, evenLimit(mean, whole)))}
+}
+
+// evenLimit returns the limit that lets the open targets share all requests approximately
+// evenly. One more request at a target with that load keeps the whole bound, unless the mean
+// already exceeds it.
+func evenLimit(mean, whole float64) float64 {
+	even := evenBound.limitAt(mean)
+	if whole-1 < mean {
+		return even
+	}
+	return min(even, whole-1)
 }
