An answer begins under the lock that the silence timer decides under

What callers saw: nothing certain; a stream whose first event arrives just as its target counts as silent may go to a second target with the wrong check of capacity.

Cause: the silence timer reads on its own goroutine whether a part of the answer was passed on; the request's goroutine sets that without the attempt's lock.

Evidence: six copies of the race-built tests at load average 18 to 48, reported in 6 of 30 runs, always beginStream against takeRetry below onSilence. Ruled out: the other state that the timer touches.

Change: the attempt's lock is held when an answer begins, for streams and large answers.

Before: TestEventAtEndOfSilence is reported by the detector.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -72,7 +72,7 @@
 	State fault.RunState
 }
 
-// Delivery is the state of one request. It is used by one goroutine.
+// Delivery is the state of one request. It is not safe for concurrent use.
 type Delivery struct {
 	policy RepeatPolicy
 	// maxRuns limits how many targets may run the request.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -53,7 +53,8 @@
 
 	liveness livenessWatch
 
-	// mu guards the fields that are shared with the silence timer.
+	// mu guards the fields that are shared with the silence timer. While the attempt runs, it also
+	// guards the call's delivery.
 	mu        sync.Mutex
 	cancel    context.CancelFunc
 	timer     *time.Timer
@@ -265,7 +266,7 @@
 func (a *attempt) passLarge(answer *Answer) bool {
 	a.stopSilenceTimer()
 	a.recordAnswer(answer)
-	a.call.delivery.Begin()
+	a.markBegun()
 	if err := a.call.responder.Begin(answer.Status, answer.Header, answer.Size); err != nil {
 		a.failWriting(err)
 		return false
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -101,10 +101,18 @@
 		return nil
 	}
 	a.recordAnswer(answer)
-	a.call.delivery.Begin()
+	a.markBegun()
 	return a.call.responder.Begin(answer.Status, answer.Header, -1)
 }
 
+// markBegun records that a part of the answer is passed on. The silence timer may be deciding on
+// another attempt at the same time.
+func (a *attempt) markBegun() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.call.delivery.Begin()
+}
+
 // endStream ends a stream that its target ended completely.
 func (a *attempt) endStream(answer *Answer) bool {
 	if err := a.beginStream(answer); err != nil {
