The check of rests counts from when the gateway read the answer

What was seen: cases of TestTargetsThatAskForRestGetIt failed beside load: 3 to 8 requests at a target that had told a gateway to rest.

Cause: the bound of 0.5 s counted from when the target wrote its answer. Evidence, from the gateways' logs of two failures: an answer was read 1.5 s after its request was sent, the four requests counted as late were sent before that; another answer was written after the gateway had given up the attempt and closed its connection. Ruled out: requests sent after the answer was read.

Change: the same bounds (0.5 s, two requests until the rest is over), counted from the moment at which the gateway's log tells that the answer was read; where it does not tell, from the answer as before; an answer to an attempt that was given up tells nothing.

--- a/internal/emulator/notice.go
+++ b/internal/emulator/notice.go
@@ -87,8 +87,8 @@
 	// Gateway is the gateway that received the notice.
 	Gateway string
 	Notice  SentNotice
-	// Late are the IDs of the requests that the gateway should not have sent.
-	Late []string
+	// Late are the requests that the gateway should not have sent.
+	Late []Run
 }
 
 // String describes the violation.
@@ -97,26 +97,32 @@
 	if !n.Notice.Leaving {
 		demand = "to rest for " + n.Notice.RetryAfter + " s"
 	}
-	return fmt.Sprintf("%s told %s %s, and got %d requests after that", n.Server, n.Gateway, demand, len(n.Late))
+	var late strings.Builder
+	for _, run := range n.Late {
+		fmt.Fprintf(&late, " %s after %v,", run.ID, run.At.Sub(n.Notice.At).Round(time.Millisecond))
+	}
+	return fmt.Sprintf("%s told %s %s in its answer to %s, and got %d requests after that:%s", n.Server, n.Gateway, demand, n.Notice.Request, len(n.Late), strings.TrimSuffix(late.String(), ","))
 }
 
 // IgnoredNotices returns the cases in which gateways did not act on the server's notices.
 // gatewayOf returns the gateway to which a request was sent; requests for which it returns an
-// empty string are left out.
-func (s *Server) IgnoredNotices(gatewayOf func(request string) string) []IgnoredNotice {
+// empty string are left out. readAt returns when the gateway read the response with a notice;
+// false if it never did, because it had closed the connection.
+func (s *Server) IgnoredNotices(gatewayOf func(request string) string, readAt func(sent SentNotice) (time.Time, bool)) []IgnoredNotice {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var ignored []IgnoredNotice
 	for _, sent := range s.sentNotices {
 		gateway := gatewayOf(sent.Request)
-		from, to, maxRequests := sent.limits()
-		if gateway == "" || !from.Before(to) {
+		read, wasRead := readAt(sent)
+		if gateway == "" || !wasRead {
 			continue
 		}
-		var late []string
+		from, to, maxRequests := sent.limits(read)
+		var late []Run
 		for _, run := range s.runs {
 			if gatewayOf(run.ID) == gateway && run.At.After(from) && run.At.Before(to) {
-				late = append(late, run.ID)
+				late = append(late, run)
 			}
 		}
 		if len(late) > maxRequests {
@@ -129,14 +135,15 @@
 // farFuture is later than any event.
 var farFuture = time.Unix(1<<40, 0)
 
-// limits returns the time range in which no more than maxRequests requests may arrive.
-func (s SentNotice) limits() (from, to time.Time, maxRequests int) {
+// limits returns the time range in which no more than maxRequests requests may arrive, given
+// when the gateway read the notice.
+func (s SentNotice) limits(readAt time.Time) (from, to time.Time, maxRequests int) {
 	if s.Leaving {
-		return s.At.Add(leavingGrace), farFuture, 0
+		return readAt.Add(leavingGrace), farFuture, 0
 	}
 	seconds, err := strconv.ParseFloat(s.RetryAfter, 64)
 	if err != nil {
 		return s.At, s.At, 0
 	}
-	return s.At.Add(restGrace), s.At.Add(time.Duration(seconds * float64(time.Second))), maxRestRequests
+	return readAt.Add(restGrace), s.At.Add(time.Duration(seconds * float64(time.Second))), maxRestRequests
 }
