--- a/internal/emulator/fatal.go
+++ b/internal/emulator/fatal.go
@@ -17,6 +17,9 @@
 	// Back is the time from the crash until the next incarnation of the server listens at the
 	// same address and is registered; zero means never.
 	Back time.Duration
+	// Silent makes a crashed server keep its listener and its connections and answer nothing
+	// more, like a host that has lost its power. It requires that Back is zero.
+	Silent bool
 }
 
 // entryTimeout is the time after a crash at which the server's entry expires: three heartbeats.
@@ -66,7 +69,8 @@
 	s.onCrash = onCrash
 }
 
-// crash closes the listener and all connections, as when the server's process dies.
+// crash closes the listener and all connections, as when the server's process dies, unless the
+// server is to crash in silence.
 func (s *Server) crash() {
 	s.mu.Lock()
 	crashedBefore, onCrash := s.crashed, s.onCrash
@@ -75,12 +79,21 @@
 	if crashedBefore {
 		return
 	}
-	_ = s.http.Close()
+	if !s.options.Fatal.Silent {
+		_ = s.http.Close()
+	}
 	if onCrash != nil {
 		onCrash()
 	}
 }
 
+// crashedInSilence reports whether the server answers nothing any more.
+func (s *Server) crashedInSilence() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashed && s.options.Fatal.Silent
+}
+
 // scheduleRestart schedules the expiry of a crashed server's entry and the start of its next
 // incarnation.
 func (p *Platform) scheduleRestart(crashed registeredServer, incarnation int) {
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -239,6 +239,10 @@
 	if s.silencer.holdIfSilenced(r) {
 		return
 	}
+	if s.crashedInSilence() {
+		<-r.Context().Done()
+		return
+	}
 	if r.URL.Path == "/health" {
 		w.Header().Set("X-Instance-Id", s.options.ID)
 		return
--- a/internal/process/quarantine_test.go
+++ b/internal/process/quarantine_test.go
@@ -322,6 +322,30 @@
 	}
 }
 
+// silentTargets is how many targets a test adds whose crashes close no connection: enough that
+// some are left when the entries of the first ones expire.
+const silentTargets = 60
+
+// TestFatalRequestAtSilentTargets checks that a request crashes no more targets if these keep
+// their connections open and answer nothing, like hosts that lose their power.
+func TestFatalRequestAtSilentTargets(t *testing.T) {
+	t.Parallel()
+	fatal := emulator.Fatal{Body: fatalBody, After: 10 * time.Millisecond, Silent: true}
+	f := startFatalTargets(t, fatal, false)
+	for i := range silentTargets {
+		options := emulator.ServerOptions{ID: fmt.Sprintf("silent-%d", i), Work: soundWork, Fatal: &fatal}
+		if _, err := f.platform.AddServer("plain", "zone", "127.0.0.1:0", options); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.startGateways(t, 4)
+	c := f.startFatalCallers(t, "/ask/1", 1)
+	f.awaitStopped(t, "plain", 6*time.Second)
+	c.stop()
+	f.checkStopped(t, c, "plain", 1)
+	is.New(t).True(len(f.platform.Crashes("plain")) <= crashLimit+maxLateSends)
+}
+
 // replacePause is the wait after each replaced gateway, in which the fatal request arrives two or
 // three times.
 const replacePause = 300 * time.Millisecond
