--- a/internal/balance/totals.go
+++ b/internal/balance/totals.go
@@ -35,10 +35,10 @@
 	fewRequests = 8.0
 	// minGrowth and maxGrowth limit the estimated growth.
 	minGrowth = 0.5
+	maxGrowth = 32.0
 	// maxScale limits the extrapolation from few reports: fewer reports than that say little
 	// about a target.
-	maxScale  = 4.0
-	maxGrowth = 32.0
+	maxScale = 4.0
 )
 
 // Total is one gateway's number of requests in flight at all targets of a service. The service
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -70,21 +69,6 @@
 	return &attempt{call: c, pick: pick, incarnation: pick.Target.Incarnation(), started: clock.Now(), result: balance.Neutral}
 }
 
-const (
-	// maxSilenceShare is the share of a route's target latency that a target of a repeatable
-	// request may be silent before another target is tried.
-	maxSilenceShare = 0.6
-	// maxStreamSilenceShare is the same share for the first event of a stream.
-	maxStreamSilenceShare = 1.0
-	// maxSilenceGaps is the limit between events, as a multiple of the route's target gap.
-	maxSilenceGaps = 2.5
-	// minSilence is the lower bound of these limits.
-	minSilence = 30 * time.Millisecond
-	// maxBuffered is the size of the largest answer that is read completely before any of it is
-	// passed on, in bytes.
-	maxBuffered = 1 << 20
-)
-
 // run sends the request and passes the answer on. It returns true if the caller has the complete
 // answer; otherwise outcome holds how the attempt ended.
 func (a *attempt) run(ctx context.Context) bool {
@@ -220,71 +204,6 @@
 	return a.passBuffered(answer)
 }
 
-// passFailure keeps a target's own failure in case no better answer arrives. A failure that another
-// target would repeat is passed on at once.
-func (a *attempt) passFailure(answer *Answer) bool {
-	whole, err := bufferAnswer(answer)
-	if err != nil {
-		a.failReading(err)
-		return false
-	}
-	a.err = errors.Newf("the target answered %d", answer.Status)
-	if a.call.delivery.Begun() {
-		a.outcome, a.result = delivery.Cut, balance.Bad
-		return false
-	}
-	a.call.failedAnswer = whole
-	a.outcome = delivery.Failed
-	if answer.Status < http.StatusInternalServerError {
-		a.result = balance.Good
-		a.call.relayFailure()
-		return true
-	}
-	a.result, a.failedItself = balance.Bad, true
-	return false
-}
-
-// passBuffered reads the complete answer before passing it on, so that the request can be retried
-// if the answer breaks off. Large answers are passed on as they arrive.
-func (a *attempt) passBuffered(answer *Answer) bool {
-	if answer.Size > maxBuffered {
-		return a.passLarge(answer)
-	}
-	whole, err := bufferAnswer(answer)
-	if err != nil {
-		a.failReading(err)
-		return false
-	}
-	a.result = balance.Good
-	a.recordAnswer(answer)
-	if err := whole.send(a.call); err != nil {
-		a.err = err
-	}
-	return true
-}
-
-func (a *attempt) passLarge(answer *Answer) bool {
-	a.stopSilenceTimer()
-	a.recordAnswer(answer)
-	a.markBegun()
-	if err := a.call.responder.Begin(answer.Status, answer.Header, answer.Size); err != nil {
-		a.failWriting(err)
-		return false
-	}
-	to := &outputWriter{call: a.call}
-	_, err := io.Copy(to, answer.Body)
-	if to.err != nil {
-		a.failWriting(to.err)
-		return false
-	}
-	if err != nil {
-		a.outcome, a.result, a.loss, a.err = delivery.Cut, balance.Lost, lossDisconnected, err
-		return false
-	}
-	a.result = balance.Good
-	return true
-}
-
 // failWriting ends an attempt whose answer could not be passed on.
 func (a *attempt) failWriting(err error) {
 	a.call.writeFailed = true
@@ -297,15 +216,6 @@
 	a.call.timeToHead = clock.Since(a.call.request.Arrived)
 }
 
-// failReading ends an attempt whose answer broke off before any of it was passed on.
-func (a *attempt) failReading(err error) {
-	a.err = err
-	a.outcome, a.result, a.loss = delivery.Lost, balance.Lost, lossDisconnected
-	if a.isAbandoned() || errors.Is(err, context.DeadlineExceeded) {
-		a.outcome, a.result, a.loss = delivery.Silent, balance.Bad, lossSilent
-	}
-}
-
 // finish reports to the balancer how the attempt ended, and records the attempt.
 func (a *attempt) finish(ctx context.Context) {
 	a.reportToCrashes(ctx, clock.Now())
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -1,12 +1,20 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/delivery"
 )
 
+// maxBuffered is the size of the largest answer that is read completely before any of it is
+// passed on, in bytes.
+const maxBuffered = 1 << 20
+
 // bufferedAnswer is an answer that was read to its end.
 type bufferedAnswer struct {
 	status int
@@ -38,3 +46,77 @@
 	}
 	return c.writeBuffered(b.body)
 }
+
+// passFailure keeps a target's own failure in case no better answer arrives. A failure that another
+// target would repeat is passed on at once.
+func (a *attempt) passFailure(answer *Answer) bool {
+	whole, err := bufferAnswer(answer)
+	if err != nil {
+		a.failReading(err)
+		return false
+	}
+	a.err = errors.Newf("the target answered %d", answer.Status)
+	if a.call.delivery.Begun() {
+		a.outcome, a.result = delivery.Cut, balance.Bad
+		return false
+	}
+	a.call.failedAnswer = whole
+	a.outcome = delivery.Failed
+	if answer.Status < http.StatusInternalServerError {
+		a.result = balance.Good
+		a.call.relayFailure()
+		return true
+	}
+	a.result, a.failedItself = balance.Bad, true
+	return false
+}
+
+// passBuffered reads the complete answer before passing it on, so that the request can be retried
+// if the answer breaks off. Large answers are passed on as they arrive.
+func (a *attempt) passBuffered(answer *Answer) bool {
+	if answer.Size > maxBuffered {
+		return a.passLarge(answer)
+	}
+	whole, err := bufferAnswer(answer)
+	if err != nil {
+		a.failReading(err)
+		return false
+	}
+	a.result = balance.Good
+	a.recordAnswer(answer)
+	if err := whole.send(a.call); err != nil {
+		a.err = err
+	}
+	return true
+}
+
+func (a *attempt) passLarge(answer *Answer) bool {
+	a.stopSilenceTimer()
+	a.recordAnswer(answer)
+	a.markBegun()
+	if err := a.call.responder.Begin(answer.Status, answer.Header, answer.Size); err != nil {
+		a.failWriting(err)
+		return false
+	}
+	to := &outputWriter{call: a.call}
+	_, err := io.Copy(to, answer.Body)
+	if to.err != nil {
+		a.failWriting(to.err)
+		return false
+	}
+	if err != nil {
+		a.outcome, a.result, a.loss, a.err = delivery.Cut, balance.Lost, lossDisconnected, err
+		return false
+	}
+	a.result = balance.Good
+	return true
+}
+
+// failReading ends an attempt whose answer broke off before any of it was passed on.
+func (a *attempt) failReading(err error) {
+	a.err = err
+	a.outcome, a.result, a.loss = delivery.Lost, balance.Lost, lossDisconnected
+	if a.isAbandoned() || errors.Is(err, context.DeadlineExceeded) {
+		a.outcome, a.result, a.loss = delivery.Silent, balance.Bad, lossSilent
+	}
+}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -7,6 +7,18 @@
 	"github.com/capersaddle/capersaddle/internal/routing"
 )
 
+const (
+	// maxSilenceShare is the share of a route's target latency that a target of a repeatable
+	// request may be silent before another target is tried.
+	maxSilenceShare = 0.6
+	// maxStreamSilenceShare is the same share for the first event of a stream.
+	maxStreamSilenceShare = 1.0
+	// maxSilenceGaps is the limit between events, as a multiple of the route's target gap.
+	maxSilenceGaps = 2.5
+	// minSilence is the lower bound of these limits.
+	minSilence = 30 * time.Millisecond
+)
+
 // maxSilenceToHead returns how long the target may take to the headers of its answer before the
 // attempt may be abandoned for another target; zero means no limit.
 func (a *attempt) maxSilenceToHead() time.Duration {
