A stopping process accepts requests for 2.8 s, no longer for 3 s and a little more

Cause: the platform covers requests sent up to 3 s after the signal. The process accepted requests until a timer of 3 s had fired, which starts when the signal has arrived and fires late.

Ruled out: a server that stopped, a gateway that ended early.

Change: 0.2 s are kept for late timers. The balancer notices after 2 s at the latest, so 0.8 s are left for late answers to it. Routers use the same time.

Before: TestUnreadyDelayLeavesMargins fails.

--- a/internal/process/options_test.go
+++ b/internal/process/options_test.go
@@ -135,6 +135,21 @@
 	}
 }
 
+// TestUnreadyDelayLeavesMargins guards against a stopping process that accepts a request so late
+// that the platform's grace period does not cover it: a timer of exactly that time let one in.
+func TestUnreadyDelayLeavesMargins(t *testing.T) {
+	const (
+		// balancerNotices is how long the platform's load balancer takes to notice.
+		balancerNotices = 2 * time.Second
+		// signalDelay is how late the signal and the timer arrive, and probeDelay how late a
+		// probe is answered.
+		signalDelay, probeDelay = 100 * time.Millisecond, 500 * time.Millisecond
+	)
+	is := is.New(t)
+	is.True(unreadyDelay+signalDelay < lastAccepted)
+	is.True(unreadyDelay > balancerNotices+probeDelay)
+}
+
 // TestGatewayUnreadyDelay checks that time is left for requests in flight, even if the grace
 // period is short.
 func TestGatewayUnreadyDelay(t *testing.T) {
--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -14,9 +14,16 @@
 	"github.com/capersaddle/capersaddle/internal/settings"
 )
 
-// unreadyDelay is how long an unready process still accepts requests, so that the platform's load
-// balancer notices first.
-const unreadyDelay = 3 * time.Second
+const (
+	// lastAccepted is how long after its signal a stopping process may accept requests. The
+	// platform covers those that the stop still cuts off.
+	lastAccepted = 3 * time.Second
+	// lateTimer is how late a timer may fire on a busy host.
+	lateTimer = 200 * time.Millisecond
+	// unreadyDelay is how long an unready process still accepts requests, so that the platform's
+	// load balancer notices first.
+	unreadyDelay = lastAccepted - lateTimer
+)
 
 // routerProcess runs a router and all its services.
 type routerProcess struct {
