Stand-in servers crash in silence only if told so; ejected targets keep their scratch slice

Restart stops a server without a fatal request through the same function, which then read the settings of fatal requests that such a server does not have. The way of the crash is handed over. The list of ejected targets is no longer moved forward in its scratch slice, which made the next choice allocate anew.

--- a/internal/balance/open.go
+++ b/internal/balance/open.go
@@ -98,16 +98,15 @@
 		healthy = append(healthy, expired...)
 		present += len(expired)
 	}
-	if maxEjected := int(b.options.MaxEjected * float64(present)); len(ejected) > maxEjected {
-		serving := len(ejected) - maxEjected
+	serving := max(len(ejected)-int(b.options.MaxEjected*float64(present)), 0)
+	if serving > 0 {
 		healthy = append(healthy, soonestBack(ejected, serving)...)
-		ejected = ejected[serving:]
 	}
 	b.scratch.healthy, b.scratch.ejected, b.scratch.expired = healthy, ejected, expired
 	if len(healthy) == 0 {
 		return ejected
 	}
-	for _, target := range ejected {
+	for _, target := range ejected[serving:] {
 		b.scratch.idle.add(target)
 	}
 	return healthy
--- a/internal/emulator/fatal.go
+++ b/internal/emulator/fatal.go
@@ -32,7 +32,7 @@
 	if fatal == nil || s.crashesDisabled || !run.Ran || !strings.HasPrefix(run.Body, fatal.Body) {
 		return false
 	}
-	time.AfterFunc(fatal.After, s.crash)
+	time.AfterFunc(fatal.After, func() { s.crash(fatal.Silent) })
 	return true
 }
 
@@ -69,17 +69,18 @@
 	s.onCrash = onCrash
 }
 
-// crash closes the listener and all connections, as when the server's process dies, unless the
-// server is to crash in silence.
-func (s *Server) crash() {
+// crash closes the listener and all connections, as when the server's process dies. If silent is
+// true they stay open, and nothing more is answered.
+func (s *Server) crash(silent bool) {
 	s.mu.Lock()
-	crashedBefore, onCrash := s.crashed, s.onCrash
-	s.crashed = true
-	s.mu.Unlock()
-	if crashedBefore {
+	if s.crashed {
+		s.mu.Unlock()
 		return
 	}
-	if !s.options.Fatal.Silent {
+	s.crashed, s.silent = true, silent
+	onCrash := s.onCrash
+	s.mu.Unlock()
+	if !silent {
 		_ = s.http.Close()
 	}
 	if onCrash != nil {
@@ -87,11 +88,16 @@
 	}
 }
 
-// crashedInSilence reports whether the server answers nothing any more.
-func (s *Server) crashedInSilence() bool {
+// holdIfSilent blocks a request to a server that has crashed in silence until its caller
+// disconnects, and returns true. For other servers it returns false.
+func (s *Server) holdIfSilent(r *http.Request) bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.crashed && s.options.Fatal.Silent
+	silent := s.silent
+	s.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+	}
+	return silent
 }
 
 // scheduleRestart schedules the expiry of a crashed server's entry and the start of its next
@@ -121,7 +127,7 @@
 	index := slices.IndexFunc(p.servers, func(known registeredServer) bool { return known.Server == server })
 	previous := p.servers[index]
 	p.mu.Unlock()
-	server.crash()
+	server.crash(false)
 	next := registeredServer{service: previous.service, zone: previous.zone, firstID: previous.firstID}
 	err := p.addIncarnation(&next, server.Address(), server.options, 1)
 	return next.Server, err
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -105,6 +105,8 @@
 	// crashed reports that a request has crashed the server; onCrash is called then.
 	crashed bool
 	onCrash func()
+	// silent reports that it has crashed in silence: its connections stay open.
+	silent bool
 	// crashesDisabled stops fatal requests from crashing the server.
 	crashesDisabled bool
 	wait            sync.WaitGroup
@@ -236,11 +238,7 @@
 
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.silencer.holdIfSilenced(r) {
-		return
-	}
-	if s.crashedInSilence() {
-		<-r.Context().Done()
+	if s.silencer.holdIfSilenced(r) || s.holdIfSilent(r) {
 		return
 	}
 	if r.URL.Path == "/health" {
