Request lines say which stream a request resumes, and after which event

Without it, a stream that a client resumed at a target of another version can't be told in our lines from one whose target has another version than its entry (hypotheses 2 and 3 of docs/incidents/streams-of-two-versions.md). Fields resumes and last_event; explain puts the requests that resumed a stream with the one that began it. What is chosen and sent is unchanged.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -33,6 +33,8 @@
 	ID      string `json:"id,omitempty"`
 	Target  string `json:"target,omitempty"`
 	Service string `json:"service,omitempty"`
+	// Resumes is the ID of the request that began the stream which a request resumes.
+	Resumes string `json:"resumes,omitempty"`
 	// Version is the version of a configuration, a number, or of a target, a string.
 	Version  json.RawMessage `json:"version,omitempty"`
 	Ending   string          `json:"ending,omitempty"`
@@ -103,7 +105,7 @@
 // NewTimeline collects the lines about a subject: the ID of a request, the ID of a target, the
 // version of a configuration as version:N, the rollouts of a service as rollout:SERVICE, or all
 // requests with a fingerprint as print:FINGERPRINT. The timeline of a request that was held back
-// includes the lines that say why.
+// includes the lines that say why, and that of a stream the requests that resumed it.
 func NewTimeline(subject string, lines []Line) *Timeline {
 	timeline := &Timeline{Subject: subject}
 	context := contextOf(subject, lines)
@@ -196,7 +198,7 @@
 	if fingerprint, ok := strings.CutPrefix(subject, "print:"); ok {
 		return line.Fingerprint == fingerprint
 	}
-	return line.ID == subject || line.Target == subject || strings.Contains(line.Attempts, subject+"@")
+	return line.ID == subject || line.Resumes == subject || line.Target == subject || strings.Contains(line.Attempts, subject+"@")
 }
 
 // targetsOf returns the targets in the attempts of a line.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -28,6 +28,8 @@
 {"time":"2026-12-02T10:00:14Z","level":"info","msg":"target_leaves","process":"gw-1","target":"i-6","service":"s"}
 {"time":"2026-12-02T10:00:15Z","level":"info","msg":"request","process":"gw-1","id":"r6","service":"s","ending":"no_target","status":503}
 {"time":"2026-12-02T10:00:16Z","level":"info","msg":"request","process":"gw-1","id":"r7","ending":"overloaded","status":429,"no_retry":"budget","attempts":"i-9@10.0.0.9:80=rejected(took_ms:1)"}
+{"time":"2026-12-02T10:00:17Z","level":"info","msg":"request","process":"gw-1","id":"r8","ending":"cut","status":200,"attempts":"i-10@10.0.0.9:80=cut(took_ms:1,version:v1,events:3)"}
+{"time":"2026-12-02T10:00:18Z","level":"info","msg":"request","process":"gw-2","id":"r9","ending":"answered","status":200,"resumes":"r8","last_event":"3","attempts":"i-11@10.0.0.9:80=answered(took_ms:1,version:v2,events:3)"}
 `
 
 func TestTimeline(t *testing.T) {
@@ -47,7 +49,8 @@
 		"no open target":   {"r6", []string{"target_rests", "target_leaves", "request"}, "says why none is open"},
 		"a resting target": {"i-5", []string{"target_rests", "target_rests"}, ""},
 		"no budget":        {"r7", []string{"request"}, "it was not run; no further attempt: the retry budget was spent; attempts: i-9@"},
-		"nothing":          {"r9", nil, ""},
+		"a resumed stream": {"r8", []string{"request", "request"}, "i-10 v1"},
+		"nothing":          {"r10", nil, ""},
 	}
 	lines, unread, err := explain.Read(strings.NewReader(logs))
 	if err != nil || unread != 1 {
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -39,6 +39,10 @@
 	Workspace string
 	Service   string
 	Session   string
+	// Resumes is the ID of the attempt that began the stream which the request resumes, and
+	// LastEventID that of the last event its caller has; empty if it resumes none.
+	Resumes     string
+	LastEventID string
 	// Prompt lists the parts of the prompt; nil if the request has none.
 	Prompt []Part
 	// Fingerprint identifies the content of the request and its workspace: a retried request has
@@ -120,6 +124,8 @@
 		ID:               c.request.ID,
 		Service:          c.service,
 		Session:          c.request.session(),
+		Resumes:          c.request.Resumes,
+		LastEventID:      c.request.LastEventID,
 		Prompt:           c.request.Parts,
 		Fingerprint:      c.fingerprint,
 		Attempts:         c.attempts,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -36,6 +36,9 @@
 	Parts []Part
 	// LastEventID is the ID of the last event that the caller has; empty for none.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream which
+	// this request resumes; empty for none.
+	Resumes string
 }
 
 // Part is one part of a prompt.
