--- a/internal/emulator/answers.go
+++ b/internal/emulator/answers.go
@@ -75,16 +75,24 @@
 	return fmt.Sprintf("id: %d\ndata: piece %d\n\n", number, number)
 }
 
+// event returns the text of one event of this server's streams.
+func (s *Server) event(number int) string {
+	if s.options.VersionInEvents {
+		return versionedEvent(number, s.options.Version)
+	}
+	return Event(number)
+}
+
 func (s *Server) writeStream(w http.ResponseWriter, r *http.Request, mode Mode, lastEventID int, slower float64) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	for number := lastEventID + 1; number <= s.options.Events; number++ {
 		if mode == CutMiddle && number == lastEventID+1+(s.options.Events-lastEventID)/2 {
-			_, _ = io.WriteString(w, Event(number)[:6])
+			_, _ = io.WriteString(w, s.event(number)[:6])
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = io.WriteString(w, Event(number))
+		_, _ = io.WriteString(w, s.event(number))
 		_ = control.Flush()
 		if !pause(r, scaleDuration(s.options.Gap, slower)) {
 			return
--- a/internal/emulator/fatal.go
+++ b/internal/emulator/fatal.go
@@ -123,13 +123,20 @@
 // Restart stops a server, which loses all its state, and immediately starts a new incarnation
 // at its address and with its ID.
 func (p *Platform) Restart(server *Server) (*Server, error) {
+	return p.RestartAs(server, server.options.Version)
+}
+
+// RestartAs is Restart at another version of the server's software.
+func (p *Platform) RestartAs(server *Server, version string) (*Server, error) {
 	p.mu.Lock()
 	index := slices.IndexFunc(p.servers, func(known registeredServer) bool { return known.Server == server })
 	previous := p.servers[index]
 	p.mu.Unlock()
 	server.crash(false)
 	next := registeredServer{service: previous.service, zone: previous.zone, firstID: previous.firstID}
-	err := p.addIncarnation(&next, server.Address(), server.options, 1)
+	options := server.options
+	options.Version = version
+	err := p.addIncarnation(&next, server.Address(), options, 1)
 	return next.Server, err
 }
 
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -76,6 +76,11 @@
 	// entry states them. An empty Version means the first version; zero Weights state nothing.
 	Version string
 	Weights int
+	// VersionInEvents puts the version into each event of a stream.
+	VersionInEvents bool
+	// CutEvery makes every so many-th request break off in the middle of its response; zero means
+	// none does.
+	CutEvery int
 	// Bad describes how the version fails; nil for a good version.
 	Bad *Bad
 	// KeepsID makes further incarnations of the server keep its ID. Its entry then tells them
@@ -216,6 +221,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	mode, slower = s.flaw.apply(run, s.inFlight+1)
+	if s.options.CutEvery > 0 && len(s.runs)%s.options.CutEvery == s.options.CutEvery-1 {
+		mode = CutMiddle
+	}
 	if s.misbehaviorsLeft != 0 || s.oneShot.trigger(run.ID) {
 		mode = s.mode
 	}
