A stream that a gateway resumes within an answer stays at the version that began it

What callers saw: one answer with events of two software versions, which don't fit together. Cause: after an attempt broke off, the next target was chosen as for a new request. Query.Versions existed, but only rollouts set it.

Change: the first event binds the call to its target's version; choice, lookup of holders, wait for prefills and further attempts all go through the query that is restricted to it, and the rollout gate admits exactly this version or none (halted, rolled back, replaced: the stream ends, since both rules hold). An attempt without an event binds nothing. A bound request goes to no target that it would load beyond the whole bound: a version may have few targets left, and the load bound is the older promise; its caller gets an ended answer or a refusal with a time.

TestStreamResumesAtNewVersion expected a stream to go on at the new version of a rollout; that is the fault itself. It is TestStreamResumesDuringRollout now: at the old version, or not at all.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -201,6 +201,9 @@
 	Exclude []string
 	// Versions restricts which versions may take the request.
 	Versions Versions
+	// WithinBound excludes targets that the request would load beyond the whole bound. It is for
+	// requests that only a few targets can take: sharing them evenly may exceed the bound.
+	WithinBound bool
 }
 
 // isLong reports whether the prompt's shared parts are long in total.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -19,6 +19,9 @@
 	svc := b.serviceOf(query.Service)
 	b.refreshTotals(svc, now)
 	open := b.openTargets(svc, query.Exclude, query.Versions, now)
+	if query.WithinBound {
+		open = b.withinBound(open)
+	}
 	if len(open) == 0 {
 		return Pick{}, false
 	}
--- a/internal/balance/session_limit.go
+++ b/internal/balance/session_limit.go
@@ -59,7 +59,7 @@
 	if idle.count == 0 || open == 0 {
 		return sessionLimit{max: usual}
 	}
-	whole := b.options.Whole.limitAt((mean*open + idle.load) / (open + float64(idle.count)))
+	whole := b.wholeBound(mean, open)
 	if b.manyPeers && whole-mean < tightSpread*math.Sqrt(mean) {
 		limit := max(min(idleShare*whole, whole-unreportedMargin), evenTightBound.limitAt(mean))
 		return sessionLimit{max: min(usual, limit), tight: true}
@@ -67,6 +67,35 @@
 	return sessionLimit{max: min(usual, max(idleShare*whole, evenLimit(mean, whole)))}
 }
 
+// withinBound returns those of the targets that openTargets returned last which stay within the whole
+// bound with one more request. The caller must hold b.mu.
+func (b *Balancer) withinBound(open []*state) []*state {
+	if len(open) == 0 {
+		return open
+	}
+	bound := b.wholeBound(meanLoad(open), float64(len(open)))
+	kept := open[:0]
+	for _, target := range open {
+		if target.load()+1 > bound {
+			b.scratch.idle.add(target)
+			continue
+		}
+		kept = append(kept, target)
+	}
+	if len(b.scratch.healthy) > 0 {
+		b.scratch.healthy = kept
+	}
+	return kept
+}
+
+// wholeBound returns the bound on a target's load, given the mean load of the targets that
+// openTargets returned last and their number. It refers to the mean of all targets. The caller must
+// hold b.mu.
+func (b *Balancer) wholeBound(mean, open float64) float64 {
+	idle := b.scratch.idle
+	return b.options.Whole.limitAt((mean*open + idle.load) / (open + float64(idle.count)))
+}
+
 // evenLimit returns the limit that lets the open targets share all requests approximately
 // evenly. One more request at a target with that load keeps the whole bound, unless the mean
 // already exceeds it.
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -5,10 +5,9 @@
 // Versions restricts which versions of a service's targets may take a request. The zero value
 // admits all.
 type Versions struct {
-	// Only is the single version that is admitted; empty admits all versions that are not in
-	// Excluded.
+	// Only is the single version that may be admitted; empty means all may be.
 	Only string
-	// Excluded lists the versions that are not admitted.
+	// Excluded lists the versions that are not admitted, Only among them if it is listed.
 	Excluded []string
 	// Preferred is the version that takes the request while one of its targets is open; empty
 	// for none.
@@ -27,8 +26,8 @@
 
 // Admits reports whether targets of a version may take the request.
 func (v Versions) Admits(version string) bool {
-	if v.Only != "" {
-		return version == v.Only
+	if v.Only != "" && version != v.Only {
+		return false
 	}
 	return !slices.Contains(v.Excluded, version)
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -42,6 +42,9 @@
 	assignmentUnused bool
 	assignedAt       time.Time
 	versions         balance.Versions
+	// boundVersion is the version that began the caller's stream. No other may continue it, since
+	// what two versions write doesn't fit together. Empty until the first event.
+	boundVersion string
 	// triedIncarnations are the incarnations of targets that were sent the request.
 	triedIncarnations []string
 	attempts          []AttemptRecord
@@ -243,6 +246,7 @@
 func (c *call) attemptQuery() balance.Query {
 	query := c.promptQuery()
 	query.Exclude, query.Versions = c.triedIncarnations, c.versions
+	query.WithinBound = c.boundVersion != ""
 	return query
 }
 
@@ -314,6 +318,8 @@
 		c.relayFailure()
 	case c.delivery.MayHaveRun():
 		c.refuse(fault.New(fault.TargetFailed, fault.Unknown, "no further target is available"))
+	case c.boundVersion != "":
+		c.refuse(fault.New(fault.NoTarget, fault.NotRun, "no target of version %s, which began the stream, is available", c.boundVersion).After(c.retryAfterNoTarget()))
 	default:
 		c.refuse(fault.New(fault.NoTarget, fault.NotRun, "no target of the service is available").After(c.retryAfterNoTarget()))
 	}
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -131,6 +131,15 @@
 	w.control.Grant("other", grant, time.Now(), time.Now())
 }
 
+// stop makes the targets of a version unusable.
+func (w *rolloutGateway) stop(version string) {
+	for _, target := range w.gateway.Balancer.Targets() {
+		if target.Version == version {
+			w.gateway.Balancer.SetUnusable(target.ID)
+		}
+	}
+}
+
 // halt revokes all grants.
 func (w *rolloutGateway) halt() {
 	w.control.Grant("other", rollout.Grant{Service: uint32(hashOf("s") >> 32), Order: orderRevision, End: rollout.Halted}, time.Time{}, time.Now())
@@ -310,16 +319,20 @@
 	}
 }
 
-// TestStreamResumesAtNewVersion covers old targets that stop without draining at the end of a
-// rollout: resumable streams continue behind the last event.
-func TestStreamResumesAtNewVersion(t *testing.T) {
+// TestStreamResumesDuringRollout guards against streams of two versions while a rollout moves the
+// service: a stream continues behind its last event at the version that began it, and ends if no
+// target of that version is left.
+func TestStreamResumesDuringRollout(t *testing.T) {
 	cases := map[string]struct {
 		path, body string
 		halted     bool
-		versions   []string
-		aborted    bool
+		// stopped means that the targets of the old version have stopped.
+		stopped  bool
+		versions []string
+		aborted  bool
 	}{
-		"one that may be resumed":      {path: "/resumable/x", body: one + two, versions: []string{oldVersion, newVersion}},
+		"one that may be resumed":      {path: "/resumable/x", body: one + two, versions: []string{oldVersion, oldVersion}},
+		"its version has stopped":      {path: "/resumable/x", stopped: true, body: one, versions: []string{oldVersion}, aborted: true},
 		"one that may not":             {path: "/stream/x", body: one, versions: []string{oldVersion}, aborted: true},
 		"the version was halted since": {path: "/resumable/x", halted: true, body: one + two, versions: []string{oldVersion, oldVersion}},
 	}
@@ -344,6 +357,9 @@
 				if tc.halted {
 					w.halt()
 				}
+				if tc.stopped {
+					w.stop(oldVersion)
+				}
 				close(ends)
 				caller := <-done
 				is.Equal(caller.body.String(), tc.body)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -90,12 +90,23 @@
 
 // passEvent passes an event on, after the headers if it is the first one.
 func (a *attempt) passEvent(answer *Answer, event []byte) error {
+	a.bindVersion()
 	if err := a.beginStream(answer); err != nil {
 		return err
 	}
 	return a.call.write(event)
 }
 
+// bindVersion records which version began the stream. The silence timer may be looking for another
+// target at the same time.
+func (a *attempt) bindVersion() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.call.boundVersion == "" {
+		a.call.boundVersion = a.pick.Target.Version
+	}
+}
+
 func (a *attempt) beginStream(answer *Answer) error {
 	if a.call.delivery.Begun() {
 		return nil
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -75,6 +75,9 @@
 	Route   string
 	// Retry is set if the request was sent to another target before.
 	Retry bool
+	// Version is the only version that may take the request, because it began the request's
+	// stream; empty if any may.
+	Version string
 	// HaveLeft reports whether all targets of some versions have left as planned. A nil function
 	// means they haven't.
 	HaveLeft func(versions balance.Versions) bool
@@ -98,6 +101,10 @@
 	defer g.mu.Unlock()
 	assignment := Assignment{service: request.Service, isRetry: request.Retry}
 	s := g.services[request.Service]
+	if request.Version != "" {
+		s.assignVersion(request, &assignment, now)
+		return assignment
+	}
 	if s == nil {
 		return assignment
 	}
@@ -129,6 +136,26 @@
 	return assignment
 }
 
+// assignVersion admits the only version that may take a request, unless that version gets no more
+// requests. A version on trial gets it as part of its share or of a move. The service is nil if it
+// never had an order.
+func (s *service) assignVersion(request AssignRequest, assignment *Assignment, now time.Time) {
+	assignment.Versions = balance.Versions{Only: request.Version}
+	if s == nil || s.baseVersions.Admits(request.Version) {
+		return
+	}
+	if t := s.trial; t != nil && t.order.Version == request.Version {
+		switch stage := t.stageAt(now); {
+		case stage == Move:
+			return
+		case stage == Canary && t.reserve(NameHash(request.Route)):
+			assignment.reserved = t
+			return
+		}
+	}
+	assignment.Versions.Excluded = s.baseVersions.Excluded
+}
+
 // RecordSend counts a request sent to a target of a version. Each call is followed by one call of
 // Observe.
 func (g *Gate) RecordSend(assignment Assignment, version string, now time.Time) {
