A stream that its caller resumes continues at the version that began it, or is refused

Cause: nobody recorded where a stream had begun; the gateway that gets the next attempt chose a target as for a new request.

Change: a gateway records the version with the first event (internal/origin) and sends the record to three keepers in the stream's rendezvous order, batched, as long as several versions of the service may have served while a stream may last. One at which a stream is resumed looks into its own records, then whether the service has provably had one version only for that long, then asks the keepers (all gateways in a small fleet) for 0.1 s at most. What stays unknown is refused as not run (503 stream_unknown, with a time); absence proves nothing. Records that name two versions are uncertain and count as unknown. New keepers get the records when gateways come and go. A target that restarts under its ID at another version makes the streams uncertain that began there since its entry was last proven, and is closed to streams of its version while it may have restarted. Bound requests draw the service of the record, if the route still has it.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -201,9 +201,12 @@
 	Exclude []string
 	// Versions restricts which versions may take the request.
 	Versions Versions
-	// WithinBound excludes targets that the request would load beyond the whole bound. It is for
-	// requests that only a few targets can take: sharing them evenly may exceed the bound.
-	WithinBound bool
+	// Bound means that the request continues a stream, which only targets of the version in
+	// Versions can. There may be few of them, so that sharing requests evenly would exceed the
+	// whole bound: those that the request would load beyond it are excluded. So are those that may
+	// be of another version than their entries say, if these are the newest until ProvenAt only.
+	Bound    bool
+	ProvenAt time.Time
 }
 
 // isLong reports whether the prompt's shared parts are long in total.
@@ -238,6 +241,8 @@
 	Unread int
 	// Cold reports whether the target has just started.
 	Cold bool
+	// MayHaveRestarted reports whether the target may be of another version than its entry says.
+	MayHaveRestarted bool
 	// Probe reports whether this request probes a target whose backoff has ended. The target
 	// gets no other request until this one is answered. The caller must call EndProbe.
 	Probe bool
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -18,10 +18,7 @@
 	b.expireReports(now)
 	svc := b.serviceOf(query.Service)
 	b.refreshTotals(svc, now)
-	open := b.openTargets(svc, query.Exclude, query.Versions, now)
-	if query.WithinBound {
-		open = b.withinBound(open)
-	}
+	open := b.openFor(svc, query, now)
 	if len(open) == 0 {
 		return Pick{}, false
 	}
@@ -41,6 +38,7 @@
 		b.expectHolder(query.Parts, chosen)
 	}
 	pick.Target, pick.Load, pick.Cold = chosen.Target, int(math.Round(chosen.load())), chosen.cold.isCold
+	pick.MayHaveRestarted = chosen.mayHaveRestarted(query.ProvenAt)
 	chosen.addInFlight(1)
 	if chosen.cold.isCold {
 		chosen.cold.sentAt = now
@@ -253,5 +251,5 @@
 func (b *Balancer) Has(query Query, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.openTargets(b.serviceOf(query.Service), query.Exclude, query.Versions, now)) > 0
+	return len(b.openFor(b.serviceOf(query.Service), query, now)) > 0
 }
--- a/internal/balance/directory.go
+++ b/internal/balance/directory.go
@@ -47,7 +47,7 @@
 	b.expireReports(now)
 	svc := b.serviceOf(query.Service)
 	b.refreshTotals(svc, now)
-	open := b.openTargets(svc, query.Exclude, query.Versions, now)
+	open := b.openFor(svc, query, now)
 	if len(open) == 0 {
 		return true
 	}
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -24,6 +24,8 @@
 	// Superseded is the name of the target's previous incarnation, if a new one has begun;
 	// otherwise empty.
 	Superseded string
+	// OtherVersion reports whether the new incarnation has another version than the previous one.
+	OtherVersion bool
 }
 
 // Put adds a target or applies the changes in its entry.
@@ -36,6 +38,7 @@
 		return Change{Any: changed, Unusable: changed}
 	}
 	replaced, earlier := "", announcement{}
+	otherVersion := ok && target.Version != existing.Version
 	if ok && (target.Born != existing.Born || target.Service != existing.Service) {
 		b.supersede(existing, now)
 		ok = false
@@ -49,15 +52,16 @@
 		}
 	}
 	if !ok {
-		added := b.add(target)
+		added := b.add(target, now)
 		if earlier.isRelevant(now) {
 			added.announced = earlier
 		}
-		return Change{Any: true, TurnedCold: added.updateCold(target.ColdFor, now), Superseded: replaced}
+		return Change{Any: true, TurnedCold: added.updateCold(target.ColdFor, now), Superseded: replaced, OtherVersion: otherVersion}
 	}
 	changed := existing.Target != target || !existing.unlistedAt.IsZero()
 	if existing.Version != target.Version {
 		existing.service.removeFromVersion(existing.version)
+		existing.service.noteFormerVersion(existing.Version, now)
 		existing.version = existing.service.addToVersion(target.Version)
 	}
 	existing.Target = target
@@ -69,8 +73,11 @@
 }
 
 // add starts tracking a target. The caller must hold b.mu.
-func (b *Balancer) add(target Target) *state {
+func (b *Balancer) add(target Target, now time.Time) *state {
 	svc := b.serviceOf(target.Service)
+	if svc.knownSince.IsZero() {
+		svc.knownSince = now
+	}
 	added := newState(target, svc)
 	if previous, ok := b.targets[added.incarnation]; ok {
 		// The same incarnation again, or under another service: its requests are still in
@@ -131,7 +138,7 @@
 		if _, known := b.current[target.ID]; known {
 			continue
 		}
-		b.add(target).unlistedAt = now
+		b.add(target, now).unlistedAt = now
 	}
 }
 
@@ -149,16 +156,17 @@
 		delete(b.targets, incarnation)
 		if !target.superseded {
 			delete(b.current, target.ID)
-			b.removeFromLists(target)
+			b.removeFromLists(target, now)
 		}
 	}
 }
 
 // removeFromLists removes a target from all lists. The caller must hold b.mu.
-func (b *Balancer) removeFromLists(target *state) {
+func (b *Balancer) removeFromLists(target *state, now time.Time) {
 	delete(b.byHash, target.hash)
 	delete(b.byShort, shortHash(target.hash))
 	target.service.removeFromVersion(target.version)
+	target.service.noteFormerVersion(target.Version, now)
 	svc := b.serviceOf(target.Service)
 	svc.targets = slices.DeleteFunc(svc.targets, func(s *state) bool {
 		return s == target
@@ -170,7 +178,7 @@
 func (b *Balancer) supersede(target *state, now time.Time) {
 	target.recordEnd(now, false)
 	target.unlistedAt, target.superseded, target.needsCheck = now, true, true
-	b.removeFromLists(target)
+	b.removeFromLists(target, now)
 }
 
 // ClearFailures clears the failure records of all targets.
--- a/internal/balance/service.go
+++ b/internal/balance/service.go
@@ -1,12 +1,19 @@
 package balance
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // service is what the balancer knows about one service.
 type service struct {
 	targets []*state
 	// versions holds the versions of its known targets.
 	versions []version
+	// knownSince is when its first target became known. formerVersions are the versions of targets
+	// that are no longer known, with the times of the last removals.
+	knownSince     time.Time
+	formerVersions map[string]time.Time
 	// admitting restricts which versions take requests at all, as of the last call of Room.
 	admitting Versions
 	// load describes all of its requests.
--- a/internal/balance/session_limit.go
+++ b/internal/balance/session_limit.go
@@ -67,27 +67,6 @@
 	return sessionLimit{max: min(usual, max(idleShare*whole, evenLimit(mean, whole)))}
 }
 
-// withinBound returns those of the targets that openTargets returned last which stay within the whole
-// bound with one more request. The caller must hold b.mu.
-func (b *Balancer) withinBound(open []*state) []*state {
-	if len(open) == 0 {
-		return open
-	}
-	bound := b.wholeBound(meanLoad(open), float64(len(open)))
-	kept := open[:0]
-	for _, target := range open {
-		if target.load()+1 > bound {
-			b.scratch.idle.add(target)
-			continue
-		}
-		kept = append(kept, target)
-	}
-	if len(b.scratch.healthy) > 0 {
-		b.scratch.healthy = kept
-	}
-	return kept
-}
-
 // wholeBound returns the bound on a target's load, given the mean load of the targets that
 // openTargets returned last and their number. It refers to the mean of all targets. The caller must
 // hold b.mu.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -228,6 +228,7 @@
 	"target_failed":  "the request was sent, and its response was lost or invalid; it may have run, and may not be repeated",
 	"deadline":       "the deadline passed while a target was silent; the request may have run",
 	"body_too_large": "the body is larger than the configuration allows",
+	"stream_unknown": "the request resumes a stream, and neither this gateway nor those that it asked know which version of the targets began that; it was not run; the line of the request that it names with resumes says where that was",
 	"bad_request":    "the request lacks a required part",
 	"suspected":      "several targets had crashed while they ran this request and others, and it was not known yet which request is to blame; it was not run; the lines with its print say what followed",
 	"quarantined":    "several targets had crashed while they ran this request, so it is sent to no other; the lines with its print say which",
@@ -240,6 +241,7 @@
 	gateway.DeniedTarget:     "no other target was open",
 	gateway.DeniedCapacity:   "the service had no capacity left for retries",
 	gateway.DeniedBudget:     "the retry budget was spent",
+	gateway.DeniedVersion:    "a target that restarted may have sent events of another version",
 }
 
 // likelyCause returns the likely cause of a request's end.
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -51,7 +51,10 @@
 	// Suspected marks a request that is refused since targets crashed while they ran it
 	// together with others, and which of the requests is the cause is not known yet.
 	Suspected Kind = "suspected"
-	Internal  Kind = "internal"
+	// StreamUnknown marks a request that is refused since it resumes a stream and it is not known
+	// which version of the targets' software began that stream.
+	StreamUnknown Kind = "stream_unknown"
+	Internal      Kind = "internal"
 )
 
 // RunState tells whether the target has run the refused request.
@@ -124,6 +127,7 @@
 	BadSettings:    {http.StatusBadRequest, ExitUsage, false, typeInvalid},
 	Quarantined:    {http.StatusBadRequest, ExitRefused, false, typeInvalid},
 	Suspected:      {http.StatusServiceUnavailable, ExitUnavailable, true, typeServer},
+	StreamUnknown:  {http.StatusServiceUnavailable, ExitUnavailable, true, typeServer},
 	NotReady:       {http.StatusServiceUnavailable, ExitUnavailable, true, typeServer},
 	Internal:       {http.StatusInternalServerError, ExitFailed, false, typeServer},
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,6 +63,9 @@
 	abandoned bool
 	// superseded means that the attempt was ended because its target started a new incarnation.
 	superseded bool
+	// versionUncertain means that the new incarnation has another version and may have served the
+	// attempt.
+	versionUncertain bool
 }
 
 func newAttempt(c *call, pick balance.Pick) *attempt {
@@ -218,6 +221,7 @@
 
 // finish reports to the balancer how the attempt ended, and records the attempt.
 func (a *attempt) finish(ctx context.Context) {
+	a.call.versionUncertain = a.call.versionUncertain || a.mayHaveMixed()
 	a.reportToCrashes(ctx, clock.Now())
 	a.endTrial(clock.Now())
 	if a.call.callerLeft(ctx) || a.isProcessDelay() {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -45,6 +45,14 @@
 	// boundVersion is the version that began the caller's stream. No other may continue it, since
 	// what two versions write doesn't fit together. Empty until the first event.
 	boundVersion string
+	// versionUncertain means that a target which passed on an event may be of another version than
+	// its entry says, so that no target can continue the stream.
+	versionUncertain bool
+	originRecorded   bool
+	// originSource is how the version that began a resumed stream became known, and originTime how
+	// long it took to find out.
+	originSource OriginSource
+	originTime   time.Duration
 	// triedIncarnations are the incarnations of targets that were sent the request.
 	triedIncarnations []string
 	attempts          []AttemptRecord
@@ -140,7 +148,10 @@
 func (c *call) run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(c.deadline))
 	defer cancel()
-	refusal := c.awaitAdmission(ctx)
+	refusal := c.bindResumed(ctx)
+	if refusal == nil {
+		refusal = c.awaitAdmission(ctx)
+	}
 	defer c.endTurn()
 	if refusal != nil && !c.callerLeft(ctx) {
 		c.refuse(refusal)
@@ -246,7 +257,12 @@
 func (c *call) attemptQuery() balance.Query {
 	query := c.promptQuery()
 	query.Exclude, query.Versions = c.triedIncarnations, c.versions
-	query.WithinBound = c.boundVersion != ""
+	if c.boundVersion != "" {
+		query.Bound = true
+	}
+	if age, known := c.gateway.Proof.Age(clock.Now()); known {
+		query.ProvenAt = clock.Now().Add(-age)
+	}
 	return query
 }
 
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -222,7 +222,7 @@
 				target := keepOneTarget(w, 1000)
 				time.AfterFunc(50*time.Millisecond, func() {
 					target.Born++
-					w.gateway.EndSuperseded(w.gateway.Balancer.Put(target, time.Now()).Superseded)
+					w.gateway.EndSuperseded(w.gateway.Balancer.Put(target, time.Now()).Superseded, false)
 				})
 				w.serve(t.Context(), tc.path)
 				is.Equal(w.caller.records[0].Took, 50*time.Millisecond)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,8 @@
 	// Crashes tracks the requests that are held because targets ended while running them; nil holds
 	// none.
 	Crashes *Crashes
+	// Origins records which versions began streams; nil if streams are not resumed at other gateways.
+	Origins *Origins
 	// Limiters limits what is sent to each service; nil means no limit.
 	Limiters *admission.Limiters
 	Proof    *freshness.Proof
@@ -77,6 +79,8 @@
 	firstEventTimes firstEventTimes
 	// table is nil until a configuration is known.
 	table atomic.Pointer[routing.Table]
+	// reroutedAt is when a configuration last moved streams to other services, in nanoseconds.
+	reroutedAt atomic.Int64
 }
 
 // Apply puts a configuration in force unless it is no newer than the present one. It reports
@@ -88,6 +92,9 @@
 		if current != nil && current.Version() >= config.Version {
 			return false
 		}
+		if current == nil || !current.KeepsStreams(next) {
+			g.reroutedAt.Store(clock.Now().UnixNano())
+		}
 		if g.table.CompareAndSwap(current, next) {
 			return true
 		}
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -4,6 +4,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/clock"
 )
 
 // A target that restarts under its ID knows nothing of the requests of its previous incarnation. If
@@ -52,21 +54,36 @@
 }
 
 // EndSuperseded ends the attempts in flight at an incarnation of a target that has been replaced by
-// a newer one.
-func (g *Gateway) EndSuperseded(incarnation string) {
+// a newer one. If the newer one is of another version, it may have served what was sent since the
+// replaced one was last proven to be the newest.
+func (g *Gateway) EndSuperseded(incarnation string, otherVersion bool) {
+	now := clock.Now()
+	age, known := g.Proof.Age(now)
+	provenAt := now.Add(-age)
 	for _, a := range g.inFlight.attempts(incarnation) {
-		a.supersede()
+		a.supersede(otherVersion && !(known && a.started.Before(provenAt)))
+	}
+	if otherVersion && g.Origins != nil && known {
+		g.Origins.retract(incarnation, provenAt, now)
 	}
 }
 
-// supersede ends the attempt because its target has restarted.
-func (a *attempt) supersede() {
+// supersede ends the attempt because its target has restarted. If its events may be those of another
+// version, the stream can't continue.
+func (a *attempt) supersede(versionUncertain bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.superseded = true
+	a.superseded, a.versionUncertain = true, versionUncertain
 	a.cancel()
 }
 
+// mayHaveMixed reports whether the attempt has passed on events that may be those of another version.
+func (a *attempt) mayHaveMixed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.versionUncertain && a.events > 0
+}
+
 // isSuperseded reports whether the attempt was ended because its target has restarted.
 func (a *attempt) isSuperseded() bool {
 	a.mu.Lock()
--- /dev/null
+++ b/internal/gateway/origins.go
@@ -0,0 +1,232 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/clock"
+	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/origin"
+	"github.com/capersaddle/capersaddle/internal/routing"
+)
+
+// What two versions of the targets' software write doesn't fit together, and targets don't check it.
+// So a stream that its caller resumes continues at the version that began it, or the request is
+// refused. Which version that was is known from a record of this or another gateway, or because the
+// service has had only one version for as long as a stream may last.
+// Source: docs/design/stream-versions.md.
+
+const (
+	// minStreamLife is the least time for which a stream may be resumed after it began.
+	minStreamLife = 30 * time.Second
+	// maxSoleProofAge is the maximum age of the proof of the newest targets for a version to count as
+	// the only one.
+	maxSoleProofAge = 3 * time.Second
+)
+
+// OriginPeers exchanges records of streams with the other gateways.
+type OriginPeers interface {
+	// SpreadOrigin sends the record of a service's stream to the gateways that keep it, as soon as
+	// another version may serve.
+	SpreadOrigin(record origin.Record, service string)
+	// FindOrigin asks other gateways which version of a service began a stream. asked is the number
+	// of gateways that it asked.
+	FindOrigin(ctx context.Context, stream origin.Stream, service string) (version origin.Version, found bool, asked int)
+}
+
+// Origins records which versions began the streams of this gateway. It is safe for concurrent use.
+type Origins struct {
+	Table *origin.Table
+	// Peers is nil if there are no other gateways.
+	Peers OriginPeers
+
+	mu sync.Mutex
+	// recent are the streams that began lately, in order.
+	recent []begunStream
+}
+
+// begunStream is a stream that a target has begun.
+type begunStream struct {
+	record      origin.Record
+	service     string
+	incarnation string
+	at          time.Time
+}
+
+// recentFor is how long after its start a stream may turn out to be of another version: until the
+// entry of a target that restarted is known.
+const recentFor = 5 * time.Second
+
+// begun records a stream whose first event is about to be passed on.
+func (o *Origins) begun(stream begunStream) {
+	stream.record = o.Table.Put(stream.record, stream.at)
+	if o.Peers != nil {
+		o.Peers.SpreadOrigin(stream.record, stream.service)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	old := slices.IndexFunc(o.recent, func(known begunStream) bool { return stream.at.Sub(known.at) < recentFor })
+	if old < 0 {
+		old = len(o.recent)
+	}
+	o.recent = append(slices.Delete(o.recent, 0, old), stream)
+}
+
+// retract marks the streams uncertain that began at an incarnation of a target after a given time.
+func (o *Origins) retract(incarnation string, since, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, stream := range o.recent {
+		if stream.incarnation != incarnation || stream.at.Before(since) {
+			continue
+		}
+		uncertain := stream.record
+		uncertain.Version = origin.Uncertain
+		uncertain = o.Table.Put(uncertain, now)
+		if o.Peers != nil {
+			o.Peers.SpreadOrigin(uncertain, stream.service)
+		}
+	}
+}
+
+// OriginSource is how the version that began a stream became known.
+type OriginSource string
+
+// The sources. It is empty for requests that resume no stream.
+const (
+	// OriginRecorded: this gateway has a record of the stream.
+	OriginRecorded OriginSource = "recorded"
+	// OriginSole: the service has had only one version for as long as a stream may last.
+	OriginSole OriginSource = "sole"
+	// OriginPeer: another gateway told it.
+	OriginPeer OriginSource = "peer"
+	// OriginUnknown: no gateway that could be asked knows it, or it is uncertain.
+	OriginUnknown OriginSource = "unknown"
+)
+
+// SoleOrigin returns the only version of a service if no other one can have begun a stream that may
+// still be resumed.
+func (g *Gateway) SoleOrigin(service string) (origin.Version, bool) {
+	version, ok := g.soleVersion(service, 0)
+	return origin.VersionOf(service, version), ok
+}
+
+// soleVersion is like SoleOrigin, for a caller with the given patience.
+func (g *Gateway) soleVersion(service string, patience time.Duration) (string, bool) {
+	table, now := g.table.Load(), clock.Check()
+	if table == nil || !g.Proof.Within(maxSoleProofAge, now) {
+		return "", false
+	}
+	timeout, ok := table.StreamTimeout(service)
+	life := streamLife(patience, timeout)
+	if !ok || now.Sub(time.Unix(0, g.reroutedAt.Load())) < life {
+		return "", false
+	}
+	return g.Balancer.SoleVersion(service, life, now)
+}
+
+// streamLife returns for how long a stream may be resumed after it began: its caller makes several
+// attempts, which the caller's patience and the route's time limit bound.
+func streamLife(patience, timeout time.Duration) time.Duration {
+	return max(minStreamLife, 2*patience, 2*timeout)
+}
+
+// stream returns the identifier of the call's stream.
+func (c *call) stream() origin.Stream {
+	workspace := ""
+	if c.workspace != nil {
+		workspace = c.workspace.Name
+	}
+	if c.request.Resumes != "" {
+		return origin.StreamOf(workspace, c.request.Resumes)
+	}
+	return origin.StreamOf(workspace, c.request.ID)
+}
+
+// resumes reports whether the request resumes a stream.
+func (c *call) resumes() bool {
+	return c.route.Kind == routing.Stream && (c.request.Resumes != "" || c.request.LastEventID != "")
+}
+
+// bindResumed binds a request that resumes a stream to the version that began it. It returns the
+// refusal if that is unknown or has no targets.
+func (c *call) bindResumed(ctx context.Context) *fault.Error {
+	if !c.resumes() {
+		return nil
+	}
+	began := clock.Now()
+	refusal := c.findOrigin(ctx)
+	c.originTime = clock.Since(began)
+	return refusal
+}
+
+func (c *call) findOrigin(ctx context.Context) *fault.Error {
+	origins := c.gateway.Origins
+	if origins != nil && c.request.Resumes != "" {
+		if record, ok := origins.Table.Get(c.stream(), clock.Now()); ok {
+			return c.bindTo(record.Version, OriginRecorded)
+		}
+	}
+	if version, ok := c.gateway.soleVersion(c.service, c.request.Patience); ok {
+		c.boundVersion, c.originSource = version, OriginSole
+		return nil
+	}
+	if origins == nil || origins.Peers == nil || c.request.Resumes == "" {
+		return c.unknownOrigin(retryAfterShortage)
+	}
+	version, found, asked := origins.Peers.FindOrigin(ctx, c.stream(), c.service)
+	switch {
+	case found:
+		return c.bindTo(version, OriginPeer)
+	case asked == 0:
+		return c.unknownOrigin(retryAfterOtherRouter)
+	}
+	return c.unknownOrigin(retryAfterShortage)
+}
+
+// bindTo binds the call to the version that began its stream, and to the service of that version.
+func (c *call) bindTo(began origin.Version, source OriginSource) *fault.Error {
+	if began == origin.Uncertain {
+		return c.unknownOrigin(retryAfterShortage)
+	}
+	for _, share := range c.route.Split {
+		version, ok := c.gateway.Balancer.VersionNamed(share.Service, func(version string) bool {
+			return origin.VersionOf(share.Service, version) == began
+		})
+		if ok {
+			c.service, c.boundVersion, c.originSource = share.Service, version, source
+			return nil
+		}
+	}
+	c.originSource = source
+	return fault.New(fault.NoTarget, fault.NotRun, "the route has no targets of the version that began the stream").After(retryAfterShortage)
+}
+
+func (c *call) unknownOrigin(retryAfter time.Duration) *fault.Error {
+	c.originSource = OriginUnknown
+	return fault.New(fault.StreamUnknown, fault.NotRun, "it is not known which version of the targets began the stream").After(retryAfter)
+}
+
+// recordOrigin records which version began the call's stream, once its first event is about to be
+// passed on.
+func (c *call) recordOrigin(incarnation string) {
+	origins := c.gateway.Origins
+	if origins == nil || c.originRecorded || c.boundVersion == "" {
+		return
+	}
+	c.originRecorded = true
+	version := origin.VersionOf(c.service, c.boundVersion)
+	if c.versionUncertain {
+		version = origin.Uncertain
+	}
+	now := clock.Now()
+	life := min(streamLife(c.request.Patience, c.route.Timeout), unboundedTime)
+	origins.begun(begunStream{
+		record:      origin.Record{Stream: c.stream(), Version: version, Expires: now.Add(life)},
+		service:     c.service,
+		incarnation: incarnation,
+		at:          now,
+	})
+}
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -24,6 +24,8 @@
 	DeniedCapacity RetryDenial = "capacity"
 	// DeniedBudget: the retry budget is spent.
 	DeniedBudget RetryDenial = "budget"
+	// DeniedVersion: it is uncertain which version began the stream.
+	DeniedVersion RetryDenial = "version"
 )
 
 // minAttemptTime is the minimum time left that makes another attempt worthwhile.
@@ -57,6 +59,9 @@
 	if crashes := c.gateway.Crashes; crashes != nil && crashes.Table.Suspicious(c.fingerprint) {
 		return c.denyRetry(DeniedSuspicious)
 	}
+	if c.versionUncertain {
+		return c.denyRetry(DeniedVersion)
+	}
 	if ctx.Err() != nil || clock.Until(c.deadline) < minAttemptTime {
 		return c.denyRetry(DeniedTime)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -91,6 +91,7 @@
 // passEvent passes an event on, after the headers if it is the first one.
 func (a *attempt) passEvent(answer *Answer, event []byte) error {
 	a.bindVersion()
+	a.call.recordOrigin(a.incarnation)
 	if err := a.beginStream(answer); err != nil {
 		return err
 	}
@@ -105,6 +106,7 @@
 	if a.call.boundVersion == "" {
 		a.call.boundVersion = a.pick.Target.Version
 	}
+	a.call.versionUncertain = a.call.versionUncertain || a.pick.MayHaveRestarted
 }
 
 func (a *attempt) beginStream(answer *Answer) error {
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -12,5 +12,6 @@
 //   - table.go: the other gateways; tree.go: how the store's changes are passed on
 //   - source.go: which gateway a starting one follows; rollouts.go: reports and grants of rollouts
 //   - replica.go: fetching the store's content from another gateway
+//   - origins.go: which versions began streams; keepers.go: which gateways keep a record
 //   - directory.go: looking up where a prompt is cached; refused.go: targets that are gone
 package peer
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -267,6 +267,7 @@
 	s.applyPlacements(heartbeat, now)
 	s.applyRefused(heartbeat, from, now)
 	s.applyCrashes(heartbeat, from, now)
+	s.applyOrigins(heartbeat, from, now)
 	switch {
 	case heartbeat.GetQuestion() != 0:
 		s.answerLookup(from, heartbeat, now)
--- /dev/null
+++ b/internal/peer/origins.go
@@ -0,0 +1,336 @@
+package peer
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/capersaddle/capersaddle/internal/clock"
+	"github.com/capersaddle/capersaddle/internal/origin"
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+// A caller may resume a stream at any gateway, mostly because the one that began it is lost. So a
+// gateway that begins a stream sends its record to the keepers of the stream, the first few gateways
+// in its rendezvous order, and a gateway at which a stream is resumed asks them. Records are sent
+// only for services of which several versions may have served lately. A keeper sends its records to
+// gateways that become keepers when others come or go. Lost datagrams, and streams that began a
+// moment before their gateway was lost, make a stream unknown. It is then refused, never continued
+// at a guess.
+
+const (
+	// originKeepers is the number of gateways that keep a record. Two of them may be lost with the
+	// gateway that began the stream.
+	originKeepers = 3
+	// originAsked is the number of gateways that are asked in a large fleet, in which the sender of a
+	// record and the one that asks may not agree on who is live. In a small one all are asked.
+	originAsked = 5
+	// originAskInterval is the time between two questions to a gateway, a few times what an answer
+	// takes, and originAsks the number of questions.
+	originAskInterval = 25 * time.Millisecond
+	originAsks        = 4
+	// originShare is the average share of the byte budget for records. The fleet's design size takes
+	// a fifth.
+	originShare = 0.25
+	// maxOriginRecords limits the records in a datagram, of some 20 bytes each.
+	maxOriginRecords = 48
+	// maxUnsent limits the records that wait because they are not needed yet.
+	maxUnsent = 8192
+)
+
+// OriginOptions connects the exchange of records to the process.
+type OriginOptions struct {
+	Table *origin.Table
+	// Sole returns the only version of a service, by its name, if no other one can have begun a stream
+	// that may still be resumed.
+	Sole func(service string) (origin.Version, bool)
+}
+
+// originExchange sends and looks up records of streams. Only add is safe for concurrent use.
+type originExchange struct {
+	options OriginOptions
+	bucket  *rate.Limiter
+	// mu guards the fields about unsent records. A record may come from a change of the targets, for
+	// which locks are held that are taken under the service's own.
+	mu sync.Mutex
+	// unsent holds the records by service that no other gateway has.
+	unsent      map[string][]origin.Record
+	unsentCount int
+	// outbox holds the records to send to each gateway.
+	outbox map[*peer][]origin.Record
+	// candidates are the gateways that could be keepers in the last round, ordered by ID.
+	candidates []*peer
+	lookups    map[uint32]*originLookup
+	lastNumber uint32
+}
+
+// originLookup is a question that has not been settled.
+type originLookup struct {
+	// waiting are the gateways that have not answered.
+	waiting []*peer
+	// settled receives one result.
+	settled chan originFinding
+}
+
+type originFinding struct {
+	version origin.Version
+	found   bool
+}
+
+func newOriginExchange(options OriginOptions, budget int) *originExchange {
+	return &originExchange{
+		options: options,
+		bucket:  rate.NewLimiter(rate.Limit(originShare*float64(budget)), max(budget, receiveBuffer)),
+		unsent:  make(map[string][]origin.Record),
+		outbox:  make(map[*peer][]origin.Record),
+		lookups: make(map[uint32]*originLookup),
+	}
+}
+
+// SpreadOrigin sends the record of a stream of a service to its keepers, now or as soon as several
+// versions of the service may serve.
+func (s *Service) SpreadOrigin(record origin.Record, service string) {
+	s.origins.add(record, service, clock.Now())
+}
+
+// add adds an unsent record.
+func (e *originExchange) add(record origin.Record, service string, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.unsentCount >= maxUnsent {
+		e.dropExpired(now)
+	}
+	if e.unsentCount < maxUnsent {
+		e.unsent[service] = append(e.unsent[service], record)
+		e.unsentCount++
+	}
+}
+
+// dropExpired drops unsent records that have expired. The caller must hold e.mu.
+func (e *originExchange) dropExpired(now time.Time) {
+	e.unsentCount = 0
+	for service, records := range e.unsent {
+		kept := slices.DeleteFunc(records, func(record origin.Record) bool { return !record.Expires.After(now) })
+		e.unsent[service] = kept
+		e.unsentCount += len(kept)
+	}
+}
+
+// sendOrigins sends the records that are due. The caller must hold s.mu.
+func (s *Service) sendOrigins(now time.Time) {
+	e := s.origins
+	if e.options.Table == nil {
+		return
+	}
+	candidates := slices.DeleteFunc(slices.Clone(s.currentView(now).live), func(p *peer) bool { return p.leaving })
+	s.sendToNewKeepers(candidates, now)
+	if len(candidates) > 0 {
+		for _, record := range e.takeDue() {
+			e.post(keepersOf(uint64(record.Stream), candidates, s.hash, originKeepers), nil, record)
+		}
+	}
+	for to, records := range e.outbox {
+		e.outbox[to] = s.sendOriginRecords(to, records, now)
+		if len(e.outbox[to]) == 0 || !slices.Contains(candidates, to) {
+			delete(e.outbox, to)
+		}
+	}
+}
+
+// sendToNewKeepers adds to the outbox the records that this gateway keeps, for the gateways that have
+// become their keepers since the last round.
+func (s *Service) sendToNewKeepers(candidates []*peer, now time.Time) {
+	e := s.origins
+	before := e.candidates
+	if slices.Equal(before, candidates) {
+		return
+	}
+	e.candidates = candidates
+	for _, record := range e.options.Table.Records(now) {
+		earlier := keepersOf(uint64(record.Stream), before, s.hash, originKeepers)
+		if !slices.Contains(earlier, nil) {
+			continue // others keep it
+		}
+		e.post(keepersOf(uint64(record.Stream), candidates, s.hash, originKeepers), earlier, record)
+	}
+}
+
+// takeDue removes and returns the unsent records of services that may have several versions.
+func (e *originExchange) takeDue() []origin.Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var due []origin.Record
+	for service, records := range e.unsent {
+		if _, sole := e.options.Sole(service); sole {
+			continue
+		}
+		due = append(due, records...)
+		e.unsentCount -= len(records)
+		delete(e.unsent, service)
+	}
+	return due
+}
+
+// post adds a record to the outbox of its keepers, except for some and for this gateway.
+func (e *originExchange) post(keepers, except []*peer, record origin.Record) {
+	for _, to := range keepers {
+		if to != nil && !slices.Contains(except, to) {
+			e.outbox[to] = append(e.outbox[to], record)
+		}
+	}
+}
+
+// sendOriginRecords sends records to a gateway, those that last longest first, as far as their byte
+// budget allows, and returns the others.
+func (s *Service) sendOriginRecords(to *peer, records []origin.Record, now time.Time) []origin.Record {
+	records = slices.DeleteFunc(records, func(record origin.Record) bool { return !record.Expires.After(now) })
+	slices.SortFunc(records, func(a, b origin.Record) int {
+		return cmp.Or(b.Expires.Compare(a.Expires), cmp.Compare(a.Stream, b.Stream))
+	})
+	for len(records) > 0 {
+		heartbeat := s.bareHeartbeatTo(to)
+		chunk := records[:min(len(records), maxOriginRecords)]
+		for _, record := range chunk {
+			heartbeat.StreamOrigins = append(heartbeat.StreamOrigins, originMessage(record, now))
+		}
+		if !s.origins.bucket.AllowN(time.Now(), proto.Size(heartbeat)) {
+			return records
+		}
+		s.send(to.address, heartbeat, true)
+		records = records[len(chunk):]
+	}
+	return nil
+}
+
+// originMessage returns the message for a record.
+func originMessage(record origin.Record, now time.Time) *wire.StreamOrigin {
+	return &wire.StreamOrigin{
+		Stream:  uint64(record.Stream),
+		Version: uint32(record.Version),
+		LastsS:  uint32(math.Ceil(record.Expires.Sub(now).Seconds())),
+	}
+}
+
+// maxOriginLife limits for how long a received record is kept.
+const maxOriginLife = time.Hour
+
+// originOf returns the record in a message.
+func originOf(message *wire.StreamOrigin, now time.Time) origin.Record {
+	lasts := min(time.Duration(message.GetLastsS())*time.Second, maxOriginLife)
+	return origin.Record{Stream: origin.Stream(message.GetStream()), Version: origin.Version(message.GetVersion()), Expires: now.Add(lasts)}
+}
+
+// applyOrigins applies the records, the question and the answer in a heartbeat. The caller must hold
+// s.mu.
+func (s *Service) applyOrigins(heartbeat *wire.GatewayBeat, from *peer, now time.Time) {
+	e := s.origins
+	if e.options.Table == nil {
+		return
+	}
+	for _, message := range heartbeat.GetStreamOrigins() {
+		e.options.Table.Put(originOf(message, now), now)
+	}
+	if question := heartbeat.GetOriginQuestion(); question != nil {
+		s.answerOrigin(from, question, now)
+	}
+	if answer := heartbeat.GetOriginAnswer(); answer != nil {
+		e.settle(from, answer)
+	}
+}
+
+// answerOrigin answers a question.
+func (s *Service) answerOrigin(from *peer, question *wire.OriginQuestion, now time.Time) {
+	answer := &wire.OriginAnswer{Number: question.GetNumber()}
+	if record, ok := s.origins.options.Table.Get(origin.Stream(question.GetStream()), now); ok {
+		answer.Version, answer.Uncertain = uint32(record.Version), record.Version == origin.Uncertain
+	} else if sole, ok := s.origins.options.Sole(question.GetService()); ok {
+		answer.Version = uint32(sole)
+	}
+	heartbeat := s.bareHeartbeatTo(from)
+	heartbeat.OriginAnswer = answer
+	s.send(from.address, heartbeat, true)
+}
+
+// settle takes in an answer.
+func (e *originExchange) settle(from *peer, answer *wire.OriginAnswer) {
+	lookup, ok := e.lookups[answer.GetNumber()]
+	if !ok {
+		return
+	}
+	lookup.waiting = slices.DeleteFunc(lookup.waiting, func(p *peer) bool { return p == from })
+	known := answer.GetVersion() != uint32(origin.Uncertain)
+	if known || answer.GetUncertain() || len(lookup.waiting) == 0 {
+		delete(e.lookups, answer.GetNumber())
+		lookup.settled <- originFinding{version: origin.Version(answer.GetVersion()), found: known}
+	}
+}
+
+// FindOrigin asks other gateways which version of a service began a stream. It returns when one of
+// them knows, when all have answered, or after a short time. asked is the number of gateways that it
+// asked.
+func (s *Service) FindOrigin(ctx context.Context, stream origin.Stream, service string) (version origin.Version, found bool, asked int) {
+	number, lookup, asked := s.openOriginLookup(stream)
+	if asked == 0 {
+		return origin.Uncertain, false, 0
+	}
+	question := &wire.OriginQuestion{Number: number, Stream: uint64(stream), Service: service}
+	ticker := time.NewTicker(originAskInterval)
+	defer ticker.Stop()
+	for range originAsks {
+		s.askOrigin(lookup, question)
+		select {
+		case finding := <-lookup.settled:
+			return finding.version, finding.found, asked
+		case <-ticker.C:
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
+	return s.closeOriginLookup(number, lookup, asked)
+}
+
+// openOriginLookup opens a lookup and chooses the gateways to ask.
+func (s *Service) openOriginLookup(stream origin.Stream) (number uint32, lookup *originLookup, asked int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.currentView(clock.Now())
+	lookup = &originLookup{waiting: slices.Clone(current.live), settled: make(chan originFinding, 1)}
+	if current.large {
+		first := keepersOf(uint64(stream), current.live, s.hash, originAsked)
+		lookup.waiting = slices.DeleteFunc(first, func(p *peer) bool { return p == nil })
+	}
+	s.origins.lastNumber++
+	s.origins.lookups[s.origins.lastNumber] = lookup
+	return s.origins.lastNumber, lookup, len(lookup.waiting)
+}
+
+// askOrigin sends a question to the gateways that have not answered it.
+func (s *Service) askOrigin(lookup *originLookup, question *wire.OriginQuestion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, to := range lookup.waiting {
+		heartbeat := s.bareHeartbeatTo(to)
+		heartbeat.OriginQuestion = question
+		s.send(to.address, heartbeat, true)
+	}
+}
+
+// closeOriginLookup ends a lookup. An answer may have arrived since.
+func (s *Service) closeOriginLookup(number uint32, lookup *originLookup, asked int) (origin.Version, bool, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.origins.lookups, number)
+	select {
+	case finding := <-lookup.settled:
+		return finding.version, finding.found, asked
+	default:
+		return origin.Uncertain, false, asked
+	}
+}
--- a/internal/peer/quarantine.go
+++ b/internal/peer/quarantine.go
@@ -162,7 +162,14 @@
 	if due.broadcast {
 		return randomPeers(live, crashFanOut)
 	}
-	return keepersOf(due.record.Fingerprint, live, s.hash)
+	return otherKeepers(uint64(due.record.Fingerprint), live, s.hash)
+}
+
+// otherKeepers returns the keepers of a request besides this gateway, whose hash is self.
+func otherKeepers(key uint64, live []*peer, self uint64) []*peer {
+	staying := slices.DeleteFunc(slices.Clone(live), func(p *peer) bool { return p.leaving })
+	first := keepersOf(key, staying, self, CrashKeepers)
+	return slices.DeleteFunc(first, func(p *peer) bool { return p == nil })
 }
 
 // randomPeers returns up to count peers chosen at random.
@@ -177,40 +184,6 @@
 	return found
 }
 
-// keepersOf returns the keepers of a request among the peers: the first in its rendezvous order.
-// This gateway, whose hash is self, may be another keeper.
-func keepersOf(fingerprint quarantine.Fingerprint, live []*peer, self uint64) []*peer {
-	type scoredPeer struct {
-		peer  *peer
-		score uint64
-	}
-	first := make([]scoredPeer, 0, CrashKeepers+1)
-	add := func(p *peer, hash uint64) {
-		entry := scoredPeer{p, policy.Score(uint64(fingerprint), hash)}
-		index := len(first)
-		for index > 0 && first[index-1].score < entry.score {
-			index--
-		}
-		if index < CrashKeepers {
-			first = slices.Insert(first, index, entry)
-			first = first[:min(len(first), CrashKeepers)]
-		}
-	}
-	add(nil, self)
-	for _, p := range live {
-		if !p.leaving {
-			add(p, p.hash)
-		}
-	}
-	found := make([]*peer, 0, CrashKeepers)
-	for _, kept := range first {
-		if kept.peer != nil {
-			found = append(found, kept.peer)
-		}
-	}
-	return found
-}
-
 // TrialPlace returns the rank of this process among the gateways that may start a trial of a held
 // request, by the request's rendezvous order, 0 for the first.
 func (s *Service) TrialPlace(fingerprint quarantine.Fingerprint) int {
@@ -291,7 +264,7 @@
 	s.crashes.peersChanged = true
 	s.cachedView = nil
 	live := s.currentView(now).live
-	isSender := len(keepersOf(quarantine.Fingerprint(found.hash), withoutPeer(live, found), s.hash)) < min(CrashKeepers, len(live))
+	isSender := len(otherKeepers(found.hash, withoutPeer(live, found), s.hash)) < min(CrashKeepers, len(live))
 	if isSender {
 		records := s.crashes.table.Records(now)
 		s.sendRecords(found, slices.DeleteFunc(records, func(record quarantine.Record) bool { return !record.Suspicious() }))
--- a/internal/peer/quarantine_test.go
+++ b/internal/peer/quarantine_test.go
@@ -218,7 +218,7 @@
 		}
 		keepers := make(map[string]int)
 		for _, self := range all {
-			for _, keeper := range keepersOf(fingerprint, withoutPeer(all, self), self.hash) {
+			for _, keeper := range otherKeepers(uint64(fingerprint), withoutPeer(all, self), self.hash) {
 				keepers[keeper.id]++
 			}
 		}
@@ -270,7 +270,7 @@
 			}
 			for b.Loop() {
 				for fingerprint := range quarantine.Fingerprint(64) {
-					keepersOf(fingerprint, live, 7)
+					otherKeepers(uint64(fingerprint), live, 7)
 				}
 			}
 		})
--- a/internal/peer/rounds.go
+++ b/internal/peer/rounds.go
@@ -38,6 +38,7 @@
 		s.crashes.peersChanged = true
 	}
 	s.sendCrashes(now)
+	s.sendOrigins(now)
 	s.sendRefused(now)
 	for _, address := range s.table.dueAddresses(now) {
 		s.send(address, s.fullHeartbeat(nil, now), false)
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -114,6 +114,8 @@
 	// Quarantine holds this process's records of requests under which targets crashed.
 	Quarantine *quarantine.Table
 	Watcher    Watcher
+	// Origins exchanges which versions began streams; without a table that is not done.
+	Origins OriginOptions
 	// Stale is the age of the proof at which this process asks the store even if others do.
 	Stale time.Duration
 	// Lag returns how late this process's timers fire; nil means not at all.
@@ -163,6 +165,8 @@
 	directory *directory
 	// crashes holds the crash records that wait to be sent.
 	crashes *crashQueue
+	// origins exchanges the records of streams.
+	origins *originExchange
 	// rollouts is nil if rollouts are not handled.
 	rollouts Rollouts
 
@@ -196,6 +200,7 @@
 		options.Quarantine = quarantine.New()
 	}
 	service.crashes = newCrashQueue(options.Quarantine, options.Budget)
+	service.origins = newOriginExchange(options.Origins, options.Budget)
 	return service
 }
 
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/capersaddle/capersaddle/internal/kernel"
 	"github.com/capersaddle/capersaddle/internal/lag"
 	"github.com/capersaddle/capersaddle/internal/observe"
+	"github.com/capersaddle/capersaddle/internal/origin"
 	"github.com/capersaddle/capersaddle/internal/peer"
 	"github.com/capersaddle/capersaddle/internal/quarantine"
 	"github.com/capersaddle/capersaddle/internal/retrybudget"
@@ -103,6 +104,7 @@
 	p.gateway.Spools = spool.New(spool.Options{MaxPerCaller: spool.DefaultMaxPerCaller, WriteTimeout: spool.DefaultWriteTimeout, CallerEnded: p.observer.CallerEnded}, p.heldBudget)
 	p.crashes = gateway.NewCrashes(quarantine.New(), p.gateway.Balancer, sender, p.observer)
 	p.gateway.Crashes = p.crashes
+	p.gateway.Origins = &gateway.Origins{Table: origin.NewTable()}
 	p.store = p.observer.NewStoreDependency()
 	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, notifyPeers: p.notifyPeers}, p.storeRole, p.yieldsToPeers)
 	p.front = &platform.Front{Gateway: p.gateway, BodyBudget: p.heldBudget}
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -43,11 +43,12 @@
 		Watcher:  peerWatcher{p.observer, p},
 
 		Quarantine: p.crashes.Table,
+		Origins:    peer.OriginOptions{Table: p.gateway.Origins.Table, Sole: p.gateway.SoleOrigin},
 		OnCensus:   p.applyCensus,
 		Lag:        p.lag.Lag,
 		Stale:      staleAfter(p.settings),
 	}, conn, pool)
-	p.gateway.Directory, p.crashes.Peers = p.peers, p.peers
+	p.gateway.Directory, p.crashes.Peers, p.gateway.Origins.Peers = p.peers, p.peers, p.peers
 	if p.mayDeferReading() {
 		position := peer.StoreOrder(p.settings.ID)
 		p.feed.CountGateways(time.Duration(position*float64(countWindow)), func() bool { return !p.peers.Many() })
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -60,14 +60,14 @@
 		return
 	}
 	if change.Superseded != "" {
-		s.process.gateway.EndSuperseded(change.Superseded)
+		s.process.gateway.EndSuperseded(change.Superseded, change.OtherVersion)
 	}
 	// A starting process only logs the number of targets (recordTargetCount): thousands of log
 	// lines cost a small host as much time as processing the targets.
 	if s.process.hasProof() {
 		s.process.observer.TargetChanged(target)
 	}
-	if target.Leaving || change.TurnedCold {
+	if target.Leaving || change.TurnedCold || change.OtherVersion {
 		s.notifyPeers()
 	}
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -24,6 +24,8 @@
 	byHost   map[string][]*Route
 	byKey    map[string]*Workspace
 	services map[string]*Service
+	// streams describes the streams of each service.
+	streams map[string]serviceStreams
 	// ranks are the keys in use, the most urgent first.
 	ranks []rankKey
 }
@@ -55,6 +57,7 @@
 	for i := range config.Services {
 		table.services[config.Services[i].Name] = &config.Services[i]
 	}
+	table.streams = streamsByService(config)
 	table.ranks = rankKeys(config)
 	return table
 }
