Records of streams and streams that are resumed have tests of their own

Peers: a record outlives its gateway (4 and 14 gateways), new keepers get it, it waits while a service has one version, a lookup ends with its caller, sizes of datagrams. Gateway: sixteen ways to resume, in virtual time; what is refused is not run and has a time. A restart at another version makes only those streams uncertain that began since the entry was last proven.

--- /dev/null
+++ b/internal/gateway/resumed_version_test.go
@@ -0,0 +1,180 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/balance"
+	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/gateway"
+	"github.com/capersaddle/capersaddle/internal/origin"
+)
+
+// fakeOriginPeers answers lookups with a version of service "s"; empty means that it is unknown.
+type fakeOriginPeers struct {
+	version string
+	asked   int
+	spread  []origin.Record
+}
+
+func (f *fakeOriginPeers) SpreadOrigin(record origin.Record, _ string) {
+	f.spread = append(f.spread, record)
+}
+
+func (f *fakeOriginPeers) FindOrigin(context.Context, origin.Stream, string) (origin.Version, bool, int) {
+	f.asked++
+	if f.version == "" {
+		return origin.Uncertain, false, 3
+	}
+	return origin.VersionOf("s", f.version), true, 3
+}
+
+func (w *testGateway) resume(t *testing.T, path, resumes, lastEvent string) *recorder {
+	t.Helper()
+	caller := new(recorder)
+	w.gateway.Events = caller
+	w.gateway.Serve(t.Context(), &gateway.Request{
+		ID: "r2", Method: "POST", Host: "h", URI: path, Path: path, Key: "key", Arrived: time.Now(),
+		Resumes: resumes, LastEventID: lastEvent, Patience: 5 * time.Second,
+	}, caller)
+	return caller
+}
+
+// TestResumedStreamKeepsItsVersion guards against a stream that goes on at another version when its
+// caller resumes it, and against one that ends although it could go on.
+func TestResumedStreamKeepsItsVersion(t *testing.T) {
+	const long, short = time.Hour, time.Second
+	cases := map[string]struct {
+		versions []string
+		// known is how long the gateway has known the targets.
+		known time.Duration
+		// began is the version that this gateway recorded for the stream "r1"; peers know told.
+		began, told string
+		resumes     string
+		lastEvent   string
+		version     string
+		source      gateway.OriginSource
+		kind        fault.Kind
+		// proofAge is the age of the proof of the newest targets.
+		proofAge time.Duration
+	}{
+		"recorded here":                     {versions: []string{"v1", "v2", "v2"}, known: long, began: "v1", resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginRecorded},
+		"recorded here, list is old":        {versions: []string{"v1", "v2"}, known: long, began: "v1", resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginRecorded, proofAge: time.Minute},
+		"told by a peer":                    {versions: []string{"v1", "v2", "v2"}, known: long, told: "v1", resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginPeer},
+		"unknown":                           {versions: []string{"v1", "v2"}, known: long, resumes: "r1", lastEvent: "1", source: gateway.OriginUnknown, kind: fault.StreamUnknown},
+		"another stream is known":           {versions: []string{"v1", "v2"}, known: long, began: "v1", resumes: "r0", lastEvent: "1", source: gateway.OriginUnknown, kind: fault.StreamUnknown},
+		"its version has no target":         {versions: []string{"v2", "v3"}, known: long, began: "v1", resumes: "r1", lastEvent: "1", source: gateway.OriginRecorded, kind: fault.NoTarget},
+		"its version is gone, one is left":  {versions: []string{"v2"}, known: long, began: "v1", resumes: "r1", lastEvent: "1", source: gateway.OriginRecorded, kind: fault.NoTarget},
+		"no stream is named":                {versions: []string{"v1", "v2"}, known: long, began: "v1", lastEvent: "1", source: gateway.OriginUnknown, kind: fault.StreamUnknown},
+		"no event is named":                 {versions: []string{"v1", "v2", "v2"}, known: long, began: "v1", resumes: "r1", version: "v1", source: gateway.OriginRecorded},
+		"one version for long":              {versions: []string{"v1"}, known: long, resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginSole},
+		"one version, no stream is named":   {versions: []string{"v1"}, known: long, lastEvent: "1", version: "v1", source: gateway.OriginSole},
+		"one version, gateway just began":   {versions: []string{"v1"}, known: short, resumes: "r1", lastEvent: "1", source: gateway.OriginUnknown, kind: fault.StreamUnknown},
+		"one version, a peer knows it":      {versions: []string{"v1"}, known: short, told: "v1", resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginPeer},
+		"one version, list may be old":      {versions: []string{"v1"}, known: long, resumes: "r1", lastEvent: "1", source: gateway.OriginUnknown, kind: fault.StreamUnknown, proofAge: 4 * time.Second},
+		"a new stream, list may be old":     {versions: []string{"v1"}, known: long, version: "v1", proofAge: 4 * time.Second},
+		"one version, told another by peer": {versions: []string{"v2"}, known: short, told: "v1", resumes: "r1", lastEvent: "1", source: gateway.OriginPeer, kind: fault.NoTarget},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				sender := &firstSender{first: stream(two, io.EOF), others: stream(two, io.EOF)}
+				w := newTestGateway()
+				w.gateway.Sender = sender
+				for _, id := range []string{"a", "b", "c"} {
+					w.gateway.Balancer.SetUnusable(id)
+					w.gateway.Balancer.Drop(id, time.Now())
+				}
+				time.Sleep(2 * time.Hour)
+				for i, version := range tc.versions {
+					id := version + string(rune('a'+i))
+					w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id, Version: version}, time.Now())
+				}
+				if tc.known < long {
+					w.gateway.Balancer = balance.New(balance.DefaultOptions())
+					for i, version := range tc.versions {
+						id := version + string(rune('a'+i))
+						w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id, Version: version}, time.Now())
+					}
+				}
+				time.Sleep(tc.known)
+				w.gateway.Proof.Note(time.Now().Add(-tc.proofAge))
+				peers := &fakeOriginPeers{version: tc.told}
+				w.gateway.Origins = &gateway.Origins{Table: origin.NewTable(), Peers: peers}
+				w.gateway.Options = gateway.Options{}
+				if tc.began != "" {
+					w.gateway.Origins.Table.Put(origin.Record{Stream: origin.StreamOf("w", "r1"), Version: origin.VersionOf("s", tc.began), Expires: time.Now().Add(time.Minute)}, time.Now())
+				}
+				caller := w.resume(t, "/resumable/x", tc.resumes, tc.lastEvent)
+				record := caller.records[0]
+				is.Equal(record.OriginSource, tc.source)
+				if tc.kind != "" {
+					is.Equal(caller.refusal.Kind, tc.kind)
+					is.Equal(caller.refusal.State, fault.NotRun)
+					is.Equal(caller.status, http.StatusServiceUnavailable)
+					is.True(caller.refusal.RetryAfter > 0)
+					is.Equal(len(sender.sent), 0)
+					return
+				}
+				is.Equal(caller.status, http.StatusOK)
+				is.Equal(sender.sent[0].Target.Version, tc.version)
+				is.Equal(record.BoundVersion, tc.version)
+				is.Equal(len(peers.spread), 1) // whoever resumes the stream next can find it
+				is.Equal(peers.spread[0].Version, origin.VersionOf("s", tc.version))
+				if tc.resumes != "" {
+					is.Equal(peers.spread[0].Stream, origin.StreamOf("w", tc.resumes))
+				}
+			})
+		})
+	}
+}
+
+// TestRestartAtOtherVersionMakesStreamsUncertain guards against streams that a target began at another
+// version than its entry told at the time.
+func TestRestartAtOtherVersionMakesStreamsUncertain(t *testing.T) {
+	cases := map[string]struct {
+		version string
+		// provenAgo is how long before the stream the entries were last proven to be the newest;
+		// negative for after it.
+		provenAgo time.Duration
+		uncertain bool
+	}{
+		"another version, not proven since": {"v2", time.Second, true},
+		"another version, proven since":     {"v2", -time.Second, false},
+		"the same version":                  {"v1", time.Second, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newTestGateway(stream(one, io.ErrUnexpectedEOF))
+				for _, id := range []string{"a", "b", "c"} {
+					w.gateway.Balancer.SetUnusable(id)
+				}
+				w.gateway.Balancer.Put(balance.Target{ID: "t", Born: 1, Service: "s", Address: "t", Version: "v1"}, time.Now())
+				peers := new(fakeOriginPeers)
+				w.gateway.Origins = &gateway.Origins{Table: origin.NewTable(), Peers: peers}
+				w.gateway.Proof.Note(time.Now())
+				time.Sleep(time.Second)
+				w.serve(t.Context(), "/resumable/x")
+				if tc.provenAgo < 0 {
+					time.Sleep(-tc.provenAgo)
+					w.gateway.Proof.Note(time.Now())
+				}
+				change := w.gateway.Balancer.Put(balance.Target{ID: "t", Born: 2, Service: "s", Address: "t", Version: tc.version}, time.Now())
+				w.gateway.EndSuperseded(change.Superseded, change.OtherVersion)
+				record, ok := w.gateway.Origins.Table.Get(origin.StreamOf("w", "r1"), time.Now())
+				is.True(ok)
+				is.Equal(record.Version == origin.Uncertain, tc.uncertain)
+				is.Equal(peers.spread[len(peers.spread)-1].Version == origin.Uncertain, tc.uncertain)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/peer/origins_test.go
@@ -0,0 +1,197 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/capersaddle/capersaddle/internal/link"
+	"github.com/capersaddle/capersaddle/internal/origin"
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+const (
+	testService   = "s"
+	testStream    = origin.Stream(77)
+	streamVersion = origin.Version(5)
+)
+
+// originNode is a node that exchanges records of streams.
+type originNode struct {
+	*node
+	table *origin.Table
+}
+
+// newOriginNode returns a node. sole is the only version that it knows, Uncertain if there are several.
+func newOriginNode(t *testing.T, address, id string, network *link.Memory, sole origin.Version, seeds ...string) *originNode {
+	t.Helper()
+	table := origin.NewTable()
+	prepare := func(service *Service) {
+		service.origins.options = OriginOptions{Table: table, Sole: func(string) (origin.Version, bool) { return sole, sole != origin.Uncertain }}
+	}
+	return &originNode{node: newNodeAt(t, address, id, network, prepare, seeds...), table: table}
+}
+
+// newOriginFleet returns nodes that know each other.
+func newOriginFleet(t *testing.T, network *link.Memory, count int, sole origin.Version) []*originNode {
+	t.Helper()
+	var nodes []*originNode
+	var seeds []string
+	for i := range count {
+		nodes = append(nodes, newOriginNode(t, testLoopback+":0", fmt.Sprintf("g-%d", i), network, sole, seeds...))
+		seeds = append(seeds, nodes[i].service.options.Address)
+	}
+	waitFor(t, "all gateways see all others", func() bool {
+		for _, n := range nodes {
+			if n.service.Live() != count-1 {
+				return false
+			}
+		}
+		return true
+	})
+	return nodes
+}
+
+// begin records a stream at a node as its gateway does.
+func (n *originNode) begin(version origin.Version) {
+	record := origin.Record{Stream: testStream, Version: version, Expires: time.Now().Add(time.Minute)}
+	n.table.Put(record, time.Now())
+	n.service.SpreadOrigin(record, testService)
+}
+
+// holders returns how many of the nodes hold the stream's record.
+func holders(nodes []*originNode) int {
+	count := 0
+	for _, n := range nodes {
+		if _, ok := n.table.Get(testStream, time.Now()); ok {
+			count++
+		}
+	}
+	return count
+}
+
+// TestStreamOriginSurvivesItsGateway guards against streams that end with the gateway that began them,
+// though others serve, and against gateways that guess.
+func TestStreamOriginSurvivesItsGateway(t *testing.T) {
+	const keptBy = originKeepers
+	cases := map[string]struct {
+		gateways int
+		sole     origin.Version
+		prepare  func(t *testing.T, nodes []*originNode)
+		version  origin.Version
+		found    bool
+	}{
+		"its gateway is lost": {4, 0, func(t *testing.T, nodes []*originNode) {
+			nodes[0].begin(streamVersion)
+			waitFor(t, "others have the record", func() bool { return holders(nodes) >= keptBy })
+			_ = nodes[0].service.Close()
+		}, streamVersion, true},
+		"its gateway is lost, many": {14, 0, func(t *testing.T, nodes []*originNode) {
+			nodes[0].begin(streamVersion)
+			waitFor(t, "others have the record", func() bool { return holders(nodes[1:]) >= keptBy-1 })
+			_ = nodes[0].service.Close()
+		}, streamVersion, true},
+		"it is unknown":              {4, 0, func(*testing.T, []*originNode) {}, 0, false},
+		"it is unknown, many":        {14, 0, func(*testing.T, []*originNode) {}, 0, false},
+		"it is uncertain":            {4, 0, func(t *testing.T, nodes []*originNode) { nodes[0].begin(origin.Uncertain) }, 0, false},
+		"there was only one version": {4, streamVersion, func(*testing.T, []*originNode) {}, streamVersion, true},
+		"all others are lost": {4, 0, func(_ *testing.T, nodes []*originNode) {
+			for _, n := range nodes[:len(nodes)-1] {
+				_ = n.service.Close()
+			}
+		}, 0, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			nodes := newOriginFleet(t, link.NewMemory(), tc.gateways, tc.sole)
+			tc.prepare(t, nodes)
+			asking := nodes[len(nodes)-1]
+			if _, ok := asking.table.Get(testStream, time.Now()); ok && tc.found {
+				return // it is a keeper itself
+			}
+			version, found, asked := asking.service.FindOrigin(t.Context(), testStream, testService)
+			is.Equal(version, tc.version)
+			is.Equal(found, tc.found)
+			is.True(asked > 0)
+			is.Equal(len(asking.service.origins.lookups), 0)
+		})
+	}
+}
+
+// TestNewKeepersGetStreamOrigins guards against streams that become unknown while gateways are
+// replaced in turn.
+func TestNewKeepersGetStreamOrigins(t *testing.T) {
+	network := link.NewMemory()
+	nodes := newOriginFleet(t, network, 4, 0)
+	nodes[0].begin(streamVersion)
+	waitFor(t, "all keepers have the record", func() bool { return holders(nodes) >= originKeepers })
+	for i, n := range nodes {
+		address := n.service.options.Address
+		_ = n.service.Close()
+		var seeds []string
+		for _, other := range nodes {
+			seeds = append(seeds, other.service.options.Address)
+		}
+		nodes[i] = newOriginNode(t, address, fmt.Sprintf("g-%d", i), network, 0, seeds...)
+		waitFor(t, "all keepers have the record again", func() bool { return holders(nodes) >= originKeepers })
+	}
+	is := is.New(t)
+	for _, n := range nodes {
+		if record, ok := n.table.Get(testStream, time.Now()); ok {
+			is.Equal(record.Version, streamVersion)
+		}
+	}
+}
+
+// TestStreamOriginsWaitForSecondVersion guards against traffic for records of services with one
+// version, and against losing them when another version begins.
+func TestStreamOriginsWaitForSecondVersion(t *testing.T) {
+	is := is.New(t)
+	nodes := newOriginFleet(t, link.NewMemory(), 3, streamVersion)
+	for range 10 {
+		nodes[0].begin(streamVersion)
+	}
+	nodes[0].service.round(time.Now())
+	nodes[0].service.mu.Lock()
+	is.Equal(nodes[0].service.origins.unsentCount, 10)
+	nodes[0].service.origins.options.Sole = func(string) (origin.Version, bool) { return 0, false }
+	nodes[0].service.mu.Unlock()
+	waitFor(t, "the others have the record", func() bool { return holders(nodes) == len(nodes) })
+}
+
+// TestFindOriginEndsWithCaller checks that a lookup does not outlast its caller.
+func TestFindOriginEndsWithCaller(t *testing.T) {
+	is := is.New(t)
+	nodes := newOriginFleet(t, link.NewMemory(), 2, 0)
+	_ = nodes[0].service.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, found, asked := nodes[1].service.FindOrigin(ctx, testStream, testService)
+	is.True(!found)
+	is.Equal(asked, 1)
+}
+
+// TestStreamOriginSize limits the size in bytes of datagrams with records.
+func TestStreamOriginSize(t *testing.T) {
+	cases := map[string]struct{ records, maxSize int }{
+		"one stream":    {1, 45},
+		"full datagram": {maxOriginRecords, 1200},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			heartbeat := &wire.GatewayBeat{Life: 1 << 60, Sequence: 1 << 20, Brief: true, Bare: true}
+			for i := range tc.records {
+				record := origin.Record{Stream: origin.Stream(1<<60 + i), Version: 1 << 30, Expires: now.Add(24 * time.Second)}
+				heartbeat.StreamOrigins = append(heartbeat.StreamOrigins, originMessage(record, now))
+			}
+			t.Logf("%d bytes", proto.Size(heartbeat))
+			is.New(t).True(proto.Size(heartbeat) <= tc.maxSize)
+		})
+	}
+}
