A target that may have restarted at another version gets no bound stream, and begins none for certain

A target that keeps its ID begins again at its address, at another version, before its entry shows it; the one thing seen before is that its connections end. Change: a connection that replaces one closed after a short idle time, or a refused connection, marks the target until the entries are proven a second later than that; withdrawn records are sent before the answer is broken off; a change of version under an ID is told to the other gateways at once. Only targets whose entries state a start are concerned: others have an ID for each life. What is left: a gateway without an open connection to the target sees no sign.

--- a/internal/balance/bound_stream.go
+++ b/internal/balance/bound_stream.go
@@ -2,14 +2,23 @@
 
 import "time"
 
-// entryLag is how long after a target's start its entry may reach this process.
-const entryLag = 3 * time.Second
+// EntryLag is how long after a target's start its entry may appear.
+const EntryLag = time.Second
 
 // mayHaveRestarted reports whether the target may be another incarnation than its entry describes, given
-// until when the entries are proven to be the newest: nothing listened at its address, and a target
-// that keeps its ID begins there again before its entry shows it.
+// until when the entries are proven to be the newest: there was a sign that its process had ended, and
+// a target that keeps its ID begins again before its entry shows it.
 func (s *state) mayHaveRestarted(provenAt time.Time) bool {
-	return s.Born != 0 && !s.silentAt.IsZero() && provenAt.Before(s.silentAt.Add(entryLag))
+	return s.Born != 0 && !s.endSignAt.IsZero() && provenAt.Before(s.endSignAt.Add(EntryLag))
+}
+
+// NoteRestart records a sign that the process of an incarnation of a target has ended.
+func (b *Balancer) NoteRestart(incarnation string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if target, ok := b.targets[incarnation]; ok {
+		target.endSignAt = now
+	}
 }
 
 // openFor returns the targets that may take the request of a query. The caller must hold b.mu.
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -91,8 +91,8 @@
 	unlistedAt time.Time
 	// end describes how this incarnation ended unplanned, if it did.
 	end End
-	// silentAt is when nothing listened at the address last; zero for never.
-	silentAt time.Time
+	// endSignAt is when there last was a sign that its process had ended; zero for never.
+	endSignAt time.Time
 	// replaced reports whether another target answered at the address when it was last tried.
 	replaced bool
 	// announced is what the incarnation announced in its answers.
--- a/internal/balance/unplanned_end.go
+++ b/internal/balance/unplanned_end.go
@@ -26,7 +26,7 @@
 // recordEnd records that the incarnation ended unplanned, unless an end is already known.
 func (s *state) recordEnd(now time.Time, unlisted bool) {
 	if !unlisted {
-		s.silentAt = now
+		s.endSignAt = now
 	}
 	if !s.end.Known() && s.unlistedAt.IsZero() && !s.leaving() {
 		s.end = End{At: now, Unlisted: unlisted}
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -27,6 +27,8 @@
 	// minStaleIdle is the shortest idle time after which a dead connection counts as stale;
 	// after a shorter one, the target itself has failed.
 	minStaleIdle = 300 * time.Millisecond
+	// shortIdle is an idle time after which working targets don't close connections.
+	shortIdle = 2 * time.Second
 	// readBuffer is the size of a connection's read buffer, in bytes.
 	readBuffer = 4096
 	// maxIdlePerTarget limits the idle connections to one target.
@@ -47,6 +49,10 @@
 	idleSince time.Time
 	// idleTime is how long the connection was idle before the current request.
 	idleTime time.Duration
+	// OpenedAt is when the connection was opened. AfterClosed means that the target had just closed one
+	// that was idle for a short time only: another process may listen there since.
+	OpenedAt    time.Time
+	AfterClosed bool
 }
 
 // Write records that bytes may have been sent, then writes them.
@@ -85,6 +91,7 @@
 // Get returns a connection without a request in flight. Without reuse, it returns none that was
 // idle for long.
 func (p *Pool) Get(ctx context.Context, target, address string, reuse bool) (*Conn, error) {
+	afterClosed := false
 	for {
 		conn := p.take(target)
 		if conn == nil {
@@ -95,9 +102,14 @@
 			conn.wrote.Store(false)
 			return conn, nil
 		}
+		afterClosed = afterClosed || conn.idleTime < shortIdle && socket.Peek(conn.Conn) == socket.End
 		conn.Abort()
 	}
-	return p.Dial(ctx, target, address)
+	conn, err := p.Dial(ctx, target, address)
+	if err == nil {
+		conn.AfterClosed = afterClosed
+	}
+	return conn, err
 }
 
 // Dial returns a new connection, even if there are idle ones.
@@ -106,7 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: netConn, Reader: bufio.NewReaderSize(netConn, readBuffer), target: target, IdleTimeout: defaultIdleTimeout}, nil
+	return &Conn{Conn: netConn, Reader: bufio.NewReaderSize(netConn, readBuffer), target: target, IdleTimeout: defaultIdleTimeout, OpenedAt: clock.Now()}, nil
 }
 
 // maxIdleTime returns the idle time after which a connection is no longer used. Targets may
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -91,10 +91,19 @@
 	defer func() { _ = answer.Body.Close() }()
 	a.handleNotice(answer.Notice)
 	a.endProbe(true)
+	if answer.MayHaveRestarted {
+		a.noteRestart()
+	}
 	a.recordHead(answer)
 	return a.passAnswer(ctx, answer)
 }
 
+// noteRestart records that another incarnation may listen at the target's address.
+func (a *attempt) noteRestart() {
+	a.pick.MayHaveRestarted = true
+	a.call.gateway.Balancer.NoteRestart(a.incarnation, clock.Now())
+}
+
 // recordHead reports to the balancer what the headers of an answer show.
 func (a *attempt) recordHead(answer *Answer) {
 	a.timeToHead = clock.Since(a.started)
@@ -147,6 +156,8 @@
 		FetchFrom:   a.pick.FetchFrom,
 		LastEventID: c.lastEventID,
 		ReuseIdle:   c.route.Repeatable(),
+		Bound:       c.boundVersion != "",
+		ProvenAt:    c.gateway.provenAt(),
 	}
 	if c.workspace != nil {
 		out.Workspace = c.workspace.Name
@@ -160,6 +171,9 @@
 	switch {
 	case a.refusal != nil, a.withdrawn:
 		a.outcome = delivery.Unsent
+	case failure.MayHaveRestarted:
+		a.noteRestart()
+		a.outcome, a.withdrawn = delivery.Unsent, true
 	case failure.Refused:
 		a.outcome, a.result = delivery.Unsent, balance.Refused
 	case failure.Unreachable:
@@ -221,7 +235,9 @@
 
 // finish reports to the balancer how the attempt ended, and records the attempt.
 func (a *attempt) finish(ctx context.Context) {
-	a.call.versionUncertain = a.call.versionUncertain || a.mayHaveMixed()
+	if a.mayHaveMixed() {
+		a.call.withdrawOrigin()
+	}
 	a.reportToCrashes(ctx, clock.Now())
 	a.endTrial(clock.Now())
 	if a.call.callerLeft(ctx) || a.isProcessDelay() {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -257,12 +257,7 @@
 func (c *call) attemptQuery() balance.Query {
 	query := c.promptQuery()
 	query.Exclude, query.Versions = c.triedIncarnations, c.versions
-	if c.boundVersion != "" {
-		query.Bound = true
-	}
-	if age, known := c.gateway.Proof.Age(clock.Now()); known {
-		query.ProvenAt = clock.Now().Add(-age)
-	}
+	query.Bound, query.ProvenAt = c.boundVersion != "", c.gateway.provenAt()
 	return query
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -187,6 +187,16 @@
 	return fault.New(fault.StoreAway, fault.NotRun, "disconnected from the configuration store for too long to verify the key").After(c.gateway.retryAfterStale())
 }
 
+// provenAt returns until when the known targets are proven to be the newest; zero if they never were.
+func (g *Gateway) provenAt() time.Time {
+	now := clock.Now()
+	age, known := g.Proof.Age(now)
+	if !known {
+		return time.Time{}
+	}
+	return now.Add(-age)
+}
+
 // retryAfterUnready returns when to retry at a gateway that has no configuration yet: at once if
 // another gateway can serve. If all gateways are starting, an immediate retry would be refused
 // again.
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -57,14 +57,12 @@
 // a newer one. If the newer one is of another version, it may have served what was sent since the
 // replaced one was last proven to be the newest.
 func (g *Gateway) EndSuperseded(incarnation string, otherVersion bool) {
-	now := clock.Now()
-	age, known := g.Proof.Age(now)
-	provenAt := now.Add(-age)
+	provenAt := g.provenAt()
 	for _, a := range g.inFlight.attempts(incarnation) {
-		a.supersede(otherVersion && !(known && a.started.Before(provenAt)))
+		a.supersede(otherVersion && !a.started.Before(provenAt))
 	}
-	if otherVersion && g.Origins != nil && known {
-		g.Origins.retract(incarnation, provenAt, now)
+	if otherVersion && g.Origins != nil {
+		g.Origins.retract(incarnation, provenAt, clock.Now())
 	}
 }
 
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -31,6 +31,8 @@
 	// SpreadOrigin sends the record of a service's stream to the gateways that keep it, as soon as
 	// another version may serve.
 	SpreadOrigin(record origin.Record, service string)
+	// SpreadOriginNow sends a record before it returns.
+	SpreadOriginNow(record origin.Record)
 	// FindOrigin asks other gateways which version of a service began a stream. asked is the number
 	// of gateways that it asked.
 	FindOrigin(ctx context.Context, stream origin.Stream, service string) (version origin.Version, found bool, asked int)
@@ -91,6 +93,21 @@
 	}
 }
 
+// withdrawOrigin makes the call's stream uncertain. Its caller may resume it at once after this
+// answer is broken off, so that the other gateways have to know before.
+func (c *call) withdrawOrigin() {
+	c.versionUncertain = true
+	origins := c.gateway.Origins
+	if origins == nil {
+		return
+	}
+	now := clock.Now()
+	record := origins.Table.Put(origin.Record{Stream: c.stream(), Version: origin.Uncertain, Expires: now.Add(c.streamLife())}, now)
+	if origins.Peers != nil {
+		origins.Peers.SpreadOriginNow(record)
+	}
+}
+
 // OriginSource is how the version that began a stream became known.
 type OriginSource string
 
@@ -133,6 +150,11 @@
 	return max(minStreamLife, 2*patience, 2*timeout)
 }
 
+// streamLife returns for how long the call's stream may be resumed.
+func (c *call) streamLife() time.Duration {
+	return min(streamLife(c.request.Patience, c.route.Timeout), unboundedTime)
+}
+
 // stream returns the identifier of the call's stream.
 func (c *call) stream() origin.Stream {
 	workspace := ""
@@ -222,9 +244,8 @@
 		version = origin.Uncertain
 	}
 	now := clock.Now()
-	life := min(streamLife(c.request.Patience, c.route.Timeout), unboundedTime)
 	origins.begun(begunStream{
-		record:      origin.Record{Stream: c.stream(), Version: version, Expires: now.Add(life)},
+		record:      origin.Record{Stream: c.stream(), Version: version, Expires: now.Add(c.streamLife())},
 		service:     c.service,
 		incarnation: incarnation,
 		at:          now,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -78,6 +78,10 @@
 	// ReuseIdle allows a kept connection that has been idle for a while. A request that may not be
 	// repeated doesn't use one: it must not be exposed to the risk.
 	ReuseIdle bool
+	// Bound means that the request continues a stream, so that nothing is sent to a target that may be
+	// of another version than its entry says. The entries are proven to be the newest until ProvenAt.
+	Bound    bool
+	ProvenAt time.Time
 }
 
 // Answer is a target's answer whose headers have been read.
@@ -97,6 +101,9 @@
 	Misdirected bool
 	// Signed means that the answer carries the target's signature.
 	Signed bool
+	// MayHaveRestarted means that another incarnation of the target than the intended one may have
+	// answered.
+	MayHaveRestarted bool
 	// Load is the load that the target reported; nil if it reported none.
 	Load *balance.Load
 	// Notice holds the target's other reports about itself, in this answer and in any interim
@@ -112,6 +119,9 @@
 	// connection: nothing listens at the target's address.
 	Unreachable bool
 	Refused     bool
+	// MayHaveRestarted means that nothing was sent since another incarnation of the target may listen at
+	// its address.
+	MayHaveRestarted bool
 	// Notice holds the target's reports about itself in what was read.
 	Notice balance.Notice
 	Err    error
--- a/internal/gateway/resumed_version_test.go
+++ b/internal/gateway/resumed_version_test.go
@@ -27,6 +27,8 @@
 	f.spread = append(f.spread, record)
 }
 
+func (f *fakeOriginPeers) SpreadOriginNow(record origin.Record) { f.SpreadOrigin(record, "s") }
+
 func (f *fakeOriginPeers) FindOrigin(context.Context, origin.Stream, string) (origin.Version, bool, int) {
 	f.asked++
 	if f.version == "" {
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -97,6 +97,28 @@
 // versions of the service may serve.
 func (s *Service) SpreadOrigin(record origin.Record, service string) {
 	s.origins.add(record, service, clock.Now())
+	if record.Version == origin.Uncertain {
+		s.wake()
+	}
+}
+
+// SpreadOriginNow sends the record of a stream to its keepers before it returns, as far as the byte
+// budget allows.
+func (s *Service) SpreadOriginNow(record origin.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Now()
+	candidates := s.originCandidates(now)
+	for _, to := range keepersOf(uint64(record.Stream), candidates, s.hash, originKeepers) {
+		if to != nil {
+			s.sendOriginRecords(to, []origin.Record{record}, now)
+		}
+	}
+}
+
+// originCandidates returns the other gateways that may keep records. The caller must hold s.mu.
+func (s *Service) originCandidates(now time.Time) []*peer {
+	return slices.DeleteFunc(slices.Clone(s.currentView(now).live), func(p *peer) bool { return p.leaving })
 }
 
 // add adds an unsent record.
@@ -128,7 +150,7 @@
 	if e.options.Table == nil {
 		return
 	}
-	candidates := slices.DeleteFunc(slices.Clone(s.currentView(now).live), func(p *peer) bool { return p.leaving })
+	candidates := s.originCandidates(now)
 	s.sendToNewKeepers(candidates, now)
 	if len(candidates) > 0 {
 		for _, record := range e.takeDue() {
