A chat that breaks off at one engine continues at engines of the same version only

Agents' settings may state the version of a target (targets.version); routers learn it with the membership list, and count engines of other versions as unreachable once a piece has been passed on. Targets that state none are of one version, as before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -31,6 +31,8 @@
 	Pool string
 	// Managed is true if the placements assign a model to the engine.
 	Managed bool
+	// Version is the version of the target's software; empty if not stated.
+	Version string
 	// Exactly one of Engine and Service is set.
 	Engine  target.Engine
 	Service target.Service
--- a/internal/agent/sync.go
+++ b/internal/agent/sync.go
@@ -59,7 +59,7 @@
 		a.setLeaving(ctx, p, leaving)
 		load := p.gate.Load()
 		loads = append(loads, member.Load{InFlight: uint32(load.InFlight), Limit: uint32(load.Limit)})
-		states = append(states, &wire.TargetState{Id: id, Pool: p.pool(), Leaving: leaving || p.changing.Load(), Service: p.Service != nil, Managed: p.Managed})
+		states = append(states, &wire.TargetState{Id: id, Pool: p.pool(), Leaving: leaving || p.changing.Load(), Service: p.Service != nil, Managed: p.Managed, Version: p.Version})
 	}
 	a.reportStates(states)
 	a.options.Members.SetLoads(loads)
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -62,7 +62,7 @@
 	client := newHTTPClient()
 	var targets []agent.Target
 	for _, t := range s.Targets {
-		converted := agent.Target{ID: t.ID, Pool: t.Pool, Managed: t.Managed}
+		converted := agent.Target{ID: t.ID, Pool: t.Pool, Managed: t.Managed, Version: t.Version}
 		if t.Kind == "service" {
 			converted.Service = &target.HTTPService{Base: t.URL, Client: client}
 		} else {
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -70,6 +70,9 @@
 	pool    *pool
 	out     *chatSink
 	search  policy.Search
+	// version is that of the engine which sent the first piece; valid if nextPiece is not zero. No
+	// other one may continue the answer, since what two versions write doesn't fit together.
+	version string
 	// nextPiece is the index of the first piece that the caller has not received.
 	nextPiece int64
 	attempts  uint32
@@ -137,6 +140,9 @@
 		}
 		e := c.pool.byNumber[next.Number]
 		c.out.targetID = e.id
+		if c.nextPiece == 0 {
+			c.version = e.version
+		}
 		end, err := c.router.attempt(ctx, e, newCallExchange(c.call(e, next)), &c.nextPiece, c.out)
 		if err == nil {
 			return end, nil
@@ -159,7 +165,22 @@
 func (c *chatRun) nextAttempt() (policy.Attempt, bool) {
 	c.router.randomMu.Lock()
 	defer c.router.randomMu.Unlock()
-	return c.search.Next(c.pool.hints(time.Now()), c.router.random)
+	return c.search.Next(c.hints(time.Now()), c.router.random)
+}
+
+// hints returns the hints of the pool's targets. Those that can't continue the answer count as
+// unreachable.
+func (c *chatRun) hints(now time.Time) policy.Hints {
+	all := c.pool.hints(now)
+	if c.nextPiece == 0 {
+		return all
+	}
+	return func(number uint32) policy.Hint {
+		if e := c.pool.byNumber[number]; e == nil || e.version != c.version {
+			return policy.Hint{Down: true}
+		}
+		return all(number)
+	}
 }
 
 func (c *chatRun) call(e *endpoint, attempt policy.Attempt) *wire.Call {
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -26,6 +26,8 @@
 	agent   string
 	address string
 	service bool
+	// version is the version of the target's software; empty if its agent states none.
+	version string
 
 	// The other fields are hints, updated by replies and by the membership list.
 	inFlight atomic.Uint32
@@ -171,6 +173,7 @@
 	agent   string
 	address string
 	service bool
+	version string
 	leaving bool
 	load    member.Load
 }
@@ -190,6 +193,7 @@
 				agent:   m.GetId(),
 				address: m.GetLinkAddress(),
 				service: target.GetService(),
+				version: target.GetVersion(),
 				leaving: target.GetLeaving() || m.GetLeaving() || !view.Steady,
 			}
 			if len(view.Loads) > i {
@@ -224,13 +228,13 @@
 // had it.
 func endpointFor(previous *pool, s liveTarget) *endpoint {
 	if previous != nil {
-		if known, ok := previous.byID[s.id]; ok && known.address == s.address {
+		if known, ok := previous.byID[s.id]; ok && known.address == s.address && known.version == s.version {
 			known.leaving.Store(s.leaving)
 			known.updateGossipedLoad(s.load)
 			return known
 		}
 	}
-	created := &endpoint{id: s.id, pool: s.pool, agent: s.agent, address: s.address, service: s.service}
+	created := &endpoint{id: s.id, pool: s.pool, agent: s.agent, address: s.address, service: s.service, version: s.version}
 	created.leaving.Store(s.leaving)
 	created.updateGossipedLoad(s.load)
 	return created
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,6 +63,9 @@
 	Pool string `json:"pool"`
 	// Managed marks an engine whose model is assigned by the placements.
 	Managed bool `json:"managed,omitempty"`
+	// Version is the version of the target's software. An answer that breaks off continues only at a
+	// target of the same version. Targets without one count as of the same version.
+	Version string `json:"version,omitempty"`
 	// URL is the target's address, http://IP:port.
 	URL string `json:"url"`
 }
