Resumed streams are counted by how their version became known; five keepers in a small fleet

In a small fleet three of four gateways may be killed at once; with three keepers, one of them the gateway that began the stream, a quarter of its records would be gone. Only streams that may be resumed are recorded. The time since streams were last moved to other services is kept with its monotonic part, so that a step of the clock can't make a version look like the only one.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,8 +79,8 @@
 	firstEventTimes firstEventTimes
 	// table is nil until a configuration is known.
 	table atomic.Pointer[routing.Table]
-	// reroutedAt is when a configuration last moved streams to other services, in nanoseconds.
-	reroutedAt atomic.Int64
+	// reroutedAt is when a configuration last moved streams to other services, or the first one came.
+	reroutedAt atomic.Pointer[time.Time]
 }
 
 // Apply puts a configuration in force unless it is no newer than the present one. It reports
@@ -93,7 +93,8 @@
 			return false
 		}
 		if current == nil || !current.KeepsStreams(next) {
-			g.reroutedAt.Store(clock.Now().UnixNano())
+			now := clock.Now()
+			g.reroutedAt.Store(&now)
 		}
 		if g.table.CompareAndSwap(current, next) {
 			return true
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -138,7 +138,7 @@
 	}
 	timeout, ok := table.StreamTimeout(service)
 	life := streamLife(patience, timeout)
-	if !ok || now.Sub(time.Unix(0, g.reroutedAt.Load())) < life {
+	if !ok || now.Sub(*g.reroutedAt.Load()) < life {
 		return "", false
 	}
 	return g.Balancer.SoleVersion(service, life, now)
@@ -235,7 +235,7 @@
 // passed on.
 func (c *call) recordOrigin(incarnation string) {
 	origins := c.gateway.Origins
-	if origins == nil || c.originRecorded || c.boundVersion == "" {
+	if origins == nil || c.originRecorded || c.boundVersion == "" || !c.route.Resumable {
 		return
 	}
 	c.originRecorded = true
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -37,6 +37,7 @@
 	retries         *prometheus.CounterVec
 	retriesDenied   *prometheus.CounterVec
 	holderLookups   *prometheus.CounterVec
+	resumedStreams  *prometheus.CounterVec
 	prompts         *prometheus.CounterVec
 	storeCalls      *prometheus.CounterVec
 	replicas        *prometheus.CounterVec
@@ -116,6 +117,10 @@
 			Namespace: namespace, Name: "holder_questions_total",
 			Help: "Questions to other gateways for where a prompt is cached, by outcome.",
 		}, []string{"outcome"}),
+		resumedStreams: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "resumed_streams_total",
+			Help: "Requests that resumed a stream, by how the version that began it became known.",
+		}, []string{"source"}),
 		prompts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "prompts_total",
 			Help: "Prompts sent to targets, by how these were expected to come to the shared parts.",
@@ -147,7 +152,7 @@
 		workspaces: boundedLabel{limit: maxWorkspaces},
 		versions:   boundedLabel{limit: maxVersions},
 	}
-	registry.MustRegister(m.requestSeconds, m.firstSeconds, m.requests, m.attempts, m.versionAttempts, m.retries, m.retriesDenied, m.holderLookups, m.prompts, m.storeCalls, m.replicas, m.badValues, m.crashes, m.notices, m.configVersion)
+	registry.MustRegister(m.requestSeconds, m.firstSeconds, m.requests, m.attempts, m.versionAttempts, m.retries, m.retriesDenied, m.holderLookups, m.resumedStreams, m.prompts, m.storeCalls, m.replicas, m.badValues, m.crashes, m.notices, m.configVersion)
 	return m
 }
 
@@ -160,6 +165,9 @@
 	if record.HolderLookup != "" {
 		m.holderLookups.WithLabelValues(string(record.HolderLookup)).Inc()
 	}
+	if record.OriginSource != "" {
+		m.resumedStreams.WithLabelValues(string(record.OriginSource)).Inc()
+	}
 	m.recordRetries(record)
 	for _, attempt := range record.Attempts {
 		m.attempts.WithLabelValues(record.Service, attempt.Outcome).Inc()
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -25,9 +25,11 @@
 // at a guess.
 
 const (
-	// originKeepers is the number of gateways that keep a record. Two of them may be lost with the
-	// gateway that began the stream.
-	originKeepers = 3
+	// originKeepers is the number of gateways that keep a record in a large fleet. Two of them may be
+	// lost with the gateway that began the stream. In a small fleet, in which larger parts are lost at
+	// once, originKeepersOfFew do.
+	originKeepers      = 3
+	originKeepersOfFew = 5
 	// originAsked is the number of gateways that are asked in a large fleet, in which the sender of a
 	// record and the one that asks may not agree on who is live. In a small one all are asked.
 	originAsked = 5
@@ -109,13 +111,22 @@
 	defer s.mu.Unlock()
 	now := clock.Now()
 	candidates := s.originCandidates(now)
-	for _, to := range keepersOf(uint64(record.Stream), candidates, s.hash, originKeepers) {
+	for _, to := range s.originKeepers(record, candidates) {
 		if to != nil {
 			s.sendOriginRecords(to, []origin.Record{record}, now)
 		}
 	}
 }
 
+// originKeepers returns the gateways that keep a record, nil for this one. The caller must hold s.mu.
+func (s *Service) originKeepers(record origin.Record, candidates []*peer) []*peer {
+	count := originKeepers
+	if len(candidates) <= fullMeshLimit {
+		count = originKeepersOfFew
+	}
+	return keepersOf(uint64(record.Stream), candidates, s.hash, count)
+}
+
 // originCandidates returns the other gateways that may keep records. The caller must hold s.mu.
 func (s *Service) originCandidates(now time.Time) []*peer {
 	return slices.DeleteFunc(slices.Clone(s.currentView(now).live), func(p *peer) bool { return p.leaving })
@@ -154,7 +165,7 @@
 	s.sendToNewKeepers(candidates, now)
 	if len(candidates) > 0 {
 		for _, record := range e.takeDue() {
-			e.post(keepersOf(uint64(record.Stream), candidates, s.hash, originKeepers), nil, record)
+			e.post(s.originKeepers(record, candidates), nil, record)
 		}
 	}
 	for to, records := range e.outbox {
@@ -175,11 +186,11 @@
 	}
 	e.candidates = candidates
 	for _, record := range e.options.Table.Records(now) {
-		earlier := keepersOf(uint64(record.Stream), before, s.hash, originKeepers)
+		earlier := s.originKeepers(record, before)
 		if !slices.Contains(earlier, nil) {
 			continue // others keep it
 		}
-		e.post(keepersOf(uint64(record.Stream), candidates, s.hash, originKeepers), earlier, record)
+		e.post(s.originKeepers(record, candidates), earlier, record)
 	}
 }
 
--- a/internal/process/reference_test.go
+++ b/internal/process/reference_test.go
@@ -114,7 +114,7 @@
 	})
 	// A series is exported only once it has been used.
 	observer := observe.New(log.New(io.Discard), metrics)
-	observer.Request(&gateway.RequestRecord{TimeToHead: 1, HolderLookup: balance.Answered, RetryDenial: gateway.DeniedBudget, Attempts: []gateway.AttemptRecord{{Source: balance.SourceHeld, Version: "v2", Outcome: "lost"}, {Outcome: "lost"}}})
+	observer.Request(&gateway.RequestRecord{TimeToHead: 1, HolderLookup: balance.Answered, OriginSource: gateway.OriginSole, RetryDenial: gateway.DeniedBudget, Attempts: []gateway.AttemptRecord{{Source: balance.SourceHeld, Version: "v2", Outcome: "lost"}, {Outcome: "lost"}}})
 	observer.Notice(&gateway.NoticeRecord{Change: balance.NoticeChange{Leaving: true}})
 	observer.StoreCalled("watch", nil)
 	observer.ReplicaFetched("p", 1, 2, nil)
