--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -25,11 +25,11 @@
 // at a guess.
 
 const (
-	// originKeepers is the number of gateways that keep a record in a large fleet. Two of them may be
+	// originKeepers is the number of gateways that keep a record in a large fleet: one of them may be
 	// lost with the gateway that began the stream. In a small fleet, in which larger parts are lost at
 	// once, originKeepersOfFew do.
-	originKeepers      = 3
-	originKeepersOfFew = 5
+	originKeepers      = 2
+	originKeepersOfFew = 4
 	// originAsked is the number of gateways that are asked in a large fleet, in which the sender of a
 	// record and the one that asks may not agree on who is live. In a small one all are asked.
 	originAsked = 5
@@ -38,8 +38,8 @@
 	originAskInterval = 25 * time.Millisecond
 	originAsks        = 4
 	// originShare is the average share of the byte budget for records. The fleet's design size takes
-	// a fifth.
-	originShare = 0.25
+	// a quarter.
+	originShare = 0.3
 	// maxOriginRecords limits the records in a datagram, of some 20 bytes each.
 	maxOriginRecords = 48
 	// maxUnsent limits the records that wait because they are not needed yet.
