--- a/internal/process/stream_versions_test.go
+++ b/internal/process/stream_versions_test.go
@@ -116,6 +116,17 @@
 			f.platform.Store.SetFaults(emulator.StoreFaults{Down: true})
 			f.replaceGatewaysInTurn(t)
 		}},
+		"gateways are killed, many": {11, threeVersions, 8, 4, func(t *testing.T, f *fleet) { f.replaceGatewaysInTurn(t) }},
+		"gateways stop as planned":  {4, threeVersions, 8, 4, func(t *testing.T, f *fleet) { f.drainGatewaysInTurn(t) }},
+		"a version leaves as planned": {4, threeVersions, 8, 4, func(t *testing.T, f *fleet) {
+			for _, engine := range f.engines[:streamTargets] {
+				if err := f.platform.Enter("engine", "zone", "draining", engine); err != nil {
+					t.Fatal(err)
+				}
+				keepRunning(t, 200*time.Millisecond)
+				f.platform.Leave(engine)
+			}
+		}},
 		"store is away": {4, threeVersions, 8, 4, func(_ *testing.T, f *fleet) { f.platform.Store.SetFaults(emulator.StoreFaults{Down: true}) }},
 		"targets begin at another version": {4, threeVersions, 8, 4, func(t *testing.T, f *fleet) {
 			for number := range f.engines {
@@ -149,6 +160,20 @@
 	}
 }
 
+// drainGatewaysInTurn stops all gateways as planned, one after the other; each begins again at once.
+func (f *fleet) drainGatewaysInTurn(t *testing.T) {
+	t.Helper()
+	for number := range f.gateways {
+		f.mu.Lock()
+		stopping := f.gateways[number]
+		f.mu.Unlock()
+		if err := stopping.Drain(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		f.replaceGateway(t, number)
+	}
+}
+
 // replaceGatewaysInTurn kills all gateways one after the other; each begins again at once.
 func (f *fleet) replaceGatewaysInTurn(t *testing.T) {
 	t.Helper()
