--- a/internal/emulator/callers.go
+++ b/internal/emulator/callers.go
@@ -37,9 +37,15 @@
 func (c *Callers) Run(ctx context.Context) {
 	client := &http.Client{Timeout: callerDeadline}
 	defer client.CloseIdleConnections()
+	runEvery(ctx, c.Every, func(number int) { c.count(c.call(client, number)) })
+}
+
+// runEvery starts a call at each interval, numbered from 0, until the context ends. It returns when
+// all have ended.
+func runEvery(ctx context.Context, interval time.Duration, call func(number int)) {
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	ticker := time.NewTicker(c.Every)
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for number := 0; ; number++ {
 		select {
@@ -47,9 +53,7 @@
 		case <-ctx.Done():
 			return
 		}
-		wait.Go(func() {
-			c.count(c.call(client, number))
-		})
+		wait.Go(func() { call(number) })
 	}
 }
 
--- a/internal/emulator/streams.go
+++ b/internal/emulator/streams.go
@@ -53,18 +53,7 @@
 // Run requests streams until the context ends, then waits for those in flight.
 func (c *StreamCallers) Run(ctx context.Context) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callerDeadline}
-	var wait sync.WaitGroup
-	defer wait.Wait()
-	ticker := time.NewTicker(c.Every)
-	defer ticker.Stop()
-	for number := 0; ; number++ {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-		wait.Go(func() { c.record(c.read(client, number)) })
-	}
+	runEvery(ctx, c.Every, func(number int) { c.record(c.read(client, number)) })
 }
 
 // Counts returns what the callers have seen in the streams that have ended.
--- a/internal/process/gateway_test.go
+++ b/internal/process/gateway_test.go
@@ -92,14 +92,7 @@
 		f.plain = append(f.plain, f.addServer(t, "plain", fmt.Sprintf("p-%d", i), 0))
 		f.engines = append(f.engines, f.addServer(t, "engine", fmt.Sprintf("e-%d", i), 6))
 	}
-	var seeds []string
-	for i := range count {
-		f.gateways = append(f.gateways, f.startGateway(t, fmt.Sprintf("gateway-%d", i), seeds))
-		seeds = append(seeds, f.gateways[i].Addresses().Link)
-	}
-	for _, gateway := range f.gateways {
-		eventually(t, "a gateway is ready", gateway.Ready)
-	}
+	f.startGateways(t, count)
 	return f
 }
 
--- a/internal/process/rollouts_test.go
+++ b/internal/process/rollouts_test.go
@@ -34,14 +34,7 @@
 		f.platform.Leave(server)
 	}
 	f.versionServers = f.addVersion(t, oldVersion, nil)
-	var seeds []string
-	for i := range gateways {
-		f.gateways = append(f.gateways, f.startGateway(t, gatewayName(i), seeds))
-		seeds = append(seeds, f.gateways[i].Addresses().Link)
-	}
-	for _, gateway := range f.gateways {
-		eventually(t, "a gateway is ready", gateway.Ready)
-	}
+	f.startGateways(t, gateways)
 	return f
 }
 
--- a/internal/process/steady_callers_test.go
+++ b/internal/process/steady_callers_test.go
@@ -48,12 +48,7 @@
 	for i := range steadyPlainTargets {
 		f.plain = append(f.plain, f.steadyServer(t, "plain", fmt.Sprintf("plain-%d", i)))
 	}
-	var seeds []string
-	for i := range gateways {
-		f.gateways = append(f.gateways, f.startGateway(t, gatewayName(i), seeds))
-		seeds = append(seeds, f.gateways[i].Addresses().Link)
-	}
-	f.awaitReady(t)
+	f.startGateways(t, gateways)
 	return f
 }
 
--- a/internal/process/stream_versions_test.go
+++ b/internal/process/stream_versions_test.go
@@ -44,12 +44,7 @@
 			f.engines = append(f.engines, server)
 		}
 	}
-	var seeds []string
-	for i := range gateways {
-		f.gateways = append(f.gateways, f.startGateway(t, gatewayName(i), seeds))
-		seeds = append(seeds, f.gateways[i].Addresses().Link)
-	}
-	f.awaitReady(t)
+	f.startGateways(t, gateways)
 	return f
 }
 
--- a/internal/process/target_restart_test.go
+++ b/internal/process/target_restart_test.go
@@ -47,14 +47,7 @@
 	}
 	target, err := f.platform.AddServer("engine", "zone", "127.0.0.1:0", emulator.ServerOptions{ID: "again", Events: 3, KeepsID: true})
 	is.NoErr(err)
-	var seeds []string
-	for i := range 2 {
-		f.gateways = append(f.gateways, f.startGateway(t, gatewayName(i), seeds))
-		seeds = append(seeds, f.gateways[i].Addresses().Link)
-	}
-	for _, gateway := range f.gateways {
-		eventually(t, "a gateway is ready", gateway.Ready)
-	}
+	f.startGateways(t, 2)
 	const prompt = "aa:100,bb:2000,cc:10"
 	ask := func(gateway int, id string) bool {
 		got := f.callWithPrompt(gateway, http.MethodPost, "/chat/1", id, "key-1", prompt)
