--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -7,10 +7,11 @@
 // Where to look:
 //
 //   - gateway.go: the checks before a request is sent anywhere
-//   - call.go: a request from admission to its end; queue.go: its wait for capacity
+//   - call.go: a request from admission to its end; call_end.go: the ends; queue.go: its wait for
+//     capacity
 //   - attempt.go: one attempt at one target; silence.go: abandoning a silent target
-//   - versions.go: the target versions that an attempt may use; unresponsive.go: ending streams on
-//     targets that are gone
+//   - versions.go: the target versions that an attempt may use; origins.go: the version that a
+//     resumed stream is bound to; unresponsive.go: ending streams on targets that are gone
 //   - stream.go, events.go, buffered.go: passing on the two kinds of answers
 //   - record.go: what is logged of a request
 package gateway
