--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -201,12 +201,12 @@
 	Exclude []string
 	// Versions restricts which versions may take the request.
 	Versions Versions
-	// Bound means that the request continues a stream, which only targets of the version in
+	// Continues means that the request continues a stream, which only targets of the version in
 	// Versions can. There may be few of them, so that sharing requests evenly would exceed the
 	// whole bound: those that the request would load beyond it are excluded. So are those that may
 	// be of another version than their entries say, if these are the newest until ProvenAt only.
-	Bound    bool
-	ProvenAt time.Time
+	Continues bool
+	ProvenAt  time.Time
 }
 
 // isLong reports whether the prompt's shared parts are long in total.
--- a/internal/balance/bound_stream.go
+++ b/internal/balance/continued_stream.go
@@ -24,7 +24,7 @@
 // openFor returns the targets that may take the request of a query. The caller must hold b.mu.
 func (b *Balancer) openFor(svc *service, query Query, now time.Time) []*state {
 	open := b.openTargets(svc, query.Exclude, query.Versions, now)
-	if !query.Bound || len(open) == 0 {
+	if !query.Continues || len(open) == 0 {
 		return open
 	}
 	limited := b.options.Whole != Bound{}
--- a/internal/balance/within_bound_test.go
+++ b/internal/balance/within_bound_test.go
@@ -31,7 +31,7 @@
 	}
 	admitted := 0
 	for range requests {
-		pick, ok := b.Choose(balance.Query{Service: "s", Versions: balance.Versions{Only: "old"}, Bound: true}, start)
+		pick, ok := b.Choose(balance.Query{Service: "s", Versions: balance.Versions{Only: "old"}, Continues: true}, start)
 		if !ok {
 			continue
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -156,7 +156,7 @@
 		FetchFrom:   a.pick.FetchFrom,
 		LastEventID: c.lastEventID,
 		ReuseIdle:   c.route.Repeatable(),
-		Bound:       c.boundVersion != "",
+		Continues:   c.streamVersion != "",
 		ProvenAt:    c.gateway.provenAt(),
 	}
 	if c.workspace != nil {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -41,9 +41,9 @@
 	assignmentUnused bool
 	assignedAt       time.Time
 	versions         balance.Versions
-	// boundVersion is the version that began the caller's stream. No other may continue it, since
+	// streamVersion is the version that began the caller's stream. No other may continue it, since
 	// what two versions write doesn't fit together. Empty until the first event.
-	boundVersion string
+	streamVersion string
 	// versionUncertain means that a target which passed on an event may be of another version than
 	// its entry says, so that no target can continue the stream.
 	versionUncertain bool
@@ -256,7 +256,7 @@
 func (c *call) attemptQuery() balance.Query {
 	query := c.promptQuery()
 	query.Exclude, query.Versions = c.triedIncarnations, c.versions
-	query.Bound, query.ProvenAt = c.boundVersion != "", c.gateway.provenAt()
+	query.Continues, query.ProvenAt = c.streamVersion != "", c.gateway.provenAt()
 	return query
 }
 
--- a/internal/gateway/call_end.go
+++ b/internal/gateway/call_end.go
@@ -62,8 +62,8 @@
 		c.relayFailure()
 	case c.delivery.MayHaveRun():
 		c.refuse(fault.New(fault.TargetFailed, fault.Unknown, "no further target is available"))
-	case c.boundVersion != "":
-		c.refuse(fault.New(fault.NoTarget, fault.NotRun, "no target of version %s, which began the stream, is available", c.boundVersion).After(c.retryAfterNoTarget()))
+	case c.streamVersion != "":
+		c.refuse(fault.New(fault.NoTarget, fault.NotRun, "no target of version %s, which began the stream, is available", c.streamVersion).After(c.retryAfterNoTarget()))
 	default:
 		c.refuse(fault.New(fault.NoTarget, fault.NotRun, "no target of the service is available").After(c.retryAfterNoTarget()))
 	}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -192,7 +192,7 @@
 		}
 	}
 	if version, ok := c.gateway.soleVersion(c.service, c.request.Patience); ok {
-		c.boundVersion, c.originSource = version, OriginSole
+		c.streamVersion, c.originSource = version, OriginSole
 		return nil
 	}
 	if origins == nil || origins.Peers == nil || c.request.Resumes == "" {
@@ -218,7 +218,7 @@
 			return origin.VersionOf(share.Service, version) == began
 		})
 		if ok {
-			c.service, c.boundVersion, c.originSource = share.Service, version, source
+			c.service, c.streamVersion, c.originSource = share.Service, version, source
 			return nil
 		}
 	}
@@ -235,11 +235,11 @@
 // passed on.
 func (c *call) recordOrigin(incarnation string) {
 	origins := c.gateway.Origins
-	if origins == nil || c.originRecorded || c.boundVersion == "" || !c.route.Resumable {
+	if origins == nil || c.originRecorded || c.streamVersion == "" || !c.route.Resumable {
 		return
 	}
 	c.originRecorded = true
-	version := origin.VersionOf(c.service, c.boundVersion)
+	version := origin.VersionOf(c.service, c.streamVersion)
 	if c.versionUncertain {
 		version = origin.Uncertain
 	}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -43,11 +43,11 @@
 	// LastEventID that of the last event its caller has; empty if it resumes none.
 	Resumes     string
 	LastEventID string
-	// BoundVersion is the version that began the request's stream; empty if none did. OriginSource is
+	// StreamVersion is the version that began the request's stream; empty if none did. OriginSource is
 	// how it became known for a request that resumes a stream, and OriginTime how long that took.
-	BoundVersion string
-	OriginSource OriginSource
-	OriginTime   time.Duration
+	StreamVersion string
+	OriginSource  OriginSource
+	OriginTime    time.Duration
 	// Prompt lists the parts of the prompt; nil if the request has none.
 	Prompt []Part
 	// Fingerprint identifies the content of the request and its workspace: a retried request has
@@ -131,7 +131,7 @@
 		Session:          c.request.session(),
 		Resumes:          c.request.Resumes,
 		LastEventID:      c.request.LastEventID,
-		BoundVersion:     c.boundVersion,
+		StreamVersion:    c.streamVersion,
 		OriginSource:     c.originSource,
 		OriginTime:       c.originTime,
 		Prompt:           c.request.Parts,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -78,10 +78,10 @@
 	// ReuseIdle allows a kept connection that has been idle for a while. A request that may not be
 	// repeated doesn't use one: it must not be exposed to the risk.
 	ReuseIdle bool
-	// Bound means that the request continues a stream, so that nothing is sent to a target that may be
+	// Continues means that the request continues a stream, so that nothing is sent to a target that may be
 	// of another version than its entry says. The entries are proven to be the newest until ProvenAt.
-	Bound    bool
-	ProvenAt time.Time
+	Continues bool
+	ProvenAt  time.Time
 }
 
 // Answer is a target's answer whose headers have been read.
--- a/internal/gateway/resumed_version_test.go
+++ b/internal/gateway/resumed_version_test.go
@@ -127,7 +127,7 @@
 				}
 				is.Equal(caller.status, http.StatusOK)
 				is.Equal(sender.sent[0].Target.Version, tc.version)
-				is.Equal(record.BoundVersion, tc.version)
+				is.Equal(record.StreamVersion, tc.version)
 				is.Equal(len(peers.spread), 1) // whoever resumes the stream next can find it
 				is.Equal(peers.spread[0].Version, origin.VersionOf("s", tc.version))
 				if tc.resumes != "" {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -103,8 +103,8 @@
 func (a *attempt) bindVersion() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.call.boundVersion == "" {
-		a.call.boundVersion = a.pick.Target.Version
+	if a.call.streamVersion == "" {
+		a.call.streamVersion = a.pick.Target.Version
 	}
 	a.call.versionUncertain = a.call.versionUncertain || a.pick.MayHaveRestarted
 }
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -14,12 +14,12 @@
 func (c *call) assignVersions(now time.Time) {
 	gate := c.gateway.Rollouts
 	if gate == nil {
-		c.versions = balance.Versions{Only: c.boundVersion}
+		c.versions = balance.Versions{Only: c.streamVersion}
 		return
 	}
 	c.returnAssignment()
 	haveLeft := func(versions balance.Versions) bool { return c.gateway.Balancer.LeftAsPlanned(c.service, versions) }
-	ask := rollout.AssignRequest{Service: c.service, Route: c.route.Name, Retry: len(c.triedIncarnations) > 0, Version: c.boundVersion, HaveLeft: haveLeft}
+	ask := rollout.AssignRequest{Service: c.service, Route: c.route.Name, Retry: len(c.triedIncarnations) > 0, Version: c.streamVersion, HaveLeft: haveLeft}
 	c.assignment, c.assignmentUnused, c.assignedAt = gate.Assign(ask, now), true, now
 	c.versions = c.assignment.Versions
 	if c.assignment.Fallback != nil && !c.gateway.Balancer.Has(c.attemptQuery(), now) {
@@ -34,7 +34,7 @@
 // refreshAssignment renews the assignment if the call has waited since, or its stream has begun. It
 // most likely gets the same share of a version again.
 func (c *call) refreshAssignment(now time.Time) {
-	if now.Sub(c.assignedAt) > assignmentTTL || c.versions.Only != c.boundVersion && c.boundVersion != "" {
+	if now.Sub(c.assignedAt) > assignmentTTL || c.versions.Only != c.streamVersion && c.streamVersion != "" {
 		c.assignVersions(now)
 	}
 }
@@ -61,7 +61,7 @@
 // target is open and some of that version are. It returns false if that doesn't happen in time.
 func (c *call) awaitRollout(ctx context.Context, now time.Time) bool {
 	gate := c.gateway.Rollouts
-	if gate == nil || c.boundVersion != "" || !c.gateway.Balancer.Has(c.promptQuery(), now) {
+	if gate == nil || c.streamVersion != "" || !c.gateway.Balancer.Has(c.promptQuery(), now) {
 		return false
 	}
 	rolloutChanged, until, ok := gate.Await(c.service, now)
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -116,7 +116,7 @@
 	o.log.Info(EventRequest,
 		"id", record.ID, "ending", record.Ending, "status", record.Status,
 		"route", record.Route, "kind", record.Kind, "workspace", record.Workspace, "service", record.Service,
-		"session", record.Session, "resumes", record.Resumes, "last_event", record.LastEventID, "bound", record.BoundVersion, "bound_by", record.OriginSource, "bound_ms", wholeMillis(record.OriginTime), "prompt", describePrompt(record.Prompt), "print", record.Fingerprint, "config", record.ConfigVersion, "proof_ms", wholeMillis(record.ProofAge), "queued_ms", wholeMillis(record.QueueTime), "waited_ms", wholeMillis(record.PrefillWait), "found", record.HolderLookup, "asked_ms", wholeMillis(record.HolderLookupTime),
+		"session", record.Session, "resumes", record.Resumes, "last_event", record.LastEventID, "stream_version", record.StreamVersion, "origin", record.OriginSource, "origin_ms", wholeMillis(record.OriginTime), "prompt", describePrompt(record.Prompt), "print", record.Fingerprint, "config", record.ConfigVersion, "proof_ms", wholeMillis(record.ProofAge), "queued_ms", wholeMillis(record.QueueTime), "waited_ms", wholeMillis(record.PrefillWait), "found", record.HolderLookup, "asked_ms", wholeMillis(record.HolderLookupTime),
 		"wanted_ms", wholeMillis(record.TargetLatency), "first_ms", wholeMillis(record.TimeToHead), "took_ms", wholeMillis(record.Took), "no_retry", record.RetryDenial, "attempts", describeAttempts(record.Attempts))
 }
 
