--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -195,9 +195,11 @@
 		c.streamVersion, c.originSource = version, OriginSole
 		return nil
 	}
-	if origins == nil || origins.Peers == nil || c.request.Resumes == "" {
+	if origins == nil || origins.Peers == nil {
 		return c.unknownOrigin(retryAfterShortage)
 	}
+	// Of a stream that the request doesn't name, the others have no record. They may be certain that
+	// there was only one version.
 	version, found, asked := origins.Peers.FindOrigin(ctx, c.stream(), c.service)
 	switch {
 	case found:
--- a/internal/gateway/resumed_version_test.go
+++ b/internal/gateway/resumed_version_test.go
@@ -73,6 +73,7 @@
 		"another stream is known":           {versions: []string{"v1", "v2"}, known: long, began: "v1", resumes: "r0", lastEvent: "1", source: gateway.OriginUnknown, kind: fault.StreamUnknown},
 		"its version has no target":         {versions: []string{"v2", "v3"}, known: long, began: "v1", resumes: "r1", lastEvent: "1", source: gateway.OriginRecorded, kind: fault.NoTarget},
 		"its version is gone, one is left":  {versions: []string{"v2"}, known: long, began: "v1", resumes: "r1", lastEvent: "1", source: gateway.OriginRecorded, kind: fault.NoTarget},
+		"no stream is named, one version":   {versions: []string{"v1"}, known: short, told: "v1", lastEvent: "1", version: "v1", source: gateway.OriginPeer},
 		"no stream is named":                {versions: []string{"v1", "v2"}, known: long, began: "v1", lastEvent: "1", source: gateway.OriginUnknown, kind: fault.StreamUnknown},
 		"no event is named":                 {versions: []string{"v1", "v2", "v2"}, known: long, began: "v1", resumes: "r1", version: "v1", source: gateway.OriginRecorded},
 		"one version for long":              {versions: []string{"v1"}, known: long, resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginSole},
