What makes a version the only one is asked for no longer than needed, and for each route

The time that counts is that from the end of another version's targets until callers no longer resume what these broke off: the streams' time limit, 10 s at least. A route's own move counts, and a draw by the prompt or the stream's name gives the first attempt's service again. After a move only records tell, and they are sent meanwhile. TestMovedStreamsNeedRecords; TestStreamsKeepTheirVersion as before.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -110,13 +111,13 @@
 	return subject.Fingerprint()
 }
 
-// splitKey returns the same value for all requests of a session, so that a session keeps its
-// service while the traffic split stays the same.
+// splitKey returns the same value for all requests of a session, and for all attempts of a caller to
+// get a stream, so that these keep their service while the traffic split stays the same.
 func (c *call) splitKey() uint64 {
 	if len(c.parts) > 0 {
 		return c.parts[len(c.parts)-1]
 	}
-	return policy.HashName(c.request.ID)
+	return policy.HashName(cmp.Or(c.request.Resumes, c.request.ID))
 }
 
 // unboundedTime is the time limit of a request for which neither caller nor route sets one.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,8 +79,8 @@
 	firstEventTimes firstEventTimes
 	// table is nil until a configuration is known.
 	table atomic.Pointer[routing.Table]
-	// reroutedAt is when a configuration last moved streams to other services, or the first one came.
-	reroutedAt atomic.Pointer[time.Time]
+	// moves holds when configurations moved the streams of routes to other services.
+	moves streamMoves
 }
 
 // Apply puts a configuration in force unless it is no newer than the present one. It reports
@@ -92,9 +92,8 @@
 		if current != nil && current.Version() >= config.Version {
 			return false
 		}
-		if current == nil || !current.KeepsStreams(next) {
-			now := clock.Now()
-			g.reroutedAt.Store(&now)
+		if current != nil {
+			g.moves.record(next.MovedStreams(current), clock.Now())
 		}
 		if g.table.CompareAndSwap(current, next) {
 			return true
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +22,10 @@
 const (
 	// minStreamLife is the least time for which a stream may be resumed after it began.
 	minStreamLife = 30 * time.Second
+	// minSoleTime is the least time for which a version must have been the only one, to be the one that
+	// began a stream. It is the time from the end of the targets of another version until callers no
+	// longer resume what these broke off.
+	minSoleTime = 10 * time.Second
 	// maxSoleProofAge is the maximum age of the proof of the newest targets for a version to count as
 	// the only one.
 	maxSoleProofAge = 3 * time.Second
@@ -33,8 +38,8 @@
 	SpreadOrigin(record origin.Record, service string)
 	// SpreadOriginNow sends a record before it returns.
 	SpreadOriginNow(record origin.Record)
-	// FindOrigin asks other gateways which version of a service began a stream. asked is the number
-	// of gateways that it asked.
+	// FindOrigin asks other gateways which version began a stream. Those without a record answer with
+	// the only version of the service, if it is given. asked is the number of gateways that it asked.
 	FindOrigin(ctx context.Context, stream origin.Stream, service string) (version origin.Version, found bool, asked int)
 }
 
@@ -123,9 +128,12 @@
 	OriginUnknown OriginSource = "unknown"
 )
 
-// SoleOrigin returns the only version of a service if no other one can have begun a stream that may
-// still be resumed.
+// SoleOrigin returns the only version of a service if no other one, and no other service, can have begun
+// a stream that may still be resumed there.
 func (g *Gateway) SoleOrigin(service string) (origin.Version, bool) {
+	if g.moves.within("", minStreamLife, clock.Now()) {
+		return origin.Uncertain, false
+	}
 	version, ok := g.soleVersion(service, 0)
 	return origin.VersionOf(service, version), ok
 }
@@ -137,11 +145,59 @@
 		return "", false
 	}
 	timeout, ok := table.StreamTimeout(service)
-	life := streamLife(patience, timeout)
-	if !ok || now.Sub(*g.reroutedAt.Load()) < life {
+	if !ok {
 		return "", false
 	}
-	return g.Balancer.SoleVersion(service, life, now)
+	return g.Balancer.SoleVersion(service, soleTime(patience, timeout), now)
+}
+
+// soleTime returns for how long a version must have been the only one to have begun a stream.
+func soleTime(patience, timeout time.Duration) time.Duration {
+	return max(minSoleTime, patience, timeout)
+}
+
+// streamMoves holds when configurations last moved the streams of routes to other services. It is safe
+// for concurrent use.
+type streamMoves struct {
+	mu sync.Mutex
+	at map[string]time.Time
+	// last is the latest of these times; zero if there is none.
+	last time.Time
+}
+
+// record records that the streams of some routes have been moved.
+func (m *streamMoves) record(routes []string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.at == nil {
+		m.at = make(map[string]time.Time)
+	}
+	for _, route := range routes {
+		m.at[route], m.last = now, now
+	}
+	maps.DeleteFunc(m.at, func(_ string, at time.Time) bool { return now.Sub(at) > unboundedTime })
+}
+
+// within reports whether the streams of a route, or of any if it is empty, were moved within a time
+// until now.
+func (m *streamMoves) within(route string, span time.Duration, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at := m.last
+	if route != "" {
+		at = m.at[route]
+	}
+	return !at.IsZero() && now.Sub(at) < span
+}
+
+// drawsItsService reports whether the service drawn for the call is the one that began its stream. A
+// draw by the prompt or by the stream's name gives the same service again while the traffic split
+// stays the same.
+func (c *call) drawsItsService() bool {
+	if c.gateway.moves.within(c.route.Name, soleTime(c.request.Patience, c.route.Timeout), clock.Now()) {
+		return false
+	}
+	return len(c.route.Split) == 1 || len(c.parts) > 0 || c.request.Resumes != ""
 }
 
 // streamLife returns for how long a stream may be resumed after it began: its caller makes several
@@ -191,7 +247,7 @@
 			return c.bindTo(record.Version, OriginRecorded)
 		}
 	}
-	if version, ok := c.gateway.soleVersion(c.service, c.request.Patience); ok {
+	if version, ok := c.gateway.soleVersion(c.service, c.request.Patience); ok && c.drawsItsService() {
 		c.streamVersion, c.originSource = version, OriginSole
 		return nil
 	}
@@ -200,7 +256,11 @@
 	}
 	// Of a stream that the request doesn't name, the others have no record. They may be certain that
 	// there was only one version.
-	version, found, asked := origins.Peers.FindOrigin(ctx, c.stream(), c.service)
+	service := c.service
+	if !c.drawsItsService() {
+		service = "" // only a record can tell
+	}
+	version, found, asked := origins.Peers.FindOrigin(ctx, c.stream(), service)
 	switch {
 	case found:
 		return c.bindTo(version, OriginPeer)
--- a/internal/gateway/resumed_version_test.go
+++ b/internal/gateway/resumed_version_test.go
@@ -14,6 +14,7 @@
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/gateway"
 	"github.com/capersaddle/capersaddle/internal/origin"
+	"github.com/capersaddle/capersaddle/internal/routing"
 )
 
 // fakeOriginPeers answers lookups with a version of service "s"; empty means that it is unknown.
@@ -181,3 +182,60 @@
 		})
 	}
 }
+
+// TestMovedStreamsNeedRecords guards against a stream that goes on at another service when the
+// configuration has moved its route since.
+func TestMovedStreamsNeedRecords(t *testing.T) {
+	cases := map[string]struct {
+		// movedAgo is how long ago the route was moved to the service; zero means never.
+		movedAgo time.Duration
+		began    string
+		kind     fault.Kind
+		source   gateway.OriginSource
+	}{
+		"never moved":                    {0, "", "", gateway.OriginSole},
+		"moved long ago":                 {time.Minute, "", "", gateway.OriginSole},
+		"just moved":                     {time.Second, "", fault.StreamUnknown, gateway.OriginUnknown},
+		"just moved, began at this one":  {time.Second, "s", "", gateway.OriginRecorded},
+		"just moved, began at the other": {time.Second, "before", fault.NoTarget, gateway.OriginRecorded},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				sender := &firstSender{first: stream(two, io.EOF), others: stream(two, io.EOF)}
+				w := versionGateway(sender, "v1")
+				w.gateway.Balancer = balance.New(balance.DefaultOptions())
+				w.gateway.Balancer.Put(balance.Target{ID: "t", Service: "s", Address: "t", Version: "v1"}, time.Now())
+				w.gateway.Balancer.Put(balance.Target{ID: "u", Service: "before", Address: "u", Version: "v1"}, time.Now())
+				w.gateway.Options = gateway.Options{}
+				w.gateway.Origins = &gateway.Origins{Table: origin.NewTable()}
+				if tc.movedAgo > 0 {
+					before := config()
+					before.Version = 8
+					for i := range before.Routes {
+						before.Routes[i].Split = []routing.Share{{Service: "before", Weight: 1}}
+					}
+					w.gateway.Apply(before)
+				}
+				time.Sleep(time.Hour)
+				after := config()
+				after.Version = 9
+				w.gateway.Apply(after)
+				time.Sleep(tc.movedAgo)
+				w.gateway.Proof.Note(time.Now())
+				if tc.began != "" {
+					w.gateway.Origins.Table.Put(origin.Record{Stream: origin.StreamOf("w", "r1"), Version: origin.VersionOf(tc.began, "v1"), Expires: time.Now().Add(time.Minute)}, time.Now())
+				}
+				caller := w.resume(t, "/resumable/x", "r1", "1")
+				is.Equal(caller.records[0].OriginSource, tc.source)
+				if tc.kind != "" {
+					is.Equal(caller.refusal.Kind, tc.kind)
+					is.Equal(len(sender.sent), 0)
+					return
+				}
+				is.Equal(sender.sent[0].Target.ID, "t")
+			})
+		})
+	}
+}
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -304,8 +304,8 @@
 	}
 }
 
-// FindOrigin asks other gateways which version of a service began a stream. It returns when one of
-// them knows, when all have answered, or after a short time. asked is the number of gateways that it
+// FindOrigin asks other gateways which version began a stream. Those without a record answer with the
+// only version of the service, unless it is empty. It returns when one of them knows, when all have answered, or after a short time. asked is the number of gateways that it
 // asked.
 func (s *Service) FindOrigin(ctx context.Context, stream origin.Stream, service string) (version origin.Version, found bool, asked int) {
 	number, lookup, asked := s.openOriginLookup(stream)
--- a/internal/routing/streams.go
+++ b/internal/routing/streams.go
@@ -10,8 +10,6 @@
 	// timeout is their longest time limit, and unlimited means that one of them has none.
 	timeout   time.Duration
 	unlimited bool
-	// shared means that one of them sends streams to another service as well.
-	shared bool
 }
 
 func streamsByService(config *Config) map[string]serviceStreams {
@@ -24,7 +22,6 @@
 			known := streams[share.Service]
 			known.timeout = max(known.timeout, route.Timeout)
 			known.unlimited = known.unlimited || route.Timeout <= 0
-			known.shared = known.shared || len(route.Split) > 1
 			streams[share.Service] = known
 		}
 	}
@@ -32,24 +29,25 @@
 }
 
 // StreamTimeout returns the longest time limit of the routes that send streams to a service. It
-// returns false if there is no such route, if one has no time limit, or if one sends streams to
-// another service as well.
+// returns false if there is no such route, or if one has no time limit.
 func (t *Table) StreamTimeout(service string) (time.Duration, bool) {
 	streams, ok := t.streams[service]
-	return streams.timeout, ok && !streams.unlimited && !streams.shared
+	return streams.timeout, ok && !streams.unlimited
 }
 
-// KeepsStreams reports whether the routes of another table send streams to the same services as the
-// routes with their names in this one.
-func (t *Table) KeepsStreams(other *Table) bool {
+// MovedStreams returns the names of the routes that send their streams to other services, or in other
+// shares, than the routes of their names in an earlier table.
+func (t *Table) MovedStreams(earlier *Table) []string {
 	splits := make(map[string][]Share)
+	for _, route := range earlier.config.Routes {
+		splits[route.Name] = route.Split
+	}
+	var moved []string
 	for _, route := range t.config.Routes {
-		if route.Kind == Stream {
-			splits[route.Name] = route.Split
+		before, ok := splits[route.Name]
+		if ok && route.Kind == Stream && !slices.Equal(before, route.Split) {
+			moved = append(moved, route.Name)
 		}
 	}
-	return !slices.ContainsFunc(other.config.Routes, func(route Route) bool {
-		before, ok := splits[route.Name]
-		return ok && !slices.Equal(before, route.Split)
-	})
+	return moved
 }
