--- a/internal/process/stream_versions_test.go
+++ b/internal/process/stream_versions_test.go
@@ -138,7 +138,6 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			is := is.New(t)
 			f := streamFleet(t, test.gateways, test.cutEvery, test.versions...)
 			callers, stop := f.startStreamCallers(test.loseEvery)
