review: streams begun on restored servers go on at another version

Case 2 shows a store that is down until the servers' entries have lapsed, and gateways that are all killed and start again meanwhile. They serve by the servers of their checkpoint as soon as the store is back. When the connection of a stream that began then is reset, it goes on at any server: single answers hold events of two software versions.

Cause: a checkpoint does not hold versions, so that restored servers have an empty one; an empty version stands for a stream without an event, so that the stream is bound to none.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,7 +33,8 @@
 
 // cases holds the cases by name.
 var cases = map[string]play{
-	"hang": playHang,
+	"hang":     playHang,
+	"versions": playVersions,
 }
 
 func main() {
