review: streams of a gateway that is killed are lost if the others are young

Case 3 shows three of four gateways that are killed and start again, and the fourth one that is killed some seconds later with thirty streams under way. One version of the servers serves throughout. The clients take the streams up again at the three gateways, which are in touch; each try is refused.

Cause: a gateway that knows for certain that there was one version keeps its records of streams to itself, while gateways that began a moment ago vouch for a single version only once they have known the servers for 12 s.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,6 +35,7 @@
 var cases = map[string]play{
 	"hang":     playHang,
 	"versions": playVersions,
+	"resume":   playResume,
 }
 
 func main() {
