review: the stand-in is a test binary

The cases break the platform package's test that keeps the platform's names in its folder: the stand-in, which acts as the platform and as its clients, used them in files that are not tests.

TestPlatformNamesStayInFolder passes.

--- a/review/standin/main.go
+++ b/review/standin/main_test.go
@@ -1,8 +1,9 @@
 //go:build review
 
-// Command standin plays one case of the review against gateways that run as processes of their own.
+// Package standin plays one case of the review against gateways that run as processes of their own.
+// It is built as a test binary, since it acts as the platform and as its clients (review/build.sh):
 //
-//	standin CASE FOLDER
+//	target/review-standin CASE FOLDER
 //
 // It serves the platform's store and servers (package emulator) on loopback addresses, starts the
 // gateways with the command of deploy/system.toml, and sends them requests as the platform's clients
@@ -12,13 +13,14 @@
 // FOLDER/record.txt gets one line for each thing that was sent, answered, run or disturbed, behind
 // the time since the start in seconds. The exit code is 0 if the rule held, 1 if it was broken, and 2
 // if the case could not run.
-package main
+package standin
 
 import (
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
+	"testing"
 )
 
 // Exit codes of a case.
@@ -38,13 +40,14 @@
 	"resume":   playResume,
 }
 
-func main() {
+// TestMain plays the case that the arguments name.
+func TestMain(*testing.M) {
 	os.Exit(run(os.Args[1:]))
 }
 
 func run(args []string) int {
 	if len(args) != 2 || cases[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review-standin CASE FOLDER")
 		return exitNotRun
 	}
 	b, err := newBench(args[1])
--- a/review/standin/resume.go
+++ b/review/standin/resume_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package standin
 
 import (
 	"fmt"
