The end of a target names the parts of the prompts in flight there

An operator who sees targets end in turn could not tell which of the requests' common traits is to blame: a lost attempt does not say that its target ended, and no line or figure counts what ended targets had in common. A line for each end and gateway now names the shared parts, in how many requests each was, and when each was last answered; a counter counts the ends.

Ruled out: parts in each lost request's line, which has them already; what was missing is that the target ended, and the answers beside.

gateway.TestTargetEndNamesParts: the part under which the target ended is named as never answered, the system prompt as answered.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -42,6 +42,9 @@
 type CrashWatcher interface {
 	// CrashNoted reports that a target ended unplanned while a request was in flight there.
 	CrashNoted(target string, change quarantine.Change)
+	// TargetEnded reports that a target ended unplanned while requests of this gateway were in flight
+	// there.
+	TargetEnded(end TargetEnd)
 	// QuarantineChanged reports that a request is held from now on, or no longer; peer is the
 	// gateway that reported it, empty for none.
 	QuarantineChanged(change quarantine.Change, peer string)
@@ -71,6 +74,8 @@
 	incarnations atomic.Int32
 	// inFlight holds the attempts of each request.
 	inFlight map[quarantine.Fingerprint]map[*attempt]struct{}
+	// answeredParts tells which parts of prompts are answered.
+	answeredParts answeredParts
 	// asks limits the questions about the health of targets.
 	asks askBudget
 	wake chan struct{}
@@ -82,7 +87,7 @@
 
 // NewCrashes returns a Crashes that begins to work with Start.
 func NewCrashes(table *quarantine.Table, balancer *balance.Balancer, prober PortProber, watcher CrashWatcher) *Crashes {
-	return &Crashes{Table: table, Balancer: balancer, Prober: prober, Watcher: watcher, losses: make(map[string]*incarnationLosses), inFlight: make(map[quarantine.Fingerprint]map[*attempt]struct{}), asks: newAskBudget(), wake: make(chan struct{}, 1)}
+	return &Crashes{Table: table, Balancer: balancer, Prober: prober, Watcher: watcher, losses: make(map[string]*incarnationLosses), inFlight: make(map[quarantine.Fingerprint]map[*attempt]struct{}), answeredParts: newAnsweredParts(), asks: newAskBudget(), wake: make(chan struct{}, 1)}
 }
 
 // Start begins to check the targets of lost requests.
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -32,6 +32,7 @@
 	sentToPeers []quarantine.Change
 	crashed     []string
 	held        []string
+	ends        []gateway.TargetEnd
 	// silent are the targets that answer nothing, and suspected those that were suspected, in order.
 	silent, suspected []string
 }
@@ -100,6 +101,12 @@
 	prober.crashed = append(prober.crashed, target)
 }
 
+func (prober *fakeProber) TargetEnded(end gateway.TargetEnd) {
+	prober.mu.Lock()
+	defer prober.mu.Unlock()
+	prober.ends = append(prober.ends, end)
+}
+
 func (prober *fakeProber) QuarantineChanged(change quarantine.Change, peer string) {
 	prober.mu.Lock()
 	defer prober.mu.Unlock()
@@ -444,3 +451,33 @@
 		}
 	})
 }
+
+// TestTargetEndNamesParts checks that the report of a target's end names the parts of the prompts in
+// flight there, but for the last ones, and which of them were answered lately.
+func TestTargetEndNamesParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newTestGateway(respond(200, "yes"), lost)
+		prober := startCrashes(t, w)
+		keepOneTarget(w, 1000)
+		serve := func(id string, parts ...string) {
+			request := &gateway.Request{ID: id, Method: "POST", Host: "h", URI: "/once/x", Path: "/once/x", Key: "key", Arrived: time.Now()}
+			for _, part := range parts {
+				request.Parts = append(request.Parts, gateway.Part{ID: part, Tokens: 10})
+			}
+			w.gateway.Serve(t.Context(), request, w.caller)
+		}
+		serve("r1", "system", "own-1")
+		time.Sleep(time.Second)
+		prober.refuses.Store(true)
+		serve("r2", "system", "fatal", "own-2")
+		time.Sleep(time.Second)
+		is.Equal(len(prober.ends), 1)
+		is.Equal(prober.ends[0].Requests, 1)
+		ids := make(map[string]bool)
+		for _, part := range prober.ends[0].Parts {
+			ids[part.ID] = part.AnsweredAgo >= 0
+		}
+		is.Equal(ids, map[string]bool{"system": true, "fatal": false})
+	})
+}
--- a/internal/gateway/losses.go
+++ b/internal/gateway/losses.go
@@ -54,6 +54,7 @@
 	case crashes == nil:
 	case a.result == balance.Good || a.failedItself:
 		crashes.recordAnswered(a.call.fingerprint, now)
+		crashes.answeredParts.record(a.call.request.sharedPartIDs(), now)
 	case a.loss == lossNone || a.call.callerLeft(ctx):
 	default:
 		crashes.recordLoss(a, now)
@@ -73,7 +74,9 @@
 
 // lostRequest is a request that was lost.
 type lostRequest struct {
-	fingerprint    quarantine.Fingerprint
+	fingerprint quarantine.Fingerprint
+	// parts are the IDs of the parts of its prompt that other requests may share.
+	parts          []string
 	sentAt, lostAt time.Time
 	// disconnected means that its connection ended.
 	disconnected bool
@@ -104,7 +107,7 @@
 		c.incarnations.Add(1)
 	}
 	if len(known.requests) < maxLosses {
-		known.requests = append(known.requests, lostRequest{fingerprint: a.call.fingerprint, sentAt: a.started, lostAt: now, disconnected: disconnected})
+		known.requests = append(known.requests, lostRequest{fingerprint: a.call.fingerprint, parts: a.call.request.sharedPartIDs(), sentAt: a.started, lostAt: now, disconnected: disconnected})
 	}
 	if disconnected && known.probes > 0 {
 		known.probes, known.nextProbe = 0, now.Add(firstProbeDelay)
@@ -172,16 +175,21 @@
 // caller must hold c.mu.
 func (c *Crashes) recordCrashes(incarnation string, known *incarnationLosses, end balance.End, now time.Time) {
 	name := quarantineIncarnation(incarnation)
+	var parts partCounts
 	for _, lost := range known.requests {
 		if !lost.inFlightAt(end) {
 			continue
 		}
+		parts.add(lost.parts)
 		change := c.Table.Crashed(lost.fingerprint, name, now)
 		if change.Changed {
 			c.Watcher.CrashNoted(known.target.ID, change)
 		}
 		c.publish(change)
 	}
+	if parts.requests > 0 {
+		c.Watcher.TargetEnded(parts.targetEnd(known.target.ID, c.answeredParts, now))
+	}
 }
 
 // untilNextCheck returns the time until the next check is due.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -61,6 +61,15 @@
 	return hashes, tokens
 }
 
+// sharedPartIDs returns the IDs of all parts but the last, which belongs to this request alone.
+func (r *Request) sharedPartIDs() []string {
+	var ids []string
+	for _, part := range r.Parts[:max(len(r.Parts)-1, 0)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // Outgoing is one attempt at one target.
 type Outgoing struct {
 	Request *Request
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -42,6 +42,7 @@
 	storeCalls      *prometheus.CounterVec
 	replicas        *prometheus.CounterVec
 	badValues       prometheus.Counter
+	targetEnds      prometheus.Counter
 	crashes         prometheus.Counter
 	healthAsks      *prometheus.CounterVec
 	notices         *prometheus.CounterVec
@@ -142,6 +143,10 @@
 			Namespace: namespace, Name: "health_questions_total",
 			Help: "Questions to silent targets about their health, by answer.",
 		}, []string{"answer"}),
+		targetEnds: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "target_ends_total",
+			Help: "Targets that ended without a plan while requests of this gateway were under way there.",
+		}),
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "crashed_requests_total",
 			Help: "Requests that were under way at targets that ended without a plan.",
@@ -157,7 +162,7 @@
 		workspaces: boundedLabel{limit: maxWorkspaces},
 		versions:   boundedLabel{limit: maxVersions},
 	}
-	registry.MustRegister(m.requestSeconds, m.firstSeconds, m.requests, m.attempts, m.versionAttempts, m.retries, m.retriesDenied, m.holderLookups, m.resumedStreams, m.prompts, m.storeCalls, m.replicas, m.badValues, m.crashes, m.healthAsks, m.notices, m.configVersion)
+	registry.MustRegister(m.requestSeconds, m.firstSeconds, m.requests, m.attempts, m.versionAttempts, m.retries, m.retriesDenied, m.holderLookups, m.resumedStreams, m.prompts, m.storeCalls, m.replicas, m.badValues, m.targetEnds, m.crashes, m.healthAsks, m.notices, m.configVersion)
 	return m
 }
 
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -46,6 +46,7 @@
 	EventProcessLate       = "process_late"
 	EventProcessInTime     = "process_in_time"
 	EventRequestsNotLogged = "requests_not_logged"
+	EventTargetEnded       = "target_ended"
 	EventCrash             = "target_crashed"
 	EventHeldBack          = "request_held_back"
 	EventCleared           = "request_cleared"
@@ -66,7 +67,7 @@
 	return []string{
 		EventRequest, EventConfig, EventTargetChanged, EventTargetsListed, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
 		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventTargetSuspected, EventStart, EventDrain, EventAcceptingEnded, EventGraceOver, EventStop, EventReload, EventProcessLate, EventProcessInTime, EventRequestsNotLogged,
-		EventUnusable, EventLeaving, EventTargetResting, EventCallerEnded, EventNoticeUnreadable, EventCrash, EventHeldBack, EventCleared, EventTrial, EventSuspect,
+		EventUnusable, EventLeaving, EventTargetResting, EventCallerEnded, EventNoticeUnreadable, EventTargetEnded, EventCrash, EventHeldBack, EventCleared, EventTrial, EventSuspect,
 		EventRolloutOrdered, EventRolloutStage, EventRolloutHalted, EventRolloutRecorded, EventRolloutCommitFailed,
 	}
 }
--- a/internal/observe/quarantine.go
+++ b/internal/observe/quarantine.go
@@ -1,6 +1,10 @@
 package observe
 
 import (
+	"fmt"
+	"strconv"
+	"strings"
+
 	"github.com/capersaddle/capersaddle/internal/gateway"
 	"github.com/capersaddle/capersaddle/internal/quarantine"
 )
@@ -15,6 +19,21 @@
 	}
 }
 
+// TargetEnded counts and logs that a target ended unplanned while requests were in flight there, with
+// the parts of their prompts: a part that crashes targets is in each end and is never answered.
+func (o *Observer) TargetEnded(end gateway.TargetEnd) {
+	o.metrics.targetEnds.Inc()
+	parts := make([]string, 0, len(end.Parts))
+	for _, part := range end.Parts {
+		answered := "never"
+		if part.AnsweredAgo >= 0 {
+			answered = strconv.FormatInt(part.AnsweredAgo.Milliseconds(), 10) + "ms"
+		}
+		parts = append(parts, fmt.Sprintf("%s(requests:%d,answered:%s)", part.ID, part.Requests, answered))
+	}
+	o.log.Warn(EventTargetEnded, "target", end.Target, "requests", end.Requests, "parts", strings.Join(parts, " "))
+}
+
 // QuarantineChanged logs that a request is held back from now on, or no longer. The peer is the one
 // that reported it; empty for none.
 func (o *Observer) QuarantineChanged(change quarantine.Change, peer string) {
