--- a/internal/emulator/fatal.go
+++ b/internal/emulator/fatal.go
@@ -10,8 +10,11 @@
 
 // Fatal describes requests that crash every server that starts to process one.
 type Fatal struct {
-	// Body is the prefix of the bodies of fatal requests.
+	// Body is the prefix of the bodies of fatal requests; empty if bodies are harmless.
 	Body string
+	// Parts are the IDs of fatal parts: a request is fatal if its prompt holds one of them in any
+	// place but the last.
+	Parts []string
 	// After is the time from the start of processing to the crash.
 	After time.Duration
 	// Back is the time from the crash until the next incarnation of the server listens at the
@@ -25,6 +28,24 @@
 	Unreachable bool
 }
 
+// matches reports whether a request is fatal.
+func (f *Fatal) matches(run Run) bool {
+	if f.Body != "" && strings.HasPrefix(run.Body, f.Body) {
+		return true
+	}
+	return slices.ContainsFunc(run.SharedParts(), func(part string) bool { return slices.Contains(f.Parts, part) })
+}
+
+// SharedParts returns the IDs of the parts of the request's prompt but the last.
+func (r Run) SharedParts() []string {
+	var ids []string
+	for part := range strings.SplitSeq(r.Header.Get("X-Prompt-Prefix"), ",") {
+		id, _, _ := strings.Cut(part, ":")
+		ids = append(ids, id)
+	}
+	return ids[:max(len(ids)-1, 0)]
+}
+
 // entryTimeout is the time after a crash at which the server's entry expires: three heartbeats.
 const entryTimeout = 3 * time.Second
 
@@ -32,7 +53,7 @@
 // it did. The caller holds s.mu.
 func (s *Server) crashIfFatal(run Run) bool {
 	fatal := s.options.Fatal
-	if fatal == nil || s.crashesDisabled || !run.Ran || !strings.HasPrefix(run.Body, fatal.Body) {
+	if fatal == nil || s.crashesDisabled || !run.Ran || !fatal.matches(run) {
 		return false
 	}
 	time.AfterFunc(fatal.After, func() {
