A prompt part that crashes targets is held back, whatever else requests hold

Callers of one route saw over a tenth of their requests fail while engines ended in turn, each under requests with one part in their prompts, no two of which were alike.

Cause: the quarantine counted crashes against whole requests only. What came again in another body was a new request with no crash to its name, was sent to a target, and after the crash to a second one. Class: evidence is kept for one way in which harm comes again (the same bytes), and what crashes may be anything that requests share.

Evidence: of 14 ends in the incident's logs one part was in all and in none of the answers, and no fingerprint was in three.

Change: each part that requests may share has a record in the same table, with the same keepers, rumours, checkpoint and copy in the store. An answer to any request with a part clears it, which keeps the parts of sound requests out. At four ends a part is held, and all gateways know; for two seconds at most it has the benefit of the doubt if its ends were at one moment (a lost data centre) or requests with it run on elsewhere (a new system prompt). Of several parts that were in all ends only requests with all of them are held: the others explain the ends of each. It holds for the workspaces whose requests crashed targets, for all once there are two. Five seconds after the last end one request is sent, which clears a part held by mistake; until then callers get 503 suspected with Retry-After, after another end 400 quarantined. No retry of our own after ends at two moments.

Weighed: a table of its own (all of spreading, saving and trials would stand twice); a record for each workspace and part (the ends of a part that several send would not add up: four targets for each); one request at a time for parts that others explain (sound requests would wait for the answer of the first).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/delivery"
 	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/quarantine"
 	"github.com/capersaddle/capersaddle/internal/routing"
 )
 
@@ -40,8 +41,12 @@
 	// unanswered means that nothing was sent because the target didn't answer a question about its
 	// health.
 	unanswered bool
-	// trial means that the attempt is the single trial of a held request.
-	trial bool
+	// trial means that the attempt is the single trial of a held request. partTrial are the held parts
+	// of which it is the trial.
+	trial     bool
+	partTrial []quarantine.Fingerprint
+	// partsProven means that the stream has gone on for long enough to count as an answer to its parts.
+	partsProven bool
 	// probeEnded means that the result of a half-open probe has been reported.
 	probeEnded bool
 	// confirmed means that the target has prefilled the prompt.
@@ -183,13 +188,11 @@
 		Rank:        c.table.Rank(c.workspace, c.route),
 		FetchFrom:   a.pick.FetchFrom,
 		LastEventID: c.lastEventID,
+		Workspace:   c.workspaceName(),
 		ReuseIdle:   c.route.Repeatable(),
 		Continues:   c.streamVersion != "",
 		ProvenAt:    c.gateway.provenAt(),
 	}
-	if c.workspace != nil {
-		out.Workspace = c.workspace.Name
-	}
 	return out
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -29,6 +29,10 @@
 	service   string
 	// fingerprint identifies the content of the request and its workspace.
 	fingerprint quarantine.Fingerprint
+	// prompt identifies the parts of the prompt that other requests may share, for the quarantine.
+	prompt quarantine.Prompt
+	// heldPart is the ID of the part for which the request was held; empty for none.
+	heldPart string
 	// parts holds the hashes of the shared parts of the prompt, in order.
 	parts []uint64
 	// tokens holds the lengths of the parts.
@@ -94,6 +98,7 @@
 func (c *call) prepare() {
 	c.lastEventID = c.request.LastEventID
 	c.fingerprint = c.requestFingerprint()
+	c.prompt = c.quarantinePrompt()
 	c.deadline = c.request.Arrived.Add(c.timeLimit())
 	if service, ok := c.table.Service(c.route.Split[0].Service); ok && service.Engine {
 		c.parts, c.tokens = c.request.sharedParts()
@@ -103,15 +108,29 @@
 	c.gateway.Budgets.Request(c.service, clock.Now())
 }
 
+// workspaceName returns the name of the caller's workspace; empty on public routes.
+func (c *call) workspaceName() string {
+	if c.workspace == nil {
+		return ""
+	}
+	return c.workspace.Name
+}
+
 // requestFingerprint identifies the content of the request and its workspace.
 func (c *call) requestFingerprint() quarantine.Fingerprint {
-	subject := quarantine.Subject{Method: c.request.Method, Host: c.request.Host, URI: c.request.URI, Body: c.request.Body}
-	if c.workspace != nil {
-		subject.Workspace = c.workspace.Name
-	}
+	subject := quarantine.Subject{Workspace: c.workspaceName(), Method: c.request.Method, Host: c.request.Host, URI: c.request.URI, Body: c.request.Body}
 	return subject.Fingerprint()
 }
 
+// quarantinePrompt identifies the parts of the prompt that other requests may share.
+func (c *call) quarantinePrompt() quarantine.Prompt {
+	prompt := quarantine.Prompt{Workspace: quarantine.Workspace(policy.HashName(c.workspaceName()) >> 32)}
+	for _, id := range c.request.sharedPartIDs() {
+		prompt.Parts = append(prompt.Parts, quarantine.PartFingerprint(id))
+	}
+	return prompt
+}
+
 // splitKey returns the same value for all requests of a session, and for all attempts of a caller to
 // get a stream, so that these keep their service while the traffic split stays the same.
 func (c *call) splitKey() uint64 {
@@ -174,8 +193,8 @@
 func (c *call) tryTargets(ctx context.Context) {
 	for {
 		now := clock.Check()
-		if c.isHeld(now) && !c.mayRunTrial(now) {
-			c.endHeld(now)
+		if held := c.currentHold(now); held.held() && !c.mayRunTrial(held, now) {
+			c.endHeld(held, now)
 			return
 		}
 		c.refreshAssignment(now)
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
+
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/policy"
@@ -17,7 +19,8 @@
 // request together with its connection finds out whether the target ended. A lost connection alone
 // is no proof of that; neither is a planned stop, a caller that disconnected or a failure that was
 // answered. If the target ended, that end counts against all requests that were in flight there. A
-// request that was in flight at several such ends is held. Source: docs/design/quarantine.md.
+// request that was in flight at several such ends is held. The same goes for the parts of prompts that
+// other requests may share. Source: docs/design/quarantine.md.
 
 // PortProber finds out whether a process listens at a target's address.
 type PortProber interface {
@@ -48,7 +51,11 @@
 	// QuarantineChanged reports that a request is held from now on, or no longer; peer is the
 	// gateway that reported it, empty for none.
 	QuarantineChanged(change quarantine.Change, peer string)
-	// TrialBegan reports that one copy of a held request is sent to a target.
+	// PartHeld reports that requests with a part are held back from now on, as this process has found.
+	// The workspace is that of the request that was held back first.
+	PartHeld(part, workspace string, change quarantine.Change)
+	// TrialBegan reports that one copy of a held request, or one request with a held part, is sent to a
+	// target.
 	TrialBegan(target string, change quarantine.Change)
 	// RequestSuspected reports that a target fell silent while it ran a request.
 	RequestSuspected(target string, change quarantine.Change)
@@ -74,8 +81,10 @@
 	incarnations atomic.Int32
 	// inFlight holds the attempts of each request.
 	inFlight map[quarantine.Fingerprint]map[*attempt]struct{}
-	// answeredParts tells which parts of prompts are answered.
-	answeredParts answeredParts
+	// partsInFlight holds the attempts of requests with each part that other requests may share.
+	partsInFlight map[quarantine.Fingerprint]map[*attempt]struct{}
+	// heldParts describes the parts for which requests were held back here.
+	heldParts *lru.Cache[quarantine.Fingerprint, *HeldPart]
 	// asks limits the questions about the health of targets.
 	asks askBudget
 	wake chan struct{}
@@ -87,7 +96,18 @@
 
 // NewCrashes returns a Crashes that begins to work with Start.
 func NewCrashes(table *quarantine.Table, balancer *balance.Balancer, prober PortProber, watcher CrashWatcher) *Crashes {
-	return &Crashes{Table: table, Balancer: balancer, Prober: prober, Watcher: watcher, losses: make(map[string]*incarnationLosses), inFlight: make(map[quarantine.Fingerprint]map[*attempt]struct{}), answeredParts: newAnsweredParts(), asks: newAskBudget(), wake: make(chan struct{}, 1)}
+	return &Crashes{
+		Table:         table,
+		Balancer:      balancer,
+		Prober:        prober,
+		Watcher:       watcher,
+		losses:        make(map[string]*incarnationLosses),
+		inFlight:      make(map[quarantine.Fingerprint]map[*attempt]struct{}),
+		partsInFlight: make(map[quarantine.Fingerprint]map[*attempt]struct{}),
+		heldParts:     newHeldParts(),
+		asks:          newAskBudget(),
+		wake:          make(chan struct{}, 1),
+	}
 }
 
 // Start begins to check the targets of lost requests.
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -32,6 +32,7 @@
 	sentToPeers []quarantine.Change
 	crashed     []string
 	held        []string
+	heldParts   []string
 	ends        []gateway.TargetEnd
 	// silent are the targets that answer nothing, and suspected those that were suspected, in order.
 	silent, suspected []string
@@ -93,6 +94,12 @@
 
 func (prober *fakeProber) TrialPlace(quarantine.Fingerprint) int { return 0 }
 
+func (prober *fakeProber) PartHeld(part, _ string, _ quarantine.Change) {
+	prober.mu.Lock()
+	defer prober.mu.Unlock()
+	prober.heldParts = append(prober.heldParts, part)
+}
+
 func (prober *fakeProber) TrialBegan(string, quarantine.Change) {}
 
 func (prober *fakeProber) CrashNoted(target string, _ quarantine.Change) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -175,8 +175,9 @@
 	if refusal := c.checkStop(clock.Now()); refusal != nil {
 		return refusal
 	}
-	if now := clock.Now(); c.isHeld(now) && !c.mayRunTrial(now) {
-		return c.heldError(fault.NotRun, now)
+	now := clock.Now()
+	if held := c.currentHold(now); held.held() && !c.mayRunTrial(held, now) {
+		return c.heldError(held, fault.NotRun, now)
 	}
 	return nil
 }
--- a/internal/gateway/losses.go
+++ b/internal/gateway/losses.go
@@ -52,9 +52,12 @@
 	crashes := a.call.gateway.Crashes
 	switch {
 	case crashes == nil:
-	case a.result == balance.Good || a.failedItself:
+	case a.result == balance.Good:
+		crashes.recordAnswered(a.call.fingerprint, now)
+		crashes.recordPartsAnswered(a.call, now)
+	case a.failedItself:
+		// A target that fails may do so before it looks at the prompt.
 		crashes.recordAnswered(a.call.fingerprint, now)
-		crashes.answeredParts.record(a.call.request.sharedPartIDs(), now)
 	case a.loss == lossNone || a.call.callerLeft(ctx):
 	default:
 		crashes.recordLoss(a, now)
@@ -75,7 +78,8 @@
 // lostRequest is a request that was lost.
 type lostRequest struct {
 	fingerprint quarantine.Fingerprint
-	// parts are the IDs of the parts of its prompt that other requests may share.
+	// prompt identifies the parts of its prompt that other requests may share, and parts are their IDs.
+	prompt         quarantine.Prompt
 	parts          []string
 	sentAt, lostAt time.Time
 	// disconnected means that its connection ended.
@@ -107,7 +111,7 @@
 		c.incarnations.Add(1)
 	}
 	if len(known.requests) < maxLosses {
-		known.requests = append(known.requests, lostRequest{fingerprint: a.call.fingerprint, parts: a.call.request.sharedPartIDs(), sentAt: a.started, lostAt: now, disconnected: disconnected})
+		known.requests = append(known.requests, lostRequest{fingerprint: a.call.fingerprint, prompt: a.call.prompt, parts: a.call.request.sharedPartIDs(), sentAt: a.started, lostAt: now, disconnected: disconnected})
 	}
 	if disconnected && known.probes > 0 {
 		known.probes, known.nextProbe = 0, now.Add(firstProbeDelay)
@@ -180,7 +184,7 @@
 		if !lost.inFlightAt(end) {
 			continue
 		}
-		parts.add(lost.parts)
+		parts.add(lost)
 		change := c.Table.Crashed(lost.fingerprint, name, now)
 		if change.Changed {
 			c.Watcher.CrashNoted(known.target.ID, change)
@@ -188,7 +192,10 @@
 		c.publish(change)
 	}
 	if parts.requests > 0 {
-		c.Watcher.TargetEnded(parts.targetEnd(known.target.ID, c.answeredParts, now))
+		c.Watcher.TargetEnded(parts.targetEnd(known.target.ID, c.Table, now))
+	}
+	for _, part := range parts.prompts {
+		c.publish(c.Table.PartCrashed(part.fingerprint, part.workspace, name, now))
 	}
 }
 
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -53,6 +53,8 @@
 	// Fingerprint identifies the content of the request and its workspace: a retried request has
 	// the same one. Zero if the request was denied.
 	Fingerprint quarantine.Fingerprint
+	// HeldPart is the ID of the part of the prompt for which the request was held back; empty for none.
+	HeldPart string
 	// ConfigVersion is the version of the configuration that was used.
 	ConfigVersion int64
 	// ProofAge is the age, at the end of the request, of the proof that the configuration was the
@@ -139,6 +141,7 @@
 		OriginTime:       c.originTime,
 		Prompt:           c.request.Parts,
 		Fingerprint:      c.fingerprint,
+		HeldPart:         c.heldPart,
 		Attempts:         c.attempts,
 		SinceStop:        c.gateway.Stop.Since(c.request.Arrived),
 		QueueTime:        c.queueTime,
@@ -161,9 +164,7 @@
 	if c.route != nil {
 		record.Route, record.Kind, record.TargetLatency = c.route.Name, string(c.route.Kind), c.route.TargetLatency
 	}
-	if c.workspace != nil {
-		record.Workspace = c.workspace.Name
-	}
+	record.Workspace = c.workspaceName()
 	return record
 }
 
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -60,7 +60,7 @@
 // flight at targets that ended, or that fell silent, gets one attempt only. A further one is left to
 // its caller.
 func (c *call) canRetry(ctx context.Context) bool {
-	if crashes := c.gateway.Crashes; crashes != nil && !crashes.Table.MayRetry(c.fingerprint, c.lastIncarnation(), clock.Now()) {
+	if crashes := c.gateway.Crashes; crashes != nil && !crashes.mayRetry(c, clock.Now()) {
 		return c.denyRetry(DeniedSuspicious)
 	}
 	return c.canSend(ctx)
--- a/internal/gateway/silent_targets.go
+++ b/internal/gateway/silent_targets.go
@@ -78,20 +78,34 @@
 			c.spawnLocked(func() { c.checkSilent(other) })
 		}
 	}
-	if c.inFlight[fingerprint] == nil {
-		c.inFlight[fingerprint] = make(map[*attempt]struct{})
+	addAttempt(c.inFlight, fingerprint, a)
+	for _, part := range a.call.prompt.Parts {
+		addAttempt(c.partsInFlight, part, a)
 	}
-	c.inFlight[fingerprint][a] = struct{}{}
 	return func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		delete(c.inFlight[fingerprint], a)
-		if len(c.inFlight[fingerprint]) == 0 {
-			delete(c.inFlight, fingerprint)
+		removeAttempt(c.inFlight, fingerprint, a)
+		for _, part := range a.call.prompt.Parts {
+			removeAttempt(c.partsInFlight, part, a)
 		}
 	}
 }
 
+func addAttempt(attempts map[quarantine.Fingerprint]map[*attempt]struct{}, key quarantine.Fingerprint, a *attempt) {
+	if attempts[key] == nil {
+		attempts[key] = make(map[*attempt]struct{})
+	}
+	attempts[key][a] = struct{}{}
+}
+
+func removeAttempt(attempts map[quarantine.Fingerprint]map[*attempt]struct{}, key quarantine.Fingerprint, a *attempt) {
+	delete(attempts[key], a)
+	if len(attempts[key]) == 0 {
+		delete(attempts, key)
+	}
+}
+
 // checkSilent asks the target of an attempt for its health, and records a suspicion if neither the
 // question nor the request is answered.
 func (c *Crashes) checkSilent(a *attempt) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -39,6 +39,7 @@
 			return false
 		}
 		a.events++
+		a.provePartsByEvents(clock.Now())
 		if id != "" {
 			a.call.lastEventID = id
 		}
--- a/internal/gateway/target_end.go
+++ b/internal/gateway/target_end.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/capersaddle/capersaddle/internal/quarantine"
 )
 
 // TargetEnd describes the unplanned end of a target as this gateway saw it.
@@ -28,65 +28,47 @@
 	AnsweredAgo time.Duration
 }
 
-const (
-	// maxEndParts limits the parts in the description of an end.
-	maxEndParts = 16
-	// maxAnsweredParts limits the parts of which the last answer is remembered.
-	maxAnsweredParts = 4096
-)
+// maxEndParts limits the parts in the description of an end.
+const maxEndParts = 16
 
 // partCounts counts the requests that were in flight at a target, by the parts of their prompts.
 type partCounts struct {
 	requests int
 	byPart   map[string]int
+	// prompts are the parts by workspace, each once.
+	prompts []workspacePart
+}
+
+// workspacePart is a part in the prompts of a workspace.
+type workspacePart struct {
+	fingerprint quarantine.Fingerprint
+	workspace   quarantine.Workspace
 }
 
-func (p *partCounts) add(parts []string) {
+func (p *partCounts) add(lost lostRequest) {
 	p.requests++
 	if p.byPart == nil {
 		p.byPart = make(map[string]int)
 	}
-	for _, part := range parts {
+	for _, part := range lost.parts {
 		p.byPart[part]++
 	}
+	for _, fingerprint := range lost.prompt.Parts {
+		part := workspacePart{fingerprint, lost.prompt.Workspace}
+		if !slices.Contains(p.prompts, part) {
+			p.prompts = append(p.prompts, part)
+		}
+	}
 }
 
 // targetEnd describes the end of the target.
-func (p *partCounts) targetEnd(target string, answered answeredParts, now time.Time) TargetEnd {
+func (p *partCounts) targetEnd(target string, table *quarantine.Table, now time.Time) TargetEnd {
 	byCount := func(a, b string) int { return cmp.Or(cmp.Compare(p.byPart[b], p.byPart[a]), cmp.Compare(a, b)) }
 	ids := slices.SortedFunc(maps.Keys(p.byPart), byCount)
 	end := TargetEnd{Target: target, Requests: p.requests}
 	for _, id := range ids[:min(len(ids), maxEndParts)] {
-		end.Parts = append(end.Parts, EndPart{ID: id, Requests: p.byPart[id], AnsweredAgo: answered.ago(id, now)})
+		ago := table.PartAnsweredAgo(quarantine.PartFingerprint(id), now)
+		end.Parts = append(end.Parts, EndPart{ID: id, Requests: p.byPart[id], AnsweredAgo: ago})
 	}
 	return end
 }
-
-// answeredParts remembers when parts of prompts were last in a request that was answered completely.
-// It is safe for concurrent use.
-type answeredParts struct {
-	times *lru.Cache[string, time.Time]
-}
-
-func newAnsweredParts() answeredParts {
-	times, err := lru.New[string, time.Time](maxAnsweredParts)
-	if err != nil {
-		panic(err) // only for a size that is not positive
-	}
-	return answeredParts{times: times}
-}
-
-func (a answeredParts) record(parts []string, now time.Time) {
-	for _, part := range parts {
-		a.times.Add(part, now)
-	}
-}
-
-// ago returns how long ago a part was answered; negative if that isn't known.
-func (a answeredParts) ago(part string, now time.Time) time.Duration {
-	at, ok := a.times.Peek(part)
-	if !ok {
-		return -1
-	}
-	return now.Sub(at)
-}
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -50,6 +50,9 @@
 	EventCrash             = "target_crashed"
 	EventHeldBack          = "request_held_back"
 	EventCleared           = "request_cleared"
+	EventPartAtLimit       = "part_at_limit"
+	EventPartHeld          = "part_held_back"
+	EventPartCleared       = "part_cleared"
 	EventTrial             = "trial_began"
 	EventSuspect           = "request_suspected"
 
@@ -67,7 +70,7 @@
 	return []string{
 		EventRequest, EventConfig, EventTargetChanged, EventTargetsListed, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
 		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventTargetSuspected, EventStart, EventDrain, EventAcceptingEnded, EventGraceOver, EventStop, EventReload, EventProcessLate, EventProcessInTime, EventRequestsNotLogged,
-		EventUnusable, EventLeaving, EventTargetResting, EventCallerEnded, EventNoticeUnreadable, EventTargetEnded, EventCrash, EventHeldBack, EventCleared, EventTrial, EventSuspect,
+		EventUnusable, EventLeaving, EventTargetResting, EventCallerEnded, EventNoticeUnreadable, EventTargetEnded, EventCrash, EventHeldBack, EventCleared, EventPartAtLimit, EventPartHeld, EventPartCleared, EventTrial, EventSuspect,
 		EventRolloutOrdered, EventRolloutStage, EventRolloutHalted, EventRolloutRecorded, EventRolloutCommitFailed,
 	}
 }
@@ -120,7 +123,7 @@
 	o.log.Info(EventRequest,
 		"id", record.ID, "ending", record.Ending, "status", record.Status,
 		"route", record.Route, "kind", record.Kind, "workspace", record.Workspace, "service", record.Service,
-		"session", record.Session, "resumes", record.Resumes, "last_event", record.LastEventID, "stream_version", record.StreamVersion, "origin", record.OriginSource, "origin_ms", wholeMillis(record.OriginTime), "prompt", describePrompt(record.Prompt), "print", record.Fingerprint, "config", record.ConfigVersion, "proof_ms", wholeMillis(record.ProofAge), "stop_ms", wholeMillis(record.SinceStop), "queued_ms", wholeMillis(record.QueueTime), "waited_ms", wholeMillis(record.PrefillWait), "found", record.HolderLookup, "asked_ms", wholeMillis(record.HolderLookupTime),
+		"session", record.Session, "resumes", record.Resumes, "last_event", record.LastEventID, "stream_version", record.StreamVersion, "origin", record.OriginSource, "origin_ms", wholeMillis(record.OriginTime), "prompt", describePrompt(record.Prompt), "print", record.Fingerprint, "held_part", record.HeldPart, "config", record.ConfigVersion, "proof_ms", wholeMillis(record.ProofAge), "stop_ms", wholeMillis(record.SinceStop), "queued_ms", wholeMillis(record.QueueTime), "waited_ms", wholeMillis(record.PrefillWait), "found", record.HolderLookup, "asked_ms", wholeMillis(record.HolderLookupTime),
 		"wanted_ms", wholeMillis(record.TargetLatency), "first_ms", wholeMillis(record.TimeToHead), "took_ms", wholeMillis(record.Took), "no_retry", record.RetryDenial, "attempts", describeAttempts(record.Attempts))
 }
 
--- a/internal/observe/quarantine.go
+++ b/internal/observe/quarantine.go
@@ -38,12 +38,22 @@
 // that reported it; empty for none.
 func (o *Observer) QuarantineChanged(change quarantine.Change, peer string) {
 	event := EventHeldBack
-	if change.HoldEnded() {
+	switch {
+	case change.Fingerprint.IsPart() && change.HoldEnded():
+		event = EventPartCleared
+	case change.Fingerprint.IsPart():
+		event = EventPartAtLimit
+	case change.HoldEnded():
 		event = EventCleared
 	}
 	o.log.Warn(event, "print", change.Fingerprint, "ends", len(change.Incarnations), "silent", change.Suspected(), "before", change.Before, "peer", peer)
 }
 
+// PartHeld logs that requests with a part are held back from now on, as this gateway has found.
+func (o *Observer) PartHeld(part, workspace string, change quarantine.Change) {
+	o.log.Warn(EventPartHeld, "part", part, "workspace", workspace, "print", change.Fingerprint, "ends", len(change.Incarnations))
+}
+
 // RequestSuspected logs that a target fell silent while it ran a request.
 func (o *Observer) RequestSuspected(target string, change quarantine.Change) {
 	o.log.Info(EventSuspect, "target", target, "print", change.Fingerprint, "ends", len(change.Incarnations), "silent", change.Suspected())
--- a/internal/peer/refused.go
+++ b/internal/peer/refused.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/capersaddle/capersaddle/internal/policy"
+	"github.com/capersaddle/capersaddle/internal/quarantine"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -36,6 +37,7 @@
 			continue
 		}
 		added = append(added, target)
+		s.crashes.table.HeardOfCrash(quarantine.Incarnation(target), now)
 		s.options.Watcher.TargetRefused(id, from.id)
 	}
 	s.spreadRefused(added)
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -9,8 +9,10 @@
 // Fingerprint identifies a request by its content and its workspace. A request that is sent again
 // has the same fingerprint, whatever its attempt id is and whichever gateway receives it.
 //
+// Parts of prompts have fingerprints too, which are told apart by their highest bit.
+//
 // It is a prefix of a SHA-256 hash, so that no caller can construct a request that is mistaken for
-// another caller's request: matching a given fingerprint takes some 2^64 attempts.
+// another caller's request: matching a given fingerprint takes some 2^63 attempts.
 type Fingerprint uint64
 
 // String formats the fingerprint as it appears in logs and commands.
@@ -55,5 +57,5 @@
 	hash.Write(header)
 	hash.Write(s.Body)
 	var sum [sha256.Size]byte
-	return Fingerprint(binary.BigEndian.Uint64(hash.Sum(sum[:0])))
+	return Fingerprint(binary.BigEndian.Uint64(hash.Sum(sum[:0]))) &^ partBit
 }
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -16,6 +16,10 @@
 	for _, incarnation := range r.Incarnations {
 		message.Lives = append(message.Lives, uint32(incarnation))
 	}
+	message.Confirmed = r.Confirmed
+	for _, workspace := range r.Workspaces {
+		message.Workspaces = append(message.Workspaces, uint32(workspace))
+	}
 	for _, suspect := range r.Suspects {
 		message.Suspects = append(message.Suspects, uint32(suspect.Incarnation))
 		message.SuspectEvidence = append(message.SuspectEvidence, uint32(suspect.Evidence))
@@ -32,6 +36,10 @@
 	for _, incarnation := range message.GetLives() {
 		record.Incarnations = append(record.Incarnations, Incarnation(incarnation))
 	}
+	record.Confirmed = message.GetConfirmed()
+	for _, workspace := range message.GetWorkspaces() {
+		record.Workspaces = append(record.Workspaces, Workspace(workspace))
+	}
 	evidence := message.GetSuspectEvidence()
 	for i, incarnation := range message.GetSuspects() {
 		if i < len(evidence) {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -33,6 +33,10 @@
 	// Suspects are incarnations that fell silent while they ran the request, sorted, each once, none
 	// of Incarnations, at most maxSuspects.
 	Suspects []Suspect
+	// Workspaces are those of the requests with a part that were in flight at crashes, sorted, the
+	// lowest maxWorkspaces. Confirmed means that the part is held. Both are only set for parts.
+	Workspaces []Workspace
+	Confirmed  bool
 	// Trials counts the trials that have started since the request was last cleared, and
 	// UnrunTrials those that no target ran. TrialIncarnation is the incarnation that runs or ran
 	// the last trial; zero if none did.
@@ -42,13 +46,13 @@
 
 // atLimit reports whether the request has enough crashes to be held, at least for a while.
 func (r Record) atLimit() bool {
-	return len(r.Incarnations) >= Limit
+	return len(r.Incarnations) >= r.limit()
 }
 
 // ConcernsAll reports whether all gateways need the record, and not only the keepers of the request:
 // one more crash or silent target may hold the request.
 func (r Record) ConcernsAll() bool {
-	return r.ends() >= Limit-1
+	return r.ends() >= r.limit()-1
 }
 
 // limited reports whether the request is to be held, for its crashes or for silence.
@@ -58,7 +62,7 @@
 
 // Suspicious reports whether the request was in flight at more than one crash.
 func (r Record) Suspicious() bool {
-	return len(r.Incarnations) >= Limit-1
+	return len(r.Incarnations) >= r.limit()-1
 }
 
 // join merges two records of the same request.
@@ -71,6 +75,8 @@
 	}
 	r.Incarnations = append(slices.Clone(r.Incarnations), other.Incarnations...)
 	r.Suspects = append(slices.Clone(r.Suspects), other.Suspects...)
+	r.Workspaces = append(slices.Clone(r.Workspaces), other.Workspaces...)
+	r.Confirmed = r.Confirmed || other.Confirmed
 	if cmp.Or(cmp.Compare(other.Trials, r.Trials), cmp.Compare(other.UnrunTrials, r.UnrunTrials), cmp.Compare(other.TrialIncarnation, r.TrialIncarnation)) > 0 {
 		r.Trials, r.UnrunTrials, r.TrialIncarnation = other.Trials, other.UnrunTrials, other.TrialIncarnation
 	}
@@ -84,6 +90,10 @@
 	incarnations = slices.Compact(incarnations)
 	r.Incarnations = incarnations[:min(len(incarnations), maxIncarnations)]
 	r.Suspects = mergeSuspects(r.Suspects, r.Incarnations)
+	r.Workspaces = slices.Clone(r.Workspaces)
+	slices.Sort(r.Workspaces)
+	r.Workspaces = slices.Compact(r.Workspaces)
+	r.Workspaces = r.Workspaces[:min(len(r.Workspaces), maxWorkspaces)]
 	if r.UnrunTrials = min(r.UnrunTrials, r.Trials); r.Trials == r.UnrunTrials {
 		r.TrialIncarnation = 0
 	}
@@ -94,7 +104,8 @@
 func (r Record) Equal(other Record) bool {
 	same := r.Fingerprint == other.Fingerprint && r.Epoch == other.Epoch
 	sameTrial := r.Trials == other.Trials && r.UnrunTrials == other.UnrunTrials && r.TrialIncarnation == other.TrialIncarnation
-	return same && sameTrial && slices.Equal(r.Incarnations, other.Incarnations) && slices.Equal(r.Suspects, other.Suspects)
+	sameScope := r.Confirmed == other.Confirmed && slices.Equal(r.Workspaces, other.Workspaces)
+	return same && sameTrial && sameScope && slices.Equal(r.Incarnations, other.Incarnations) && slices.Equal(r.Suspects, other.Suspects)
 }
 
 // Change describes the effect of an update on a request's record.
@@ -115,7 +126,7 @@
 
 // Broadcast reports whether all gateways need the record, and not only the keepers of the request.
 func (c Change) Broadcast() bool {
-	return c.ConcernsAll() || c.clearedOnMerge || c.Before >= Limit-1 || c.previous.ConcernsAll()
+	return c.ConcernsAll() || c.clearedOnMerge || c.previous.Suspicious() || c.previous.ConcernsAll()
 }
 
 // ClearedOnMerge reports whether this process has cleared the crashes that other gateways
@@ -132,7 +143,7 @@
 	return c.Changed && !c.limited() && c.limitedBefore()
 }
 
-func (c Change) limitedBefore() bool { return c.Before >= Limit || c.previous.heldForSilence() }
+func (c Change) limitedBefore() bool { return c.previous.atLimit() || c.previous.heldForSilence() }
 
 // digest returns a hash of a record at the limit, and zero for any other.
 func (r Record) digest() uint64 {
@@ -145,5 +156,11 @@
 		hash = (hash ^ uint64(incarnation)) * prime
 		hash ^= hash >> 29
 	}
+	for _, workspace := range r.Workspaces {
+		hash = (hash ^ uint64(workspace)) * prime
+	}
+	if r.Confirmed {
+		hash ^= prime
+	}
 	return hash
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -39,6 +39,8 @@
 // entry is a record with the table's own data about it.
 type entry struct {
 	Record
+	// limitAt is when the record reached its limit.
+	limitAt time.Time
 	// changedAt is when the last crash, suspicion or clearing was recorded.
 	changedAt time.Time
 	// restored reports whether the record was loaded from the store, so that all evidence of which
@@ -52,7 +54,7 @@
 		return suspectTerm
 	}
 	term := FirstTerm
-	for range len(e.Incarnations) - Limit {
+	for range len(e.Incarnations) - e.limit() {
 		term = min(termGrowth*term, MaxTerm)
 	}
 	return term
@@ -86,6 +88,10 @@
 	entries map[Fingerprint]*entry
 	// digest covers the records at the limit. Each heartbeat contains it.
 	digest uint64
+	// limited holds the entries at their limit. partsAtLimit is how many of them are of parts, so that
+	// other goroutines can see without locking whether there are any.
+	limited      map[Fingerprint]*entry
+	partsAtLimit atomic.Int64
 	// changes counts the records that were added or changed.
 	changes uint64
 	// suspects counts the records in which an incarnation is suspected and may have ended, and
@@ -95,15 +101,31 @@
 	// answered holds the time at which recent requests were fully answered. It is local to this
 	// process.
 	answered *lru.Cache[Fingerprint, time.Time]
+	// answeredParts holds the time at which parts were last answered here, and heard the time at which
+	// this process learned of each crash.
+	answeredParts *lru.Cache[Fingerprint, time.Time]
+	heard         *lru.Cache[Incarnation, time.Time]
 }
 
 // New returns an empty table.
 func New() *Table {
-	answered, err := lru.New[Fingerprint, time.Time](maxAnswered)
+	return &Table{
+		entries:       make(map[Fingerprint]*entry),
+		limited:       make(map[Fingerprint]*entry),
+		suspects:      make(map[Incarnation]int),
+		answered:      newTimes[Fingerprint](maxAnswered),
+		answeredParts: newTimes[Fingerprint](maxAnsweredParts),
+		heard:         newTimes[Incarnation](maxHeardCrashes),
+	}
+}
+
+// newTimes returns a cache of the times of the last events by key.
+func newTimes[K comparable](size int) *lru.Cache[K, time.Time] {
+	times, err := lru.New[K, time.Time](size)
 	if err != nil {
 		panic(err) // only for a size that is not positive
 	}
-	return &Table{entries: make(map[Fingerprint]*entry), suspects: make(map[Incarnation]int), answered: answered}
+	return times
 }
 
 // Crashed records that an incarnation of a target crashed while a request was in flight there.
@@ -173,6 +195,9 @@
 // answerClears reports whether an answer that was received here lately clears a record. The caller
 // must hold t.mu.
 func (t *Table) answerClears(record Record, now time.Time) bool {
+	if record.Fingerprint.IsPart() {
+		return record.Suspicious() && t.partAnsweredLately(record.Fingerprint, now)
+	}
 	if record.Suspicious() {
 		return t.consumeAnswer(record.Fingerprint, now)
 	}
@@ -209,6 +234,12 @@
 		t.evict(now)
 		t.entries[other.Fingerprint] = e
 	}
+	for _, incarnation := range joined.Incarnations {
+		t.HeardOfCrash(incarnation, now)
+	}
+	if joined.atLimit() && (!e.atLimit() || joined.Epoch != e.Epoch) {
+		e.limitAt = now
+	}
 	t.digest ^= e.digest() ^ joined.digest()
 	t.countSuspects(e.Record, -1)
 	t.countSuspects(joined, 1)
@@ -216,10 +247,29 @@
 		e.changedAt = now // an answer of a suspect doesn't extend the hold
 	}
 	e.Record, e.restored = joined, false
+	t.setLimited(e, e.atLimit())
 	t.changes++
 	return change
 }
 
+// setLimited records whether an entry is at its limit. The caller must hold t.mu.
+func (t *Table) setLimited(e *entry, limited bool) {
+	_, before := t.limited[e.Fingerprint]
+	if limited == before {
+		return
+	}
+	change := int64(1)
+	if limited {
+		t.limited[e.Fingerprint] = e
+	} else {
+		delete(t.limited, e.Fingerprint)
+		change = -1
+	}
+	if e.Fingerprint.IsPart() {
+		t.partsAtLimit.Add(change)
+	}
+}
+
 func (t *Table) epochOf(fingerprint Fingerprint) uint32 {
 	if e, ok := t.entries[fingerprint]; ok {
 		return e.Epoch
@@ -253,6 +303,7 @@
 // remove deletes a record. The caller must hold t.mu.
 func (t *Table) remove(e *entry) {
 	t.digest ^= e.digest()
+	t.setLimited(e, false)
 	t.countSuspects(e.Record, -1)
 	delete(t.entries, e.Fingerprint)
 }
@@ -290,23 +341,23 @@
 
 // Records returns all records, those with the most crashes first.
 func (t *Table) Records(now time.Time) []Record {
-	return t.records(now, 0)
+	return t.records(now, func(Record) bool { return true })
 }
 
-// AtLimit returns the records of requests that are held or were recently, those with the most
-// crashes first.
+// AtLimit returns the records of requests and parts that are held or were recently, those with the
+// most crashes first.
 func (t *Table) AtLimit(now time.Time) []Record {
-	return t.records(now, Limit)
+	return t.records(now, Record.atLimit)
 }
 
-// records returns the records with at least minCrashes crashes.
-func (t *Table) records(now time.Time, minCrashes int) []Record {
+// records returns the selected records.
+func (t *Table) records(now time.Time, selected func(Record) bool) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
 	records := make([]Record, 0, len(t.entries))
 	for _, e := range t.entries {
-		if len(e.Incarnations) >= minCrashes {
+		if selected(e.Record) {
 			records = append(records, e.Record)
 		}
 	}
@@ -323,7 +374,7 @@
 	return t.digest
 }
 
-// HeldRequest is a held request as operators see it.
+// HeldRequest is a held request, or a held part of prompts, as operators see it.
 type HeldRequest struct {
 	Fingerprint Fingerprint
 	// Crashes is the number of targets that crashed under it, and Suspected that of those that fell
@@ -333,13 +384,13 @@
 	Remaining time.Duration
 }
 
-// HeldRequests returns the requests that are held now, the most recent hold first.
+// HeldRequests returns the requests and the parts that are held now, the most recent hold first.
 func (t *Table) HeldRequests(now time.Time) []HeldRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var cases []HeldRequest
 	for _, e := range t.entries {
-		if e.isHeld(now) {
+		if e.isHeld(now) && (e.Confirmed || !e.Fingerprint.IsPart()) {
 			cases = append(cases, HeldRequest{Fingerprint: e.Fingerprint, Crashes: len(e.Incarnations), Suspected: e.Suspected(), Remaining: e.term() - now.Sub(e.changedAt)})
 		}
 	}
