Operators see, list and lift held parts

A held part has no line of its own in what operators read: the list named prints only, and explain looked for the lines of the refused request.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -18,6 +18,7 @@
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/gateway"
 	"github.com/capersaddle/capersaddle/internal/observe"
+	"github.com/capersaddle/capersaddle/internal/quarantine"
 )
 
 // maxLine bounds a line, in bytes.
@@ -54,6 +55,8 @@
 	// Fingerprint identifies the content of a request, in its own line and in those of its
 	// quarantine.
 	Fingerprint string `json:"print,omitempty"`
+	// HeldPart is the ID of the part of its prompt for which a request was held back.
+	HeldPart string `json:"held_part,omitempty"`
 	// DataCenter is the data centre of the process, in the line of its start.
 	DataCenter string `json:"data_center,omitempty"`
 	// Count is the number of requests that were not logged.
@@ -135,7 +138,8 @@
 	targets map[string]bool
 	from    time.Time
 	to      time.Time
-	// heldFingerprint is the fingerprint of the request if it was held back.
+	// heldFingerprint is the fingerprint of the request, or of the part of its prompt, that was held
+	// back.
 	heldFingerprint string
 	// closedService is the service for which the process found no usable target; empty if the
 	// request did not end that way.
@@ -159,6 +163,9 @@
 		}
 		if line.Ending == string(fault.Quarantined) || line.Ending == string(fault.Suspected) {
 			context.heldFingerprint = line.Fingerprint
+			if line.HeldPart != "" {
+				context.heldFingerprint = quarantine.PartFingerprint(line.HeldPart).String()
+			}
 		}
 		if line.Ending == string(fault.NoTarget) {
 			context.closedService, context.process = line.Service, line.Process
@@ -234,6 +241,14 @@
 	"quarantined":    "several targets had crashed while they ran this request, so it is sent to no other; the lines with its print say which",
 }
 
+// heldPartCauses maps the ending of a request that was held back for a part of its prompt to an
+// explanation, which the ID of the part follows.
+var heldPartCauses = map[string]string{
+	"suspected":     "several targets had crashed while they ran requests with a part of this prompt, and no target has answered one since; it was not run; capersaddle quarantine list names the part: ",
+	"quarantined":   "several targets had crashed while they ran requests with a part of this prompt, so requests with it are sent to no other; the part: ",
+	"target_failed": "a target crashed while it ran the request, and requests with a part of this prompt are sent to no other; the part: ",
+}
+
 // denials maps the reasons to deny a further attempt to explanations.
 var denials = map[gateway.RetryDenial]string{
 	gateway.DeniedSuspicious: "targets had crashed while they ran the request",
@@ -247,6 +262,9 @@
 // likelyCause returns the likely cause of a request's end.
 func likelyCause(line Line) string {
 	text, ok := causes[line.Ending]
+	if line.HeldPart != "" {
+		text = heldPartCauses[line.Ending] + line.HeldPart
+	}
 	if !ok {
 		return "ended as " + line.Ending
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -7,9 +7,10 @@
 	"github.com/matryer/is"
 
 	"github.com/capersaddle/capersaddle/internal/explain"
+	"github.com/capersaddle/capersaddle/internal/quarantine"
 )
 
-const logs = `   4.1000 gw-1 {"time":"2026-12-02T10:00:04.1Z","level":"info","msg":"request","process":"gw-1","id":"r1","ending":"target_failed","status":502,"config":7,"proof_ms":300,"took_ms":90,"attempts":"i-1@10.0.0.1:80=lost(took_ms:88,reason:EOF)"}
+var logs = `   4.1000 gw-1 {"time":"2026-12-02T10:00:04.1Z","level":"info","msg":"request","process":"gw-1","id":"r1","ending":"target_failed","status":502,"config":7,"proof_ms":300,"took_ms":90,"attempts":"i-1@10.0.0.1:80=lost(took_ms:88,reason:EOF)"}
 not a log line
 {"time":"2026-12-02T10:00:04.05Z","level":"warn","msg":"target_ejected","process":"gw-2","target":"i-1","request":"r0","reason":"EOF"}
 {"time":"2026-12-02T10:00:01Z","level":"info","msg":"config_applied","process":"gw-1","version":7,"before":3}
@@ -30,8 +31,13 @@
 {"time":"2026-12-02T10:00:16Z","level":"info","msg":"request","process":"gw-1","id":"r7","ending":"overloaded","status":429,"no_retry":"budget","attempts":"i-9@10.0.0.9:80=rejected(took_ms:1)"}
 {"time":"2026-12-02T10:00:17Z","level":"info","msg":"request","process":"gw-1","id":"r8","ending":"cut","status":200,"attempts":"i-10@10.0.0.9:80=cut(took_ms:1,version:v1,events:3)"}
 {"time":"2026-12-02T10:00:18Z","level":"info","msg":"request","process":"gw-2","id":"r9","ending":"answered","status":200,"resumes":"r8","last_event":"3","attempts":"i-11@10.0.0.9:80=answered(took_ms:1,version:v2,events:3)"}
+{"time":"2026-12-02T10:00:19Z","level":"warn","msg":"part_held_back","process":"gw-2","part":"5c1e07a2","print":"` + partPrint + `","ends":4}
+{"time":"2026-12-02T10:00:20Z","level":"info","msg":"request","process":"gw-1","id":"r11","ending":"suspected","status":503,"print":"00000000000000ab","held_part":"5c1e07a2"}
 `
 
+// partPrint is the fingerprint of part 5c1e07a2.
+var partPrint = quarantine.PartFingerprint("5c1e07a2").String()
+
 func TestTimeline(t *testing.T) {
 	cases := map[string]struct {
 		subject string
@@ -46,6 +52,7 @@
 		"another service":  {"rollout:t", []string{"rollout_ordered"}, ""},
 		"a held request":   {"r4", []string{"target_crashed", "request_held_back", "request"}, "sent to no other"},
 		"a fingerprint":    {"print:00000000000000aa", []string{"target_crashed", "request_held_back", "request", "request"}, ""},
+		"a held part":      {"r11", []string{"part_held_back", "request"}, "the part: 5c1e07a2"},
 		"no open target":   {"r6", []string{"target_rests", "target_leaves", "request"}, "says why none is open"},
 		"a resting target": {"i-5", []string{"target_rests", "target_rests"}, ""},
 		"no budget":        {"r7", []string{"request"}, "it was not run; no further attempt: the retry budget was spent; attempts: i-9@"},
--- a/pkg/cmd/quarantine/lift/lift.go
+++ b/pkg/cmd/quarantine/lift/lift.go
@@ -25,10 +25,11 @@
 	opts := &LiftOptions{IO: f.IOStreams, Gateway: f.Gateway}
 	cmd := &cobra.Command{
 		Use:   "lift <address> <print>",
-		Short: "Release a request that is held back",
-		Long: `Release a request that is held back, at all gateways within a moment.
+		Short: "Release a request or a part of prompts that is held back",
+		Long: `Release a request or a part of prompts that is held back, at all gateways within a moment.
 
-If it still crashes the targets that run it, three more crash until it is held back again.`,
+If it still crashes the targets that run it, three more crash until it is held back again,
+or four and a few that were under way for a part.`,
 		Example: `  $ capersaddle quarantine lift 127.0.0.1:8302 19ce43b63e82f588`,
 		Args:    cobra.ExactArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
--- a/pkg/cmd/quarantine/quarantine.go
+++ b/pkg/cmd/quarantine/quarantine.go
@@ -1,4 +1,4 @@
-// Package quarantine groups the commands for requests that are held back since targets crashed
+// Package quarantine groups the commands for requests and parts of prompts that are held back since targets crashed
 // while they ran them.
 package quarantine
 
--- a/pkg/cmd/quarantine/quarantine_test.go
+++ b/pkg/cmd/quarantine/quarantine_test.go
@@ -14,10 +14,12 @@
 )
 
 const (
-	answer = `[{"print":"19ce43b63e82f588","ends":3,"left_ms":512400},{"print":"00000000000000aa","ends":9,"left_ms":38400000}]`
-	table  = `PRINT             TARGETS ENDED  HELD BACK FOR
-19ce43b63e82f588  3              8m32s
-00000000000000aa  9              10h40m0s
+	answer = `[{"print":"19ce43b63e82f588","ends":3,"left_ms":512400},{"print":"00000000000000aa","ends":9,"left_ms":38400000},{"print":"fa00000000000001","ends":5,"left_ms":600000,"is_part":true,"part":"5c1e07a2","workspace":"clinic","requests":7},{"print":"fa00000000000002","ends":4,"left_ms":600000,"is_part":true}]`
+	table  = `PRINT             TARGETS ENDED  HELD BACK FOR  WHAT
+19ce43b63e82f588  3              8m32s          a request
+00000000000000aa  9              10h40m0s       a request
+fa00000000000001  5              10m0s          part 5c1e07a2; 7 requests here, the last of "clinic"
+fa00000000000002  4              10m0s          a part; no request with it came here
 `
 )
 
