--- a/internal/emulator/answers.go
+++ b/internal/emulator/answers.go
@@ -45,8 +45,8 @@
 		w.Header().Del("X-Server-Stamp")
 		_, _ = io.WriteString(w, "not the server's")
 		return
-	case ResetAfter, Unframed, EndInside, Foreign, Garbage:
-		s.writeRaw(w, mode)
+	case ResetAfter, Unframed, EndInside, UnframedReset, Foreign, Garbage:
+		s.writeRaw(w, mode, lastEventID)
 		return
 	}
 	s.setNoticeHeaders(w.Header(), http.StatusOK)
@@ -101,7 +101,7 @@
 }
 
 // writeRaw hijacks the connection and writes responses that an HTTP library doesn't produce.
-func (s *Server) writeRaw(w http.ResponseWriter, mode Mode) {
+func (s *Server) writeRaw(w http.ResponseWriter, mode Mode, lastEventID int) {
 	conn, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -114,16 +114,13 @@
 	}
 	switch mode {
 	case ResetAfter:
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-	case Unframed, EndInside:
-		body := s.completeBody()
-		if mode == EndInside && s.options.Events > 0 {
-			body = Event(1) + Event(2)[:6]
-		}
-		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\n%s\r\n%s", id, s.stamp(id), noticeLines, body)
+		resetOnClose(conn)
+	case Unframed, EndInside, UnframedReset:
+		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\n%s\r\n%s", id, s.stamp(id), noticeLines, s.unframedBody(mode, lastEventID))
 		_ = buffered.Flush()
+		if mode == UnframedReset {
+			resetOnClose(conn)
+		}
 	case Foreign:
 		// The second response closes the connection and announces it in its header, so that the
 		// client doesn't reuse the connection: a request sent on it could cross the close.
@@ -137,6 +134,30 @@
 	}
 }
 
+// resetOnClose makes the close of a connection reset it.
+func resetOnClose(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// unframedBody returns what a server sends of a response that ends with its connection.
+func (s *Server) unframedBody(mode Mode, lastEventID int) string {
+	switch {
+	case mode == Unframed && s.options.Events > 0:
+		var text strings.Builder
+		for number := lastEventID + 1; number <= s.options.Events; number++ {
+			text.WriteString(s.event(number))
+		}
+		return text.String()
+	case s.options.Events > 0:
+		return s.event(lastEventID+1) + s.event(lastEventID + 2)[:6]
+	case mode == UnframedReset:
+		return Body[:len(Body)/2]
+	}
+	return Body
+}
+
 // completeBody returns the body of a complete response.
 func (s *Server) completeBody() string {
 	if s.options.Events == 0 {
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -40,6 +40,8 @@
 	Unsigned Mode = "unsigned"
 	// EndInside sends an unframed stream that ends inside an event.
 	EndInside Mode = "end_inside"
+	// UnframedReset sends a part of an unframed response and resets the connection.
+	UnframedReset Mode = "unframed_reset"
 	// Early answers before it has read the body.
 	Early Mode = "early"
 )
--- a/internal/process/gateway_test.go
+++ b/internal/process/gateway_test.go
@@ -265,6 +265,12 @@
 		"stream, truncated, is resumed":            {emulator.CutMiddle, "/chat/1", 200, 2, true},
 		"stream, reset, is resumed":                {emulator.ResetAfter, "/chat/1", 200, 2, true},
 		"stream, unframed":                         {emulator.Unframed, "/chat/1", 200, 1, true},
+		"stream, unframed, ends inside an event":   {emulator.EndInside, "/chat/1", 200, 2, true},
+		"stream, unframed, reset":                  {emulator.UnframedReset, "/chat/1", 200, 2, true},
+		"query, unframed":                          {emulator.Unframed, "/ask/1", 200, 1, false},
+		"query, unframed, reset, is retried":       {emulator.UnframedReset, "/ask/1", 200, 2, false},
+		"payment, unframed":                        {emulator.Unframed, "/pay/1", 200, 1, false},
+		"payment, unframed, reset":                 {emulator.UnframedReset, "/pay/1", http.StatusBadGateway, 1, false},
 	}
 	number := 0
 	for name, tc := range cases {
