The soak of fatal requests has one of fatal parts beside it

One to three fatal parts, each request another body, every 150 ms beside 130 sound requests a second, while gateways are killed, paused and cut off from the store and the store goes.

--- a/internal/soak/fatal_test.go
+++ b/internal/soak/fatal_test.go
@@ -22,7 +22,8 @@
 
 // This soak sends requests that crash their targets, through gateways that are killed, frozen
 // and cut off from the store meanwhile. Each fatal request must be stopped after its third
-// crash, as far as gateways that have been undisturbed for a while are concerned.
+// crash, as far as gateways that have been undisturbed for a while are concerned. So must requests with
+// a fatal part in their prompts after its fifth crash, of which no two are alike.
 
 const (
 	fatalTargets = 8
@@ -36,12 +37,57 @@
 	// often undisturbed gateways may send it later than undisturbedTime after that. A gateway
 	// counts as undisturbed once no fault has affected it for undisturbedTime.
 	crashLimit      = 3
+	partCrashLimit  = 5
 	maxLate         = 3
 	undisturbedTime = 3 * time.Second
 	// envFatalSeeds names the variable with the number of seeds to run.
 	envFatalSeeds = "CAPERSADDLE_SOAK_FATAL_SEEDS"
 )
 
+// fatalLoad is one kind of requests that a soak sends repeatedly.
+type fatalLoad struct {
+	name string
+	// body is the body of all of them; empty if each has a different one.
+	body string
+	// part returns the shared part of the prompt of a request by its number.
+	part func(count int) string
+	// crashLimit is the number of crashes after which they must be stopped; zero if they are sound.
+	crashLimit int
+}
+
+// fatalPartID is the prefix of the IDs of fatal parts.
+const fatalPartID = "fa7a"
+
+func soundPart(count int) string { return fmt.Sprintf("5e%02d", count%20) }
+
+// fatalRequests returns loads of fatal requests, each of them the same each time.
+func fatalRequests(count int) []fatalLoad {
+	var loads []fatalLoad
+	for number := range count {
+		body := fmt.Sprintf("fatal %d", number)
+		loads = append(loads, fatalLoad{name: body, body: body, part: soundPart, crashLimit: crashLimit})
+	}
+	return loads
+}
+
+// fatalParts returns loads of requests with fatal parts.
+func fatalParts(count int) []fatalLoad {
+	var loads []fatalLoad
+	for number := range count {
+		part := fmt.Sprint(fatalPartID, number)
+		loads = append(loads, fatalLoad{name: "part " + part, part: func(int) string { return part }, crashLimit: partCrashLimit})
+	}
+	return loads
+}
+
+// has reports whether a request belongs to the load, if that is fatal.
+func (l fatalLoad) has(run emulator.Run) bool {
+	if l.body != "" {
+		return run.Body == l.body
+	}
+	return slices.Contains(run.SharedParts(), l.part(0))
+}
+
 // fatalSoak is one run of the soak with one seed.
 type fatalSoak struct {
 	*soak
@@ -54,8 +100,14 @@
 	normalServed int
 }
 
-// TestFatalSoak runs a few seeds; the environment can ask for more.
-func TestFatalSoak(t *testing.T) {
+// TestFatalSoak runs a few seeds with fatal requests; the environment can ask for more.
+func TestFatalSoak(t *testing.T) { runFatalSeeds(t, fatalRequests) }
+
+// TestFatalPartSoak does the same with fatal parts of prompts.
+func TestFatalPartSoak(t *testing.T) { runFatalSeeds(t, fatalParts) }
+
+func runFatalSeeds(t *testing.T, loads func(count int) []fatalLoad) {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "capersaddle")
 	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/capersaddle").CombinedOutput()
 	if err != nil {
@@ -64,11 +116,11 @@
 	first := envNumber(t, envFirst, 1)
 	for i := range envNumber(t, envFatalSeeds, 2) {
 		seed := uint64(first + i)
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runFatalSeed(t, binary, seed) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runFatalSeed(t, binary, seed, loads) })
 	}
 }
 
-func runFatalSeed(t *testing.T, binary string, seed uint64) {
+func runFatalSeed(t *testing.T, binary string, seed uint64, loads func(count int) []fatalLoad) {
 	s := &fatalSoak{soak: &soak{t: t, binary: binary, seed: seed}, senders: make(map[string]string)}
 	s.startFatalSystem(4)
 	defer s.stopSystem()
@@ -76,12 +128,14 @@
 	ctx, cancel := context.WithTimeout(t.Context(), fatalDuration)
 	defer cancel()
 	var calling sync.WaitGroup
-	fatals := 1 + rng.IntN(3)
-	for fatal := range fatals {
-		calling.Go(func() { s.sendRepeatedly(ctx, fmt.Sprintf("fatal %d", fatal), fatalInterval) })
+	fatals := loads(1 + rng.IntN(3))
+	for _, load := range fatals {
+		calling.Go(func() { s.sendRepeatedly(ctx, load, fatalInterval) })
 	}
-	calling.Go(func() { s.sendRepeatedly(ctx, "alike", fatalInterval/10) })
-	calling.Go(func() { s.sendRepeatedly(ctx, "", fatalInterval/10) })
+	calling.Go(func() {
+		s.sendRepeatedly(ctx, fatalLoad{name: "alike", body: "alike", part: soundPart}, fatalInterval/10)
+	})
+	calling.Go(func() { s.sendRepeatedly(ctx, fatalLoad{name: "sound", part: soundPart}, fatalInterval/10) })
 	s.disturbGateways(ctx, rng)
 	calling.Wait()
 	s.faults.Wait()
@@ -105,7 +159,7 @@
 	for i := range fatalTargets {
 		options := emulator.ServerOptions{
 			ID: fmt.Sprintf("t-%d", i), Work: work, KeepsID: s.seed%2 == 0,
-			Fatal: &emulator.Fatal{Body: "fatal", After: work / 2, Back: fatalRestartDelay},
+			Fatal: &emulator.Fatal{Body: "fatal", Parts: []string{fatalPartID + "0", fatalPartID + "1", fatalPartID + "2"}, After: work / 2, Back: fatalRestartDelay},
 		}
 		_, err := s.platform.AddServer("plain", "dc", "127.0.0.1:0", options)
 		is.NoErr(err)
@@ -117,9 +171,8 @@
 	}
 }
 
-// sendRepeatedly sends requests with the given body to the gateways in turn. If the body is
-// empty, each request gets a different one.
-func (s *fatalSoak) sendRepeatedly(ctx context.Context, body string, interval time.Duration) {
+// sendRepeatedly sends the requests of a load to the gateways in turn.
+func (s *fatalSoak) sendRepeatedly(ctx context.Context, load fatalLoad, interval time.Duration) {
 	var sending sync.WaitGroup
 	defer sending.Wait()
 	ticker := time.NewTicker(interval)
@@ -130,15 +183,16 @@
 		case <-ctx.Done():
 			return
 		}
-		text := body
-		if text == "" {
-			text = fmt.Sprint("sound ", count)
-		}
-		sending.Go(func() { s.sendRequest(s.gateways[count%len(s.gateways)], fmt.Sprintf("%s-%d", body, count), text) })
+		sending.Go(func() { s.sendRequest(s.gateways[count%len(s.gateways)], load, count) })
 	}
 }
 
-func (s *fatalSoak) sendRequest(g *gateway, id, body string) {
+func (s *fatalSoak) sendRequest(g *gateway, load fatalLoad, count int) {
+	id := fmt.Sprintf("%s-%d", strings.ReplaceAll(load.name, " ", "-"), count)
+	body := load.body
+	if body == "" {
+		body = fmt.Sprint("number ", count, " of ", load.name)
+	}
 	s.mu.Lock()
 	s.senders[id] = g.id
 	s.mu.Unlock()
@@ -150,6 +204,7 @@
 	request.Host = host
 	request.Header.Set("X-Attempt-Id", id)
 	request.Header.Set("X-Deadline-Ms", "1500")
+	request.Header.Set("X-Prompt-Prefix", fmt.Sprintf("aa:10,%s:10,%s:10", load.part(count), id))
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}
 	response, err := client.Do(request)
 	served := false
@@ -158,7 +213,7 @@
 		served = err == nil && response.StatusCode == http.StatusOK
 		_ = response.Body.Close()
 	}
-	if strings.HasPrefix(body, "fatal") {
+	if load.crashLimit > 0 {
 		return
 	}
 	s.mu.Lock()
@@ -222,23 +277,23 @@
 	})
 }
 
-// checkFatal counts how often each fatal request was sent after it must have been stopped.
-func (s *fatalSoak) checkFatal(fatals int) {
+// checkFatal counts how often the requests of each fatal load were sent after they must have been
+// stopped.
+func (s *fatalSoak) checkFatal(fatals []fatalLoad) {
 	runs := s.platform.RunsOf("plain")
 	slices.SortFunc(runs, func(a, b emulator.Run) int { return a.At.Compare(b.At) })
-	for fatal := range fatals {
-		body := fmt.Sprintf("fatal %d", fatal)
+	for _, load := range fatals {
 		var crashed []string
 		var deadline time.Time
 		late, excused := 0, 0
 		for _, run := range runs {
-			if run.Body != body {
+			if !load.has(run) {
 				continue
 			}
 			if !slices.Contains(crashed, run.Server) {
 				crashed = append(crashed, run.Server)
 			}
-			if len(crashed) == crashLimit && deadline.IsZero() {
+			if len(crashed) == load.crashLimit && deadline.IsZero() {
 				deadline = run.At.Add(undisturbedTime)
 			}
 			switch {
@@ -249,9 +304,9 @@
 				excused++
 			}
 		}
-		s.t.Logf("seed %d: %s crashed %d targets; sent %d times after the deadline, and %d times by disturbed gateways", s.seed, body, len(crashed), late, excused)
+		s.t.Logf("seed %d: %s crashed %d targets; sent %d times after the deadline, and %d times by disturbed gateways", s.seed, load.name, len(crashed), late, excused)
 		if late > maxLate {
-			s.t.Errorf("seed %d: %s was sent %d times after the deadline for stopping it; logs in %s", s.seed, body, late, s.keepLogs())
+			s.t.Errorf("seed %d: %s was sent %d times after the deadline for stopping it; logs in %s", s.seed, load.name, late, s.keepLogs())
 		}
 	}
 	s.t.Logf("seed %d: %d of %d normal requests served, %d faults affected a gateway", s.seed, s.normalServed, s.normalSent, len(s.disturbances))
