What is held is in the store as soon as it is

Cause: while gateways reach each other, none saves crash records by themselves. Now the first one saves those of requests and parts at their limits, 30 bytes each, within 0.3 s of a change; a call for each hold. More is saved while gateways are silent, as before.

Ruled out: checkpoints at each hold, 220 KB with 3,000 targets, which the store sends to all watchers.

Also new: process.TestFatalPartOfSeveralWorkspaces, two workspaces send a fatal part (7 ends, 1 late, 25 of 25 sound requests of the second served), one names another's part in requests that crash targets (24 of 25).

--- a/internal/crashstore/saver.go
+++ b/internal/crashstore/saver.go
@@ -1,7 +1,8 @@
 // Package crashstore saves in the platform's store what a gateway knows of requests during which
 // targets crashed, for gateways that it can't reach. Gateways that are partitioned from each other
 // may all reach the store and the targets. Without the store, each of them would allow as many
-// crashes per request as all of them together may.
+// crashes per request as all of them together may. What is held is saved in any case, since all
+// gateways may be killed before the next checkpoint.
 //
 // Source: docs/design/quarantine.md.
 package crashstore
@@ -40,8 +41,11 @@
 type Scope int
 
 const (
-	// Nothing applies where the gateway reaches all others, or reaches another one that saves.
+	// Nothing applies where the gateway reaches another one that saves.
 	Nothing Scope = iota
+	// OnlyHeld selects the requests and parts that are held, for gateways that all restart at once. It
+	// applies where all gateways reach each other.
+	OnlyHeld
 	// OnlySuspicious selects what all gateways must know: requests with several crashes, and those
 	// among them that were cleared since. Gateways that reach each other all have these records.
 	OnlySuspicious
@@ -138,12 +142,25 @@
 // because it may have been cleared since.
 func (s *Saver) recordsToSave(scope Scope) []quarantine.Record {
 	records := slices.DeleteFunc(s.options.Table.Records(clock.Now()), func(record quarantine.Record) bool {
-		selected := record.ConcernsAll() || scope == All && (len(record.Incarnations) > 0 || record.Suspected() > 0)
-		return !selected && !s.savedFingerprints[record.Fingerprint]
+		return !scope.selects(record) && !s.savedFingerprints[record.Fingerprint]
 	})
 	return records[:min(len(records), maxRecords)]
 }
 
+// selects reports whether a record is to be saved.
+func (s Scope) selects(record quarantine.Record) bool {
+	switch s {
+	case OnlyHeld:
+		return record.AtLimit()
+	case OnlySuspicious:
+		return record.ConcernsAll()
+	case All:
+		return record.ConcernsAll() || len(record.Incarnations) > 0 || record.Suspected() > 0
+	case Nothing:
+	}
+	return false
+}
+
 func fingerprintsOf(records []quarantine.Record) map[quarantine.Fingerprint]bool {
 	fingerprints := make(map[quarantine.Fingerprint]bool, len(records))
 	for _, record := range records {
--- a/internal/crashstore/saver_test.go
+++ b/internal/crashstore/saver_test.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	crashedOnce, crashedTwice, answered = quarantine.Fingerprint(1), quarantine.Fingerprint(2), quarantine.Fingerprint(3)
+	crashedOnce, crashedTwice, answered, held = quarantine.Fingerprint(1), quarantine.Fingerprint(2), quarantine.Fingerprint(3), quarantine.Fingerprint(4)
 )
 
 // memoryStore keeps the records saved last, or fails with err.
@@ -74,9 +74,10 @@
 		scope Scope
 		want  map[quarantine.Fingerprint]int
 	}{
-		"all reachable":        {Nothing, map[quarantine.Fingerprint]int{}},
-		"many reachable":       {OnlySuspicious, map[quarantine.Fingerprint]int{crashedTwice: 2}},
-		"only a few reachable": {All, map[quarantine.Fingerprint]int{crashedOnce: 1, crashedTwice: 2}},
+		"another one saves":    {Nothing, map[quarantine.Fingerprint]int{}},
+		"all reachable":        {OnlyHeld, map[quarantine.Fingerprint]int{held: 3}},
+		"many reachable":       {OnlySuspicious, map[quarantine.Fingerprint]int{crashedTwice: 2, held: 3}},
+		"only a few reachable": {All, map[quarantine.Fingerprint]int{crashedOnce: 1, crashedTwice: 2, held: 3}},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -86,6 +87,9 @@
 				w.crash(crashedOnce, 1)
 				w.crash(crashedTwice, 1)
 				w.crash(crashedTwice, 2)
+				for target := range quarantine.Incarnation(quarantine.Limit) {
+					w.crash(held, 1+target)
+				}
 				w.crash(answered, 1)
 				w.table.Answered(answered, time.Now())
 				w.scope = test.scope
--- a/internal/process/fatal_parts_test.go
+++ b/internal/process/fatal_parts_test.go
@@ -26,6 +26,8 @@
 const (
 	// fatalPart and otherFatalPart are the IDs of fatal parts.
 	fatalPart, otherFatalPart = "fa7a1", "fa7a2"
+	// otherKey is the key of a second workspace.
+	otherKey = "key-3"
 	// partTargets is the number of targets in these tests.
 	partTargets = 16
 	// partCrashLimit is the number of crashes after which a part must be held back, within learnTime.
@@ -135,6 +137,9 @@
 		f.platform.Leave(server)
 	}
 	f.engines, f.plain = nil, nil
+	f.config.Version++
+	f.config.Tenants = append(f.config.Tenants, emulator.Tenant{Name: "kitchen", Keys: []string{otherKey}})
+	f.applyConfig(t)
 	var fatal *emulator.Fatal
 	if after > 0 {
 		fatal = &emulator.Fatal{Parts: []string{fatalPart, otherFatalPart}, After: work + after, Back: restartDelay}
@@ -336,3 +341,49 @@
 		})
 	}
 }
+
+// TestFatalPartOfSeveralWorkspaces checks that a fatal part is held back for all workspaces once the
+// requests of two have crashed targets, and that one workspace can't hold back another's requests by
+// naming the other's part in requests that crash targets.
+func TestFatalPartOfSeveralWorkspaces(t *testing.T) {
+	const ownPart = "0b1a"
+	cases := map[string]struct {
+		// key returns the key of a fatal request by its number, and part its shared part.
+		key  func(number int) string
+		part string
+		// sound is the part of the second workspace's sound requests.
+		sound string
+	}{
+		"two workspaces send a fatal part": {key: func(number int) string { return []string{"key-1", otherKey}[number%2] }, part: fatalPart, sound: ownPart},
+		"one names the part of another":    {key: func(int) string { return "key-1" }, part: fatalPart + ":10," + ownPart, sound: ownPart},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := partFleet(t, 4, soundWork, 10*time.Millisecond)
+			defer f.logPartCrashes(t)
+			var wait sync.WaitGroup
+			var sent, served atomic.Int64
+			ctx, cancel := context.WithCancel(t.Context())
+			repeat(ctx, &wait, fatalInterval, func(number int) {
+				id := fmt.Sprintf("fatal-%d", number)
+				f.send(number%4, http.MethodPost, "/chat/1", id, test.key(number), promptOf(test.part, id), id)
+			})
+			repeat(ctx, &wait, 2*fatalInterval, func(number int) {
+				id := fmt.Sprintf("sound-%d", number)
+				got := f.send(number%4, http.MethodPost, "/chat/1", id, otherKey, promptOf(test.sound, id), id)
+				sent.Add(1)
+				if got.err == nil && got.status == http.StatusOK {
+					served.Add(1)
+				}
+			})
+			pauseFor(2 * learnTime)
+			cancel()
+			wait.Wait()
+			t.Logf("%d crashes, %d late; %d of %d sound requests of the second workspace served", len(f.platform.Crashes("engine")), f.latePartRuns("engine", fatalPart, soundWork), served.Load(), sent.Load())
+			is.True(f.latePartRuns("engine", fatalPart, soundWork) <= maxLateSends)
+			is.True(sent.Load()-served.Load() <= maxHeldSound)
+		})
+	}
+}
--- a/internal/process/gateway_crashes.go
+++ b/internal/process/gateway_crashes.go
@@ -5,8 +5,8 @@
 	"github.com/capersaddle/capersaddle/internal/peer"
 )
 
-// registerCrashStore adds the service that saves crash records in the store while some gateways
-// are unreachable. A gateway without peers needs none, since no other process would read the
+// registerCrashStore adds the service that saves crash records in the store: those of what is held, and
+// more while some gateways are unreachable. A gateway without peers needs none, since no other process would read the
 // records.
 func (p *GatewayProcess) registerCrashStore() error {
 	if p.peers == nil {
@@ -27,8 +27,10 @@
 func (p *GatewayProcess) crashesToSave() crashstore.Scope {
 	census := p.peers.Census()
 	switch {
-	case census.Silent == 0 || !p.peers.First():
+	case !p.peers.First():
 		return crashstore.Nothing
+	case census.Silent == 0:
+		return crashstore.OnlyHeld
 	case census.Live < peer.CrashKeepers:
 		// With so few live gateways, each tracks every request.
 		return crashstore.All
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -208,7 +208,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, ok := t.entries[part]
-	if !ok || e.Confirmed || !e.atLimit() {
+	if !ok || e.Confirmed || !e.AtLimit() {
 		return Change{}
 	}
 	confirmed := e.Record
@@ -258,7 +258,7 @@
 	wait := time.Duration(0)
 	for _, part := range parts {
 		e, ok := t.entries[part]
-		if !ok || !e.atLimit() {
+		if !ok || !e.AtLimit() {
 			continue
 		}
 		if e.trialCrashed() || e.Trials-e.UnrunTrials >= maxPartTrials {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -44,8 +44,8 @@
 	TrialIncarnation    Incarnation
 }
 
-// atLimit reports whether the request has enough crashes to be held, at least for a while.
-func (r Record) atLimit() bool {
+// AtLimit reports whether the request has enough crashes to be held, at least for a while.
+func (r Record) AtLimit() bool {
 	return len(r.Incarnations) >= r.limit()
 }
 
@@ -57,7 +57,7 @@
 
 // limited reports whether the request is to be held, for its crashes or for silence.
 func (r Record) limited() bool {
-	return r.atLimit() || r.heldForSilence()
+	return r.AtLimit() || r.heldForSilence()
 }
 
 // Suspicious reports whether the request was in flight at more than one crash.
@@ -143,11 +143,11 @@
 	return c.Changed && !c.limited() && c.limitedBefore()
 }
 
-func (c Change) limitedBefore() bool { return c.previous.atLimit() || c.previous.heldForSilence() }
+func (c Change) limitedBefore() bool { return c.previous.AtLimit() || c.previous.heldForSilence() }
 
 // digest returns a hash of a record at the limit, and zero for any other.
 func (r Record) digest() uint64 {
-	if !r.atLimit() {
+	if !r.AtLimit() {
 		return 0
 	}
 	const prime = 0x9e3779b97f4a7c15
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -92,7 +92,7 @@
 			fellSilent++
 		}
 	}
-	return !r.atLimit() && r.ends() >= r.limit() && fellSilent >= minFellSilent
+	return !r.AtLimit() && r.ends() >= r.limit() && fellSilent >= minFellSilent
 }
 
 // Suspect records that an incarnation of a target fell silent while it ran a request, unless a target
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -73,7 +73,7 @@
 		ttl = suspectTerm
 	case len(e.Incarnations) == 0:
 		ttl = clearedTTL
-	case e.atLimit():
+	case e.AtLimit():
 		// After the term the request is on probation for the same time again, or at least for an
 		// hour.
 		ttl = e.term() + max(e.term(), suspectTTL)
@@ -237,7 +237,7 @@
 	for _, incarnation := range joined.Incarnations {
 		t.HeardOfCrash(incarnation, now)
 	}
-	if joined.atLimit() && (!e.atLimit() || joined.Epoch != e.Epoch) {
+	if joined.AtLimit() && (!e.AtLimit() || joined.Epoch != e.Epoch) {
 		e.limitAt = now
 	}
 	t.digest ^= e.digest() ^ joined.digest()
@@ -247,7 +247,7 @@
 		e.changedAt = now // an answer of a suspect doesn't extend the hold
 	}
 	e.Record, e.restored = joined, false
-	t.setLimited(e, e.atLimit())
+	t.setLimited(e, e.AtLimit())
 	t.changes++
 	return change
 }
@@ -347,7 +347,7 @@
 // AtLimit returns the records of requests and parts that are held or were recently, those with the
 // most crashes first.
 func (t *Table) AtLimit(now time.Time) []Record {
-	return t.records(now, Record.atLimit)
+	return t.records(now, Record.AtLimit)
 }
 
 // records returns the selected records.
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -173,7 +173,7 @@
 		if other == e || !other.sharesCrash(e) || slices.Contains(ownParts, other.Fingerprint) {
 			continue
 		}
-		if other.Fingerprint.IsPart() && !other.atLimit() {
+		if other.Fingerprint.IsPart() && !other.AtLimit() {
 			continue
 		}
 		if other.changedAt.After(result.changedAt) {
@@ -183,7 +183,7 @@
 		if other.Suspicious() {
 			uncovered = slices.DeleteFunc(uncovered, crashedWith)
 		}
-		if other.atLimit() {
+		if other.AtLimit() {
 			unexplained = slices.DeleteFunc(unexplained, crashedWith)
 		}
 	}
