A copy of the store calls nobody while its lock is held

A gateway hung for good: it answered nothing, kept its old configuration and did not end on SIGTERM.

Cause: replica.Copy called its ChangeFunc under its lock. Crash records that the gateway's own answers clear are published from there, which takes the lock of the peer service, whose holders read the copy's revision. The two locks were taken in both orders. Class: callbacks under a lock that the called may come to wait for.

Change: one goroutine at a time applies changes; it holds the copy's lock while it changes records, not while it calls out. The revision is reached, as before, when all calls have returned.

Looked for elsewhere: peer.Service calls its Watcher, the balancer and the quarantine table under its lock, none of which call back; Crashes publishes under its own lock, which no holder of the peer service's waits for.

replica.TestReadersDontWaitForChangeFunc hangs without the mend (the reader waits for the lock of the waiting call) and passes with it, also with -race.

--- a/internal/replica/page.go
+++ b/internal/replica/page.go
@@ -145,12 +145,18 @@
 // Absorb applies another process's page. A page that can't be unpacked changes nothing.
 func (c *Copy) Absorb(page *wire.ReplicaPage) error {
 	sent, err := itemsOf(page)
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		c.needsWhole = true
 		return err
 	}
+	_, err = c.update(page.GetRevision(), func() error { return c.applyPage(sent, page.GetWhole(), page.GetRevision()) })
+	return err
+}
+
+// applyPage applies the items of a page. The caller must hold c.mu.
+func (c *Copy) applyPage(sent []*wire.ReplicaItem, whole bool, revision int64) error {
 	items := make([]receivedItem, 0, len(sent))
 	for _, packed := range sent {
 		item, err := c.unpack(packed)
@@ -160,7 +166,7 @@
 		}
 		items = append(items, item)
 	}
-	if page.GetWhole() {
+	if whole {
 		c.readable = true
 	}
 	present := make(map[string]bool, len(items))
@@ -168,10 +174,9 @@
 		present[item.Key] = true
 		c.applyChange(item.Item, item.patches)
 	}
-	if page.GetWhole() {
-		c.dropMissing(present, page.GetRevision())
+	if whole {
+		c.dropMissing(present, revision)
 	}
-	c.advanceTo(page.GetRevision())
 	return nil
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -27,15 +27,20 @@
 // returns false for a value that matters and can't be read.
 type ChangeFunc func(change Item) (readable bool)
 
-// Copy is a copy of the store's content. It is safe for concurrent use. Its ChangeFunc is called
-// while its lock is held.
+// Copy is a copy of the store's content. It is safe for concurrent use. Its ChangeFunc is called by one
+// goroutine at a time, in the order of the changes, while others may read the copy.
 type Copy struct {
 	onChange ChangeFunc
 	// startupOnly are the keys that only a starting process needs. Their changes are not passed on
 	// to copies that hold the rest, and no patches of them are kept.
 	startupOnly map[string]bool
 
+	// updating is held by the goroutine that applies changes and calls onChange.
+	updating sync.Mutex
+	// mu guards the fields below, and is not held while onChange runs.
 	mu sync.Mutex
+	// changed are the changes for which onChange is still to be called.
+	changed []Item
 	// records includes removed keys, so that an older change can't restore them.
 	records  map[string]*record
 	revision int64
@@ -97,26 +102,54 @@
 // Change applies single changes up to a revision. It reports whether all values could be read
 // since the last whole reading.
 func (c *Copy) Change(changes []Item, revision int64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, change := range changes {
-		c.applyChange(change, nil)
-	}
-	return c.advanceTo(revision)
+	readable, _ := c.update(revision, func() error {
+		for _, change := range changes {
+			c.applyChange(change, nil)
+		}
+		return nil
+	})
+	return readable
 }
 
 // Replace applies a whole reading made at a revision: keys that it lacks are removed.
 func (c *Copy) Replace(items []Item, revision int64) bool {
+	readable, _ := c.update(revision, func() error {
+		present := make(map[string]bool, len(items))
+		c.readable = true
+		for _, item := range items {
+			present[item.Key] = true
+			c.applyChange(item, nil)
+		}
+		c.dropMissing(present, revision)
+		return nil
+	})
+	return readable
+}
+
+// update applies changes up to a revision, calls onChange with those that were new, and only then
+// records that the revision is reached. onChange is called without c.mu: it may wait for goroutines
+// that read the copy. An error of apply leaves the revision as it is.
+func (c *Copy) update(revision int64, apply func() error) (readable bool, err error) {
+	c.updating.Lock()
+	defer c.updating.Unlock()
+	c.mu.Lock()
+	err = apply()
+	changed := c.changed
+	c.changed = nil
+	c.mu.Unlock()
+	readable = true
+	for _, change := range changed {
+		if !c.onChange(change) {
+			readable = false
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	present := make(map[string]bool, len(items))
-	c.readable = true
-	for _, item := range items {
-		present[item.Key] = true
-		c.applyChange(item, nil)
+	c.readable = c.readable && readable
+	if err != nil {
+		return c.readable, err
 	}
-	c.dropMissing(present, revision)
-	return c.advanceTo(revision)
+	return c.advanceTo(revision), nil
 }
 
 // dropMissing removes the keys that a whole reading made at a revision lacks. Keys that were added
@@ -153,9 +186,7 @@
 	}
 	updated := &record{Item: change}
 	c.records[change.Key] = updated
-	if !c.onChange(change) {
-		c.readable = false
-	}
+	c.changed = append(c.changed, change)
 	if ok && !c.startupOnly[change.Key] {
 		updated.patches = rec.patchesTo(change, patches)
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -367,3 +367,42 @@
 		b.SetBytes(int64(transfer(b, from, to)))
 	}
 }
+
+// TestReadersDontWaitForChangeFunc guards against a gateway that hangs for good: its ChangeFunc waited
+// for a lock whose holder waited for the copy's lock, to read the revision.
+func TestReadersDontWaitForChangeFunc(t *testing.T) {
+	updates := map[string]func(c *replica.Copy) error{
+		"changes": func(c *replica.Copy) error {
+			c.Change([]replica.Item{put("a", []byte("new"), 2)}, 2)
+			return nil
+		},
+		"a whole reading": func(c *replica.Copy) error {
+			c.Replace([]replica.Item{put("a", []byte("new"), 2)}, 2)
+			return nil
+		},
+		"a page": func(c *replica.Copy) error {
+			return c.Absorb(&wire.ReplicaPage{Revision: 2, Items: []*wire.ReplicaItem{{Key: "a", Value: []byte("new"), Revision: 2}}})
+		},
+	}
+	for name, update := range updates {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			entered, done := make(chan struct{}), make(chan struct{})
+			c := replica.New(func(replica.Item) bool {
+				close(entered)
+				<-done // until the reader below has finished
+				return true
+			})
+			updated := make(chan error, 1)
+			go func() { updated <- update(c) }()
+			<-entered
+			is.Equal(c.Revision(), int64(0)) // not reached before ChangeFunc has returned
+			is.Equal(string(c.Value("a")), "new")
+			is.True(c.Pull() != nil)
+			is.Equal(len(c.Page(c.Pull()).GetItems()), 1)
+			close(done)
+			is.NoErr(<-updated)
+			is.Equal(c.Revision(), int64(2))
+		})
+	}
+}
