--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -335,3 +335,31 @@
 		}
 	})
 }
+
+// BenchmarkParts measures what the parts of a request cost: their fingerprints, the look right before it
+// is sent, and its answer.
+func BenchmarkParts(b *testing.B) {
+	prompt := Prompt{shop, partsOf("5c1e07a2", "91bd3f06", "e4402b7d")}
+	idle, held := New(), New()
+	now := crashUnder(held, shop, time.Now(), partsOf("f"), 1, 2, 3, 4)
+	b.Run("fingerprints", func(b *testing.B) {
+		for b.Loop() {
+			partsOf("5c1e07a2", "91bd3f06", "e4402b7d")
+		}
+	})
+	b.Run("look, nothing held", func(b *testing.B) {
+		for b.Loop() {
+			idle.SuspiciousParts(prompt, 0, now)
+		}
+	})
+	b.Run("look, another part held", func(b *testing.B) {
+		for b.Loop() {
+			held.SuspiciousParts(prompt, 0, now)
+		}
+	})
+	b.Run("answer", func(b *testing.B) {
+		for b.Loop() {
+			idle.PartsAnswered(prompt.Parts, now)
+		}
+	})
+}
