--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -479,6 +479,8 @@
 		prober.refuses.Store(true)
 		serve("r2", "system", "fatal", "own-2")
 		time.Sleep(time.Second)
+		prober.mu.Lock()
+		defer prober.mu.Unlock()
 		is.Equal(len(prober.ends), 1)
 		is.Equal(prober.ends[0].Requests, 1)
 		ids := make(map[string]bool)
