Records read from the store after the start are not taken as settled

Cause: since what is held is saved as soon as it is, gateways read each other's records from the store in usual operation, and a record from the store counted as one of an earlier life, of which all evidence about other requests is known. The two seconds in which that evidence arrives were left out. Only what is loaded at the start of a process counts so now.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -194,8 +194,13 @@
 
 // Merge applies a record that another process has stored. Other gateways read the store too, so
 // they are sent a change only if this process has cleared the crashes that the record contains.
-func (c *Crashes) Merge(record quarantine.Record, now time.Time) {
-	change := c.Table.Restore(record, now)
+// Of a record that is loaded at the start of this process, all evidence was known before.
+func (c *Crashes) Merge(record quarantine.Record, atStart bool, now time.Time) {
+	merge := c.Table.Merge
+	if atStart {
+		merge = c.Table.Restore
+	}
+	change := merge(record, now)
 	if change.ClearedOnMerge() {
 		c.publish(change)
 		return
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -297,7 +297,7 @@
 // hold makes a request held because of crashes that other gateways recorded.
 func hold(w *testGateway, subject quarantine.Subject) {
 	record := quarantine.Record{Fingerprint: subject.Fingerprint(), Incarnations: []quarantine.Incarnation{1, 2, 3}}
-	w.gateway.Crashes.Merge(record, time.Now())
+	w.gateway.Crashes.Merge(record, true, time.Now())
 }
 
 func subjectOf(path string) quarantine.Subject {
@@ -413,7 +413,7 @@
 		w := newTestGateway(lost, respond(200, "yes"))
 		prober := startCrashes(t, w)
 		prober.refuses.Store(true)
-		w.gateway.Crashes.Merge(quarantine.Record{Fingerprint: subjectOf("/get/x").Fingerprint(), Incarnations: []quarantine.Incarnation{1}}, time.Now())
+		w.gateway.Crashes.Merge(quarantine.Record{Fingerprint: subjectOf("/get/x").Fingerprint(), Incarnations: []quarantine.Incarnation{1}}, true, time.Now())
 		w.serve(t.Context(), "/get/x")
 		is.Equal(w.caller.status, http.StatusOK)
 		is.Equal(len(w.sender.sent), 2)
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -125,7 +125,7 @@
 	s.process.expectedGateways.Store(int32(min(content.Gateways, math.MaxInt32)))
 	s.holdTargets(content.Targets)
 	for _, record := range content.HeldBack {
-		s.process.crashes.Merge(record, clock.Now())
+		s.process.crashes.Merge(record, true, clock.Now())
 	}
 	s.process.gateway.Balancer.Learn(content.Placements)
 }
@@ -137,8 +137,11 @@
 		s.process.observer.BadValue("crashes", err)
 		return
 	}
+	s.mu.Lock()
+	atStart := !s.restored
+	s.mu.Unlock()
 	for _, record := range records {
-		s.process.crashes.Merge(record, clock.Now())
+		s.process.crashes.Merge(record, atStart, clock.Now())
 	}
 }
 
