No change of a slot table begins while the store is away

What callers saw: keyed requests of up to all slots of a service were refused for as long as the store was away, if a target was discovered, began to leave or was lost meanwhile.

Cause: an owner that hands slots over freezes them, sends their records and then writes the table; likewise any change is open, and the sender uses no promise, until a later table has been read. With the store away the write fails and nothing settles the change before the store is back. The check of the store came first only in rounds in which the table was due for a read, each 30 s.

Ruled out: the new router (the request went through router-0, which had served twenty keys), a port taken by another test, load (the sequence needs none).

Change: with a plan at hand the table is read once more, and the plan is carried out only if the store answers with the table that the plan is based on. It costs one read for each change of the table.

What remains, in the design's limits: a store that goes away between the read and its answer to the write.

--- a/internal/agent/handover_test.go
+++ b/internal/agent/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -118,3 +119,102 @@
 		Targets: []*wire.TargetState{{Id: "t-" + id, Pool: "topup", Service: true}},
 	}
 }
+
+// TestStoreOutageLeavesSlotsServed guards against slots that nobody serves until the store is
+// back, because a change of the slot table was begun while the store was away.
+func TestStoreOutageLeavesSlotsServed(t *testing.T) {
+	const (
+		sampleInterval = 100 * time.Millisecond
+		quietTime      = 10 * time.Second
+		outage         = 2 * time.Minute
+		recoveryTime   = 2 * maxStoreBackoff
+	)
+	// Each case changes one of three agents two seconds into the outage.
+	cases := map[string]struct {
+		changed int
+		// unknownBefore says that the others don't know the agent before the outage.
+		unknownBefore bool
+		change        func(changed *Agent, others []*Agent)
+		// lost says that the slots that the agent owns or witnesses wait for the store.
+		lost bool
+	}{
+		"a target is discovered":   {changed: 2, unknownBefore: true, change: discoverTarget},
+		"a target leaves":          {changed: 2, change: leaveTarget},
+		"the first target is lost": {changed: 0, change: loseTarget, lost: true},
+		"the third target is lost": {changed: 2, change: loseTarget, lost: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				network, store := link.NewMemory(), fakestore.New()
+				agents := newFleet(3, store, network)
+				changed := agents[c.changed]
+				others := slices.Delete(slices.Clone(agents), c.changed, c.changed+1)
+				if c.unknownBefore {
+					mergeEverywhere(others, memberOf(changed, wire.Standing_STANDING_DEAD))
+				}
+				defer func() {
+					for _, a := range agents {
+						is.NoErr(a.Close())
+					}
+					is.NoErr(network.Close())
+				}()
+				for _, a := range agents {
+					is.NoErr(a.Start(context.Background()))
+				}
+				time.Sleep(quietTime)
+				keys := keyPerSlot(64)
+				is.Equal(countUnserved(agents, keys), 0)
+				store.SetAway(true)
+				time.Sleep(2 * time.Second)
+				if c.lost {
+					keys = keysWithout(keys, others[0].slotManagers["topup"].guard.Table(), changed.options.ID)
+				}
+				is.True(len(keys) > 0)
+				c.change(changed, others)
+				unserved := 0
+				for range int(outage / sampleInterval) {
+					time.Sleep(sampleInterval)
+					unserved = max(unserved, countUnserved(agents, keys))
+				}
+				t.Logf("%d of %d slots were served by nobody during the outage", unserved, len(keys))
+				is.Equal(unserved, 0)
+				store.SetAway(false)
+				time.Sleep(recoveryTime)
+				is.Equal(countUnserved(agents, keys), 0)
+			})
+		})
+	}
+}
+
+func mergeEverywhere(agents []*Agent, m *wire.Member) {
+	for _, a := range agents {
+		a.options.Members.Merge([]*wire.Member{m})
+	}
+}
+
+func discoverTarget(changed *Agent, others []*Agent) {
+	mergeEverywhere(others, memberOf(changed, wire.Standing_STANDING_ALIVE))
+}
+
+func leaveTarget(changed *Agent, others []*Agent) {
+	leaving := memberOf(changed, wire.Standing_STANDING_ALIVE)
+	leaving.Leaving = true
+	mergeEverywhere(append(others, changed), leaving)
+}
+
+func loseTarget(changed *Agent, others []*Agent) {
+	dead := memberOf(changed, wire.Standing_STANDING_DEAD)
+	dead.Incarnation = math.MaxInt64
+	mergeEverywhere(others, dead)
+	_ = changed.Close()
+}
+
+// keysWithout returns the keys whose slots have an agent neither as owner nor as witness.
+func keysWithout(keys []string, table once.Table, agent string) []string {
+	return slices.DeleteFunc(slices.Clone(keys), func(key string) bool {
+		row := table.Slots[once.SlotOf(key, len(table.Slots))]
+		return row.Owner.Agent == agent || row.Witness.Agent == agent
+	})
+}
--- a/internal/agent/slot_manager.go
+++ b/internal/agent/slot_manager.go
@@ -195,6 +195,10 @@
 	if !ok {
 		return nil
 	}
+	answers, err := s.storeAnswers(ctx, plan.Base)
+	if err != nil || !answers {
+		return err
+	}
 	if !s.moveRecords(ctx, plan) {
 		return nil
 	}
@@ -222,6 +226,16 @@
 	return nil
 }
 
+// storeAnswers reads the table once more, and reports whether it is still the one that a
+// plan is based on. A change that has begun stops decisions until the store settles it, so
+// none begins while the store is away.
+func (s *slotManager) storeAnswers(ctx context.Context, base uint64) (bool, error) {
+	if err := s.readTable(ctx); err != nil {
+		return false, err
+	}
+	return s.guard.Table().Version == base, nil
+}
+
 // moveRecords freezes the slots to hand over and sends their records. It returns false,
 // and leaves the slots where they are, if a successor did not accept them.
 func (s *slotManager) moveRecords(ctx context.Context, plan once.Plan) bool {
