Targets restored from the checkpoint keep their versions

What callers saw: after an outage of the store in which all gateways began again, streams with events of two software versions (ORDER), and streams that could not be resumed at any gateway (LOST).

Cause: the checkpoint left out the version of targets. A restored target had the empty version, which stands for "no event yet" in a call: streams that began there were bound to none, and no record of them was written.

Tried: the case with the store reachable at the start, and with no time to leave in the settings: no stream began in either while entries were missing, since targets without an entry serve for half of that time only.

Change: the checkpoint holds versions, 7 bytes a target for versions of 5 (13 KB at 1,900 targets). In a checkpoint of an older writer they are missing, which is a state of its own: the target may be of another version, so that what begins there is uncertain and is recorded as such, until its entry has been read.

Looked for elsewhere: SoleVersion could return the empty version.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -241,8 +241,8 @@
 	Unread int
 	// Cold reports whether the target has just started.
 	Cold bool
-	// MayHaveRestarted reports whether the target may be of another version than its entry says.
-	MayHaveRestarted bool
+	// MayBeOfAnotherVersion reports whether the target may be of another version than is known of it.
+	MayBeOfAnotherVersion bool
 	// Probe reports whether this request probes a target whose backoff has ended. The target
 	// gets no other request until this one is answered. The caller must call EndProbe.
 	Probe bool
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -38,7 +38,7 @@
 		b.expectHolder(query.Parts, chosen)
 	}
 	pick.Target, pick.Load, pick.Cold = chosen.Target, int(math.Round(chosen.load())), chosen.cold.isCold
-	pick.MayHaveRestarted = chosen.mayHaveRestarted(query.ProvenAt)
+	pick.MayBeOfAnotherVersion = chosen.mayBeOfAnotherVersion(query.ProvenAt)
 	chosen.addInFlight(1)
 	if chosen.cold.isCold {
 		chosen.cold.sentAt = now
--- a/internal/balance/continued_stream.go
+++ b/internal/balance/continued_stream.go
@@ -5,11 +5,12 @@
 // EntryLag is how long after a target's start its entry may appear.
 const EntryLag = time.Second
 
-// mayHaveRestarted reports whether the target may be another incarnation than its entry describes, given
-// until when the entries are proven to be the newest: there was a sign that its process had ended, and
-// a target that keeps its ID begins again before its entry shows it.
-func (s *state) mayHaveRestarted(provenAt time.Time) bool {
-	return s.Born != 0 && !s.endSignAt.IsZero() && provenAt.Before(s.endSignAt.Add(EntryLag))
+// mayBeOfAnotherVersion reports whether the target may be of another version than is known of it. It is if
+// its entry hasn't been read, or if it may be another incarnation than its entry describes, given until when
+// the entries are proven to be the newest: there was a sign that its process had ended, and a target that
+// keeps its ID begins again before its entry shows it.
+func (s *state) mayBeOfAnotherVersion(provenAt time.Time) bool {
+	return s.VersionUnknown || s.Born != 0 && !s.endSignAt.IsZero() && provenAt.Before(s.endSignAt.Add(EntryLag))
 }
 
 // NoteRestart records a sign that the process of an incarnation of a target has ended.
@@ -31,7 +32,7 @@
 	bound := b.wholeBound(meanLoad(open), float64(len(open)))
 	kept := open[:0]
 	for _, target := range open {
-		if limited && target.load()+1 > bound || target.mayHaveRestarted(query.ProvenAt) {
+		if limited && target.load()+1 > bound || target.mayBeOfAnotherVersion(query.ProvenAt) {
 			b.scratch.idle.add(target)
 			continue
 		}
--- a/internal/balance/sole_version.go
+++ b/internal/balance/sole_version.go
@@ -34,7 +34,7 @@
 		if target.unlistedFor(now) > span+b.options.ExpiryGrace {
 			continue
 		}
-		if found && target.Version != sole {
+		if target.VersionUnknown || found && target.Version != sole {
 			return "", false
 		}
 		sole, found = target.Version, true
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -21,6 +21,9 @@
 	DataCenter string
 	// Version is the version of the target's software; empty if its entry states none.
 	Version string
+	// VersionUnknown reports whether the target is known from a record that doesn't hold its
+	// version. Version is empty then.
+	VersionUnknown bool
 	// Weights identifies the models that the target serves and their versions. Cached parts of
 	// prompts can be used only by targets with the same weights. Empty if not stated.
 	Weights string
--- a/internal/checkpoint/checkpoint.go
+++ b/internal/checkpoint/checkpoint.go
@@ -174,6 +174,7 @@
 			DataCenter: target.DataCenter,
 			Slots:      int32(min(target.Slots, math.MaxInt32)),
 			Born:       target.Born,
+			Version:    &target.Version,
 		})
 	}
 	for _, record := range content.HeldBack {
@@ -203,12 +204,14 @@
 	}
 	for _, target := range message.GetTargets() {
 		content.Targets = append(content.Targets, balance.Target{
-			ID:         target.GetId(),
-			Service:    target.GetService(),
-			Address:    target.GetAddress(),
-			DataCenter: target.GetDataCenter(),
-			Slots:      int(target.GetSlots()),
-			Born:       target.GetBorn(),
+			ID:             target.GetId(),
+			Service:        target.GetService(),
+			Address:        target.GetAddress(),
+			DataCenter:     target.GetDataCenter(),
+			Slots:          int(target.GetSlots()),
+			Born:           target.GetBorn(),
+			Version:        target.GetVersion(),
+			VersionUnknown: target.Version == nil,
 		})
 	}
 	for _, record := range message.GetHeldBack() {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -127,7 +127,7 @@
 
 // noteRestart records that another incarnation may listen at the target's address.
 func (a *attempt) noteRestart() {
-	a.pick.MayHaveRestarted = true
+	a.pick.MayBeOfAnotherVersion = true
 	a.call.gateway.Balancer.NoteRestart(a.incarnation, clock.Now())
 }
 
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -297,7 +297,7 @@
 // passed on.
 func (c *call) recordOrigin(incarnation string) {
 	origins := c.gateway.Origins
-	if origins == nil || c.originRecorded || c.streamVersion == "" || !c.route.Resumable {
+	if origins == nil || c.originRecorded || c.streamVersion == "" && !c.versionUncertain || !c.route.Resumable {
 		return
 	}
 	c.originRecorded = true
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -108,7 +108,7 @@
 	if a.call.streamVersion == "" {
 		a.call.streamVersion = a.pick.Target.Version
 	}
-	a.call.versionUncertain = a.call.versionUncertain || a.pick.MayHaveRestarted
+	a.call.versionUncertain = a.call.versionUncertain || a.pick.MayBeOfAnotherVersion
 }
 
 func (a *attempt) beginStream(answer *Answer) error {
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/gateway"
+	"github.com/capersaddle/capersaddle/internal/origin"
 )
 
 // versionGateway is a test gateway with targets of the given versions.
@@ -99,3 +100,24 @@
 		})
 	}
 }
+
+// TestStreamBegunAtUnknownVersion guards against answers that go on at any version because the target
+// that began them was known from a checkpoint without its version.
+func TestStreamBegunAtUnknownVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		sender := &firstSender{first: stream(one+two[:5], io.ErrUnexpectedEOF), others: stream(two, io.EOF)}
+		w := versionGateway(sender)
+		w.gateway.Origins = &gateway.Origins{Table: origin.NewTable()}
+		for _, id := range []string{"d", "e", "f"} {
+			w.gateway.Balancer.Put(balance.Target{ID: id, Service: "s", Address: id, VersionUnknown: true}, time.Now())
+		}
+		w.serve(t.Context(), "/resumable/x")
+		is.Equal(len(sender.sent), 1)
+		is.Equal(w.caller.body.String(), one)
+		is.True(w.caller.aborted)
+		records := w.gateway.Origins.Table.Records(time.Now())
+		is.Equal(len(records), 1)
+		is.Equal(records[0].Version, origin.Uncertain)
+	})
+}
