Records of streams go to keepers that began too lately to know the version

What callers saw: after three of four gateways had been killed and were back, the fourth was killed 5 s later, and none of its streams could be resumed: 503 stream_unknown at all others, while new streams began there (LOST).

Cause: a gateway kept its records to itself while it was certain that there was one version. Those who are asked after its loss had been up for 5 s, and take 10 s and more to be certain. It judged by what it knew itself.

Change: a record is sent as well if one of its keepers was first heard less than the time of certainty and 5 s ago. What was held back is looked at once more when gateways come; records that none needs are looked at once. 5 s is chosen: a gateway knows the targets later than it is first heard.

Ruled out: taking a certain gateway's word as proof. It counts only once one's own list is 3 s old, so that the first seconds, in which this happened, stay open.

Tried and dropped: the same test with callers whose streams are cut by the end of their gateway. In one process Close lets streams end, so that none was resumed.

TestStreamOriginsWaitForSecondVersion now says that its gateways have known each other for long, which it took for granted; its checks are the same.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -138,6 +138,17 @@
 	return origin.VersionOf(service, version), ok
 }
 
+// SoleOriginAfter returns for how long this gateway must have known the targets of a service before
+// SoleOrigin may return a version.
+func (g *Gateway) SoleOriginAfter(service string) time.Duration {
+	table := g.table.Load()
+	if table == nil {
+		return 0
+	}
+	timeout, _ := table.StreamTimeout(service)
+	return soleTime(0, timeout)
+}
+
 // soleVersion is like SoleOrigin, for a caller with the given patience.
 func (g *Gateway) soleVersion(service string, patience time.Duration) (string, bool) {
 	table, now := g.table.Load(), clock.Check()
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -19,8 +19,9 @@
 // A caller may resume a stream at any gateway, mostly because the one that began it is lost. So a
 // gateway that begins a stream sends its record to the keepers of the stream, the first few gateways
 // in its rendezvous order, and a gateway at which a stream is resumed asks them. Records are sent
-// only for services of which several versions may have served lately. A keeper sends its records to
-// gateways that become keepers when others come or go. Lost datagrams, and streams that began a
+// only for services of which several versions may have served lately, and to gateways that have begun too
+// lately to know whether they did. A keeper sends its records to gateways that become keepers when others
+// come or go. Lost datagrams, and streams that began a
 // moment before their gateway was lost, make a stream unknown. It is then refused, never continued
 // at a guess.
 
@@ -44,6 +45,8 @@
 	maxOriginRecords = 48
 	// maxUnsent limits the records that wait because they are not needed yet.
 	maxUnsent = 8192
+	// listTime is how long after its first heartbeat a gateway that has just begun knows the targets.
+	listTime = 5 * time.Second
 )
 
 // OriginOptions connects the exchange of records to the process.
@@ -52,6 +55,9 @@
 	// Sole returns the only version of a service, by its name, if no other one can have begun a stream
 	// that may still be resumed.
 	Sole func(service string) (origin.Version, bool)
+	// SoleAfter returns for how long a gateway must have known the targets of a service before Sole
+	// returns a version.
+	SoleAfter func(service string) time.Duration
 }
 
 // originExchange sends and looks up records of streams. Only add is safe for concurrent use.
@@ -64,6 +70,8 @@
 	// unsent holds the records by service that no other gateway has.
 	unsent      map[string][]origin.Record
 	unsentCount int
+	// settled counts the first unsent records of each service of which no keeper is new.
+	settled map[string]int
 	// outbox holds the records to send to each gateway.
 	outbox map[*peer][]origin.Record
 	// candidates are the gateways that could be keepers in the last round, ordered by ID.
@@ -90,6 +98,7 @@
 		options: options,
 		bucket:  rate.NewLimiter(rate.Limit(originShare*float64(budget)), max(budget, receiveBuffer)),
 		unsent:  make(map[string][]origin.Record),
+		settled: make(map[string]int),
 		outbox:  make(map[*peer][]origin.Record),
 		lookups: make(map[uint32]*originLookup),
 	}
@@ -145,9 +154,11 @@
 	}
 }
 
-// dropExpired drops unsent records that have expired. The caller must hold e.mu.
+// dropExpired drops unsent records that have expired, and makes the keepers of the others be looked at
+// again. The caller must hold e.mu.
 func (e *originExchange) dropExpired(now time.Time) {
 	e.unsentCount = 0
+	clear(e.settled)
 	for service, records := range e.unsent {
 		kept := slices.DeleteFunc(records, func(record origin.Record) bool { return !record.Expires.After(now) })
 		e.unsent[service] = kept
@@ -164,7 +175,7 @@
 	candidates := s.originCandidates(now)
 	s.sendToNewKeepers(candidates, now)
 	if len(candidates) > 0 {
-		for _, record := range e.takeDue() {
+		for _, record := range s.takeDueOrigins(candidates, now) {
 			e.post(s.originKeepers(record, candidates), nil, record)
 		}
 	}
@@ -185,6 +196,7 @@
 		return
 	}
 	e.candidates = candidates
+	e.forgetSettled(now)
 	for _, record := range e.options.Table.Records(now) {
 		earlier := s.originKeepers(record, before)
 		if !slices.Contains(earlier, nil) {
@@ -194,22 +206,50 @@
 	}
 }
 
-// takeDue removes and returns the unsent records of services that may have several versions.
-func (e *originExchange) takeDue() []origin.Record {
+// takeDueOrigins removes and returns the unsent records of services that may have several versions, and
+// those of which a keeper is new: should this gateway be lost, such a keeper can't tell that there was only
+// one. The caller must hold s.mu.
+func (s *Service) takeDueOrigins(candidates []*peer, now time.Time) []origin.Record {
+	e := s.origins
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var due []origin.Record
 	for service, records := range e.unsent {
-		if _, sole := e.options.Sole(service); sole {
+		if _, sole := e.options.Sole(service); !sole {
+			due = append(due, records...)
+			e.unsentCount -= len(records)
+			delete(e.unsent, service)
+			delete(e.settled, service)
 			continue
 		}
-		due = append(due, records...)
-		e.unsentCount -= len(records)
-		delete(e.unsent, service)
+		isNew := newerThan(now.Add(-e.options.SoleAfter(service) - listTime))
+		anyNew := slices.ContainsFunc(candidates, isNew)
+		kept := records[:e.settled[service]]
+		for _, record := range records[len(kept):] {
+			if anyNew && slices.ContainsFunc(s.originKeepers(record, candidates), isNew) {
+				due = append(due, record)
+				continue
+			}
+			kept = append(kept, record)
+		}
+		e.unsentCount -= len(records) - len(kept)
+		e.unsent[service], e.settled[service] = kept, len(kept)
 	}
 	return due
 }
 
+// newerThan returns whether a gateway, nil for this one, was first heard after a time.
+func newerThan(start time.Time) func(p *peer) bool {
+	return func(p *peer) bool { return p != nil && p.foundAt.After(start) }
+}
+
+// forgetSettled makes the keepers of all unsent records be looked at again.
+func (e *originExchange) forgetSettled(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dropExpired(now)
+}
+
 // post adds a record to the outbox of its keepers, except for some and for this gateway.
 func (e *originExchange) post(keepers, except []*peer, record origin.Record) {
 	for _, to := range keepers {
--- a/internal/peer/origins_test.go
+++ b/internal/peer/origins_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	testService   = "s"
 	testStream    = origin.Stream(77)
 	streamVersion = origin.Version(5)
+	testSoleAfter = 10 * time.Second
 )
 
 // originNode is a node that exchanges records of streams.
@@ -31,7 +33,7 @@
 	t.Helper()
 	table := origin.NewTable()
 	prepare := func(service *Service) {
-		service.origins.options = OriginOptions{Table: table, Sole: func(string) (origin.Version, bool) { return sole, sole != origin.Uncertain }}
+		service.origins.options = OriginOptions{Table: table, Sole: func(string) (origin.Version, bool) { return sole, sole != origin.Uncertain }, SoleAfter: func(string) time.Duration { return testSoleAfter }}
 	}
 	return &originNode{node: newNodeAt(t, address, id, network, prepare, seeds...), table: table}
 }
@@ -45,15 +47,16 @@
 		nodes = append(nodes, newOriginNode(t, testLoopback+":0", fmt.Sprintf("g-%d", i), network, sole, seeds...))
 		seeds = append(seeds, nodes[i].service.options.Address)
 	}
+	awaitContact(t, nodes)
+	return nodes
+}
+
+// awaitContact waits until all nodes hear all others.
+func awaitContact(t *testing.T, nodes []*originNode) {
+	t.Helper()
 	waitFor(t, "all gateways see all others", func() bool {
-		for _, n := range nodes {
-			if n.service.Live() != count-1 {
-				return false
-			}
-		}
-		return true
+		return !slices.ContainsFunc(nodes, func(n *originNode) bool { return n.service.Live() != len(nodes)-1 })
 	})
-	return nodes
 }
 
 // begin records a stream at a node as its gateway does.
@@ -152,6 +155,7 @@
 func TestStreamOriginsWaitForSecondVersion(t *testing.T) {
 	is := is.New(t)
 	nodes := newOriginFleet(t, link.NewMemory(), 3, streamVersion)
+	nodes[0].findPeersAt(time.Now().Add(-testSoleAfter - listTime))
 	for range 10 {
 		nodes[0].begin(streamVersion)
 	}
@@ -163,6 +167,61 @@
 	waitFor(t, "the others have the record", func() bool { return holders(nodes) == len(nodes) })
 }
 
+// findPeersAt sets when a node first heard the others.
+func (n *originNode) findPeersAt(at time.Time) {
+	n.service.mu.Lock()
+	defer n.service.mu.Unlock()
+	for _, p := range n.service.table.peers {
+		p.foundAt = at
+	}
+}
+
+// TestNewGatewaysGetStreamOrigins guards against streams that are lost with the only gateway that has
+// been up for long enough to know that there was one version: it kept their records to itself.
+func TestNewGatewaysGetStreamOrigins(t *testing.T) {
+	cases := map[string]struct {
+		gateways int
+		// before begins the stream before the others begin again, and not after.
+		before bool
+	}{
+		"the stream begins before them":       {4, true},
+		"the stream begins after them":        {4, false},
+		"the stream begins before them, many": {14, true},
+		"the stream begins after them, many":  {14, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			network := link.NewMemory()
+			nodes := newOriginFleet(t, network, tc.gateways, streamVersion)
+			old := nodes[0]
+			old.findPeersAt(time.Now().Add(-time.Hour))
+			if tc.before {
+				old.begin(streamVersion)
+				old.service.round(time.Now())
+				is.Equal(holders(nodes[1:]), 0)
+			}
+			for i, n := range nodes[1:] {
+				_ = n.service.Close()
+				nodes[i+1] = newOriginNode(t, n.service.options.Address, fmt.Sprintf("g-%d", i+1), network, 0, old.service.options.Address)
+			}
+			awaitContact(t, nodes)
+			if !tc.before {
+				old.begin(streamVersion)
+			}
+			waitFor(t, "others have the record", func() bool { return holders(nodes[1:]) > 0 })
+			_ = old.service.Close()
+			asking := nodes[len(nodes)-1]
+			if _, ok := asking.table.Get(testStream, time.Now()); ok {
+				return // it is a keeper itself
+			}
+			version, found, _ := asking.service.FindOrigin(t.Context(), testStream, testService)
+			is.True(found)
+			is.Equal(version, streamVersion)
+		})
+	}
+}
+
 // TestFindOriginEndsWithCaller checks that a lookup does not outlast its caller.
 func TestFindOriginEndsWithCaller(t *testing.T) {
 	is := is.New(t)
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -43,7 +43,7 @@
 		Watcher:  peerWatcher{p.observer, p},
 
 		Quarantine: p.crashes.Table,
-		Origins:    peer.OriginOptions{Table: p.gateway.Origins.Table, Sole: p.gateway.SoleOrigin},
+		Origins:    peer.OriginOptions{Table: p.gateway.Origins.Table, Sole: p.gateway.SoleOrigin, SoleAfter: p.gateway.SoleOriginAfter},
 		OnCensus:   p.applyCensus,
 		Lag:        p.lag.Lag,
 		Stale:      staleAfter(p.settings),
