Cases of a fatal part beside silent and ending targets, and gateways cut off

Three cases of TestFatalPartIsHeldBack: half of the targets are silent for a while, all targets crash in turn, four gateways that hear no other.

Tried: failing the case when a target can't be made to crash; the fatal part had crashed it before, and its next life was up.

--- a/internal/process/fatal_parts_test.go
+++ b/internal/process/fatal_parts_test.go
@@ -231,11 +231,31 @@
 			f.replaceGateway(t, number)
 		}
 	}
+	zoneSilent := func(_ *testing.T, f *fleet) {
+		pauseFor(600 * time.Millisecond)
+		for _, server := range f.engines[:partTargets/2] {
+			server.Freeze()
+		}
+		pauseFor(learnTime)
+		for _, server := range f.engines[:partTargets/2] {
+			server.Thaw()
+		}
+	}
+	restartAll := func(t *testing.T, f *fleet) {
+		for _, server := range f.engines {
+			if _, err := f.platform.Restart(server); err != nil {
+				t.Log("crashed by a fatal part and back before:", err)
+			}
+			pauseFor(250 * time.Millisecond)
+		}
+	}
 	cases := map[string]struct {
 		path, service string
 		sound, fatal  partPrompt
 		work, after   time.Duration
 		gateways      int
+		// partitions, if above zero, is the number of gateways, of which none hears another.
+		partitions int
 		// soundEvery is the interval of sound requests; zero means soundInterval.
 		soundEvery time.Duration
 		disrupt    func(t *testing.T, f *fleet)
@@ -248,14 +268,17 @@
 		"two parts in turn": {path: "/chat/1", service: "engine", sound: sound, fatal: func(number int, own string) string {
 			return promptOf("aa", []string{fatalPart, otherFatalPart}[number%2], own)
 		}, work: soundWork, after: moment, gateways: 4},
-		"streams, crash midway":  {path: "/chat/1", service: "engine", sound: sound, fatal: middle, work: soundWork, after: 35 * time.Millisecond, gateways: 4},
-		"idempotent calls":       {path: "/ask/1", service: "plain", sound: sound, fatal: middle, work: soundWork, after: moment, gateways: 4},
-		"non-idempotent calls":   {path: "/pay/1", service: "plain", sound: sound, fatal: middle, work: soundWork, after: moment, gateways: 4},
-		"long work":              {path: "/chat/1", service: "engine", sound: sound, fatal: middle, work: 800 * time.Millisecond, after: moment, gateways: 4},
-		"many gateways":          {path: "/chat/1", service: "engine", sound: sound, fatal: middle, work: soundWork, after: moment, gateways: 11},
-		"twenty-eight gateways":  {path: "/chat/1", service: "engine", sound: sound, fatal: middle, work: soundWork, after: moment, gateways: 28},
-		"store does not answer":  {path: "/chat/1", service: "engine", sound: sound, fatal: middle, work: soundWork, after: moment, gateways: 4, disrupt: storeSilent},
-		"gateways begin in turn": {path: "/chat/1", service: "engine", sound: sound, fatal: middle, work: soundWork, after: moment, gateways: 4, disrupt: replaceAll},
+		"streams, crash midway":           {path: "/chat/1", service: "engine", sound: sound, fatal: middle, work: soundWork, after: 35 * time.Millisecond, gateways: 4},
+		"idempotent calls":                {path: "/ask/1", service: "plain", sound: sound, fatal: middle, work: soundWork, after: moment, gateways: 4},
+		"non-idempotent calls":            {path: "/pay/1", service: "plain", sound: sound, fatal: middle, work: soundWork, after: moment, gateways: 4},
+		"long work":                       {path: "/chat/1", service: "engine", sound: sound, fatal: middle, work: 800 * time.Millisecond, after: moment, gateways: 4},
+		"many gateways":                   {path: "/chat/1", service: "engine", sound: sound, fatal: middle, work: soundWork, after: moment, gateways: 11},
+		"twenty-eight gateways":           {path: "/chat/1", service: "engine", sound: sound, fatal: middle, work: soundWork, after: moment, gateways: 28},
+		"store does not answer":           {path: "/chat/1", service: "engine", sound: sound, fatal: middle, work: soundWork, after: moment, gateways: 4, disrupt: storeSilent},
+		"gateways begin in turn":          {path: "/chat/1", service: "engine", sound: sound, fatal: middle, work: soundWork, after: moment, gateways: 4, disrupt: replaceAll},
+		"while a data centre is silent":   {path: "/chat/1", service: "engine", sound: sound, fatal: middle, work: soundWork, after: moment, gateways: 4, disrupt: zoneSilent},
+		"while all targets crash in turn": {path: "/chat/1", service: "engine", sound: sound, fatal: middle, work: soundWork, after: moment, gateways: 4, disrupt: restartAll},
+		"gateways that hear no other":     {path: "/chat/1", service: "engine", sound: sound, fatal: middle, work: soundWork, after: moment, partitions: 4},
 		"beside a part that few sound requests share": {path: "/chat/1", service: "engine", sound: func(number int, own string) string {
 			if number%20 == 0 {
 				return promptOf("5e1d", "bb", own)
@@ -268,6 +291,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := partFleet(t, test.gateways, test.work, test.after)
+			f.startPartitions(t, test.partitions, 1)
 			defer f.logPartCrashes(t)
 			c, stop := f.startPartCallers(t, test.path, cmp.Or(test.soundEvery, soundInterval), test.sound, test.fatal)
 			if test.disrupt != nil {
