Records of new streams are sent at once, before handed over ones

Callers saw 503 stream_unknown for streams that their killed gateway had begun up to 0.73 s before, while gateways were killed in series and several versions of the targets served.

Cause: new records shared 2.1 KB/s with the records of the last 30 s that a gateway which begins is handed (68 KB at 120 streams a second), in the order of a map, and a datagram of up to 48 records that didn't fit held up all others for its gateway. New records also waited for the next round of 80 ms. Ruled out: lookups (those asked had no record) and capacity (a first form of the test asked for more slots than there were; its targets were doubled).

Change: an outbox with two queues a gateway. New records go first, at once, in datagrams that fit into the bytes left; handed over ones use what is left. SpreadOriginNow always sends: it dropped a record that becomes uncertain when the share was used up. Gauges show what waits, by cause.

--- a/internal/emulator/streams.go
+++ b/internal/emulator/streams.go
@@ -25,6 +25,9 @@
 	Disordered int
 	// Resumed counts streams that their callers resumed, and Continued those of them that went on.
 	Resumed, Continued int
+	// OldestEnded is the greatest age that a stream had when it broke off first, of those that were
+	// resumed and did not go on.
+	OldestEnded time.Duration
 }
 
 // StreamCallers request streams at a fixed interval, round robin over gateways. A caller resumes a
@@ -76,6 +79,8 @@
 	disordered  bool
 	resumed     bool
 	continued   bool
+	// began is when the first event arrived, and brokeOff when the stream first broke off after it.
+	began, brokeOff time.Time
 	// mayLose is the number of events after which the caller loses its connection; zero for never.
 	mayLose int
 }
@@ -95,6 +100,9 @@
 	add(&c.counts.Disordered, stream.disordered)
 	add(&c.counts.Resumed, stream.resumed)
 	add(&c.counts.Continued, stream.continued)
+	if stream.resumed && !stream.continued {
+		c.counts.OldestEnded = max(c.counts.OldestEnded, stream.brokeOff.Sub(stream.began))
+	}
 }
 
 // read reads one stream, and resumes it if it breaks off.
@@ -115,6 +123,9 @@
 		if err == nil || stream.last == c.Events {
 			return stream
 		}
+		if stream.id != "" && stream.brokeOff.IsZero() {
+			stream.brokeOff = time.Now()
+		}
 		time.Sleep(wait)
 	}
 	return stream
@@ -184,7 +195,7 @@
 	s.disordered = s.disordered || !ok || number != s.last+1
 	s.continued = s.continued || s.resumed
 	if s.id == "" {
-		s.id = id
+		s.id, s.began = id, time.Now()
 	}
 	s.last = number
 	s.versions[version], seen[version] = true, true
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -232,11 +232,27 @@
 	HeldBack func() float64
 	// Held is the number of bytes held for callers.
 	Held func() float64
+	// NewStreamRecords, HandedOverStreamRecords and UnneededStreamRecords count the records of streams
+	// that wait to be sent to other gateways: of streams that have just begun, for gateways that have
+	// become their keepers, and while one version of a service is known to serve.
+	NewStreamRecords, HandedOverStreamRecords, UnneededStreamRecords func() float64
+}
+
+// streamRecords returns the gauge of the records of streams that wait for a cause.
+func streamRecords(cause string, value func() float64) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "stream_records_waiting",
+		Help:        "Records of streams that wait to be sent to other gateways.",
+		ConstLabels: prometheus.Labels{"cause": cause},
+	}, value)
 }
 
 // RegisterGauges registers the metrics of a gateway's state.
 func RegisterGauges(registry prometheus.Registerer, gauges Gauges) {
 	registry.MustRegister(
+		streamRecords("new", gauges.NewStreamRecords),
+		streamRecords("handed_over", gauges.HandedOverStreamRecords),
+		streamRecords("one_version", gauges.UnneededStreamRecords),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "proof_age_seconds",
 			Help: "Age of the proof that the configuration is the newest; -1 for none.",
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -1,16 +1,12 @@
 package peer
 
 import (
-	"cmp"
 	"context"
-	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-	"google.golang.org/protobuf/proto"
-
 	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/origin"
 	"github.com/capersaddle/capersaddle/internal/wire"
@@ -38,11 +34,6 @@
 	// takes, and originAsks the number of questions.
 	originAskInterval = 25 * time.Millisecond
 	originAsks        = 4
-	// originShare is the average share of the byte budget for records. The fleet's design size takes
-	// a quarter.
-	originShare = 0.3
-	// maxOriginRecords limits the records in a datagram, of some 20 bytes each.
-	maxOriginRecords = 48
 	// maxUnsent limits the records that wait because they are not needed yet.
 	maxUnsent = 8192
 	// listTime is how long after its first heartbeat a gateway that has just begun knows the targets.
@@ -63,23 +54,34 @@
 // originExchange sends and looks up records of streams. Only add is safe for concurrent use.
 type originExchange struct {
 	options OriginOptions
-	bucket  *rate.Limiter
+	// outbox holds the records that are being sent.
+	outbox *originOutbox
+	// due is signalled when a record was added that may have to be sent before the next round.
+	due chan struct{}
+	// eager is false while records are kept because they are not needed yet, so that the next one
+	// probably isn't either.
+	eager atomic.Bool
 	// mu guards the fields about unsent records. A record may come from a change of the targets, for
 	// which locks are held that are taken under the service's own.
 	mu sync.Mutex
 	// unsent holds the records by service that no other gateway has.
-	unsent      map[string][]origin.Record
+	unsent      map[string][]unsentRecord
 	unsentCount int
 	// settled counts the first unsent records of each service of which no keeper is new.
 	settled map[string]int
-	// outbox holds the records to send to each gateway.
-	outbox map[*peer][]origin.Record
 	// candidates are the gateways that could be keepers in the last round, ordered by ID.
 	candidates []*peer
 	lookups    map[uint32]*originLookup
 	lastNumber uint32
 }
 
+// unsentRecord is a record that no other gateway has.
+type unsentRecord struct {
+	origin.Record
+	// addedAt is when the stream began.
+	addedAt time.Time
+}
+
 // originLookup is a question that has not been settled.
 type originLookup struct {
 	// waiting are the gateways that have not answered.
@@ -96,10 +98,10 @@
 func newOriginExchange(options OriginOptions, budget int) *originExchange {
 	return &originExchange{
 		options: options,
-		bucket:  rate.NewLimiter(rate.Limit(originShare*float64(budget)), max(budget, receiveBuffer)),
-		unsent:  make(map[string][]origin.Record),
+		outbox:  newOriginOutbox(budget),
+		due:     make(chan struct{}, 1),
+		unsent:  make(map[string][]unsentRecord),
 		settled: make(map[string]int),
-		outbox:  make(map[*peer][]origin.Record),
 		lookups: make(map[uint32]*originLookup),
 	}
 }
@@ -108,13 +110,23 @@
 // versions of the service may serve.
 func (s *Service) SpreadOrigin(record origin.Record, service string) {
 	s.origins.add(record, service, clock.Now())
-	if record.Version == origin.Uncertain {
+	switch {
+	case record.Version == origin.Uncertain:
 		s.wake()
+	case s.origins.eager.Load():
+		s.origins.signalDue()
 	}
 }
 
-// SpreadOriginNow sends the record of a stream to its keepers before it returns, as far as the byte
-// budget allows.
+// signalDue has new records sent before the next round.
+func (e *originExchange) signalDue() {
+	select {
+	case e.due <- struct{}{}:
+	default:
+	}
+}
+
+// SpreadOriginNow sends the record of a stream to its keepers before it returns.
 func (s *Service) SpreadOriginNow(record origin.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -122,7 +134,7 @@
 	candidates := s.originCandidates(now)
 	for _, to := range s.originKeepers(record, candidates) {
 		if to != nil {
-			s.sendOriginRecords(to, []origin.Record{record}, now)
+			s.send(to.address, s.originHeartbeat(to, []origin.Record{record}, now), true)
 		}
 	}
 }
@@ -149,18 +161,25 @@
 		e.dropExpired(now)
 	}
 	if e.unsentCount < maxUnsent {
-		e.unsent[service] = append(e.unsent[service], record)
+		e.unsent[service] = append(e.unsent[service], unsentRecord{Record: record, addedAt: now})
 		e.unsentCount++
 	}
 }
 
+// keepsUnsent reports whether there are records that no other gateway has.
+func (e *originExchange) keepsUnsent() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.unsentCount > 0
+}
+
 // dropExpired drops unsent records that have expired, and makes the keepers of the others be looked at
 // again. The caller must hold e.mu.
 func (e *originExchange) dropExpired(now time.Time) {
 	e.unsentCount = 0
 	clear(e.settled)
 	for service, records := range e.unsent {
-		kept := slices.DeleteFunc(records, func(record origin.Record) bool { return !record.Expires.After(now) })
+		kept := slices.DeleteFunc(records, func(record unsentRecord) bool { return !record.Expires.After(now) })
 		e.unsent[service] = kept
 		e.unsentCount += len(kept)
 	}
@@ -168,22 +187,36 @@
 
 // sendOrigins sends the records that are due. The caller must hold s.mu.
 func (s *Service) sendOrigins(now time.Time) {
-	e := s.origins
-	if e.options.Table == nil {
+	if s.origins.options.Table == nil {
 		return
 	}
 	candidates := s.originCandidates(now)
 	s.sendToNewKeepers(candidates, now)
+	s.sendNewOrigins(candidates, now)
+	s.sendHandedOverOrigins(now)
+	s.origins.outbox.keepOnly(candidates)
+}
+
+// sendNewOrigins sends the records of streams that have just begun. The caller must hold s.mu.
+func (s *Service) sendNewOrigins(candidates []*peer, now time.Time) {
+	e := s.origins
 	if len(candidates) > 0 {
-		for _, record := range s.takeDueOrigins(candidates, now) {
-			e.post(s.originKeepers(record, candidates), nil, record)
+		due := s.takeDueOrigins(candidates, now)
+		e.eager.Store(len(due) > 0 || !e.keepsUnsent())
+		for _, record := range due {
+			e.outbox.add(s.originKeepers(record.Record, candidates), record, now)
 		}
 	}
-	for to, records := range e.outbox {
-		e.outbox[to] = s.sendOriginRecords(to, records, now)
-		if len(e.outbox[to]) == 0 || !slices.Contains(candidates, to) {
-			delete(e.outbox, to)
-		}
+	s.sendFreshOrigins(now)
+}
+
+// sendDueOrigins sends the records of streams that have just begun, before the next round, unless
+// bytes are short: then a datagram has to carry more of them.
+func (s *Service) sendDueOrigins(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.origins.options.Table != nil && (hasSpareBytes(s.origins.outbox.fresh) || hasSpareBytes(s.bucket)) {
+		s.sendNewOrigins(s.originCandidates(now), now)
 	}
 }
 
@@ -202,18 +235,18 @@
 		if !slices.Contains(earlier, nil) {
 			continue // others keep it
 		}
-		e.post(s.originKeepers(record, candidates), earlier, record)
+		e.outbox.handOverTo(s.originKeepers(record, candidates), earlier, record)
 	}
 }
 
 // takeDueOrigins removes and returns the unsent records of services that may have several versions, and
 // those of which a keeper is new: should this gateway be lost, such a keeper can't tell that there was only
 // one. The caller must hold s.mu.
-func (s *Service) takeDueOrigins(candidates []*peer, now time.Time) []origin.Record {
+func (s *Service) takeDueOrigins(candidates []*peer, now time.Time) []unsentRecord {
 	e := s.origins
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var due []origin.Record
+	var due []unsentRecord
 	for service, records := range e.unsent {
 		if _, sole := e.options.Sole(service); !sole {
 			due = append(due, records...)
@@ -226,7 +259,7 @@
 		anyNew := slices.ContainsFunc(candidates, isNew)
 		kept := records[:e.settled[service]]
 		for _, record := range records[len(kept):] {
-			if anyNew && slices.ContainsFunc(s.originKeepers(record, candidates), isNew) {
+			if anyNew && slices.ContainsFunc(s.originKeepers(record.Record, candidates), isNew) {
 				due = append(due, record)
 				continue
 			}
@@ -250,46 +283,6 @@
 	e.dropExpired(now)
 }
 
-// post adds a record to the outbox of its keepers, except for some and for this gateway.
-func (e *originExchange) post(keepers, except []*peer, record origin.Record) {
-	for _, to := range keepers {
-		if to != nil && !slices.Contains(except, to) {
-			e.outbox[to] = append(e.outbox[to], record)
-		}
-	}
-}
-
-// sendOriginRecords sends records to a gateway, those that last longest first, as far as their byte
-// budget allows, and returns the others.
-func (s *Service) sendOriginRecords(to *peer, records []origin.Record, now time.Time) []origin.Record {
-	records = slices.DeleteFunc(records, func(record origin.Record) bool { return !record.Expires.After(now) })
-	slices.SortFunc(records, func(a, b origin.Record) int {
-		return cmp.Or(b.Expires.Compare(a.Expires), cmp.Compare(a.Stream, b.Stream))
-	})
-	for len(records) > 0 {
-		heartbeat := s.bareHeartbeatTo(to)
-		chunk := records[:min(len(records), maxOriginRecords)]
-		for _, record := range chunk {
-			heartbeat.StreamOrigins = append(heartbeat.StreamOrigins, originMessage(record, now))
-		}
-		if !s.origins.bucket.AllowN(time.Now(), proto.Size(heartbeat)) {
-			return records
-		}
-		s.send(to.address, heartbeat, true)
-		records = records[len(chunk):]
-	}
-	return nil
-}
-
-// originMessage returns the message for a record.
-func originMessage(record origin.Record, now time.Time) *wire.StreamOrigin {
-	return &wire.StreamOrigin{
-		Stream:  uint64(record.Stream),
-		Version: uint32(record.Version),
-		LastsS:  uint32(math.Ceil(record.Expires.Sub(now).Seconds())),
-	}
-}
-
 // maxOriginLife limits for how long a received record is kept.
 const maxOriginLife = time.Hour
 
--- a/internal/peer/rounds.go
+++ b/internal/peer/rounds.go
@@ -18,13 +18,28 @@
 		if !wait.For(ctx, minRoundInterval) {
 			return
 		}
-		timer := time.NewTimer(tick - minRoundInterval)
+		s.awaitRound(ctx)
+	}
+}
+
+// awaitRound waits until the next round is due, and sends the records of new streams meanwhile.
+func (s *Service) awaitRound(ctx context.Context) {
+	timer := time.NewTimer(tick - minRoundInterval)
+	defer timer.Stop()
+	for {
 		select {
 		case <-ctx.Done():
+			return
 		case <-timer.C:
+			return
 		case <-s.wakeup:
+			return
+		case <-s.origins.due:
+			s.sendDueOrigins(clock.Now())
+			if !wait.For(ctx, minRoundInterval) {
+				return
+			}
 		}
-		timer.Stop()
 	}
 }
 
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -124,10 +125,18 @@
 	OnCensus func(census Census)
 }
 
+// packetConn is a UDP socket.
+type packetConn interface {
+	ReadFromUDPAddrPort(buffer []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(data []byte, to netip.AddrPort) (int, error)
+	SetReadDeadline(at time.Time) error
+	Close() error
+}
+
 // Service exchanges heartbeats with other gateways.
 type Service struct {
 	options     Options
-	conn        *net.UDPConn
+	conn        packetConn
 	dialer      link.Dialer
 	incarnation uint64
 	// hash is the hash of this process's id.
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -138,6 +138,12 @@
 		}
 		return p.peers.Traffic()
 	}
+	records := func() peer.WaitingOrigins {
+		if p.peers == nil {
+			return peer.WaitingOrigins{}
+		}
+		return p.peers.WaitingOrigins()
+	}
 	return observe.Gauges{
 		ProofAge: func() float64 {
 			age, known := p.gateway.Proof.Age(clock.Check())
@@ -172,6 +178,9 @@
 			}
 			return float64(total)
 		},
+		NewStreamRecords:        func() float64 { return float64(records().New) },
+		HandedOverStreamRecords: func() float64 { return float64(records().HandedOver) },
+		UnneededStreamRecords:   func() float64 { return float64(records().Unneeded) },
 	}
 }
 
