A version counts as the only one by proofs without a gap

Callers got streams with events of two software versions from gateways that had stood still while a version came and went.

Cause: a gateway took a version for the only one by the age of its last proof. A whole copy of the store, or one of another gateway, has no trace of what was added and removed in between. Ruled out: a wrong record (the gateways had none; the answers are "sole" in their lines).

Change: freshness.Proof knows since when its proofs follow each other within 3 s, and that must be as long as a stream lasts. So a gateway that was cut off is uncertain for a while, and needs records that others kept to themselves since it had been heard for long: each states in its heartbeats for how long it has known all targets without a gap (knows_targets_s; zero, also of older builds, is "not at all", for which records are sent).

Tests changed: those that took a gateway for certain by one proof, or by when it was first heard, now give it proofs without a gap; no check was dropped, and there are new cases with gaps. TestStreamOriginsWaitForSecondVersion and TestNewGatewaysGetStreamOrigins wait until the nodes have told each other.

Lookups moved from origins.go to a file of their own.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -12,10 +12,16 @@
 	"time"
 )
 
+// MaxGap is the longest time between two proven times without a gap. What was added and removed again
+// in a longer one, such as the targets of a short-lived version, may never have been known here.
+const MaxGap = 3 * time.Second
+
 // Proof holds the latest proven time. It is safe for concurrent use.
 type Proof struct {
 	mu sync.Mutex
 	at time.Time
+	// unbrokenSince is the first proven time after the last gap.
+	unbrokenSince time.Time
 }
 
 // Note records a proof for the time at; an older proof than the known one is ignored. The
@@ -23,9 +29,24 @@
 func (p *Proof) Note(at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if at.After(p.at) {
-		p.at = at
+	if !at.After(p.at) {
+		return
+	}
+	if p.at.IsZero() || at.Sub(p.at) > MaxGap {
+		p.unbrokenSince = at
+	}
+	p.at = at
+}
+
+// UnbrokenFor returns for how long the proven times have followed each other without a gap until now;
+// zero if there is none, or if the last one is too old.
+func (p *Proof) UnbrokenFor(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.at.IsZero() || now.Sub(p.at) > MaxGap {
+		return 0
 	}
+	return max(now.Sub(p.unbrokenSince), 0)
 }
 
 // Age returns how long ago the proven time is; the second result is false if there is none.
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -22,3 +22,21 @@
 	is.True(ok)
 	is.Equal(age, time.Second)
 }
+
+// TestUnbrokenProof guards against a process that takes what it knows for complete although it was cut
+// off in between.
+func TestUnbrokenProof(t *testing.T) {
+	is := is.New(t)
+	proof, start := new(freshness.Proof), time.Unix(100, 0)
+	is.Equal(proof.UnbrokenFor(start), time.Duration(0)) // no proof so far
+	for step := range 4 {
+		proof.Note(start.Add(time.Duration(step) * freshness.MaxGap))
+	}
+	now := start.Add(4 * freshness.MaxGap)
+	is.Equal(proof.UnbrokenFor(now), 4*freshness.MaxGap)
+	is.Equal(proof.UnbrokenFor(now.Add(1)), time.Duration(0)) // the last one is too old
+	proof.Note(now.Add(1))
+	is.Equal(proof.UnbrokenFor(now.Add(1)), time.Duration(0)) // a gap has just ended
+	is.Equal(proof.UnbrokenFor(now.Add(freshness.MaxGap)), freshness.MaxGap-1)
+	is.Equal(proof.UnbrokenFor(now), time.Duration(0)) // a time before the gap's end
+}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -26,9 +26,6 @@
 	// began a stream. It is the time from the end of the targets of another version until callers no
 	// longer resume what these broke off.
 	minSoleTime = 10 * time.Second
-	// maxSoleProofAge is the maximum age of the proof of the newest targets for a version to count as
-	// the only one.
-	maxSoleProofAge = 3 * time.Second
 )
 
 // OriginPeers exchanges records of streams with the other gateways.
@@ -152,14 +149,16 @@
 // soleVersion is like SoleOrigin, for a caller with the given patience.
 func (g *Gateway) soleVersion(service string, patience time.Duration) (string, bool) {
 	table, now := g.table.Load(), clock.Check()
-	if table == nil || !g.Proof.Within(maxSoleProofAge, now) {
+	if table == nil {
 		return "", false
 	}
 	timeout, ok := table.StreamTimeout(service)
-	if !ok {
+	span := soleTime(patience, timeout)
+	// A version that came and went while this gateway was cut off, or stood still, is unknown here.
+	if !ok || g.Proof.UnbrokenFor(now) < span {
 		return "", false
 	}
-	return g.Balancer.SoleVersion(service, soleTime(patience, timeout), now)
+	return g.Balancer.SoleVersion(service, span, now)
 }
 
 // soleTime returns for how long a version must have been the only one to have begun a stream.
--- a/internal/gateway/resumed_version_test.go
+++ b/internal/gateway/resumed_version_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/freshness"
 	"github.com/capersaddle/capersaddle/internal/gateway"
 	"github.com/capersaddle/capersaddle/internal/origin"
 	"github.com/capersaddle/capersaddle/internal/routing"
@@ -49,6 +50,14 @@
 	return caller
 }
 
+// prove notes proofs of the newest content of the store, a second apart, from one time to another.
+func prove(proof *freshness.Proof, from, to time.Time) {
+	for at := from; at.Before(to); at = at.Add(time.Second) {
+		proof.Note(at)
+	}
+	proof.Note(to)
+}
+
 // TestResumedStreamKeepsItsVersion guards against a stream that goes on at another version when its
 // caller resumes it, and against one that ends although it could go on.
 func TestResumedStreamKeepsItsVersion(t *testing.T) {
@@ -66,6 +75,8 @@
 		kind        fault.Kind
 		// proofAge is the age of the proof of the newest targets.
 		proofAge time.Duration
+		// gapEnded is how long ago a gap between the proofs ended; zero for none.
+		gapEnded time.Duration
 	}{
 		"recorded here":                     {versions: []string{"v1", "v2", "v2"}, known: long, began: "v1", resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginRecorded},
 		"recorded here, list is old":        {versions: []string{"v1", "v2"}, known: long, began: "v1", resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginRecorded, proofAge: time.Minute},
@@ -82,6 +93,9 @@
 		"one version, gateway just began":   {versions: []string{"v1"}, known: short, resumes: "r1", lastEvent: "1", source: gateway.OriginUnknown, kind: fault.StreamUnknown},
 		"one version, a peer knows it":      {versions: []string{"v1"}, known: short, told: "v1", resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginPeer},
 		"one version, list may be old":      {versions: []string{"v1"}, known: long, resumes: "r1", lastEvent: "1", source: gateway.OriginUnknown, kind: fault.StreamUnknown, proofAge: 4 * time.Second},
+		"one version, was cut off":          {versions: []string{"v1"}, known: long, resumes: "r1", lastEvent: "1", source: gateway.OriginUnknown, kind: fault.StreamUnknown, gapEnded: 5 * time.Second},
+		"was cut off, a peer was not":       {versions: []string{"v1"}, known: long, told: "v1", resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginPeer, gapEnded: 5 * time.Second},
+		"was cut off long ago":              {versions: []string{"v1"}, known: long, resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginSole, gapEnded: time.Minute},
 		"a new stream, list may be old":     {versions: []string{"v1"}, known: long, version: "v1", proofAge: 4 * time.Second},
 		"one version, told another by peer": {versions: []string{"v2"}, known: short, told: "v1", resumes: "r1", lastEvent: "1", source: gateway.OriginPeer, kind: fault.NoTarget},
 	}
@@ -109,7 +123,14 @@
 					}
 				}
 				time.Sleep(tc.known)
-				w.gateway.Proof.Note(time.Now().Add(-tc.proofAge))
+				now := time.Now()
+				if tc.gapEnded > 0 {
+					const gap = freshness.MaxGap + time.Second
+					prove(w.gateway.Proof, now.Add(-tc.known), now.Add(-tc.gapEnded-gap))
+					prove(w.gateway.Proof, now.Add(-tc.gapEnded), now)
+				} else {
+					prove(w.gateway.Proof, now.Add(-tc.known), now.Add(-tc.proofAge))
+				}
 				peers := &fakeOriginPeers{version: tc.told}
 				w.gateway.Origins = &gateway.Origins{Table: origin.NewTable(), Peers: peers}
 				w.gateway.Options = gateway.Options{}
@@ -223,7 +244,7 @@
 				after.Version = 9
 				w.gateway.Apply(after)
 				time.Sleep(tc.movedAgo)
-				w.gateway.Proof.Note(time.Now())
+				prove(w.gateway.Proof, time.Now().Add(-time.Minute), time.Now())
 				if tc.began != "" {
 					w.gateway.Origins.Table.Put(origin.Record{Stream: origin.StreamOf("w", "r1"), Version: origin.VersionOf(tc.began, "v1"), Expires: time.Now().Add(time.Minute)}, time.Now())
 				}
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -27,6 +27,7 @@
 		StoreReachable: s.options.Replica.Reachable(),
 		Follows:        s.currentView(now).source != nil,
 		Alone:          len(s.currentView(now).live) == 0,
+		KnowsTargetsS:  s.knowsTargetsFor(now),
 	}
 	if s.options.Lag != nil {
 		heartbeat.LagMs = uint32(s.options.Lag().Milliseconds())
--- /dev/null
+++ b/internal/peer/origin_lookup.go
@@ -0,0 +1,125 @@
+package peer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/capersaddle/capersaddle/internal/clock"
+	"github.com/capersaddle/capersaddle/internal/origin"
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+const (
+	// originAsked is the number of gateways that are asked in a large fleet, in which the sender of a
+	// record and the one that asks may not agree on who is live. In a small one all are asked.
+	originAsked = 5
+	// originAskInterval is the time between two questions to a gateway, a few times what an answer
+	// takes, and originAsks the number of questions.
+	originAskInterval = 25 * time.Millisecond
+	originAsks        = 4
+)
+
+// originLookup is a question that has not been settled.
+type originLookup struct {
+	// waiting are the gateways that have not answered.
+	waiting []*peer
+	// settled receives one result.
+	settled chan originFinding
+}
+
+type originFinding struct {
+	version origin.Version
+	found   bool
+}
+
+// answerOrigin answers a question.
+func (s *Service) answerOrigin(from *peer, question *wire.OriginQuestion, now time.Time) {
+	answer := &wire.OriginAnswer{Number: question.GetNumber()}
+	if record, ok := s.origins.options.Table.Get(origin.Stream(question.GetStream()), now); ok {
+		answer.Version, answer.Uncertain = uint32(record.Version), record.Version == origin.Uncertain
+	} else if sole, ok := s.origins.options.Sole(question.GetService()); ok {
+		answer.Version = uint32(sole)
+	}
+	heartbeat := s.bareHeartbeatTo(from)
+	heartbeat.OriginAnswer = answer
+	s.send(from.address, heartbeat, true)
+}
+
+// settle takes in an answer.
+func (e *originExchange) settle(from *peer, answer *wire.OriginAnswer) {
+	lookup, ok := e.lookups[answer.GetNumber()]
+	if !ok {
+		return
+	}
+	lookup.waiting = slices.DeleteFunc(lookup.waiting, func(p *peer) bool { return p == from })
+	known := answer.GetVersion() != uint32(origin.Uncertain)
+	if known || answer.GetUncertain() || len(lookup.waiting) == 0 {
+		delete(e.lookups, answer.GetNumber())
+		lookup.settled <- originFinding{version: origin.Version(answer.GetVersion()), found: known}
+	}
+}
+
+// FindOrigin asks other gateways which version began a stream. Those without a record answer with the
+// only version of the service, unless it is empty. It returns when one of them knows, when all have answered, or after a short time. asked is the number of gateways that it
+// asked.
+func (s *Service) FindOrigin(ctx context.Context, stream origin.Stream, service string) (version origin.Version, found bool, asked int) {
+	number, lookup, asked := s.openOriginLookup(stream)
+	if asked == 0 {
+		return origin.Uncertain, false, 0
+	}
+	question := &wire.OriginQuestion{Number: number, Stream: uint64(stream), Service: service}
+	ticker := time.NewTicker(originAskInterval)
+	defer ticker.Stop()
+	for range originAsks {
+		s.askOrigin(lookup, question)
+		select {
+		case finding := <-lookup.settled:
+			return finding.version, finding.found, asked
+		case <-ticker.C:
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
+	return s.closeOriginLookup(number, lookup, asked)
+}
+
+// openOriginLookup opens a lookup and chooses the gateways to ask.
+func (s *Service) openOriginLookup(stream origin.Stream) (number uint32, lookup *originLookup, asked int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.currentView(clock.Now())
+	lookup = &originLookup{waiting: slices.Clone(current.live), settled: make(chan originFinding, 1)}
+	if current.large {
+		first := keepersOf(uint64(stream), current.live, s.hash, originAsked)
+		lookup.waiting = slices.DeleteFunc(first, func(p *peer) bool { return p == nil })
+	}
+	s.origins.lastNumber++
+	s.origins.lookups[s.origins.lastNumber] = lookup
+	return s.origins.lastNumber, lookup, len(lookup.waiting)
+}
+
+// askOrigin sends a question to the gateways that have not answered it.
+func (s *Service) askOrigin(lookup *originLookup, question *wire.OriginQuestion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, to := range lookup.waiting {
+		heartbeat := s.bareHeartbeatTo(to)
+		heartbeat.OriginQuestion = question
+		s.send(to.address, heartbeat, true)
+	}
+}
+
+// closeOriginLookup ends a lookup. An answer may have arrived since.
+func (s *Service) closeOriginLookup(number uint32, lookup *originLookup, asked int) (origin.Version, bool, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.origins.lookups, number)
+	select {
+	case finding := <-lookup.settled:
+		return finding.version, finding.found, asked
+	default:
+		return origin.Uncertain, false, asked
+	}
+}
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -27,17 +26,18 @@
 	// once, originKeepersOfFew do.
 	originKeepers      = 2
 	originKeepersOfFew = 4
-	// originAsked is the number of gateways that are asked in a large fleet, in which the sender of a
-	// record and the one that asks may not agree on who is live. In a small one all are asked.
-	originAsked = 5
-	// originAskInterval is the time between two questions to a gateway, a few times what an answer
-	// takes, and originAsks the number of questions.
-	originAskInterval = 25 * time.Millisecond
-	originAsks        = 4
 	// maxUnsent limits the records that wait because they are not needed yet.
 	maxUnsent = 8192
-	// listTime is how long after its first heartbeat a gateway that has just begun knows the targets.
+	// listTime is how long after its first proof of the targets a gateway may know the first one of a
+	// service.
 	listTime = 5 * time.Second
+	// knowledgeUnit is the unit, and maxKnowledge the limit, of the time for which a heartbeat says that
+	// its sender has known all targets.
+	knowledgeUnit = time.Second
+	maxKnowledge  = time.Hour
+	// lostKnowledge is the least change of since when a gateway has known all targets by which it has
+	// lost its knowledge. A smaller one comes from rounding.
+	lostKnowledge = 2 * knowledgeUnit
 )
 
 // OriginOptions connects the exchange of records to the process.
@@ -69,6 +69,8 @@
 	unsentCount int
 	// settled counts the first unsent records of each service of which no keeper is new.
 	settled map[string]int
+	// peerForgot reports whether a gateway has lost its knowledge of the targets since the last round.
+	peerForgot bool
 	// candidates are the gateways that could be keepers in the last round, ordered by ID.
 	candidates []*peer
 	lookups    map[uint32]*originLookup
@@ -82,19 +84,6 @@
 	addedAt time.Time
 }
 
-// originLookup is a question that has not been settled.
-type originLookup struct {
-	// waiting are the gateways that have not answered.
-	waiting []*peer
-	// settled receives one result.
-	settled chan originFinding
-}
-
-type originFinding struct {
-	version origin.Version
-	found   bool
-}
-
 func newOriginExchange(options OriginOptions, budget int) *originExchange {
 	return &originExchange{
 		options: options,
@@ -225,11 +214,15 @@
 func (s *Service) sendToNewKeepers(candidates []*peer, now time.Time) {
 	e := s.origins
 	before := e.candidates
-	if slices.Equal(before, candidates) {
+	changed := !slices.Equal(before, candidates)
+	if changed || e.peerForgot {
+		e.peerForgot = false
+		e.forgetSettled(now)
+	}
+	if !changed {
 		return
 	}
 	e.candidates = candidates
-	e.forgetSettled(now)
 	for _, record := range e.options.Table.Records(now) {
 		earlier := s.originKeepers(record, before)
 		if !slices.Contains(earlier, nil) {
@@ -271,9 +264,26 @@
 	return due
 }
 
-// newerThan returns whether a gateway, nil for this one, was first heard after a time.
+// newerThan returns whether a gateway, nil for this one, has known all targets only since after a time.
 func newerThan(start time.Time) func(p *peer) bool {
-	return func(p *peer) bool { return p != nil && p.foundAt.After(start) }
+	return func(p *peer) bool { return p != nil && p.knowsSince.After(start) }
+}
+
+// knowsTargetsFor returns for how long this gateway has known all targets without a gap, in units.
+func (s *Service) knowsTargetsFor(now time.Time) uint32 {
+	return uint32(min(s.options.Proof.UnbrokenFor(now), maxKnowledge) / knowledgeUnit)
+}
+
+// noteKnowledge records since when a gateway has known all targets, as its heartbeat states.
+func (e *originExchange) noteKnowledge(from *peer, heartbeat *wire.GatewayBeat, now time.Time) {
+	if heartbeat.GetBare() {
+		return
+	}
+	since := now.Add(-min(time.Duration(heartbeat.GetKnowsTargetsS())*knowledgeUnit, maxKnowledge))
+	if since.Sub(from.knowsSince) > lostKnowledge {
+		e.peerForgot = true
+	}
+	from.knowsSince = since
 }
 
 // forgetSettled makes the keepers of all unsent records be looked at again.
@@ -299,6 +309,7 @@
 	if e.options.Table == nil {
 		return
 	}
+	e.noteKnowledge(from, heartbeat, now)
 	for _, message := range heartbeat.GetStreamOrigins() {
 		e.options.Table.Put(originOf(message, now), now)
 	}
@@ -309,94 +320,3 @@
 		e.settle(from, answer)
 	}
 }
-
-// answerOrigin answers a question.
-func (s *Service) answerOrigin(from *peer, question *wire.OriginQuestion, now time.Time) {
-	answer := &wire.OriginAnswer{Number: question.GetNumber()}
-	if record, ok := s.origins.options.Table.Get(origin.Stream(question.GetStream()), now); ok {
-		answer.Version, answer.Uncertain = uint32(record.Version), record.Version == origin.Uncertain
-	} else if sole, ok := s.origins.options.Sole(question.GetService()); ok {
-		answer.Version = uint32(sole)
-	}
-	heartbeat := s.bareHeartbeatTo(from)
-	heartbeat.OriginAnswer = answer
-	s.send(from.address, heartbeat, true)
-}
-
-// settle takes in an answer.
-func (e *originExchange) settle(from *peer, answer *wire.OriginAnswer) {
-	lookup, ok := e.lookups[answer.GetNumber()]
-	if !ok {
-		return
-	}
-	lookup.waiting = slices.DeleteFunc(lookup.waiting, func(p *peer) bool { return p == from })
-	known := answer.GetVersion() != uint32(origin.Uncertain)
-	if known || answer.GetUncertain() || len(lookup.waiting) == 0 {
-		delete(e.lookups, answer.GetNumber())
-		lookup.settled <- originFinding{version: origin.Version(answer.GetVersion()), found: known}
-	}
-}
-
-// FindOrigin asks other gateways which version began a stream. Those without a record answer with the
-// only version of the service, unless it is empty. It returns when one of them knows, when all have answered, or after a short time. asked is the number of gateways that it
-// asked.
-func (s *Service) FindOrigin(ctx context.Context, stream origin.Stream, service string) (version origin.Version, found bool, asked int) {
-	number, lookup, asked := s.openOriginLookup(stream)
-	if asked == 0 {
-		return origin.Uncertain, false, 0
-	}
-	question := &wire.OriginQuestion{Number: number, Stream: uint64(stream), Service: service}
-	ticker := time.NewTicker(originAskInterval)
-	defer ticker.Stop()
-	for range originAsks {
-		s.askOrigin(lookup, question)
-		select {
-		case finding := <-lookup.settled:
-			return finding.version, finding.found, asked
-		case <-ticker.C:
-			continue
-		case <-ctx.Done():
-		}
-		break
-	}
-	return s.closeOriginLookup(number, lookup, asked)
-}
-
-// openOriginLookup opens a lookup and chooses the gateways to ask.
-func (s *Service) openOriginLookup(stream origin.Stream) (number uint32, lookup *originLookup, asked int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	current := s.currentView(clock.Now())
-	lookup = &originLookup{waiting: slices.Clone(current.live), settled: make(chan originFinding, 1)}
-	if current.large {
-		first := keepersOf(uint64(stream), current.live, s.hash, originAsked)
-		lookup.waiting = slices.DeleteFunc(first, func(p *peer) bool { return p == nil })
-	}
-	s.origins.lastNumber++
-	s.origins.lookups[s.origins.lastNumber] = lookup
-	return s.origins.lastNumber, lookup, len(lookup.waiting)
-}
-
-// askOrigin sends a question to the gateways that have not answered it.
-func (s *Service) askOrigin(lookup *originLookup, question *wire.OriginQuestion) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, to := range lookup.waiting {
-		heartbeat := s.bareHeartbeatTo(to)
-		heartbeat.OriginQuestion = question
-		s.send(to.address, heartbeat, true)
-	}
-}
-
-// closeOriginLookup ends a lookup. An answer may have arrived since.
-func (s *Service) closeOriginLookup(number uint32, lookup *originLookup, asked int) (origin.Version, bool, int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.origins.lookups, number)
-	select {
-	case finding := <-lookup.settled:
-		return finding.version, finding.found, asked
-	default:
-		return origin.Uncertain, false, asked
-	}
-}
--- a/internal/peer/origins_test.go
+++ b/internal/peer/origins_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/capersaddle/capersaddle/internal/freshness"
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/origin"
 	"github.com/capersaddle/capersaddle/internal/wire"
@@ -155,7 +156,7 @@
 func TestStreamOriginsWaitForSecondVersion(t *testing.T) {
 	is := is.New(t)
 	nodes := newOriginFleet(t, link.NewMemory(), 3, streamVersion)
-	nodes[0].findPeersAt(time.Now().Add(-testSoleAfter - listTime))
+	knowEachOther(t, nodes)
 	for range 10 {
 		nodes[0].begin(streamVersion)
 	}
@@ -167,27 +168,58 @@
 	waitFor(t, "the others have the record", func() bool { return holders(nodes) == len(nodes) })
 }
 
-// findPeersAt sets when a node first heard the others.
-func (n *originNode) findPeersAt(at time.Time) {
+// knowTargets makes a node know all targets without a gap since a time, and until after the test.
+func (n *originNode) knowTargets(since time.Time) {
+	for at := since; at.Before(time.Now().Add(knownAhead)); at = at.Add(time.Second) {
+		n.proof.Note(at)
+	}
+}
+
+// knownAhead is longer than the tests take.
+const knownAhead = time.Minute
+
+// cutOff makes a node miss what happened to the targets for a while until now.
+func (n *originNode) cutOff() {
+	n.proof.Note(time.Now().Add(knownAhead + freshness.MaxGap + time.Second))
 	n.service.mu.Lock()
 	defer n.service.mu.Unlock()
-	for _, p := range n.service.table.peers {
-		p.foundAt = at
+	n.service.origins.options.Sole = func(string) (origin.Version, bool) { return origin.Uncertain, false }
+}
+
+// knowEachOther makes nodes know all targets for long, and waits until all others know that.
+func knowEachOther(t *testing.T, nodes []*originNode) {
+	t.Helper()
+	for _, n := range nodes {
+		n.knowTargets(time.Now().Add(-2 * (testSoleAfter + listTime)))
 	}
+	isNew := newerThan(time.Now().Add(-testSoleAfter - listTime))
+	waitFor(t, "all nodes know that others know the targets", func() bool {
+		return !slices.ContainsFunc(nodes, func(n *originNode) bool {
+			n.service.mu.Lock()
+			defer n.service.mu.Unlock()
+			return slices.ContainsFunc(n.service.originCandidates(time.Now()), isNew)
+		})
+	})
 }
 
 // TestNewGatewaysGetStreamOrigins guards against streams that are lost with the only gateway that has
-// been up for long enough to know that there was one version: it kept their records to itself.
+// been in touch for long enough to know that there was one version: it kept their records to itself.
 func TestNewGatewaysGetStreamOrigins(t *testing.T) {
 	cases := map[string]struct {
 		gateways int
 		// before begins the stream before the others begin again, and not after.
 		before bool
+		// cutOff cuts the others off from the store for a while in place of a new start.
+		cutOff bool
 	}{
-		"the stream begins before them":       {4, true},
-		"the stream begins after them":        {4, false},
-		"the stream begins before them, many": {14, true},
-		"the stream begins after them, many":  {14, false},
+		"the stream begins before them":             {4, true, false},
+		"the stream begins after them":              {4, false, false},
+		"the stream begins before them, many":       {14, true, false},
+		"the stream begins after them, many":        {14, false, false},
+		"the stream begins before they are cut off": {4, true, true},
+		"the stream begins after they were cut off": {4, false, true},
+		"before they are cut off, many":             {14, true, true},
+		"the stream begins after they were, many":   {14, false, true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -195,17 +227,27 @@
 			network := link.NewMemory()
 			nodes := newOriginFleet(t, network, tc.gateways, streamVersion)
 			old := nodes[0]
-			old.findPeersAt(time.Now().Add(-time.Hour))
+			knowEachOther(t, nodes)
 			if tc.before {
 				old.begin(streamVersion)
 				old.service.round(time.Now())
 				is.Equal(holders(nodes[1:]), 0)
 			}
 			for i, n := range nodes[1:] {
+				if tc.cutOff {
+					n.cutOff()
+					continue
+				}
 				_ = n.service.Close()
 				nodes[i+1] = newOriginNode(t, n.service.options.Address, fmt.Sprintf("g-%d", i+1), network, 0, old.service.options.Address)
 			}
 			awaitContact(t, nodes)
+			waitFor(t, "the first node knows that the others don't know the targets", func() bool {
+				old.service.mu.Lock()
+				defer old.service.mu.Unlock()
+				isNew := newerThan(time.Now().Add(-testSoleAfter))
+				return !slices.ContainsFunc(old.service.originCandidates(time.Now()), func(p *peer) bool { return !isNew(p) })
+			})
 			if !tc.before {
 				old.begin(streamVersion)
 			}
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -24,8 +24,8 @@
 type peer struct {
 	id          string
 	incarnation uint64
-	// foundAt is when this incarnation was first heard.
-	foundAt       time.Time
+	// knowsSince is since when it has known all targets without a gap, as it states.
+	knowsSince    time.Time
 	address       string
 	lastHeartbeat time.Time
 	// sequence is the last sequence number received from it.
@@ -133,7 +133,7 @@
 		if ok {
 			delete(t.byIncarnation, p.incarnation)
 		}
-		p = &peer{id: heartbeat.GetId(), incarnation: heartbeat.GetLife(), foundAt: now, askScore: askScore(heartbeat.GetId()), hash: policy.HashName(heartbeat.GetId())}
+		p = &peer{id: heartbeat.GetId(), incarnation: heartbeat.GetLife(), knowsSince: now, askScore: askScore(heartbeat.GetId()), hash: policy.HashName(heartbeat.GetId())}
 		t.peers[p.id], t.byIncarnation[p.incarnation] = p, p
 		result = found
 	}
--- a/internal/soak/killed_in_series_test.go
+++ b/internal/soak/killed_in_series_test.go
@@ -72,7 +72,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := &soak{t: t, binary: binary, seed: 1, grace: stopGrace}
-			s.startVersionedSystem(test.gateways)
+			s.startVersionedSystem(test.gateways, seriesVersions)
 			defer s.stopSystem()
 			callers, stop := s.startStreamCallers(time.Second / time.Duration(test.perSecond))
 			time.Sleep(seriesWarmUp)
@@ -92,7 +92,7 @@
 }
 
 // startVersionedSystem starts gateways in front of servers of several software versions.
-func (s *soak) startVersionedSystem(gateways int) {
+func (s *soak) startVersionedSystem(gateways, versions int) {
 	is := is.New(s.t)
 	platform, err := emulator.New("127.0.0.1:0")
 	is.NoErr(err)
@@ -106,11 +106,9 @@
 		Limits:   emulator.Limits{BodyBytes: 1 << 20, IdleMs: 15000},
 	}
 	is.NoErr(s.platform.Accept(&s.config))
-	for version := range seriesVersions {
+	for version := range versions {
 		for i := range serversOfVersion {
-			options := emulator.ServerOptions{ID: fmt.Sprintf("e-%d-%d", version, i), Events: seriesEvents, Gap: seriesGap, Version: fmt.Sprintf("v%d", version), VersionInEvents: true}
-			_, err := s.platform.AddServer("engine", "dc", "127.0.0.1:0", options)
-			is.NoErr(err)
+			s.addVersionedServer(fmt.Sprintf("v%d", version), i)
 		}
 	}
 	dir := s.t.TempDir()
@@ -125,6 +123,15 @@
 	}
 }
 
+// addVersionedServer starts a server of a software version.
+func (s *soak) addVersionedServer(version string, number int) *emulator.Server {
+	s.t.Helper()
+	options := emulator.ServerOptions{ID: fmt.Sprintf("e-%s-%d", version, number), Events: seriesEvents, Gap: seriesGap, Version: version, VersionInEvents: true}
+	server, err := s.platform.AddServer("engine", "dc", "127.0.0.1:0", options)
+	is.New(s.t).NoErr(err)
+	return server
+}
+
 // awaitServing waits until a gateway serves a request, and lets callers use it from then on.
 func (s *soak) awaitServing(g *gateway) {
 	s.t.Helper()
