Targets restored from the checkpoint stay cold

A target that had just begun would get as many requests as a warm one from gateways that begin while the store is away and its entry has lapsed: the checkpoint left out for how long it is cold, and zero means warm. Found by going through the checkpoint's fields; not seen at callers.

Change: cold_for_ms in the checkpoint, as of when it is written; Restore applies it. Only a change between cold and warm makes a new checkpoint. A version that is unknown is encoded as missing; it became the empty version.

TestTargetsKeepTheirFields no longer passes over ColdFor.

--- a/internal/balance/announcement_test.go
+++ b/internal/balance/announcement_test.go
@@ -126,7 +126,7 @@
 	b := newWithTwoTargets(now)
 	b.ObserveNotice("t@1000", Notice{Leaving: true}, time.Time{})
 	is.True(!b.Serving("t@1000"))
-	is.Equal(len(b.Working()), 1)
+	is.Equal(len(b.Working(now)), 1)
 	b.NoteRefused(shortIncarnation(incarnationOf(1000)), now)
 	is.True(!b.EndOf("t@1000").Known())
 	b.Drop("t", now)
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -214,7 +214,7 @@
 	b := balance.New(balance.DefaultOptions())
 	b.Put(target(0), start)
 	b.Restore([]balance.Target{target(0), target(1), target(2)}, start)
-	is.Equal(len(b.Working()), 1) // a restored target is not listed
+	is.Equal(len(b.Working(start)), 1) // a restored target is not listed
 	got := make(map[string]bool)
 	for range 6 {
 		pick, _ := b.Choose(balance.Query{Service: "s"}, start)
--- a/internal/balance/list.go
+++ b/internal/balance/list.go
@@ -138,7 +138,9 @@
 		if _, known := b.current[target.ID]; known {
 			continue
 		}
-		b.add(target, now).unlistedAt = now
+		restored := b.add(target, now)
+		restored.unlistedAt = now
+		restored.updateCold(target.ColdFor, now)
 	}
 }
 
@@ -192,22 +194,27 @@
 
 // Targets returns the known targets sorted by ID.
 func (b *Balancer) Targets() []Target {
-	return b.filtered(func(*state) bool { return true })
+	return b.targetsWith(func(known *state) (Target, bool) { return known.Target, true })
 }
 
-// Working returns the targets that are listed and take requests, sorted by ID.
-func (b *Balancer) Working() []Target {
-	return b.filtered(func(target *state) bool { return !target.leaving() && target.unlistedAt.IsZero() })
+// Working returns the targets that are listed and take requests, sorted by ID. ColdFor is as of now.
+func (b *Balancer) Working(now time.Time) []Target {
+	return b.targetsWith(func(known *state) (Target, bool) {
+		target := known.Target
+		target.ColdFor = max(known.cold.until.Sub(now), 0)
+		return target, !known.leaving() && known.unlistedAt.IsZero()
+	})
 }
 
-// filtered returns the known targets that satisfy a condition, sorted by ID.
-func (b *Balancer) filtered(matches func(target *state) bool) []Target {
+// targetsWith returns what a function makes of the known targets, sorted by ID, without those for which it
+// returns false.
+func (b *Balancer) targetsWith(describe func(known *state) (Target, bool)) []Target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var targets []Target
 	for _, id := range slices.Sorted(maps.Keys(b.current)) {
-		if target := b.current[id]; matches(target) {
-			targets = append(targets, target.Target)
+		if target, ok := describe(b.current[id]); ok {
+			targets = append(targets, target)
 		}
 	}
 	return targets
--- a/internal/checkpoint/checkpoint.go
+++ b/internal/checkpoint/checkpoint.go
@@ -81,7 +81,17 @@
 // sameTargetsAndHeldBack reports whether both contents have the same targets and held back
 // requests.
 func (c Content) sameTargetsAndHeldBack(other Content) bool {
-	return slices.Equal(c.Targets, other.Targets) && slices.EqualFunc(c.HeldBack, other.HeldBack, quarantine.Record.Equal)
+	return slices.EqualFunc(c.Targets, other.Targets, sameTarget) && slices.EqualFunc(c.HeldBack, other.HeldBack, quarantine.Record.Equal)
+}
+
+// sameTarget reports whether two targets differ at most in how much longer they are cold: a checkpoint
+// that says too long of a target is on the safe side.
+func sameTarget(a, b balance.Target) bool {
+	if (a.ColdFor > 0) != (b.ColdFor > 0) {
+		return false
+	}
+	a.ColdFor = b.ColdFor
+	return a == b
 }
 
 // NewSaver returns a saver; Start starts it. onCall is called with the result of each call.
@@ -114,7 +124,7 @@
 	if !s.isWriter() {
 		return
 	}
-	content := Content{Placements: s.balancer.AllPlacements(maxParts), Targets: s.balancer.Working(), Gateways: s.balancer.Gateways().Count}
+	content := Content{Placements: s.balancer.AllPlacements(maxParts), Targets: s.balancer.Working(clock.Now()), Gateways: s.balancer.Gateways().Count}
 	if s.HeldBack != nil {
 		heldBack := s.HeldBack()
 		content.HeldBack = heldBack[:min(len(heldBack), maxHeldBack)]
@@ -167,15 +177,7 @@
 func Encode(content Content) ([]byte, error) {
 	message := &wire.PlacementCheckpoint{Gateways: uint32(min(max(content.Gateways, 0), math.MaxInt32))}
 	for _, target := range content.Targets {
-		message.Targets = append(message.Targets, &wire.CheckpointTarget{
-			Id:         target.ID,
-			Service:    target.Service,
-			Address:    target.Address,
-			DataCenter: target.DataCenter,
-			Slots:      int32(min(target.Slots, math.MaxInt32)),
-			Born:       target.Born,
-			Version:    &target.Version,
-		})
+		message.Targets = append(message.Targets, targetMessage(target))
 	}
 	for _, record := range content.HeldBack {
 		message.HeldBack = append(message.HeldBack, record.Message())
@@ -188,6 +190,38 @@
 	return data, errors.Wrap(err, "encode checkpoint")
 }
 
+// targetMessage returns the message for a target.
+func targetMessage(target balance.Target) *wire.CheckpointTarget {
+	message := &wire.CheckpointTarget{
+		Id:         target.ID,
+		Service:    target.Service,
+		Address:    target.Address,
+		DataCenter: target.DataCenter,
+		Slots:      int32(min(target.Slots, math.MaxInt32)),
+		Born:       target.Born,
+		ColdForMs:  uint32(min(max(target.ColdFor.Milliseconds(), 0), math.MaxInt32)),
+	}
+	if !target.VersionUnknown {
+		message.Version = &target.Version
+	}
+	return message
+}
+
+// targetOf returns the target in a message.
+func targetOf(message *wire.CheckpointTarget) balance.Target {
+	return balance.Target{
+		ID:             message.GetId(),
+		Service:        message.GetService(),
+		Address:        message.GetAddress(),
+		DataCenter:     message.GetDataCenter(),
+		Slots:          int(message.GetSlots()),
+		Born:           message.GetBorn(),
+		Version:        message.GetVersion(),
+		VersionUnknown: message.Version == nil,
+		ColdFor:        time.Duration(min(message.GetColdForMs(), math.MaxInt32)) * time.Millisecond,
+	}
+}
+
 // Decode decodes what Encode returned.
 func Decode(data []byte) (Content, error) {
 	message := new(wire.PlacementCheckpoint)
@@ -203,16 +237,7 @@
 		content.Placements = append(content.Placements, balance.Placement{Part: part, Target: targets[i]})
 	}
 	for _, target := range message.GetTargets() {
-		content.Targets = append(content.Targets, balance.Target{
-			ID:             target.GetId(),
-			Service:        target.GetService(),
-			Address:        target.GetAddress(),
-			DataCenter:     target.GetDataCenter(),
-			Slots:          int(target.GetSlots()),
-			Born:           target.GetBorn(),
-			Version:        target.GetVersion(),
-			VersionUnknown: target.Version == nil,
-		})
+		content.Targets = append(content.Targets, targetOf(target))
 	}
 	for _, record := range message.GetHeldBack() {
 		content.HeldBack = append(content.HeldBack, quarantine.RecordOf(record))
--- a/internal/checkpoint/fields_test.go
+++ b/internal/checkpoint/fields_test.go
@@ -1,8 +1,10 @@
 package checkpoint
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
@@ -15,9 +17,9 @@
 // their entries said of them: without versions, streams that began there were bound to none.
 func TestTargetsKeepTheirFields(t *testing.T) {
 	is := is.New(t)
-	// A leaving target is not saved, and one that still serves when it is restored is warm. Weights are
-	// long, and a restored target shares no cache with listed ones until its entry is back.
-	notSaved := map[string]bool{"Leaving": true, "ColdFor": true, "VersionUnknown": true, "Weights": true}
+	// A leaving target is not saved. Weights are long, and a restored target shares no cache with listed
+	// ones until its entry is back.
+	notSaved := map[string]bool{"Leaving": true, "VersionUnknown": true, "Weights": true}
 	var target balance.Target
 	value := reflect.ValueOf(&target).Elem()
 	for i := range value.NumField() {
@@ -26,6 +28,8 @@
 		case notSaved[value.Type().Field(i).Name]:
 		case field.Kind() == reflect.String:
 			field.SetString(value.Type().Field(i).Name)
+		case field.Type() == reflect.TypeFor[time.Duration]():
+			field.SetInt(int64(time.Duration(i+1) * time.Millisecond))
 		case field.CanInt():
 			field.SetInt(int64(i + 1))
 		default:
@@ -51,3 +55,51 @@
 	is.NoErr(err)
 	is.Equal(content.Targets, []balance.Target{{ID: "t", Service: "s", VersionUnknown: true}})
 }
+
+// TestRestoredTargetsStayCold guards against a cold target that gets as many requests as a warm one from
+// gateways that know it only from the checkpoint.
+func TestRestoredTargetsStayCold(t *testing.T) {
+	cases := map[string]struct {
+		// coldFor is how long the target is still cold when its entry is read, savedAfter how much later
+		// the checkpoint is written, and restoredAfter how much later than that it is read.
+		coldFor, savedAfter, restoredAfter time.Duration
+		cold                               bool
+	}{
+		"cold":                        {10 * time.Second, 2 * time.Second, time.Second, true},
+		"warm":                        {0, 2 * time.Second, time.Second, false},
+		"warm before it is saved":     {time.Second, 2 * time.Second, time.Second, false},
+		"warm a while after it began": {10 * time.Second, 2 * time.Second, 9 * time.Second, false},
+	}
+	const targets = 3
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			begin := time.Now()
+			before := balance.New(balance.DefaultOptions())
+			for i := range targets {
+				id := fmt.Sprint("t-", i)
+				before.Put(balance.Target{ID: id, Service: "s", Address: id, Slots: 64, ColdFor: tc.coldFor}, begin)
+			}
+			data, err := Encode(Content{Targets: before.Working(begin.Add(tc.savedAfter))})
+			is.NoErr(err)
+			content, err := Decode(data)
+			is.NoErr(err)
+			options := balance.DefaultOptions()
+			options.ExpiryGrace = time.Minute // the targets serve without entries
+			after := balance.New(options)
+			after.SetGateways(balance.Gateways{Count: 1})
+			after.SetCold("s", balance.ColdBound{Rate: 1, Start: 10 * time.Second})
+			restored := begin.Add(tc.savedAfter)
+			after.Restore(content.Targets, restored)
+			chosen := 0
+			for i := range 20 {
+				now := restored.Add(tc.restoredAfter + time.Duration(i)*10*time.Millisecond)
+				if pick, ok := after.Choose(balance.Query{Service: "s"}, now); ok {
+					chosen++
+					after.Release(pick.Target.ID, balance.Good, now)
+				}
+			}
+			is.Equal(chosen <= targets, tc.cold)
+		})
+	}
+}
