Targets restored from the checkpoint keep their weights

A target known only from the checkpoint would be told to fetch cached parts of a prompt from one with other weights: the checkpoint left the weights out, and an empty text equals another.

Change: a list of the different texts in the checkpoint and a place in it for each target (two bytes). Where it is missing, the weights are unknown and equal no others. Ruled out: a text for each target (95 KB for 1,900).

checkpoint.TestRestoredTargetsKeepTheirWeights: two of three cases red without, green with. TestTargetsKeepTheirFields no longer passes over Weights; TestCheckpointWithoutVersions expects unknown weights too.

--- a/internal/balance/directory.go
+++ b/internal/balance/directory.go
@@ -76,7 +76,7 @@
 // isUsable reports whether an open target can use the prompts cached by a holder. The caller
 // must hold b.mu.
 func (b *Balancer) isUsable(holder *state) bool {
-	return slices.ContainsFunc(b.scratch.healthy, func(open *state) bool { return open.Weights == holder.Weights })
+	return slices.ContainsFunc(b.scratch.healthy, func(open *state) bool { return open.hasWeightsOf(holder) })
 }
 
 // Holds reports whether a target is known to hold a part.
--- a/internal/balance/fills.go
+++ b/internal/balance/fills.go
@@ -85,7 +85,7 @@
 		return true
 	}
 	return slices.ContainsFunc(b.serviceOf(query.Service).targets, func(t *state) bool {
-		return t.Weights == reader.Weights && t.unlistedAt.IsZero() && query.Versions.Admits(t.Version)
+		return t.hasWeightsOf(reader) && t.unlistedAt.IsZero() && query.Versions.Admits(t.Version)
 	})
 }
 
@@ -109,7 +109,7 @@
 func (b *Balancer) isHeldFor(chosen *state, part uint32) bool {
 	return slices.ContainsFunc(b.holders.of(part), func(k holder) bool {
 		target, known := b.byShort[k.target]
-		return k.confirmed && (!known || target.Weights == chosen.Weights)
+		return k.confirmed && (!known || target.hasWeightsOf(chosen))
 	})
 }
 
--- a/internal/balance/placements.go
+++ b/internal/balance/placements.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		score := policy.Score(session, target.hash)
-		if (best == nil || score > bestScore) && target.Weights == chosen.Weights {
+		if (best == nil || score > bestScore) && target.hasWeightsOf(chosen) {
 			best, bestScore = target, score
 		}
 	}
@@ -79,7 +79,7 @@
 	var found *state
 	for _, holder := range b.holders.of(part) {
 		target := b.byShort[holder.target]
-		if !holder.confirmed || target == nil || target == chosen || target.Weights != chosen.Weights || !target.serves(now) {
+		if !holder.confirmed || target == nil || target == chosen || !target.hasWeightsOf(chosen) || !target.serves(now) {
 			continue
 		}
 		if target.DataCenter == chosen.DataCenter {
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -27,6 +27,9 @@
 	// Weights identifies the models that the target serves and their versions. Cached parts of
 	// prompts can be used only by targets with the same weights. Empty if not stated.
 	Weights string
+	// WeightsUnknown reports whether the target is known from a record that doesn't hold its weights.
+	// Weights is empty then.
+	WeightsUnknown bool
 	// Slots is how many requests the target processes at once; zero if unknown.
 	Slots int
 	// Leaving reports whether the target is shutting down and gets no new requests.
@@ -145,6 +148,11 @@
 	return now.Sub(s.unlistedAt)
 }
 
+// hasWeightsOf reports whether the target is known to have the same weights as another one.
+func (s *state) hasWeightsOf(other *state) bool {
+	return s == other || s.Weights == other.Weights && !s.WeightsUnknown && !other.WeightsUnknown
+}
+
 // latencyWeight is the weight of a new sample in the moving mean.
 const latencyWeight = 0.15
 
--- a/internal/checkpoint/checkpoint.go
+++ b/internal/checkpoint/checkpoint.go
@@ -177,7 +177,11 @@
 func Encode(content Content) ([]byte, error) {
 	message := &wire.PlacementCheckpoint{Gateways: uint32(min(max(content.Gateways, 0), math.MaxInt32))}
 	for _, target := range content.Targets {
-		message.Targets = append(message.Targets, targetMessage(target))
+		encoded := targetMessage(target)
+		if !target.WeightsUnknown {
+			encoded.Weights = proto.Uint32(placeOf(target.Weights, message))
+		}
+		message.Targets = append(message.Targets, encoded)
 	}
 	for _, record := range content.HeldBack {
 		message.HeldBack = append(message.HeldBack, record.Message())
@@ -190,7 +194,17 @@
 	return data, errors.Wrap(err, "encode checkpoint")
 }
 
-// targetMessage returns the message for a target.
+// placeOf returns the place of a target's weights in the message's list, to which it adds new ones.
+func placeOf(weights string, message *wire.PlacementCheckpoint) uint32 {
+	place := slices.Index(message.GetWeights(), weights)
+	if place < 0 {
+		place = len(message.GetWeights())
+		message.Weights = append(message.Weights, weights)
+	}
+	return uint32(place)
+}
+
+// targetMessage returns the message for a target, without its weights.
 func targetMessage(target balance.Target) *wire.CheckpointTarget {
 	message := &wire.CheckpointTarget{
 		Id:         target.ID,
@@ -207,9 +221,9 @@
 	return message
 }
 
-// targetOf returns the target in a message.
-func targetOf(message *wire.CheckpointTarget) balance.Target {
-	return balance.Target{
+// targetOf returns the target in a message, given the checkpoint's list of weights.
+func targetOf(message *wire.CheckpointTarget, weights []string) balance.Target {
+	target := balance.Target{
 		ID:             message.GetId(),
 		Service:        message.GetService(),
 		Address:        message.GetAddress(),
@@ -219,7 +233,12 @@
 		Version:        message.GetVersion(),
 		VersionUnknown: message.Version == nil,
 		ColdFor:        time.Duration(min(message.GetColdForMs(), math.MaxInt32)) * time.Millisecond,
+		WeightsUnknown: message.Weights == nil || int(message.GetWeights()) >= len(weights),
+	}
+	if !target.WeightsUnknown {
+		target.Weights = weights[message.GetWeights()]
 	}
+	return target
 }
 
 // Decode decodes what Encode returned.
@@ -237,7 +256,7 @@
 		content.Placements = append(content.Placements, balance.Placement{Part: part, Target: targets[i]})
 	}
 	for _, target := range message.GetTargets() {
-		content.Targets = append(content.Targets, targetOf(target))
+		content.Targets = append(content.Targets, targetOf(target, message.GetWeights()))
 	}
 	for _, record := range message.GetHeldBack() {
 		content.HeldBack = append(content.HeldBack, quarantine.RecordOf(record))
--- a/internal/checkpoint/fields_test.go
+++ b/internal/checkpoint/fields_test.go
@@ -17,9 +17,8 @@
 // their entries said of them: without versions, streams that began there were bound to none.
 func TestTargetsKeepTheirFields(t *testing.T) {
 	is := is.New(t)
-	// A leaving target is not saved. Weights are long, and a restored target shares no cache with listed
-	// ones until its entry is back.
-	notSaved := map[string]bool{"Leaving": true, "VersionUnknown": true, "Weights": true}
+	// A leaving target is not saved, nor are targets known only from a record.
+	notSaved := map[string]bool{"Leaving": true, "VersionUnknown": true, "WeightsUnknown": true}
 	var target balance.Target
 	value := reflect.ValueOf(&target).Elem()
 	for i := range value.NumField() {
@@ -53,7 +52,7 @@
 	is.NoErr(err)
 	content, err := Decode(data)
 	is.NoErr(err)
-	is.Equal(content.Targets, []balance.Target{{ID: "t", Service: "s", VersionUnknown: true}})
+	is.Equal(content.Targets, []balance.Target{{ID: "t", Service: "s", VersionUnknown: true, WeightsUnknown: true}})
 }
 
 // TestRestoredTargetsStayCold guards against a cold target that gets as many requests as a warm one from
@@ -103,3 +102,42 @@
 		})
 	}
 }
+
+// TestRestoredTargetsKeepTheirWeights guards against targets that are told to fetch a cached part of a
+// prompt from one with other weights, because both were known only from the checkpoint.
+func TestRestoredTargetsKeepTheirWeights(t *testing.T) {
+	part := uint64(1) << 32
+	cases := map[string]struct {
+		weights [3]string
+		// older leaves the weights out, as older writers do.
+		older   bool
+		fetches bool
+	}{
+		"the same weights":  {[3]string{"w1", "w1", "w1"}, false, true},
+		"other weights":     {[3]string{"w1", "w2", "w2"}, false, false},
+		"weights not known": {[3]string{"w1", "w2", "w2"}, true, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			var targets []balance.Target
+			for i, weights := range tc.weights {
+				id := fmt.Sprint("t-", i)
+				targets = append(targets, balance.Target{ID: id, Service: "s", Address: id, Slots: 8, Weights: weights, WeightsUnknown: tc.older})
+			}
+			data, err := Encode(Content{Targets: targets})
+			is.NoErr(err)
+			content, err := Decode(data)
+			is.NoErr(err)
+			restored := balance.New(balance.DefaultOptions())
+			restored.Restore(content.Targets, now)
+			query := balance.Query{Service: "s", Parts: []uint64{part}, Tokens: []int{1000}}
+			restored.Confirm("t-0", query)
+			query.Exclude = []string{"t-0"}
+			pick, ok := restored.Choose(query, now)
+			is.True(ok)
+			is.Equal(pick.FetchFrom == "t-0", tc.fetches)
+		})
+	}
+}
