Handed over records say that an answer was too large to keep

A caller that sent its key again after the key's slot had been handed over got the head of its answer with an empty body, as a whole answer, if the body had been too large to keep.

Cause: KeyRecord has no field for Outcome.Trimmed, and its zero is an answer that was not trimmed.

Gateways don't exchange this message.

--- a/internal/once/handover.go
+++ b/internal/once/handover.go
@@ -75,12 +75,13 @@
 		state = InDoubt
 	}
 	return &wire.KeyRecord{
-		Key:   record.Key,
-		AtMs:  record.At.UnixMilli(),
-		State: uint32(state),
-		Head:  record.Outcome.Head,
-		Body:  record.Outcome.Body,
-		Print: record.Fingerprint,
+		Key:     record.Key,
+		AtMs:    record.At.UnixMilli(),
+		State:   uint32(state),
+		Head:    record.Outcome.Head,
+		Body:    record.Outcome.Body,
+		Print:   record.Fingerprint,
+		Trimmed: record.Outcome.Trimmed,
 	}
 }
 
@@ -146,6 +147,6 @@
 		At:          time.UnixMilli(message.GetAtMs()),
 		Fingerprint: message.GetPrint(),
 		State:       State(message.GetState()),
-		Outcome:     Outcome{Head: message.GetHead(), Body: message.GetBody()},
+		Outcome:     Outcome{Head: message.GetHead(), Body: message.GetBody(), Trimmed: message.GetTrimmed()},
 	}
 }
