An answer beyond the agent's limit is not passed on as whole

An agent cut the answer of a call that must not be repeated at MaxAnswerBytes (8 MiB) and sent it as a whole answer, with its length. Found beside the record of answers that are too large to keep, by reading.

Change: one byte more is read, and a longer body is not kept: the caller is told that the request ran and that its answer was too large. An answer that breaks off leaves a line in the log.

agent.TestAnswerBeyondLimitIsNotWhole fails with the limit as it was and passes with the byte more.

--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -179,13 +179,27 @@
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, a.options.MaxAnswerBytes))
+	outcome, err := outcomeOf(response, a.options.MaxAnswerBytes)
 	if err != nil {
+		a.log.Warn("the answer to a keyed request broke off", "target", p.ID, "request", call.GetRequestId(), "error", err)
 		manager.recordEnd(record, once.InDoubt, once.Outcome{})
 		return
 	}
-	*waiter.fullOutcome = once.Outcome{Head: headOf(response), Body: body}
-	manager.recordEnd(record, once.Done, *waiter.fullOutcome)
+	*waiter.fullOutcome = outcome
+	manager.recordEnd(record, once.Done, outcome)
+}
+
+// outcomeOf reads a target's answer. A body of more than limit bytes is not kept: what was read of it
+// would pass for the whole.
+func outcomeOf(response target.ServiceResponse, limit int64) (once.Outcome, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		return once.Outcome{}, errors.Wrap(err, "read the answer")
+	}
+	if int64(len(body)) > limit {
+		return once.Outcome{Head: headOf(response), Trimmed: true}, nil
+	}
+	return once.Outcome{Head: headOf(response), Body: body}, nil
 }
 
 // send waits for the record's end and sends its outcome.
