Growth of others' requests is checked against their reports

Callers were refused with 429 while targets had room, in the first seconds after the platform had handed most new connections to another gateway.

Cause: with more than eight other gateways, one estimates what they admitted since their last report by the growth of its own requests. While callers move to it, the others shrink.

Change: each report is compared with the growth that was estimated for it, and the estimate is taken back in that proportion, with a half-life of a second. Before any comparison growth counts as shared, as a surge needs it.

--- a/internal/balance/totals.go
+++ b/internal/balance/totals.go
@@ -14,6 +14,8 @@
 // and all gateways fill the same capacity. One total per service always fits into a report.
 // The requests that others admitted since their last report are estimated from the growth of
 // this gateway's own requests in the same time, because callers are spread over all gateways.
+// That fails while callers move between gateways, so each new report is compared with what was
+// estimated for it.
 
 const (
 	// totalTTL is the minimum time for which another gateway's total stays valid. With more
@@ -58,6 +60,8 @@
 type serviceLoad struct {
 	// own is the number of this process's requests in flight.
 	own int
+	// sharedGrowth compares the growth that was estimated for other gateways with what they reported.
+	sharedGrowth sharedGrowth
 	// history holds earlier values of own, oldest first.
 	history []timedCount
 	// totals holds the totals of the other gateways, by gateway ID.
@@ -107,6 +111,9 @@
 		if svc.load.totals == nil {
 			svc.load.totals = make(map[string]timedCount)
 		}
+		if last, known := svc.load.totals[gateway]; known && now.Sub(last.at) <= b.totalTTL {
+			svc.load.sharedGrowth.record(last.count, totals[at].Count, svc.load.growthSince(last.at), now)
+		}
 		svc.load.totals[gateway] = timedCount{count: totals[at].Count, at: now}
 	}
 }
@@ -133,7 +140,7 @@
 			continue
 		}
 		reported += total.count
-		load.others += float64(total.count) * load.growthSince(total.at)
+		load.others += float64(total.count) * load.sharedGrowth.apply(load.growthSince(total.at), now)
 	}
 	everyVersion := !svc.restrictedBy(&svc.admitting)
 	counted, listed := 0, 0
--- a/internal/balance/totals_test.go
+++ b/internal/balance/totals_test.go
@@ -23,6 +23,9 @@
 	random   *rand.Rand
 	// arrivals is the mean number of requests per step and gateway.
 	arrivals float64
+	// favoured gets this share of all arrivals, if it is not zero: callers move to one gateway.
+	favoured      int
+	favouredShare float64
 	// request returns a random query and how long the request stays; nil for plain requests.
 	request func(gateway int) (balance.Query, time.Duration)
 	// admitting restricts the versions that count for the room.
@@ -74,7 +77,7 @@
 			kept = append(kept, held)
 		}
 		c.inFlight[i] = kept
-		for range c.drawArrivals() {
+		for range c.drawArrivals(i) {
 			c.arrive(i)
 		}
 		switch {
@@ -87,9 +90,17 @@
 }
 
 // drawArrivals returns the random number of requests that arrive at a gateway in this step.
-func (c *crowd) drawArrivals() int {
-	count := int(c.arrivals)
-	if c.random.Float64() < c.arrivals-float64(count) {
+func (c *crowd) drawArrivals(gateway int) int {
+	arrivals := c.arrivals
+	if c.favouredShare > 0 {
+		others := len(c.gateways) - 1
+		arrivals *= (1 - c.favouredShare) * float64(len(c.gateways)) / float64(others)
+		if gateway == c.favoured {
+			arrivals = c.arrivals * c.favouredShare * float64(len(c.gateways))
+		}
+	}
+	count := int(arrivals)
+	if c.random.Float64() < arrivals-float64(count) {
 		count++
 	}
 	return count
@@ -193,6 +204,47 @@
 	}
 }
 
+// TestCallersMoveToOneGateway guards against a gateway that refuses its callers while targets have room:
+// as its own requests grew, since callers had moved to it, it took those of the others to grow as much.
+func TestCallersMoveToOneGateway(t *testing.T) {
+	const (
+		slots = 32
+		// learnTime is how long others' reports take to show that they don't grow.
+		learnTime = 400 * time.Millisecond
+		minServed = 0.98
+	)
+	cases := map[string]struct {
+		gateways int
+		load     float64
+	}{
+		"eleven":                                 {11, 0.65},
+		"eleven, nine tenths of the slots":       {11, 0.9},
+		"twenty-eight":                           {28, 0.65},
+		"twenty-eight, nine tenths of the slots": {28, 0.9},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCrowd(tc.gateways, tc.gateways, slots)
+			run := func(lasts time.Duration) (share float64) {
+				c.admitted, c.refused = 0, 0
+				for end := c.now.Add(lasts); c.now.Before(end); {
+					c.step()
+				}
+				return float64(c.admitted) / float64(c.admitted+c.refused)
+			}
+			c.arrivals = tc.load * slots * crowdStep.Seconds() / crowdStay.Seconds()
+			run(4 * time.Second)
+			for c.favoured = range 3 {
+				c.favouredShare = 0.9
+				first := run(learnTime)
+				then := run(3 * time.Second)
+				t.Logf("%.3f admitted in the first moments, %.3f then", first, then)
+				is.New(t).True(then >= minServed)
+			}
+		})
+	}
+}
+
 // addIdlePeers lets a number of other gateways report that they have nothing in flight.
 func addIdlePeers(b *balance.Balancer, count int) {
 	for i := range count {
