--- a/internal/soak/killed_in_series_test.go
+++ b/internal/soak/killed_in_series_test.go
@@ -61,7 +61,7 @@
 		"twenty-eight, many streams":    {28, 200, (*soak).killInTurn},
 		"the oldest after a mass start": {4, 200, (*soak).killOldestAfterOthers},
 	}
-	if gateways, err := strconv.Atoi(os.Getenv("SOAK_SERIES_GATEWAYS")); err == nil {
+	if gateways, err := strconv.Atoi(os.Getenv("CAPERSADDLE_SOAK_SERIES_GATEWAYS")); err == nil {
 		clear(cases)
 		cases["by hand"] = struct {
 			gateways, perSecond int
