--- a/internal/peer/origins_test.go
+++ b/internal/peer/origins_test.go
@@ -31,9 +31,19 @@
 
 // newOriginNode returns a node. sole is the only version that it knows, Uncertain if there are several.
 func newOriginNode(t *testing.T, address, id string, network *link.Memory, sole origin.Version, seeds ...string) *originNode {
+	t.Helper()
+	return newOriginNodeThat(t, startsAnew, address, id, network, sole, seeds...)
+}
+
+// startsAnew is for a node that knows nothing at its start.
+func startsAnew(*Service) {}
+
+// newOriginNodeThat is like newOriginNode, with a function that is called before its start.
+func newOriginNodeThat(t *testing.T, starts func(service *Service), address, id string, network *link.Memory, sole origin.Version, seeds ...string) *originNode {
 	t.Helper()
 	table := origin.NewTable()
 	prepare := func(service *Service) {
+		starts(service)
 		service.origins.options = OriginOptions{Table: table, Sole: func(string) (origin.Version, bool) { return sole, sole != origin.Uncertain }, SoleAfter: func(string) time.Duration { return testSoleAfter }}
 	}
 	return &originNode{node: newNodeAt(t, address, id, network, prepare, seeds...), table: table}
@@ -41,11 +51,17 @@
 
 // newOriginFleet returns nodes that know each other.
 func newOriginFleet(t *testing.T, network *link.Memory, count int, sole origin.Version) []*originNode {
+	t.Helper()
+	return newOriginFleetThat(t, startsAnew, network, count, sole)
+}
+
+// newOriginFleetThat is like newOriginFleet, with a function that is called before the start of each node.
+func newOriginFleetThat(t *testing.T, starts func(service *Service), network *link.Memory, count int, sole origin.Version) []*originNode {
 	t.Helper()
 	var nodes []*originNode
 	var seeds []string
 	for i := range count {
-		nodes = append(nodes, newOriginNode(t, testLoopback+":0", fmt.Sprintf("g-%d", i), network, sole, seeds...))
+		nodes = append(nodes, newOriginNodeThat(t, starts, testLoopback+":0", fmt.Sprintf("g-%d", i), network, sole, seeds...))
 		seeds = append(seeds, nodes[i].service.options.Address)
 	}
 	awaitContact(t, nodes)
@@ -155,8 +171,7 @@
 // version, and against losing them when another version begins.
 func TestStreamOriginsWaitForSecondVersion(t *testing.T) {
 	is := is.New(t)
-	nodes := newOriginFleet(t, link.NewMemory(), 3, streamVersion)
-	knowEachOther(t, nodes)
+	nodes := newKnowingFleet(t, link.NewMemory(), 3, streamVersion)
 	for range 10 {
 		nodes[0].begin(streamVersion)
 	}
@@ -168,10 +183,11 @@
 	waitFor(t, "the others have the record", func() bool { return holders(nodes) == len(nodes) })
 }
 
-// knowTargets makes a node know all targets without a gap since a time, and until after the test.
-func (n *originNode) knowTargets(since time.Time) {
-	for at := since; at.Before(time.Now().Add(knownAhead)); at = at.Add(time.Second) {
-		n.proof.Note(at)
+// knowsTargets makes a node know all targets without a gap for long, and until after the test.
+func knowsTargets(service *Service) {
+	now := time.Now()
+	for at := now.Add(-2 * (testSoleAfter + listTime)); at.Before(now.Add(knownAhead)); at = at.Add(time.Second) {
+		service.options.Proof.Note(at)
 	}
 }
 
@@ -186,12 +202,10 @@
 	n.service.origins.options.Sole = func(string) (origin.Version, bool) { return origin.Uncertain, false }
 }
 
-// knowEachOther makes nodes know all targets for long, and waits until all others know that.
-func knowEachOther(t *testing.T, nodes []*originNode) {
+// newKnowingFleet returns nodes that have known all targets for long, and know that of each other.
+func newKnowingFleet(t *testing.T, network *link.Memory, count int, sole origin.Version) []*originNode {
 	t.Helper()
-	for _, n := range nodes {
-		n.knowTargets(time.Now().Add(-2 * (testSoleAfter + listTime)))
-	}
+	nodes := newOriginFleetThat(t, knowsTargets, network, count, sole)
 	isNew := newerThan(time.Now().Add(-testSoleAfter - listTime))
 	waitFor(t, "all nodes know that others know the targets", func() bool {
 		return !slices.ContainsFunc(nodes, func(n *originNode) bool {
@@ -200,6 +214,7 @@
 			return slices.ContainsFunc(n.service.originCandidates(time.Now()), isNew)
 		})
 	})
+	return nodes
 }
 
 // TestNewGatewaysGetStreamOrigins guards against streams that are lost with the only gateway that has
@@ -225,9 +240,8 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			network := link.NewMemory()
-			nodes := newOriginFleet(t, network, tc.gateways, streamVersion)
+			nodes := newKnowingFleet(t, network, tc.gateways, streamVersion)
 			old := nodes[0]
-			knowEachOther(t, nodes)
 			if tc.before {
 				old.begin(streamVersion)
 				old.service.round(time.Now())
