--- a/internal/soak/killed_in_series_test.go
+++ b/internal/soak/killed_in_series_test.go
@@ -178,6 +178,12 @@
 	}
 }
 
+// restart starts a killed gateway again. Callers don't use it before it serves.
+func (s *soak) restart(g *gateway) {
+	s.start(g)
+	g.stopping.Store(true)
+}
+
 // startStreamCallers starts callers of streams at all gateways; stop ends them and returns what they saw.
 func (s *soak) startStreamCallers(interval time.Duration) (callers *emulator.StreamCallers, stop func() emulator.StreamCounts) {
 	serving := func() []string {
@@ -208,8 +214,7 @@
 		next := time.Now().Add(killInterval)
 		s.killGateways(g)
 		time.Sleep(downTime)
-		s.start(g)
-		g.stopping.Store(true)
+		s.restart(g)
 		s.awaitServing(g)
 		time.Sleep(time.Until(next))
 	}
@@ -222,8 +227,7 @@
 	s.killGateways(s.gateways[:last]...)
 	time.Sleep(massDownTime)
 	for _, g := range s.gateways[:last] {
-		s.start(g)
-		g.stopping.Store(true)
+		s.restart(g)
 	}
 	for _, g := range s.gateways[:last] {
 		s.awaitServing(g)
