A process says how it ends, and what memory it uses

Nobody could tell afterwards why a process had ended: a gateway wrote its last line on a planned stop only, a failed start only stood on standard error, and no metric showed memory beside its limit.

Change: "stopped" is the last line of every gateway, router and agent whose code runs to the end, with the peak of its memory, its open descriptors and the error; a process without it was killed or has written a panic. memory_limit_bytes and the usual process_ metrics stand on a gateway's metrics address, and memory_high is logged above three quarters of the limit. The runtime collects garbage more often near the limit (GOMEMLIMIT still goes first): 0.8 of the host's memory, since code, C library and kernel take the rest.

Ruled out: a look at the memory in each request (cost); reading /proc each second (two system calls more than the runtime's own figure). No decision of a gateway changes.

--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -219,6 +219,8 @@
 	InFlight func() float64
 	// Waiting counts the requests that wait for capacity at their service.
 	Waiting func() float64
+	// MemoryLimit is the memory that the process may use, in bytes; zero if it is not known.
+	MemoryLimit func() float64
 	// Lag is the delay with which timers of this process fire, in seconds.
 	Lag func() float64
 	// Resting counts the targets that accept nothing from this gateway for a while. Leaving counts
@@ -285,6 +287,10 @@
 			Namespace: namespace, Name: "waiting",
 			Help: "Requests that wait for room at their service.",
 		}, gauges.Waiting),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "memory_limit_bytes",
+			Help: "Memory that the process may use; 0 if it is not known.",
+		}, gauges.MemoryLimit),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "lag_seconds",
 			Help: "How late this process's own timers fire.",
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -42,6 +42,7 @@
 	EventAcceptingEnded    = "accepting_ended"
 	EventGraceOver         = "grace_over"
 	EventStop              = "stopped"
+	EventMemoryHigh        = "memory_high"
 	EventReload            = "settings_reloaded"
 	EventProcessLate       = "process_late"
 	EventProcessInTime     = "process_in_time"
@@ -69,7 +70,7 @@
 func Events() []string {
 	return []string{
 		EventRequest, EventConfig, EventTargetChanged, EventTargetsListed, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
-		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventTargetSuspected, EventStart, EventDrain, EventAcceptingEnded, EventGraceOver, EventStop, EventReload, EventProcessLate, EventProcessInTime, EventRequestsNotLogged,
+		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventTargetSuspected, EventStart, EventDrain, EventAcceptingEnded, EventGraceOver, EventStop, EventMemoryHigh, EventReload, EventProcessLate, EventProcessInTime, EventRequestsNotLogged,
 		EventUnusable, EventLeaving, EventTargetResting, EventCallerEnded, EventNoticeUnreadable, EventTargetEnded, EventCrash, EventHeldBack, EventCleared, EventPartAtLimit, EventPartHeld, EventPartCleared, EventTrial, EventSuspect,
 		EventRolloutOrdered, EventRolloutStage, EventRolloutHalted, EventRolloutRecorded, EventRolloutCommitFailed,
 	}
--- a/internal/observe/state.go
+++ b/internal/observe/state.go
@@ -64,6 +64,12 @@
 	o.log.Warn(event, "lag_ms", wholeMillis(lag), "others_in_time", othersInTime)
 }
 
+// MemoryUse logs that the memory in use, in bytes, has become a high share of the process's limit, or no
+// longer is.
+func (o *Observer) MemoryUse(used int64, high bool) {
+	o.log.Warn(EventMemoryHigh, "used_mb", used>>20, "high", high)
+}
+
 // CallerEnded logs that a response was broken off because its caller read too slowly.
 func (o *Observer) CallerEnded(unread int, reason error) {
 	o.log.Warn(EventCallerEnded, "unread", unread, "reason", reason.Error())
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/capersaddle/capersaddle/internal/admission"
 	"github.com/capersaddle/capersaddle/internal/balance"
@@ -27,6 +28,7 @@
 	"github.com/capersaddle/capersaddle/internal/rollout"
 	"github.com/capersaddle/capersaddle/internal/settings"
 	"github.com/capersaddle/capersaddle/internal/spool"
+	"github.com/capersaddle/capersaddle/internal/usage"
 	"github.com/capersaddle/capersaddle/internal/wait"
 	"github.com/capersaddle/capersaddle/platform"
 )
@@ -109,8 +111,12 @@
 	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, notifyPeers: p.notifyPeers}, p.storeRole, p.yieldsToPeers)
 	p.front = &platform.Front{Gateway: p.gateway, BodyBudget: p.heldBudget}
 	observe.RegisterGauges(registry, p.gauges())
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	steps := []func() error{
 		func() error { return p.kernel.Register("lag", p.lag) },
+		func() error {
+			return p.kernel.Register("memory", usage.NewMonitor(memoryLimit(s), p.observer.MemoryUse))
+		},
 		func() error { return p.kernel.Register("sender", sender) },
 		p.registerPeers,
 		func() error { return p.kernel.Register("crashes", p.crashes) },
@@ -165,12 +171,13 @@
 			p.gateway.Limiters.Each(func(_ string, limiter *admission.Limiter) { total += limiter.Waiting() })
 			return float64(total)
 		},
-		Lag:       func() float64 { return p.lag.Lag().Seconds() },
-		Held:      func() float64 { return float64(p.heldBudget.Held()) },
-		HeldBack:  func() float64 { return float64(len(p.crashes.Table.HeldRequests(clock.Now()))) },
-		Resting:   func() float64 { return p.countTargets(balance.ReasonBackoff) },
-		Leaving:   func() float64 { return p.countTargets(balance.ReasonAnswer) },
-		Evacuated: func() float64 { return float64(len(p.gateway.Balancer.Evacuated())) },
+		MemoryLimit: func() float64 { return float64(memoryLimit(p.settings)) },
+		Lag:         func() float64 { return p.lag.Lag().Seconds() },
+		Held:        func() float64 { return float64(p.heldBudget.Held()) },
+		HeldBack:    func() float64 { return float64(len(p.crashes.Table.HeldRequests(clock.Now()))) },
+		Resting:     func() float64 { return p.countTargets(balance.ReasonBackoff) },
+		Leaving:     func() float64 { return p.countTargets(balance.ReasonAnswer) },
+		Evacuated:   func() float64 { return float64(len(p.gateway.Balancer.Evacuated())) },
 		InFlight: func() float64 {
 			total := 0
 			for _, count := range p.gateway.Balancer.InFlight() {
@@ -266,6 +273,11 @@
 	return int64(share * s.Host.MemoryMB * (1 << 20))
 }
 
+// memoryLimit returns the memory that the process may use, in bytes; zero if it is not known.
+func memoryLimit(s *settings.Gateway) int64 {
+	return int64(s.Host.MemoryMB * (1 << 20))
+}
+
 func retryOptions(s *settings.Gateway) retrybudget.Options {
 	return retrybudget.Options{
 		Ratio:  s.Retry.Ratio,
@@ -323,9 +335,7 @@
 
 // Close stops all services and waits for them.
 func (p *GatewayProcess) Close() error {
-	err := p.kernel.Close()
-	p.log.Info(observe.EventStop)
-	return err
+	return p.kernel.Close()
 }
 
 // ReadmitTargets immediately readmits targets that were ejected for their failures.
--- a/internal/process/reference_test.go
+++ b/internal/process/reference_test.go
@@ -108,7 +108,7 @@
 	registry := prometheus.NewRegistry()
 	metrics := observe.NewMetrics(registry)
 	zero := func() float64 { return 0 }
-	observe.RegisterGauges(registry, observe.Gauges{ProofAge: zero, Peers: zero, Sent: zero, Received: zero, InFlight: zero, Waiting: zero, Lag: zero, Resting: zero, Leaving: zero, Evacuated: zero, HeldBack: zero, Held: zero, NewStreamRecords: zero, HandedOverStreamRecords: zero, UnneededStreamRecords: zero})
+	observe.RegisterGauges(registry, observe.Gauges{ProofAge: zero, Peers: zero, Sent: zero, Received: zero, InFlight: zero, Waiting: zero, MemoryLimit: zero, Lag: zero, Resting: zero, Leaving: zero, Evacuated: zero, HeldBack: zero, Held: zero, NewStreamRecords: zero, HandedOverStreamRecords: zero, UnneededStreamRecords: zero})
 	observe.RegisterRollouts(registry, func() []rollout.Status {
 		return []rollout.Status{{Service: "s", Version: "v2", State: rollout.Running}}
 	})
--- a/pkg/cmd/gateway/gateway.go
+++ b/pkg/cmd/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/capersaddle/capersaddle/internal/observe"
 	"github.com/capersaddle/capersaddle/internal/process"
 	"github.com/capersaddle/capersaddle/internal/settings"
+	"github.com/capersaddle/capersaddle/internal/usage"
 	"github.com/capersaddle/capersaddle/pkg/cmdutil"
 	"github.com/capersaddle/capersaddle/pkg/iostreams"
 )
@@ -81,9 +82,17 @@
 	if err != nil {
 		return err
 	}
+	usage.LimitMemory(int64(loaded.Host.MemoryMB * (1 << 20)))
 	sink := logsink.New(opts.IO.Out)
 	defer closeLog(sink)
 	logger := process.NewLogger(sink, loaded.Log)
+	err = serve(opts.File, loaded, logger)
+	process.LogEnd(logger, observe.EventStop, loaded.ID, err)
+	return err
+}
+
+// serve runs a gateway until a signal to stop, and then stops it as planned.
+func serve(file string, loaded *settings.Gateway, logger *log.Logger) error {
 	proc, err := process.NewGateway(loaded, logger)
 	if err != nil {
 		return err
@@ -100,7 +109,7 @@
 		select {
 		case <-ctx.Done():
 		case <-reloadSignals:
-			reload(opts.File, proc, logger)
+			reload(file, proc, logger)
 		}
 	}
 	err = proc.Drain(context.Background())
--- a/pkg/cmdutil/run.go
+++ b/pkg/cmdutil/run.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"github.com/capersaddle/capersaddle/internal/fault"
@@ -25,6 +26,13 @@
 		return fault.New(fault.BadSettings, fault.NotRun, `%s: field "role": found %q; want %q for this command`, file, loaded.Role, role)
 	}
 	logger := process.NewLogger(streams.ErrOut, loaded.Log)
+	err = serve(loaded, logger, drainTimeout)
+	process.LogEnd(logger, role+" stopped", loaded.ID, err)
+	return err
+}
+
+// serve runs a process until a signal to stop, and then drains it.
+func serve(loaded *settings.Settings, logger *log.Logger, drainTimeout time.Duration) error {
 	proc, err := process.New(loaded, logger)
 	if err != nil {
 		return err
