Failing tests: ways in which processes end, don't start, or stop following the store

All soaks now fail if one of their processes ends by itself, or with another exit code than 0 at a planned stop: until now none looked at how its processes ended, which is why no soak could find this.

--- a/internal/emulator/answers.go
+++ b/internal/emulator/answers.go
@@ -49,6 +49,10 @@
 		s.writeRaw(w, mode, lastEventID)
 		return
 	}
+	if response, endless := s.endlessBytesOf(mode, w.Header().Get("X-Attempt-Id")); endless {
+		writeEndless(w, response)
+		return
+	}
 	s.setNoticeHeaders(w.Header(), http.StatusOK)
 	if s.options.Events > 0 {
 		s.writeStream(w, r, mode, lastEventID, slower)
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -255,6 +255,9 @@
 	}
 	w = &freezingWriter{ResponseWriter: w, freezer: &s.freezer, request: r}
 	if r.URL.Path == "/health" {
+		if s.answerHealthEndless(w) {
+			return
+		}
 		w.Header().Set("X-Instance-Id", s.options.ID)
 		return
 	}
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -37,6 +37,26 @@
 	Delay time.Duration
 	// Garbage answers with bytes that are not JSON.
 	Garbage bool
+	// Endless answers with bytes without end.
+	Endless StoreEndless
+}
+
+// StoreEndless is what has no end in the store's responses; empty means nothing.
+type StoreEndless string
+
+// The parts of a response that may have no end.
+const (
+	StoreEndlessHead StoreEndless = "head"
+	StoreEndlessBody StoreEndless = "body"
+	// StoreTrickledBody sends a body some bytes at a time.
+	StoreTrickledBody StoreEndless = "trickled_body"
+)
+
+// endlessStoreBytes is what the store sends in place of a response.
+var endlessStoreBytes = map[StoreEndless]endlessBytes{
+	StoreEndlessHead:  {start: "HTTP/1.1 200 OK\r\nX-Filler: ", repeated: "a"},
+	StoreEndlessBody:  {start: "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"events\":[", repeated: "[],"},
+	StoreTrickledBody: {start: "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"events\":[", repeated: "[],", trickles: true},
 }
 
 // Store emulates the platform's metadata store.
@@ -292,6 +312,9 @@
 		case faults.Down || refused:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return false
+		case faults.Endless != "":
+			writeEndless(w, endlessStoreBytes[faults.Endless])
+			return false
 		case faults.Garbage:
 			_, _ = io.WriteString(w, "<html>not JSON")
 			return false
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -88,7 +88,13 @@
 	seed        uint64
 	plannedOnly bool
 	// grace is the grace period of the gateways; zero means defaultGrace.
-	grace    time.Duration
+	grace time.Duration
+	// settings are added to those of all gateways.
+	settings map[string]any
+	// prepare may change how a gateway's process is started, and started is called with its process ID
+	// afterwards; both may be nil.
+	prepare  func(s *soak, g *gateway, cmd *exec.Cmd)
+	started  func(g *gateway, pid int)
 	platform *emulator.Platform
 	config   emulator.Config
 	servers  []*emulator.Server
--- a/internal/soak/system_test.go
+++ b/internal/soak/system_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -25,6 +26,8 @@
 	id           string
 	settingsFile string
 	callers      string
+	// ready and peers are the addresses for readiness checks and for other gateways.
+	ready, peers string
 	logFile      string
 	// store is the proxy between the gateway and the store.
 	store    *proxy
@@ -35,6 +38,29 @@
 	done chan struct{}
 	// starts is the number of processes started so far.
 	starts int
+	// stopSignal is the signal with which the test ends the current process; zero for none.
+	stopSignal syscall.Signal
+	// ownEnds are the ends of processes that the test did not ask for, or that failed although it did.
+	ownEnds []string
+}
+
+// recordEnd records how a process ended, unless that is how the test ended it.
+func (g *gateway) recordEnd(state *os.ProcessState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.stopSignal == syscall.SIGKILL:
+	case g.stopSignal == syscall.SIGTERM && state.Success():
+	default:
+		g.ownEnds = append(g.ownEnds, fmt.Sprintf("%s/%d: %s", g.id, g.starts, state))
+	}
+}
+
+// ends returns the ends that were recorded.
+func (g *gateway) ends() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]string(nil), g.ownEnds...)
 }
 
 // incarnation identifies the gateway's current process.
@@ -147,19 +173,21 @@
 	store, err := newProxy(s.platform.StoreAddress())
 	is.New(s.t).NoErr(err)
 	g := &gateway{id: id, settingsFile: filepath.Join(dir, id+".json"), callers: freeAddress(s.t), logFile: filepath.Join(dir, id+".log"), store: store}
-	peers := freeAddress(s.t)
-	data, err := json.Marshal(map[string]any{
-		"role": "gateway", "id": id, "data_center": "dc", "callers": g.callers, "ready": freeAddress(s.t), "peers": peers,
+	g.ready, g.peers = freeAddress(s.t), freeAddress(s.t)
+	settings := map[string]any{
+		"role": "gateway", "id": id, "data_center": "dc", "callers": g.callers, "ready": g.ready, "peers": g.peers,
 		"seeds": append([]string{}, seeds...), "store": store.address(), "revocation": revocation.String(), "grace": cmp.Or(s.grace, defaultGrace).String(),
 		"retry":   map[string]any{"ratio": retryRatio, "slack": retrySlack, "window": retryWindow.String()},
 		"rollout": map[string]any{"share": trialShare, "slack": trialSlack, "rollback": rollback.String()},
 		"cold":    map[string]any{"multiple": coldMultiple, "extra": coldExtra}, "log": map[string]any{"format": "json"},
-	})
+	}
+	maps.Copy(settings, s.settings)
+	data, err := json.Marshal(settings)
 	is.New(s.t).NoErr(err)
 	is.New(s.t).NoErr(os.WriteFile(g.settingsFile, data, 0o600))
 	s.gateways = append(s.gateways, g)
 	s.start(g)
-	return peers
+	return g.peers
 }
 
 func (s *soak) start(g *gateway) {
@@ -170,18 +198,26 @@
 	}
 	cmd := exec.Command(s.binary, "gateway", g.settingsFile)
 	cmd.Stdout, cmd.Stderr = log, log
+	if s.prepare != nil {
+		s.prepare(s, g, cmd)
+	}
 	if err := cmd.Start(); err != nil {
 		s.t.Error(err)
 		return
 	}
+	if s.started != nil {
+		go s.started(g, cmd.Process.Pid)
+	}
 	done := make(chan struct{})
 	g.mu.Lock()
 	g.cmd, g.done = cmd, done
 	g.starts++
+	g.stopSignal = 0
 	g.mu.Unlock()
 	g.stopping.Store(false)
 	go func() {
 		_ = cmd.Wait()
+		g.recordEnd(cmd.ProcessState)
 		_ = log.Close()
 		close(done)
 	}()
@@ -192,6 +228,9 @@
 func (g *gateway) signal(signal syscall.Signal) chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if signal == syscall.SIGKILL || signal == syscall.SIGTERM && g.stopSignal == 0 {
+		g.stopSignal = signal
+	}
 	_ = g.cmd.Process.Signal(signal)
 	return g.done
 }
@@ -202,6 +241,9 @@
 		g.signal(syscall.SIGCONT)
 		<-g.signal(syscall.SIGKILL)
 		g.store.close()
+		if ends := g.ends(); len(ends) > 0 {
+			s.t.Errorf("%d processes ended by themselves, the first: %s; logs in %s", len(ends), ends[0], s.keepLogs())
+		}
 	}
 	for _, link := range s.links {
 		link.close()
