--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/socket"
 )
@@ -40,6 +42,8 @@
 	net.Conn
 	// Reader reads the target's responses.
 	Reader *bufio.Reader
+	// limit bounds what Reader receives.
+	limit  *receiveLimit
 	target string
 	// wrote reports that bytes of the current request may have been sent.
 	wrote atomic.Bool
@@ -55,6 +59,42 @@
 	AfterClosed bool
 }
 
+// ErrReceiveLimit is the error of a read beyond the limit that LimitReceived has set.
+var ErrReceiveLimit = errors.New("the target has sent too many bytes")
+
+// receiveLimit reads from a connection, up to a number of bytes.
+type receiveLimit struct {
+	conn net.Conn
+	// left is the number of bytes that may still be received; unlimited means any number.
+	left int64
+}
+
+const unlimited = -1
+
+// Read reads what has arrived.
+func (l *receiveLimit) Read(data []byte) (int, error) {
+	if l.left == unlimited {
+		return l.conn.Read(data)
+	}
+	if l.left == 0 {
+		return 0, ErrReceiveLimit
+	}
+	n, err := l.conn.Read(data[:min(int64(len(data)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
+// LimitReceived bounds the bytes that Reader receives from now on, until NoReceiveLimit. It is meant for
+// what is kept in memory until it is complete, such as headers. The caller must be the one that reads.
+func (c *Conn) LimitReceived(size int64) {
+	c.limit.left = size
+}
+
+// NoReceiveLimit lets Reader receive any number of bytes.
+func (c *Conn) NoReceiveLimit() {
+	c.limit.left = unlimited
+}
+
 // Write records that bytes may have been sent, then writes them.
 func (c *Conn) Write(data []byte) (int, error) {
 	c.wrote.Store(true)
@@ -118,7 +158,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: netConn, Reader: bufio.NewReaderSize(netConn, readBuffer), target: target, IdleTimeout: defaultIdleTimeout, OpenedAt: clock.Now()}, nil
+	limit := &receiveLimit{conn: netConn, left: unlimited}
+	return &Conn{Conn: netConn, Reader: bufio.NewReaderSize(limit, readBuffer), limit: limit, target: target, IdleTimeout: defaultIdleTimeout, OpenedAt: clock.Now()}, nil
 }
 
 // maxIdleTime returns the idle time after which a connection is no longer used. Targets may
