An address that is still in use at the start is waited for

Cause: net.Listen was asked once. Now each address of a gateway, router or agent is asked for every 50 ms for up to 30 s while it is in use (internal/listen); SIGTERM ends the wait. Any other error still ends the start at once with a clear message. A line says that it waits, and one that the address is free.

Ruled out: SO_REUSEPORT (two processes would share the callers); waiting for ever (an operator who starts a second gateway by mistake wants to know).

--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -27,7 +27,7 @@
 
 func startStack(t testing.TB) *Stack {
 	is := is.New(t)
-	stack, err := New(Options{Callers: "127.0.0.1:0", Log: log.New(io.Discard)})
+	stack, err := New(t.Context(), Options{Callers: "127.0.0.1:0", Log: log.New(io.Discard)})
 	is.NoErr(err)
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
--- a/internal/dev/stack.go
+++ b/internal/dev/stack.go
@@ -82,7 +82,7 @@
 }
 
 // New creates a stack. Start starts it.
-func New(options Options) (*Stack, error) {
+func New(ctx context.Context, options Options) (*Stack, error) {
 	s := &Stack{
 		Store:      fakestore.New(),
 		Engines:    make(map[string]*fakeengine.Engine),
@@ -98,13 +98,13 @@
 	if err := s.addPlatform(); err != nil {
 		return nil, err
 	}
-	if err := s.addEngineHosts(); err != nil {
+	if err := s.addEngineHosts(ctx); err != nil {
 		return nil, err
 	}
-	if err := s.addServiceHosts(); err != nil {
+	if err := s.addServiceHosts(ctx); err != nil {
 		return nil, err
 	}
-	return s, s.addRouters()
+	return s, s.addRouters(ctx)
 }
 
 // generateKeys creates the keys of this run, which are kept in memory only.
@@ -153,7 +153,7 @@
 	return err
 }
 
-func (s *Stack) addEngineHosts() error {
+func (s *Stack) addEngineHosts(ctx context.Context) error {
 	for h := range engineHosts {
 		var targets []settings.Target
 		for e := range enginesPerHost {
@@ -166,14 +166,14 @@
 			}
 			targets = append(targets, settings.Target{ID: id, Kind: "engine", Pool: Model, URL: url})
 		}
-		if err := s.addAgent(fmt.Sprintf("engine-host-%d", h), Centers[h%len(Centers)], targets); err != nil {
+		if err := s.addAgent(ctx, fmt.Sprintf("engine-host-%d", h), Centers[h%len(Centers)], targets); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *Stack) addServiceHosts() error {
+func (s *Stack) addServiceHosts(ctx context.Context) error {
 	for h := range serviceHosts {
 		id := fmt.Sprintf("%s-%d", Service, h)
 		server := fakeservice.New(id, nil)
@@ -183,7 +183,7 @@
 			return err
 		}
 		targets := []settings.Target{{ID: id, Kind: "service", Pool: Service, URL: url}}
-		if err := s.addAgent(fmt.Sprintf("service-host-%d", h), Centers[h%len(Centers)], targets); err != nil {
+		if err := s.addAgent(ctx, fmt.Sprintf("service-host-%d", h), Centers[h%len(Centers)], targets); err != nil {
 			return err
 		}
 	}
@@ -215,7 +215,7 @@
 // certificateLifetime is the validity period of the temporary certificates.
 const certificateLifetime = 7 * 24 * time.Hour
 
-func (s *Stack) addAgent(id, center string, targets []settings.Target) error {
+func (s *Stack) addAgent(ctx context.Context, id, center string, targets []settings.Target) error {
 	agentSettings, err := s.commonSettings("agent", id, center)
 	if err != nil {
 		return err
@@ -223,7 +223,7 @@
 	agentSettings.Targets = targets
 	agentSettings.Hosts = s.hosts
 	agentSettings.Host = id
-	agent, err := process.New(agentSettings, s.options.Log)
+	agent, err := process.New(ctx, agentSettings, s.options.Log)
 	if err != nil {
 		return err
 	}
@@ -242,7 +242,7 @@
 	return s.kernel.Register(id, p)
 }
 
-func (s *Stack) addRouters() error {
+func (s *Stack) addRouters(ctx context.Context) error {
 	for i := range routers {
 		id := fmt.Sprintf("router-%d", i)
 		routerSettings, err := s.commonSettings("router", id, Centers[i%len(Centers)])
@@ -253,7 +253,7 @@
 		if i == 0 && s.options.Callers != "" {
 			routerSettings.Callers = s.options.Callers
 		}
-		router, err := process.New(routerSettings, s.options.Log)
+		router, err := process.New(ctx, routerSettings, s.options.Log)
 		if err != nil {
 			return err
 		}
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -12,6 +12,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/gateway"
+	"github.com/capersaddle/capersaddle/internal/listen"
 )
 
 // The events of the log.
@@ -43,6 +44,8 @@
 	EventGraceOver         = "grace_over"
 	EventStop              = "stopped"
 	EventMemoryHigh        = "memory_high"
+	EventAddressInUse      = listen.EventInUse
+	EventAddressFree       = listen.EventFree
 	EventReload            = "settings_reloaded"
 	EventProcessLate       = "process_late"
 	EventProcessInTime     = "process_in_time"
@@ -70,7 +73,7 @@
 func Events() []string {
 	return []string{
 		EventRequest, EventConfig, EventTargetChanged, EventTargetsListed, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
-		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventTargetSuspected, EventStart, EventDrain, EventAcceptingEnded, EventGraceOver, EventStop, EventMemoryHigh, EventReload, EventProcessLate, EventProcessInTime, EventRequestsNotLogged,
+		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventTargetSuspected, EventStart, EventDrain, EventAcceptingEnded, EventGraceOver, EventStop, EventMemoryHigh, EventAddressInUse, EventAddressFree, EventReload, EventProcessLate, EventProcessInTime, EventRequestsNotLogged,
 		EventUnusable, EventLeaving, EventTargetResting, EventCallerEnded, EventNoticeUnreadable, EventTargetEnded, EventCrash, EventHeldBack, EventCleared, EventPartAtLimit, EventPartHeld, EventPartCleared, EventTrial, EventSuspect,
 		EventRolloutOrdered, EventRolloutStage, EventRolloutHalted, EventRolloutRecorded, EventRolloutCommitFailed,
 	}
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -21,8 +21,8 @@
 	agent *agent.Agent
 }
 
-func newAgent(s *settings.Settings, logger *log.Logger) (*agentProcess, error) {
-	c, err := newCommon(s, logger)
+func newAgent(ctx context.Context, s *settings.Settings, logger *log.Logger) (*agentProcess, error) {
+	c, err := newCommon(ctx, s, logger)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -86,8 +86,9 @@
 	maxPeers int
 }
 
-// NewGateway creates a gateway process from its settings and opens its listeners.
-func NewGateway(s *settings.Gateway, logger *log.Logger) (*GatewayProcess, error) {
+// NewGateway creates a gateway process from its settings and opens its listeners. The context ends the wait
+// for addresses that are in use.
+func NewGateway(ctx context.Context, s *settings.Gateway, logger *log.Logger) (*GatewayProcess, error) {
 	registry := prometheus.NewRegistry()
 	p := &GatewayProcess{settings: s, started: time.Now(), kernel: kernel.New(), log: logger.With("process", s.ID)}
 	p.observer = observe.New(p.log, observe.NewMetrics(registry))
@@ -118,15 +119,15 @@
 			return p.kernel.Register("memory", usage.NewMonitor(memoryLimit(s), p.observer.MemoryUse))
 		},
 		func() error { return p.kernel.Register("sender", sender) },
-		p.registerPeers,
+		func() error { return p.registerPeers(ctx) },
 		func() error { return p.kernel.Register("crashes", p.crashes) },
 		func() error { return p.registerRollouts(registry) },
 		func() error { return p.kernel.Register("feed", p.feed) },
 		func() error { return p.kernel.Register("checkpoint", p.newCheckpointSaver()) },
 		p.registerCrashStore,
-		p.serveCallers,
-		p.serveReady,
-		func() error { return p.serveMetrics(registry) },
+		func() error { return p.serveCallers(ctx) },
+		func() error { return p.serveReady(ctx) },
+		func() error { return p.serveMetrics(ctx, registry) },
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
--- a/internal/process/gateway_http.go
+++ b/internal/process/gateway_http.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/capersaddle/capersaddle/internal/inbound"
+	"github.com/capersaddle/capersaddle/internal/listen"
 	"github.com/capersaddle/capersaddle/internal/socket"
 	"github.com/capersaddle/capersaddle/platform"
 )
@@ -37,10 +37,14 @@
 // that vanished would otherwise keep a target working on its stream.
 const callerUserTimeout = 10 * time.Second
 
+// opener returns what opens the process's addresses.
+func (p *GatewayProcess) opener() listen.Opener {
+	return listen.Opener{Log: p.log}
+}
+
 // serveCallers listens on the callers' address.
-func (p *GatewayProcess) serveCallers() error {
-	listening := net.ListenConfig{Control: socket.UserTimeout(callerUserTimeout)}
-	listener, err := listening.Listen(context.Background(), "tcp", p.settings.Callers)
+func (p *GatewayProcess) serveCallers(ctx context.Context) error {
+	listener, err := p.opener().TCP(ctx, p.settings.Callers, socket.UserTimeout(callerUserTimeout))
 	if err != nil {
 		return listenError("callers", err)
 	}
@@ -57,16 +61,16 @@
 }
 
 // serveReady listens on the address of the platform's readiness checks.
-func (p *GatewayProcess) serveReady() error {
+func (p *GatewayProcess) serveReady(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadinessHandler(func(context.Context) bool { return p.Ready() }))
-	address, err := p.serveHTTP("ready", p.settings.Ready, mux)
+	address, err := p.serveHTTP(ctx, "ready", p.settings.Ready, mux)
 	p.addresses.Ready = address
 	return err
 }
 
 // serveMetrics listens on the metrics address, if there is one.
-func (p *GatewayProcess) serveMetrics(registry *prometheus.Registry) error {
+func (p *GatewayProcess) serveMetrics(ctx context.Context, registry *prometheus.Registry) error {
 	if p.settings.Metrics == "" {
 		return nil
 	}
@@ -75,14 +79,14 @@
 	mux.Handle(PathRollouts, listHandler("rollouts", p.rollouts.Rollouts))
 	mux.Handle(PathTargets, listHandler("targets", p.targetStatuses))
 	mux.Handle(PathQuarantine, quarantineHandler(p.crashes))
-	address, err := p.serveHTTP("metrics", p.settings.Metrics, mux)
+	address, err := p.serveHTTP(ctx, "metrics", p.settings.Metrics, mux)
 	p.addresses.Operators = address
 	return err
 }
 
 // serveHTTP listens on an address, registers the HTTP service and returns the actual address.
-func (p *GatewayProcess) serveHTTP(name, address string, handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", address)
+func (p *GatewayProcess) serveHTTP(ctx context.Context, name, address string, handler http.Handler) (string, error) {
+	listener, err := p.opener().TCP(ctx, address, nil)
 	if err != nil {
 		return "", listenError(name, err)
 	}
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -17,17 +18,17 @@
 
 // registerPeers listens on the address for other gateways, if there is one, and adds the peer
 // services.
-func (p *GatewayProcess) registerPeers() error {
+func (p *GatewayProcess) registerPeers(ctx context.Context) error {
 	if p.settings.Peers == "" {
 		p.gateway.Balancer.SetGateways(balance.Gateways{Count: 1})
 		return nil
 	}
 	p.gateway.Balancer.SetGateways(p.gatewayPlace(peer.Census{}))
-	conn, listener, err := listenUDPAndTCP(p.settings.Peers)
+	sockets, err := p.opener().Pair(ctx, p.settings.Peers)
 	if err != nil {
 		return listenError("peers", err)
 	}
-	address := conn.LocalAddr().String()
+	address := sockets.UDP.LocalAddr().String()
 	p.addresses.Link, p.addresses.Beat = address, address
 	hello := &wire.Hello{Version: link.Version, ProcessId: p.settings.ID, Role: p.settings.Role, DataCenter: p.settings.DataCenter}
 	pool := link.NewPool(hello, nil)
@@ -47,13 +48,13 @@
 		OnCensus:   p.applyCensus,
 		Lag:        p.lag.Lag,
 		Stale:      staleAfter(p.settings),
-	}, conn, pool)
+	}, sockets.UDP, pool)
 	p.gateway.Directory, p.crashes.Peers, p.gateway.Origins.Peers = p.peers, p.peers, p.peers
 	if p.mayDeferReading() {
 		position := peer.StoreOrder(p.settings.ID)
 		p.feed.CountGateways(time.Duration(position*float64(countWindow)), func() bool { return !p.peers.Many() })
 	}
-	server := link.NewServer(listener, hello, nil, p.log, p.peers.Handle)
+	server := link.NewServer(sockets.TCP, hello, nil, p.log, p.peers.Handle)
 	return errors.Join(
 		p.kernel.Register("links out", closeFunc{pool.Close}),
 		p.kernel.Register("links in", closeFunc{server.Close}),
--- a/internal/process/gateway_start_test.go
+++ b/internal/process/gateway_start_test.go
@@ -30,7 +30,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p, err := NewGateway(&settings.Gateway{ID: "g", DataCenter: "z", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Store: "127.0.0.1:1"}, NewLogger(t.Output(), settings.Log{Format: "json"}))
+			p, err := NewGateway(t.Context(), &settings.Gateway{ID: "g", DataCenter: "z", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Store: "127.0.0.1:1"}, NewLogger(t.Output(), settings.Log{Format: "json"}))
 			is.NoErr(err)
 			t.Cleanup(func() { _ = p.kernel.Close() })
 			s := &sink{process: p, notifyPeers: func() {}}
@@ -73,7 +73,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := &settings.Gateway{ID: "g", DataCenter: "z", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: tc.peers, Store: "127.0.0.1:1"}
-			p, err := NewGateway(s, NewLogger(t.Output(), settings.Log{Format: "json"}))
+			p, err := NewGateway(t.Context(), s, NewLogger(t.Output(), settings.Log{Format: "json"}))
 			is.NoErr(err)
 			t.Cleanup(func() { _ = p.kernel.Close() })
 			for _, seed := range tc.seeds {
@@ -138,7 +138,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := &settings.Gateway{ID: "g", DataCenter: "z", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0", Store: "127.0.0.1:1", Host: tc.host, Seeds: tc.seeds}
-			p, err := NewGateway(s, NewLogger(t.Output(), settings.Log{Format: "json"}))
+			p, err := NewGateway(t.Context(), s, NewLogger(t.Output(), settings.Log{Format: "json"}))
 			is.NoErr(err)
 			t.Cleanup(func() { _ = p.kernel.Close() })
 			// An age at the exact limit would make the result depend on the machine's speed.
@@ -164,7 +164,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := &settings.Gateway{ID: "g", DataCenter: "z", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: tc.peers, Store: "127.0.0.1:1"}
-			p, err := NewGateway(s, NewLogger(t.Output(), settings.Log{Format: "json"}))
+			p, err := NewGateway(t.Context(), s, NewLogger(t.Output(), settings.Log{Format: "json"}))
 			is.NoErr(err)
 			t.Cleanup(func() { _ = p.kernel.Close() })
 			p.started = time.Now().Add(-2 * tc.age)
--- a/internal/process/gateway_test.go
+++ b/internal/process/gateway_test.go
@@ -132,7 +132,7 @@
 		Retry:   settings.RetryBudget{Ratio: 0.2, Slack: f.retrySlack, Window: settings.Duration(10 * time.Second)},
 		Rollout: settings.Rollout{Share: 0.1, Slack: 50, Rollback: settings.Duration(5 * time.Second)},
 	}
-	started, err := process.NewGateway(s, process.NewLogger(f.log, settings.Log{Format: "json"}))
+	started, err := process.NewGateway(t.Context(), s, process.NewLogger(f.log, settings.Log{Format: "json"}))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/process/options_test.go
+++ b/internal/process/options_test.go
@@ -65,7 +65,7 @@
 func TestNotReadyWithoutProof(t *testing.T) {
 	is := is.New(t)
 	s := &settings.Gateway{Role: "gateway", ID: "g", DataCenter: "dc", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Store: "127.0.0.1:1"}
-	p, err := NewGateway(s, log.New(io.Discard))
+	p, err := NewGateway(t.Context(), s, log.New(io.Discard))
 	is.NoErr(err)
 	p.gateway.Apply(&routing.Config{Version: 1})
 	is.NoErr(p.feed.Absorb(&wire.ReplicaPage{Revision: 1, Whole: true}))
@@ -94,7 +94,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			settings := &settings.Gateway{Role: "gateway", ID: "g", DataCenter: "dc", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Store: "127.0.0.1:1"}
-			p, err := NewGateway(settings, log.New(io.Discard))
+			p, err := NewGateway(t.Context(), settings, log.New(io.Discard))
 			is := is.New(t)
 			is.NoErr(err)
 			notified := 0
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -18,6 +18,7 @@
 	"github.com/capersaddle/capersaddle/internal/external"
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/kernel"
+	"github.com/capersaddle/capersaddle/internal/listen"
 	"github.com/capersaddle/capersaddle/internal/node"
 	"github.com/capersaddle/capersaddle/internal/secure"
 	"github.com/capersaddle/capersaddle/internal/settings"
@@ -45,13 +46,14 @@
 	Ready string `json:"ready,omitempty"`
 }
 
-// New creates a process from its settings and opens its listeners.
-func New(s *settings.Settings, logger *log.Logger) (Process, error) {
+// New creates a process from its settings and opens its listeners. The context ends the wait for addresses
+// that are in use.
+func New(ctx context.Context, s *settings.Settings, logger *log.Logger) (Process, error) {
 	switch s.Role {
 	case "router":
-		return newRouter(s, logger)
+		return newRouter(ctx, s, logger)
 	case "agent":
-		return newAgent(s, logger)
+		return newAgent(ctx, s, logger)
 	}
 	return nil, fault.New(fault.BadSettings, fault.NotRun, "role %q is neither router nor agent", s.Role)
 }
@@ -93,16 +95,17 @@
 	return &http.Client{Transport: transport}
 }
 
-func newCommon(s *settings.Settings, logger *log.Logger) (*common, error) {
-	linkListener, err := net.Listen("tcp", s.Link)
+func newCommon(ctx context.Context, s *settings.Settings, logger *log.Logger) (*common, error) {
+	opener := listen.Opener{Log: logger.With("process", s.ID)}
+	linkListener, err := opener.TCP(ctx, s.Link, nil)
 	if err != nil {
 		return nil, listenError("link", err)
 	}
-	heartbeatConn, err := listenUDP(s.Beat)
+	heartbeatConn, err := opener.UDP(ctx, s.Beat)
 	if err != nil {
 		return nil, errors.CombineErrors(listenError("beat", err), linkListener.Close())
 	}
-	operators, err := net.Listen("tcp", s.Operators)
+	operators, err := opener.TCP(ctx, s.Operators, nil)
 	if err != nil {
 		return nil, errors.CombineErrors(listenError("operators", err), errors.CombineErrors(heartbeatConn.Close(), linkListener.Close()))
 	}
@@ -155,44 +158,6 @@
 	return keys, signer, err
 }
 
-func listenUDP(address string) (*net.UDPConn, error) {
-	parsed, err := net.ResolveUDPAddr("udp", address)
-	if err != nil {
-		return nil, err
-	}
-	return net.ListenUDP("udp", parsed)
-}
-
-// freePortAttempts limits the search for a port that is free for both TCP and UDP, if the address
-// leaves the port to the system.
-const freePortAttempts = 16
-
-// listenUDPAndTCP listens on one address for both UDP and TCP.
-func listenUDPAndTCP(address string) (*net.UDPConn, net.Listener, error) {
-	_, port, err := net.SplitHostPort(address)
-	if err != nil {
-		return nil, nil, err
-	}
-	attempts := 1
-	if port == "0" {
-		attempts = freePortAttempts
-	}
-	for {
-		conn, err := listenUDP(address)
-		if err != nil {
-			return nil, nil, err
-		}
-		listener, err := net.Listen("tcp", conn.LocalAddr().String())
-		if err == nil {
-			return conn, listener, nil
-		}
-		_ = conn.Close()
-		if attempts--; attempts == 0 {
-			return nil, nil, err
-		}
-	}
-}
-
 func listenError(field string, err error) *fault.Error {
 	return fault.New(fault.BadSettings, fault.NotRun, "field %q: %v; choose another port or stop the process that uses it", field, err)
 }
--- a/internal/process/reference_test.go
+++ b/internal/process/reference_test.go
@@ -142,7 +142,7 @@
 }
 
 func startProcess(t *testing.T, s *settings.Settings) Process {
-	p, err := New(s, log.New(io.Discard))
+	p, err := New(t.Context(), s, log.New(io.Discard))
 	is.New(t).NoErr(err)
 	is.New(t).NoErr(p.Start(t.Context()))
 	t.Cleanup(func() { is.New(t).NoErr(p.Close()) })
--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -11,6 +10,7 @@
 	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/config"
 	"github.com/capersaddle/capersaddle/internal/lag"
+	"github.com/capersaddle/capersaddle/internal/listen"
 	"github.com/capersaddle/capersaddle/internal/metric"
 	"github.com/capersaddle/capersaddle/internal/router"
 	"github.com/capersaddle/capersaddle/internal/settings"
@@ -48,12 +48,12 @@
 	metrics *metric.Router
 }
 
-func newRouter(s *settings.Settings, logger *log.Logger) (*routerProcess, error) {
-	callers, err := net.Listen("tcp", s.Callers)
+func newRouter(ctx context.Context, s *settings.Settings, logger *log.Logger) (*routerProcess, error) {
+	callers, err := listen.Opener{Log: logger.With("process", s.ID)}.TCP(ctx, s.Callers, nil)
 	if err != nil {
 		return nil, listenError("callers", err)
 	}
-	c, err := newCommon(s, logger)
+	c, err := newCommon(ctx, s, logger)
 	if err != nil {
 		return nil, errors.CombineErrors(err, callers.Close())
 	}
--- a/internal/process/start_bench_test.go
+++ b/internal/process/start_bench_test.go
@@ -24,7 +24,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		b.StopTimer()
-		p, err := NewGateway(&settings.Gateway{ID: "g", DataCenter: "z", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Store: "127.0.0.1:1"}, NewLogger(discard{}, settings.Log{Format: "json", Level: "info"}))
+		p, err := NewGateway(b.Context(), &settings.Gateway{ID: "g", DataCenter: "z", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Store: "127.0.0.1:1"}, NewLogger(discard{}, settings.Log{Format: "json", Level: "info"}))
 		is.NoErr(err)
 		page := from.Page(p.feed.Pull())
 		b.StartTimer()
--- a/pkg/cmd/dev/dev.go
+++ b/pkg/cmd/dev/dev.go
@@ -68,7 +68,7 @@
 		opts.Callers = "127.0.0.1:0"
 	}
 	logger := process.NewLogger(opts.IO.ErrOut, settings.Log{Level: opts.LogLevel})
-	stack, err := dev.New(dev.Options{Callers: opts.Callers, Log: logger})
+	stack, err := dev.New(ctx, dev.Options{Callers: opts.Callers, Log: logger})
 	if err != nil {
 		return err
 	}
--- a/pkg/cmd/gateway/gateway.go
+++ b/pkg/cmd/gateway/gateway.go
@@ -93,12 +93,12 @@
 
 // serve runs a gateway until a signal to stop, and then stops it as planned.
 func serve(file string, loaded *settings.Gateway, logger *log.Logger) error {
-	proc, err := process.NewGateway(loaded, logger)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	proc, err := process.NewGateway(ctx, loaded, logger)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
 	if err := proc.Start(ctx); err != nil {
 		return errors.CombineErrors(err, proc.Close())
 	}
--- a/pkg/cmdutil/run.go
+++ b/pkg/cmdutil/run.go
@@ -33,12 +33,12 @@
 
 // serve runs a process until a signal to stop, and then drains it.
 func serve(loaded *settings.Settings, logger *log.Logger, drainTimeout time.Duration) error {
-	proc, err := process.New(loaded, logger)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	proc, err := process.New(ctx, loaded, logger)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
 	if err := proc.Start(ctx); err != nil {
 		return errors.CombineErrors(err, proc.Close())
 	}
