SIGHUP never ends a process, from its first moments on

A router or an agent ended at any SIGHUP.

Cause: the handler was set after everything had started; until a Go program asks for SIGHUP, the runtime ends it. Now it is asked for first, before the settings are read, so that no change goes unnoticed. SIGINT and SIGTERM during the start end it as well, by the same package, with the usual exit. Routers and agents, which read their settings once, log that a SIGHUP changed nothing.

Logs of routers and agents go through the queue that gateways have: a reader that stands still held up each line's caller.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -8,6 +8,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // queueLines is the capacity of the queue, in lines.
@@ -82,6 +83,17 @@
 	}
 }
 
+// closeTimeout limits the wait of CloseSoon for the reader of the log.
+const closeTimeout = 300 * time.Millisecond
+
+// CloseSoon is like Close, for a process that is about to end: it waits for a moment at most. Lines that
+// the reader of the log does not take by then are lost.
+func (s *Sink) CloseSoon() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = s.Close(ctx)
+}
+
 // closeQueue stops accepting lines.
 func (s *Sink) closeQueue() {
 	s.once.Do(func() {
--- a/pkg/cmd/gateway/gateway.go
+++ b/pkg/cmd/gateway/gateway.go
@@ -4,10 +4,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
-	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
@@ -18,6 +15,7 @@
 	"github.com/capersaddle/capersaddle/internal/observe"
 	"github.com/capersaddle/capersaddle/internal/process"
 	"github.com/capersaddle/capersaddle/internal/settings"
+	"github.com/capersaddle/capersaddle/internal/signals"
 	"github.com/capersaddle/capersaddle/internal/usage"
 	"github.com/capersaddle/capersaddle/pkg/cmdutil"
 	"github.com/capersaddle/capersaddle/pkg/iostreams"
@@ -77,6 +75,8 @@
 }
 
 func gatewayRun(opts *GatewayOptions) error {
+	received := signals.Receive()
+	defer received.Close()
 	limitHeap()
 	loaded, err := settings.LoadGateway(opts.File)
 	if err != nil {
@@ -84,17 +84,17 @@
 	}
 	usage.LimitMemory(int64(loaded.Host.MemoryMB * (1 << 20)))
 	sink := logsink.New(opts.IO.Out)
-	defer closeLog(sink)
+	defer sink.CloseSoon()
 	logger := process.NewLogger(sink, loaded.Log)
-	err = serve(opts.File, loaded, logger)
+	ctx, cancel := received.UntilStop(context.Background())
+	defer cancel()
+	err = serve(ctx, opts.File, received, loaded, logger)
 	process.LogEnd(logger, observe.EventStop, loaded.ID, err)
 	return err
 }
 
-// serve runs a gateway until a signal to stop, and then stops it as planned.
-func serve(file string, loaded *settings.Gateway, logger *log.Logger) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
+// serve runs a gateway until the context ends, and then stops it as planned.
+func serve(ctx context.Context, file string, received *signals.Received, loaded *settings.Gateway, logger *log.Logger) error {
 	proc, err := process.NewGateway(ctx, loaded, logger)
 	if err != nil {
 		return err
@@ -102,13 +102,10 @@
 	if err := proc.Start(ctx); err != nil {
 		return errors.CombineErrors(err, proc.Close())
 	}
-	reloadSignals := make(chan os.Signal, 1)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
-	defer signal.Stop(reloadSignals)
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-		case <-reloadSignals:
+		case <-received.Reload:
 			reload(file, proc, logger)
 		}
 	}
@@ -116,15 +113,6 @@
 	return errors.CombineErrors(err, proc.Close())
 }
 
-// logTimeout limits the wait until the last log lines are written.
-const logTimeout = 300 * time.Millisecond
-
-func closeLog(sink *logsink.Sink) {
-	ctx, cancel := context.WithTimeout(context.Background(), logTimeout)
-	defer cancel()
-	_ = sink.Close(ctx)
-}
-
 // reload reads the settings again; if they can't be read, the old ones stay in force.
 func reload(file string, proc *process.GatewayProcess, logger *log.Logger) {
 	loaded, err := settings.LoadGateway(file)
--- a/pkg/cmdutil/run.go
+++ b/pkg/cmdutil/run.go
@@ -2,22 +2,25 @@
 
 import (
 	"context"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/logsink"
 	"github.com/capersaddle/capersaddle/internal/process"
 	"github.com/capersaddle/capersaddle/internal/settings"
+	"github.com/capersaddle/capersaddle/internal/signals"
 	"github.com/capersaddle/capersaddle/pkg/iostreams"
 )
 
 // RunProcess runs a router or an agent from its settings file until SIGTERM or SIGINT, then
-// drains it. A second signal ends the drain.
+// drains it. A second signal ends the drain. SIGHUP changes nothing: the settings are read at the start
+// only.
 func RunProcess(streams *iostreams.IOStreams, role, file string, drainTimeout time.Duration) error {
+	received := signals.Receive()
+	defer received.Close()
 	loaded, err := settings.Load(file)
 	if err != nil {
 		return err
@@ -25,16 +28,18 @@
 	if loaded.Role != role {
 		return fault.New(fault.BadSettings, fault.NotRun, `%s: field "role": found %q; want %q for this command`, file, loaded.Role, role)
 	}
-	logger := process.NewLogger(streams.ErrOut, loaded.Log)
-	err = serve(loaded, logger, drainTimeout)
+	sink := logsink.New(streams.ErrOut)
+	defer sink.CloseSoon()
+	logger := process.NewLogger(sink, loaded.Log)
+	ctx, cancel := received.UntilStop(context.Background())
+	defer cancel()
+	err = serve(ctx, received, loaded, logger, drainTimeout)
 	process.LogEnd(logger, role+" stopped", loaded.ID, err)
 	return err
 }
 
-// serve runs a process until a signal to stop, and then drains it.
-func serve(loaded *settings.Settings, logger *log.Logger, drainTimeout time.Duration) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
+// serve runs a process until the context ends, and then drains it.
+func serve(ctx context.Context, received *signals.Received, loaded *settings.Settings, logger *log.Logger, drainTimeout time.Duration) error {
 	proc, err := process.New(ctx, loaded, logger)
 	if err != nil {
 		return err
@@ -42,16 +47,20 @@
 	if err := proc.Start(ctx); err != nil {
 		return errors.CombineErrors(err, proc.Close())
 	}
-	<-ctx.Done()
-	stop()
-	return drain(proc, drainTimeout)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-received.Reload:
+			logger.Info("settings are read at the start only")
+		}
+	}
+	return drain(received, proc, drainTimeout)
 }
 
-func drain(proc process.Process, timeout time.Duration) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
+func drain(received *signals.Received, proc process.Process, timeout time.Duration) error {
+	ctx, cancel := received.UntilStop(context.Background())
+	defer cancel()
 	if timeout > 0 {
-		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 	}
