A process goes on when the reader of its log ends

Cause: the Go runtime ends a process that writes to a standard output or standard error without a reader (SIGPIPE). Now the signal is ignored in the commands that serve, and the write is an error like others: the line is lost, counted, and log_dropped tells how many once somebody reads again. Commands that print and end keep the usual behaviour in a pipe.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -58,7 +58,10 @@
 func (s *Sink) write() {
 	reported := int64(0)
 	for line := range s.lines {
-		_, _ = s.out.Write(line)
+		if _, err := s.out.Write(line); err != nil {
+			s.dropped.Add(1) // the reader may come back
+			continue
+		}
 		if dropped := s.dropped.Load(); dropped > reported && len(s.lines) == 0 {
 			_, _ = fmt.Fprintf(s.out, `{"level":"warn","msg":"log_dropped","lines":%d}`+"\n", dropped-reported)
 			reported = dropped
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -76,3 +78,48 @@
 	<-read
 	is.True(strings.Contains(out.text.String(), `"msg":"log_dropped"`))
 }
+
+// brokenPipe fails while it has no reader.
+type brokenPipe struct {
+	mu     sync.Mutex
+	broken bool
+	lines  []string
+}
+
+func (b *brokenPipe) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.broken {
+		return 0, syscall.EPIPE
+	}
+	b.lines = append(b.lines, string(line))
+	return len(line), nil
+}
+
+func (b *brokenPipe) setBroken(broken bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.broken = broken
+}
+
+// TestReaderComesBack guards against lines that are lost without a trace while nobody reads the log.
+func TestReaderComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		pipe := &brokenPipe{broken: true}
+		sink := logsink.New(pipe)
+		for range 3 {
+			_, err := sink.Write([]byte("lost\n"))
+			is.NoErr(err)
+		}
+		synctest.Wait()
+		is.Equal(sink.Dropped(), int64(3))
+		pipe.setBroken(false)
+		_, err := sink.Write([]byte("read\n"))
+		is.NoErr(err)
+		is.NoErr(sink.Close(t.Context()))
+		is.Equal(len(pipe.lines), 2)
+		is.Equal(pipe.lines[0], "read\n")
+		is.True(strings.Contains(pipe.lines[1], `"lines":3`))
+	})
+}
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -1,5 +1,6 @@
 // Package signals receives the signals of a process that serves, from its first moments to its end. A
-// signal that is sent while the process starts is not lost, and a signal to reload never ends the process.
+// signal that is sent while the process starts is not lost, and neither a lost reader of the log nor a
+// signal to reload ends the process.
 package signals
 
 import (
@@ -21,8 +22,10 @@
 }
 
 // Receive begins to receive signals. It is called before the settings are read, so that a change after
-// that leads to a signal.
+// that leads to a signal. From then on, writing to a pipe without a reader is an error like others and
+// does not end the process.
 func Receive() *Received {
+	signal.Ignore(syscall.SIGPIPE)
 	const lastTwo = 2
 	r := &Received{stop: make(chan os.Signal, lastTwo), reload: make(chan os.Signal, 1)}
 	r.Stop, r.Reload = r.stop, r.reload
@@ -50,7 +53,7 @@
 	}
 }
 
-// Close stops receiving. Signals have their usual effect again.
+// Close stops receiving. Signals have their usual effect again, but for SIGPIPE.
 func (r *Received) Close() {
 	signal.Stop(r.stop)
 	signal.Stop(r.reload)
--- a/internal/signals/signals_test.go
+++ b/internal/signals/signals_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"os"
 	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 )
 
 // TestSignalsAreKept guards against a signal that is lost, or ends the process, because it comes while
@@ -39,3 +42,20 @@
 	is.New(t).NoErr(syscall.Kill(syscall.Getpid(), syscall.SIGTERM))
 	<-received.Stop
 }
+
+// TestBrokenPipe guards against a process that ends when the reader of its output does.
+func TestBrokenPipe(t *testing.T) {
+	is := is.New(t)
+	received := Receive()
+	defer received.Close()
+	reader, writer, err := os.Pipe()
+	is.NoErr(err)
+	defer func() { _ = writer.Close() }()
+	saved, err := syscall.Dup(syscall.Stdout)
+	is.NoErr(err)
+	is.NoErr(unix.Dup2(int(writer.Fd()), syscall.Stdout)) // the runtime ends a process for standard output only
+	is.NoErr(reader.Close())
+	_, err = os.Stdout.WriteString("lost\n")
+	is.NoErr(unix.Dup2(saved, syscall.Stdout))
+	is.True(errors.Is(err, syscall.EPIPE))
+}
