A planned stop that cuts a request off ends with exit code 0

What the platform saw: a process that it had stopped ended with exit code 1 whenever a request was still in flight at the end of the grace period, which cannot be told from a failure. grace_over and the new stop_incomplete say in the log what was cut. Routers and agents the same (a drain time that is over, a second signal).

soak.TestStopBesideStuckRequests: exit status 1 before, 0 now. Checks of Drain's own error are as they were.

--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -43,6 +43,7 @@
 	EventAcceptingEnded    = "accepting_ended"
 	EventGraceOver         = "grace_over"
 	EventStop              = "stopped"
+	EventStopFailed        = "stop_incomplete"
 	EventMemoryHigh        = "memory_high"
 	EventAddressInUse      = listen.EventInUse
 	EventAddressFree       = listen.EventFree
@@ -73,7 +74,7 @@
 func Events() []string {
 	return []string{
 		EventRequest, EventConfig, EventTargetChanged, EventTargetsListed, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
-		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventTargetSuspected, EventStart, EventDrain, EventAcceptingEnded, EventGraceOver, EventStop, EventMemoryHigh, EventAddressInUse, EventAddressFree, EventReload, EventProcessLate, EventProcessInTime, EventRequestsNotLogged,
+		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventTargetSuspected, EventStart, EventDrain, EventAcceptingEnded, EventGraceOver, EventStop, EventStopFailed, EventMemoryHigh, EventAddressInUse, EventAddressFree, EventReload, EventProcessLate, EventProcessInTime, EventRequestsNotLogged,
 		EventUnusable, EventLeaving, EventTargetResting, EventCallerEnded, EventNoticeUnreadable, EventTargetEnded, EventCrash, EventHeldBack, EventCleared, EventPartAtLimit, EventPartHeld, EventPartCleared, EventTrial, EventSuspect,
 		EventRolloutOrdered, EventRolloutStage, EventRolloutHalted, EventRolloutRecorded, EventRolloutCommitFailed,
 	}
--- a/internal/soak/ends_test.go
+++ b/internal/soak/ends_test.go
@@ -605,3 +605,26 @@
 	}
 	is.New(s.t).True(connections > 0)
 }
+
+// TestStopBesideStuckRequests guards against a planned stop that looks like a failure to the platform: a
+// request that does not end within the grace period made the process end with an exit code other than 0.
+func TestStopBesideStuckRequests(t *testing.T) {
+	is := is.New(t)
+	s := &soak{t: t, binary: buildBinary(t), seed: 1, grace: time.Second, stopped: make(map[string]bool)}
+	s.startPlainSystem(1, 1)
+	defer s.stopSystem()
+	g := s.gateways[0]
+	s.awaitAnswer(g)
+	for _, server := range s.servers {
+		server.Misbehave(emulator.Mute, -1)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	stuck := make(chan bool)
+	go func() { stuck <- s.ask(client, g, "stuck", "/chat/1") }()
+	for s.servers[1].InFlight() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	<-g.signal(syscall.SIGTERM)
+	is.True(!<-stuck)
+	is.Equal(g.ends(), nil)
+}
--- a/pkg/cmd/gateway/gateway.go
+++ b/pkg/cmd/gateway/gateway.go
@@ -89,6 +89,10 @@
 	ctx, cancel := received.UntilStop(context.Background())
 	defer cancel()
 	err = serve(ctx, opts.File, received, loaded, logger)
+	if err != nil && ctx.Err() != nil {
+		logger.Warn(observe.EventStopFailed, "error", err.Error())
+		err = nil // it was told to stop, and it has
+	}
 	process.LogEnd(logger, observe.EventStop, loaded.ID, err)
 	return err
 }
--- a/pkg/cmdutil/run.go
+++ b/pkg/cmdutil/run.go
@@ -34,6 +34,10 @@
 	ctx, cancel := received.UntilStop(context.Background())
 	defer cancel()
 	err = serve(ctx, received, loaded, logger, drainTimeout)
+	if err != nil && ctx.Err() != nil {
+		logger.Warn("the stop was not complete", "error", err)
+		err = nil // it was told to stop, and it has
+	}
 	process.LogEnd(logger, role+" stopped", loaded.ID, err)
 	return err
 }
