--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -87,8 +87,10 @@
 }
 
 const (
-	// rangePage is the number of items on one page of a range response.
-	rangePage = 500
+	// rangePage is the number of items on one page of a range response, and rangePageBytes the size of
+	// their values, in bytes, after which a page ends.
+	rangePage      = 500
+	rangePageBytes = 1 << 20
 	// maxWait limits how long a watch waits.
 	maxWait = 30 * time.Second
 	// maxEntries limits the number of entries in a transaction.
--- a/internal/emulator/store_calls.go
+++ b/internal/emulator/store_calls.go
@@ -36,15 +36,17 @@
 	query := r.URL.Query()
 	s.mu.Lock()
 	answer := rangeResponse{Items: []Item{}, At: s.revision}
+	size := 0
 	for _, key := range slices.Sorted(maps.Keys(s.items)) {
 		if !strings.HasPrefix(key, query.Get("path_prefix")) || key <= query.Get("since_revision") {
 			continue
 		}
-		if len(answer.Items) == s.pageItems {
+		if len(answer.Items) == s.pageItems || size >= rangePageBytes {
 			answer.More = true
 			break
 		}
 		answer.Items = append(answer.Items, s.items[key])
+		size += len(s.items[key].Value)
 	}
 	s.mu.Unlock()
 	reply(w, http.StatusOK, answer)
