Answers that are kept until they are complete share the memory for callers

Looked for the class at each buffer: an event may have 4 MiB and a small answer 1 MiB before it is passed on. One answer is bounded; all that are in flight at once are not: two hundred streams whose targets send a megabyte a second without the end of an event take 800 MB within four seconds.

Change: what an answer keeps beyond 64 KiB comes from the budget that holds bodies and unread answers (an eighth of the process's memory). Where there is no room an event without an end breaks its stream off, and an answer with a known length is passed on as it arrives.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -9,33 +9,48 @@
 
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/delivery"
+	"github.com/capersaddle/capersaddle/internal/spool"
 )
 
 // maxBuffered is the size of the largest answer that is read completely before any of it is
 // passed on, in bytes.
 const maxBuffered = 1 << 20
 
-// bufferedAnswer is an answer that was read to its end.
+// bufferedAnswer is an answer that was read to its end. Its user calls release at the end.
 type bufferedAnswer struct {
 	status int
 	header http.Header
 	body   []byte
+	reservation
 }
 
 var errAnswerTooLarge = errors.Newf("the answer has no content length and exceeds %d bytes", maxBuffered)
 
-// bufferAnswer reads an answer to its end.
-func bufferAnswer(answer *Answer) (*bufferedAnswer, error) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxBuffered {
-		return nil, errAnswerTooLarge
+// bufferAnswer reads an answer to its end, with memory of a budget; nil for no bound.
+func bufferAnswer(answer *Answer, budget *spool.Budget) (*bufferedAnswer, error) {
+	whole := &bufferedAnswer{status: answer.Status, header: answer.Header, reservation: reservation{budget: budget}}
+	part := make([]byte, bufferedPart)
+	for {
+		n, err := answer.Body.Read(part)
+		whole.body = append(whole.body, part[:n]...)
+		switch {
+		case len(whole.body) > maxBuffered:
+			err = errAnswerTooLarge
+		case errors.Is(err, io.EOF):
+			return whole, nil
+		case err == nil:
+			err = whole.grow(len(whole.body))
+		}
+		if err != nil {
+			whole.release()
+			return nil, err
+		}
 	}
-	return &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}, nil
 }
 
+// bufferedPart is the size of one read of an answer that is kept, in bytes.
+const bufferedPart = 2048
+
 // send passes the answer on.
 func (b *bufferedAnswer) send(c *call) error {
 	if err := c.responder.Begin(b.status, b.header, int64(len(b.body))); err != nil {
@@ -50,11 +65,12 @@
 // passFailure keeps a target's own failure in case no better answer arrives. A failure that another
 // target would repeat is passed on at once.
 func (a *attempt) passFailure(answer *Answer) bool {
-	whole, err := bufferAnswer(answer)
+	whole, err := bufferAnswer(answer, a.call.gateway.HeldBudget)
 	if err != nil {
 		a.failReading(err)
 		return false
 	}
+	defer whole.release()
 	a.err = errors.Newf("the target answered %d", answer.Status)
 	if a.call.delivery.Begun() {
 		a.outcome, a.result = delivery.Cut, balance.Bad
@@ -72,16 +88,18 @@
 }
 
 // passBuffered reads the complete answer before passing it on, so that the request can be retried
-// if the answer breaks off. Large answers are passed on as they arrive.
+// if the answer breaks off. Large answers, and those for which there is no memory, are passed on as they
+// arrive.
 func (a *attempt) passBuffered(answer *Answer) bool {
-	if answer.Size > maxBuffered {
+	if answer.Size > maxBuffered || !hasRoom(a.call.gateway.HeldBudget, answer.Size) {
 		return a.passLarge(answer)
 	}
-	whole, err := bufferAnswer(answer)
+	whole, err := bufferAnswer(answer, a.call.gateway.HeldBudget)
 	if err != nil {
 		a.failReading(err)
 		return false
 	}
+	defer whole.release()
 	a.result = balance.Good
 	a.recordAnswer(answer)
 	if err := whole.send(a.call); err != nil {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/spool"
 )
 
 const (
@@ -20,10 +22,13 @@
 type eventReader struct {
 	reader *bufio.Reader
 	buf    []byte
+	reservation
 }
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(body, readBufferSize)}
+// newEventReader returns a reader whose events take their memory from a budget; nil for no bound. Its user
+// calls release at the end.
+func newEventReader(body io.Reader, budget *spool.Budget) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(body, readBufferSize), reservation: reservation{budget: budget}}
 }
 
 var idField = []byte("id:")
@@ -45,6 +50,9 @@
 		if len(e.buf) > maxEvent {
 			return nil, "", bufio.ErrTooLong
 		}
+		if err := e.grow(len(e.buf)); err != nil {
+			return nil, "", err
+		}
 		if err == nil && endsEvent(e.buf) {
 			return e.buf, eventID(e.buf), nil
 		}
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -28,7 +28,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			source := newEventReader(iotest.OneByteReader(strings.NewReader(tc.text)))
+			source := newEventReader(iotest.OneByteReader(strings.NewReader(tc.text)), nil)
 			var ids []string
 			var read bytes.Buffer
 			for {
@@ -52,7 +52,7 @@
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n\nrest"))
 	f.Add([]byte("\n\r\n\r\n\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		source := newEventReader(bytes.NewReader(data))
+		source := newEventReader(bytes.NewReader(data), nil)
 		var read []byte
 		for {
 			event, _, err := source.next()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,8 +74,10 @@
 	// Stop is the planned stop of the process.
 	Stop shutdown.Stop
 	// Spools buffers what callers have not read yet; if nil, a slow caller delays its target.
-	Spools   *spool.Spools
-	inFlight inFlightAttempts
+	Spools *spool.Spools
+	// HeldBudget bounds the bytes that the process holds for its callers; nil means no bound.
+	HeldBudget *spool.Budget
+	inFlight   inFlightAttempts
 	// stalls counts packet losses that streams have shown.
 	stalls stalls
 	// contacts and firstEventTimes serve streams whose target may be unresponsive.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -15,7 +15,8 @@
 // passStream passes on complete events as they arrive. A resumed stream continues under the headers
 // that the caller already has.
 func (a *attempt) passStream(ctx context.Context, answer *Answer) bool {
-	source := newEventReader(answer.Body)
+	source := newEventReader(answer.Body, a.call.gateway.HeldBudget)
+	defer source.release()
 	paused := false
 	a.timeToHead = 0
 	defer func() { a.call.gateway.Balancer.NoteStream(a.incarnation, paused, clock.Now()) }()
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -104,6 +104,7 @@
 		Options:  gateway.Options{KeyFreshness: keyFreshness(s), DenyFreshness: denyFreshness, PeersReachable: p.peersReachable, PeersConfigured: p.peersConfigured, ProcessLate: p.lag.Late, StreamDelay: time.Duration(s.Pass)},
 	}
 	p.heldBudget = spool.NewBudget(maxHeldBytes(s))
+	p.gateway.HeldBudget = p.heldBudget
 	p.gateway.Spools = spool.New(spool.Options{MaxPerCaller: spool.DefaultMaxPerCaller, WriteTimeout: spool.DefaultWriteTimeout, CallerEnded: p.observer.CallerEnded}, p.heldBudget)
 	p.crashes = gateway.NewCrashes(quarantine.New(), p.gateway.Balancer, sender, p.observer)
 	p.gateway.Crashes = p.crashes
