Idle connections of callers leave descriptors for the store and the targets

Cause: nothing bounds callers' connections but the process's descriptors, and the listener takes the last one. Now, from 0.6 of them on, each new connection ends the one that has been idle the longest (without a byte of a request), or itself if none is.

--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -40,6 +40,9 @@
 	IdleTimeout func() time.Duration
 	// HeaderTimeout returns how long the headers of a request may take from their first byte.
 	HeaderTimeout func() time.Duration
+	// Connections is the number of connections above which each new one ends the one that has been idle
+	// the longest, or itself if none is idle; zero means no limit.
+	Connections int
 }
 
 // Listen returns a Listener that tracks the connections of listener, which it owns.
@@ -57,6 +60,8 @@
 	// means that the listener has closed the connection.
 	idle   bool
 	closed bool
+	// idleSince is when the connection became idle.
+	idleSince time.Time
 	// timer ends an idle connection, or one whose headers take too long.
 	timer *time.Timer
 }
@@ -67,13 +72,36 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted, listener: l, idle: true}
+	c := &conn{Conn: accepted, listener: l, idle: true, idleSince: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
+	if l.limits.Connections > 0 && len(l.conns) > l.limits.Connections {
+		l.longestIdle().closeIfIdle()
+	}
 	return c, nil
 }
 
+// longestIdle returns the connection that has been idle the longest. One that was just accepted is idle,
+// so there is always one; l.mu must be held.
+func (l *Listener) longestIdle() *conn {
+	var longest *conn
+	var since time.Time
+	for c := range l.conns {
+		if at, idle := c.idleTime(); idle && (longest == nil || at.Before(since)) {
+			longest, since = c, at
+		}
+	}
+	return longest
+}
+
+// idleTime returns since when the connection is idle, and whether it is.
+func (c *conn) idleTime() (since time.Time, idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince, c.idle && !c.closed
+}
+
 // Close stops accepting connections; those already accepted stay open.
 func (l *Listener) Close() error {
 	l.closeOnce.Do(func() { l.closeErr = l.Listener.Close() })
@@ -164,7 +192,7 @@
 // beginIdle marks the connection as idle, for at most limit if bounded is true.
 func (c *conn) beginIdle(limit time.Duration, bounded bool) {
 	c.mu.Lock()
-	c.idle = true
+	c.idle, c.idleSince = true, time.Now()
 	if bounded && limit > 0 {
 		c.timer = time.AfterFunc(limit, c.closeIfIdle)
 	}
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -74,11 +74,17 @@
 )
 
 func newTestServer() *testServer {
+	return newLimitedServer(0)
+}
+
+// newLimitedServer returns a server with a limit of its connections; zero for none.
+func newLimitedServer(connections int) *testServer {
 	s := &testServer{pipes: newPipeListener(), served: make(chan struct{})}
 	s.idleLimit.Store(int64(idleTimeout))
 	s.listener = inbound.Listen(s.pipes, inbound.Limits{
 		IdleTimeout:   func() time.Duration { return time.Duration(s.idleLimit.Load()) },
 		HeaderTimeout: func() time.Duration { return time.Duration(s.headerLimit.Load()) },
+		Connections:   connections,
 	})
 	s.server = &http.Server{
 		ConnState: s.listener.ConnState,
@@ -343,3 +349,32 @@
 	listener.ConnState(conn, http.StateClosed)
 	is.NoErr(conn.Close())
 }
+
+// TestConnectionLimit guards against callers whose idle connections take all of a process's file
+// descriptors, so that it reaches neither the store nor targets.
+func TestConnectionLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const limit = 3
+		s := newLimitedServer(limit)
+		defer s.close()
+		s.setIdleLimit(time.Hour)
+		busy := s.caller()
+		is.NoErr(busy.send(request))
+		synctest.Wait()
+		var callers []*caller
+		for range 2 * limit {
+			c := s.caller()
+			is.NoErr(c.ask())
+			callers = append(callers, c)
+			time.Sleep(time.Second)
+		}
+		synctest.Wait()
+		is.Equal(s.listener.Connections(), limit)
+		is.NoErr(busy.answer()) // a request in flight keeps its connection
+		for i, c := range callers {
+			open := i >= len(callers)-limit+1
+			is.Equal(c.ask() == nil, open) // the latest ones are open
+		}
+	})
+}
--- a/internal/process/gateway_http.go
+++ b/internal/process/gateway_http.go
@@ -12,6 +12,7 @@
 	"github.com/capersaddle/capersaddle/internal/inbound"
 	"github.com/capersaddle/capersaddle/internal/listen"
 	"github.com/capersaddle/capersaddle/internal/socket"
+	"github.com/capersaddle/capersaddle/internal/usage"
 	"github.com/capersaddle/capersaddle/platform"
 )
 
@@ -42,6 +43,20 @@
 	return listen.Opener{Log: p.log}
 }
 
+// callerDescriptorShare is the share of the process's file descriptors that callers' connections may take.
+// The rest is for targets, the store and other gateways.
+const callerDescriptorShare = 0.6
+
+// maxCallerConnections returns the number of callers' connections above which idle ones are closed; zero
+// for no limit.
+func maxCallerConnections() int {
+	descriptors, err := usage.MaxDescriptors()
+	if err != nil {
+		return 0 // the limit is not known
+	}
+	return int(callerDescriptorShare * float64(descriptors))
+}
+
 // serveCallers listens on the callers' address.
 func (p *GatewayProcess) serveCallers(ctx context.Context) error {
 	listener, err := p.opener().TCP(ctx, p.settings.Callers, socket.UserTimeout(callerUserTimeout))
@@ -49,7 +64,7 @@
 		return listenError("callers", err)
 	}
 	p.addresses.Callers = listener.Addr().String()
-	p.callers = inbound.Listen(listener, inbound.Limits{IdleTimeout: p.callerIdleTimeout, HeaderTimeout: p.callerHeaderTimeout})
+	p.callers = inbound.Listen(listener, inbound.Limits{IdleTimeout: p.callerIdleTimeout, HeaderTimeout: p.callerHeaderTimeout, Connections: maxCallerConnections()})
 	p.server = &http.Server{
 		Handler:           p.front,
 		ReadHeaderTimeout: headerTimeout,
--- a/internal/soak/ends_test.go
+++ b/internal/soak/ends_test.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"github.com/capersaddle/capersaddle/internal/emulator"
 )
@@ -486,6 +487,7 @@
 		"a signal to reload while it starts": {started: reloadOften, begin: (*soak).killEach},
 		"listeners on its ports":             {begin: (*soak).startBesideListeners},
 		"connections from its ports":         {begin: (*soak).startBesideConnections},
+		"more callers than descriptors":      {started: limitDescriptors, begin: (*soak).openIdleConnections},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -558,6 +560,31 @@
 	return false
 }
 
+// maxDescriptors is the number of file descriptors that a process may have in openIdleConnections.
+const maxDescriptors = 256
+
+// limitDescriptors limits the file descriptors of a process.
+func limitDescriptors(_ *gateway, pid int) {
+	limit := unix.Rlimit{Cur: maxDescriptors, Max: maxDescriptors}
+	_ = unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil) // the process may have ended
+}
+
+// openIdleConnections opens more connections to each gateway than it has descriptors, sends nothing on
+// them, and moves the targets of a service while open connections to the store have gone silent.
+func (s *soak) openIdleConnections() {
+	for _, g := range s.gateways {
+		for range 2 * maxDescriptors {
+			conn, err := net.DialTimeout("tcp", g.callers, time.Second)
+			if err != nil {
+				break // its queue of connections is full
+			}
+			s.t.Cleanup(func() { _ = conn.Close() })
+		}
+	}
+	s.platform.Store.SilenceConnections() // so that it has to be reached anew
+	s.moveTargets()
+}
+
 // killEach kills the gateways one after the other; the keeper starts them again.
 func (s *soak) killEach() {
 	for _, g := range s.gateways {
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -2,12 +2,14 @@
 package usage
 
 import (
+	"math"
 	"os"
 	"runtime/debug"
 	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Usage is what the process uses.
@@ -35,6 +37,15 @@
 	return Usage{PeakMemory: peak, Descriptors: len(open)}, nil
 }
 
+// MaxDescriptors returns the number of file descriptors that the process may have.
+func MaxDescriptors() (int, error) {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0, errors.Wrap(err, "read the limit of descriptors")
+	}
+	return int(min(limit.Cur, math.MaxInt32)), nil
+}
+
 // peakMemory returns the peak of the resident memory in /proc/PID/status, in bytes.
 func peakMemory(status string) (int64, error) {
 	const kilobyte = 1 << 10
