Links are accepted again after a failed accept, and unused ones are closed

Found by looking for the class at the links between processes. An accept that failed once, for want of a descriptor, ended the loop for good: the process could be reached by no other gateway, router or agent until it was started again. And a connection on which nothing is ever sent, such as a port scan's, kept its descriptor and memory for good.

Now a failed accept is tried again after 50 ms, and a connection without a stream is closed after 5 s, the time that a stream's first message has.

link.TestAcceptGoesOn and TestConnectionWithoutStream wait for ever on the code before.

--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/capersaddle/capersaddle/internal/wait"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -34,6 +35,8 @@
 	tls      *tls.Config
 	log      *log.Logger
 	badPeers atomic.Int64
+	// firstStreamTimeout limits the wait for a session's first stream.
+	firstStreamTimeout time.Duration
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -45,8 +48,14 @@
 // NewServer starts to serve the listener, which it owns. With a nil TLS configuration its
 // links are not encrypted.
 func NewServer(listener net.Listener, hello *wire.Hello, config *tls.Config, logger *log.Logger, handler Handler) *Server {
+	s := newServer(listener, hello, config, logger, handler)
+	s.wg.Go(s.accept)
+	return s
+}
+
+func newServer(listener net.Listener, hello *wire.Hello, config *tls.Config, logger *log.Logger, handler Handler) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{
+	return &Server{
 		listener: listener,
 		handler:  handler,
 		hello:    hello,
@@ -55,9 +64,9 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		sessions: make(map[*session]struct{}),
+
+		firstStreamTimeout: openTimeout,
 	}
-	s.wg.Go(s.accept)
-	return s
 }
 
 // Address returns the listening address, IP:port.
@@ -71,13 +80,20 @@
 	return s.badPeers.Load()
 }
 
+// acceptPause is the pause after a failed accept: the process may have no descriptor left for a moment.
+const acceptPause = 50 * time.Millisecond
+
 func (s *Server) accept() {
 	for {
 		conn, err := s.listener.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			s.wg.Go(func() { s.serveConn(conn) })
+		case errors.Is(err, net.ErrClosed):
+			return
+		case !wait.For(s.ctx, acceptPause):
 			return
 		}
-		s.wg.Go(func() { s.serveConn(conn) })
 	}
 }
 
@@ -101,11 +117,15 @@
 		return
 	}
 	defer s.untrack(session)
+	// A peer opens a stream at once. One that doesn't must not keep its connection for ever.
+	silent := time.AfterFunc(s.firstStreamTimeout, func() { s.dropPeer(session, "no stream", nil) })
+	defer silent.Stop()
 	for {
 		stream, err := session.AcceptStream()
 		if err != nil {
 			return
 		}
+		silent.Stop()
 		s.wg.Go(func() { s.serveStream(session, stream) })
 	}
 }
