Routers, agents and commands bound what they keep of an answer

The same class as the heads of targets' answers, in the other programs: the HTTP client of routers and agents kept up to 10 MB of a head (64 KiB now), and a command that was given a wrong address kept whatever that sent (64 MB now).

Gone through besides, and found bounded: bodies of callers (16 places with MaxBytesReader), an engine's events (1 MiB) and errors (512 bytes), exports (maxExportBytes at the receiver), messages of links (4 MiB), datagrams (one buffer), settings and certificates (files of the operators).

--- a/internal/process/http.go
+++ b/internal/process/http.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// headerTimeout and maxHeaderBytes limit reading a request's header.
+	// headerTimeout limits reading a request's header, and maxHeaderBytes that of a request or a
+	// response.
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
 	// idleTimeout closes connections that carry no requests.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -88,9 +88,10 @@
 // connections for each host, since one agent sends many concurrent requests to a target.
 func newHTTPClient() *http.Client {
 	transport := &http.Transport{
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    256,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &http.Client{Transport: transport}
 }
--- a/pkg/cmdutil/client.go
+++ b/pkg/cmdutil/client.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/capersaddle/capersaddle/internal/config"
 	"github.com/capersaddle/capersaddle/internal/fault"
 	"github.com/capersaddle/capersaddle/internal/oplang"
@@ -48,7 +50,7 @@
 		return lostAnswer(method, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
+	text, err := readAnswer(response.Body)
 	if err != nil {
 		return lostAnswer(method, err)
 	}
@@ -58,6 +60,19 @@
 	return json.Unmarshal(text, into)
 }
 
+// maxAnswer bounds the answer of a process to a command, in bytes: it is kept until it is complete. The
+// configuration of thousands of workspaces takes a few million.
+const maxAnswer = 64 << 20
+
+// readAnswer reads an answer to its end.
+func readAnswer(body io.Reader) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, maxAnswer+1))
+	if err == nil && len(text) > maxAnswer {
+		err = errors.Newf("it is over %d bytes", maxAnswer)
+	}
+	return text, err
+}
+
 func lostAnswer(method string, err error) *fault.Error {
 	if method == http.MethodGet {
 		return fault.New(fault.NotReady, fault.NotRun, "the router does not answer: %v; name another with --router", err)
--- a/pkg/cmdutil/gateway.go
+++ b/pkg/cmdutil/gateway.go
@@ -71,7 +71,11 @@
 		return nil, fault.New(fault.BadRequest, fault.NotRun, "%s answered %d; want a gateway's metrics address", c.address, response.StatusCode)
 	}
 	var items []T
-	if err := json.NewDecoder(response.Body).Decode(&items); err != nil {
+	text, err := readAnswer(response.Body)
+	if err == nil {
+		err = json.Unmarshal(text, &items)
+	}
+	if err != nil {
 		return nil, fault.New(fault.Internal, fault.NotRun, "%s did not return a list of %s: %v", c.address, noun, err)
 	}
 	return items, nil
