A value of the routers' store that exceeds the limit is an error, not the part of it

The client read one byte more than a value may have and then did not look: a longer value was taken for whole, cut. Found on the way through all reads. external.TestValueBeyondTheLimit fails before.

--- a/internal/external/httpstore.go
+++ b/internal/external/httpstore.go
@@ -49,6 +49,9 @@
 	if err != nil {
 		return Value{}, errors.Wrap(err, "read store's answer")
 	}
+	if len(data) > MaxValue {
+		return Value{}, errors.Newf("the store's answer is over %d bytes", MaxValue)
+	}
 	switch response.StatusCode {
 	case http.StatusOK:
 	case http.StatusNotFound:
