--- a/internal/e2e/processes_test.go
+++ b/internal/e2e/processes_test.go
@@ -106,6 +106,8 @@
 	seed       string
 	targetURLs map[string]string
 	engines    map[string]*child
+	// agentLink is the link address of the last agent.
+	agentLink string
 	// admission holds the agents' admission settings.
 	admission map[string]any
 }
@@ -176,7 +178,8 @@
 
 func (f *fixture) addAgent(id, kind, pool string) {
 	targets := []map[string]any{{"id": id, "kind": kind, "pool": pool, "url": f.targetURLs[id]}}
-	f.agents[id] = f.start("agent", f.writeSettings("agent", "host-of-"+id, map[string]any{"targets": targets}))
+	f.agentLink = f.freePort()
+	f.agents[id] = f.start("agent", f.writeSettings("agent", "host-of-"+id, map[string]any{"targets": targets, "link": f.agentLink}))
 }
 
 // waitUntil waits for a condition and fails the test after waitTimeout.
