--- a/internal/emulator/streams.go
+++ b/internal/emulator/streams.go
@@ -33,7 +33,8 @@
 // StreamCallers request streams at a fixed interval, round robin over gateways. A caller resumes a
 // stream that breaks off, at the next gateway. Its servers must put their version into events.
 type StreamCallers struct {
-	// Addresses returns the addresses at which the gateways serve callers, IP:port.
+	// Addresses returns the addresses at which the gateways serve callers, IP:port. Callers wait while there
+	// are none.
 	Addresses func() []string
 	Host      string
 	Key       string
@@ -113,7 +114,10 @@
 	}
 	for attempt := range maxStreamAttempts {
 		id := fmt.Sprintf("%s-%d-%d", c.Key, number, attempt)
-		addresses := c.Addresses()
+		addresses := c.awaitAddresses()
+		if len(addresses) == 0 {
+			return stream
+		}
 		request, err := http.NewRequest(http.MethodPost, "http://"+addresses[(number+attempt)%len(addresses)]+c.Path, http.NoBody)
 		if err != nil {
 			return stream
@@ -131,6 +135,20 @@
 	return stream
 }
 
+// awaitAddresses returns the addresses of the gateways that serve. While there are none, it waits, as long
+// as callers do.
+func (c *StreamCallers) awaitAddresses() []string {
+	for began := time.Now(); time.Since(began) < callerDeadline; time.Sleep(addressInterval) {
+		if addresses := c.Addresses(); len(addresses) > 0 {
+			return addresses
+		}
+	}
+	return nil
+}
+
+// addressInterval is the time between two looks for a gateway that serves.
+const addressInterval = 20 * time.Millisecond
+
 func (c *StreamCallers) setHeaders(request *http.Request, id string, number int, stream *callerStream) {
 	request.Host = c.Host
 	request.Header.Set("X-Attempt-Id", id)
--- a/internal/soak/killed_in_series_test.go
+++ b/internal/soak/killed_in_series_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -126,7 +127,7 @@
 // addVersionedServer starts a server of a software version.
 func (s *soak) addVersionedServer(version string, number int) *emulator.Server {
 	s.t.Helper()
-	options := emulator.ServerOptions{ID: fmt.Sprintf("e-%s-%d", version, number), Events: seriesEvents, Gap: seriesGap, Version: version, VersionInEvents: true}
+	options := emulator.ServerOptions{ID: serverID(version, number), Events: seriesEvents, Gap: cmp.Or(s.streamGap, seriesGap), Version: version, VersionInEvents: true}
 	server, err := s.platform.AddServer("engine", "dc", "127.0.0.1:0", options)
 	is.New(s.t).NoErr(err)
 	return server
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -89,6 +89,10 @@
 	plannedOnly bool
 	// grace is the grace period of the gateways; zero means defaultGrace.
 	grace time.Duration
+	// streamGap is the pause between the events of versioned servers' streams; zero means seriesGap.
+	streamGap time.Duration
+	// passing is the number of versions that have come and gone.
+	passing int
 	// settings are added to those of all gateways.
 	settings map[string]any
 	// prepare may change how a gateway's process is started, and started is called with its process ID
