Gateways announce the revision of what others need, not of the store

Now a copy announces the revision of the last change that it passes on; it compares what others announce with the revision that it has reached itself, so that a proof still covers all that its sender holds.

A page says what its sender announces; older builds, which don't, are followed as before.

--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -22,7 +22,7 @@
 	heartbeat := &wire.GatewayBeat{
 		Life:           s.incarnation,
 		Sequence:       s.sequence,
-		Revision:       s.options.Replica.Revision(),
+		Revision:       s.options.Replica.PassedOn(),
 		Leaving:        s.leaving.Load(),
 		StoreReachable: s.options.Replica.Reachable(),
 		Follows:        s.currentView(now).source != nil,
--- a/internal/peer/rounds.go
+++ b/internal/peer/rounds.go
@@ -61,7 +61,7 @@
 	s.askParent(now)
 	s.directory.expire(now)
 	counts := s.options.Balancer.InFlight()
-	revision := s.options.Replica.Revision()
+	revision := s.options.Replica.PassedOn()
 	urgent := s.urgent.Swap(false) && s.notifyChildren(now)
 	changed := revision != s.lastRevision || !slices.Equal(counts, s.lastCounts)
 	if changed || urgent || now.Sub(s.lastRound) >= maxHeartbeatInterval {
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -70,6 +70,8 @@
 type Replica interface {
 	// Revision returns the store revision that the copy has reached.
 	Revision() int64
+	// PassedOn returns the revision of the last change that other gateways need; it is at most Revision.
+	PassedOn() int64
 	// Pull returns a request for what the copy lacks.
 	Pull() *wire.ReplicaPull
 	// Page answers a pull.
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -34,6 +34,8 @@
 	return f.revision
 }
 
+func (f *fakeReplica) PassedOn() int64 { return f.Revision() }
+
 func (f *fakeReplica) Pull() *wire.ReplicaPull {
 	return &wire.ReplicaPull{Since: f.Revision()}
 }
--- a/internal/replica/page.go
+++ b/internal/replica/page.go
@@ -82,20 +82,20 @@
 	since := pull.GetSince()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	page := &wire.ReplicaPage{Revision: c.revision, Whole: since < c.floor || since == 0}
+	page := &wire.ReplicaPage{Revision: c.revision, PassedOn: c.passedOn, Whole: since < c.floor || since == 0}
 	for _, key := range slices.Sorted(maps.Keys(c.records)) {
 		rec := c.records[key]
 		if rec.Revision <= since && !page.Whole || rec.Gone && page.Whole {
 			continue
 		}
-		if c.startupOnly[key] && !page.Whole {
+		if c.isStartupOnly(key) && !page.Whole {
 			continue
 		}
 		item := &wire.ReplicaItem{Key: key, Revision: rec.Revision, Gone: rec.Gone}
 		switch {
 		case !pull.GetPacks():
 			item.Value = rec.Value
-		case rec.Revision <= since && !c.startupOnly[key]:
+		case rec.Revision <= since && !c.isStartupOnly(key):
 			item.Kept = true
 		default:
 			rec.pack(item, held[key])
@@ -151,7 +151,11 @@
 		c.needsWhole = true
 		return err
 	}
-	_, err = c.update(page.GetRevision(), func() error { return c.applyPage(sent, page.GetWhole(), page.GetRevision()) })
+	passedOn := page.GetPassedOn()
+	if passedOn == 0 {
+		passedOn = page.GetRevision()
+	}
+	_, err = c.update(page.GetRevision(), passedOn, func() error { return c.applyPage(sent, page.GetWhole(), page.GetRevision()) })
 	return err
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -10,6 +10,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 )
 
@@ -31,9 +32,10 @@
 // goroutine at a time, in the order of the changes, while others may read the copy.
 type Copy struct {
 	onChange ChangeFunc
-	// startupOnly are the keys that only a starting process needs. Their changes are not passed on
-	// to copies that hold the rest, and no patches of them are kept.
-	startupOnly map[string]bool
+	// startupOnly are the keys, or prefixes of keys that end with a slash, that only a starting process
+	// needs. Their changes are not passed on to copies that hold the rest, and no patches of them are
+	// kept.
+	startupOnly []string
 
 	// updating is held by the goroutine that applies changes and calls onChange.
 	updating sync.Mutex
@@ -44,6 +46,8 @@
 	// records includes removed keys, so that an older change can't restore them.
 	records  map[string]*record
 	revision int64
+	// passedOn is the revision of the last change that is passed on to copies that hold the rest.
+	passedOn int64
 	// floor is the revision up to which removals may be unknown here.
 	floor int64
 	// readable is false from the time that a value could not be read until the next whole reading.
@@ -72,14 +76,18 @@
 	largeValue = 2048
 )
 
-// New returns an empty copy that calls onChange with each new change. The keys of startupOnly are
+// New returns an empty copy that calls onChange with each new change. The keys of startupOnly, and those
+// below its prefixes, which end with a slash, are
 // passed on only to copies that lack everything else too.
 func New(onChange ChangeFunc, startupOnly ...string) *Copy {
-	c := &Copy{onChange: onChange, records: make(map[string]*record), startupOnly: make(map[string]bool), readable: true}
-	for _, key := range startupOnly {
-		c.startupOnly[key] = true
-	}
-	return c
+	return &Copy{onChange: onChange, records: make(map[string]*record), startupOnly: startupOnly, readable: true}
+}
+
+// isStartupOnly reports whether only a starting process needs a key.
+func (c *Copy) isStartupOnly(key string) bool {
+	return slices.ContainsFunc(c.startupOnly, func(name string) bool {
+		return key == name || strings.HasSuffix(name, "/") && strings.HasPrefix(key, name)
+	})
 }
 
 // Revision returns the store revision that the copy has reached.
@@ -89,6 +97,14 @@
 	return c.revision
 }
 
+// PassedOn returns the revision that a copy which holds the rest has to reach to hold all that is passed on
+// to it. It is at most Revision: later changes were only of keys that starting processes need.
+func (c *Copy) PassedOn() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.passedOn
+}
+
 // Value returns the value of a key; nil if it is absent.
 func (c *Copy) Value(key string) []byte {
 	c.mu.Lock()
@@ -102,7 +118,7 @@
 // Change applies single changes up to a revision. It reports whether all values could be read
 // since the last whole reading.
 func (c *Copy) Change(changes []Item, revision int64) bool {
-	readable, _ := c.update(revision, func() error {
+	readable, _ := c.update(revision, c.lastPassedOn(changes), func() error {
 		for _, change := range changes {
 			c.applyChange(change, nil)
 		}
@@ -111,9 +127,21 @@
 	return readable
 }
 
+// lastPassedOn returns the revision of the last of some changes that is passed on to copies that hold the
+// rest; zero if none is.
+func (c *Copy) lastPassedOn(changes []Item) int64 {
+	last := int64(0)
+	for _, change := range changes {
+		if !c.isStartupOnly(change.Key) {
+			last = max(last, change.Revision)
+		}
+	}
+	return last
+}
+
 // Replace applies a whole reading made at a revision: keys that it lacks are removed.
 func (c *Copy) Replace(items []Item, revision int64) bool {
-	readable, _ := c.update(revision, func() error {
+	readable, _ := c.update(revision, revision, func() error {
 		present := make(map[string]bool, len(items))
 		c.readable = true
 		for _, item := range items {
@@ -127,9 +155,10 @@
 }
 
 // update applies changes up to a revision, calls onChange with those that were new, and only then
-// records that the revision is reached. onChange is called without c.mu: it may wait for goroutines
-// that read the copy. An error of apply leaves the revision as it is.
-func (c *Copy) update(revision int64, apply func() error) (readable bool, err error) {
+// records that the revision, and the one of the last change that is passed on, are reached. onChange is
+// called without c.mu: it may wait for goroutines that read the copy. An error of apply leaves the
+// revisions as they are.
+func (c *Copy) update(revision, passedOn int64, apply func() error) (readable bool, err error) {
 	c.updating.Lock()
 	defer c.updating.Unlock()
 	c.mu.Lock()
@@ -149,6 +178,7 @@
 	if err != nil {
 		return c.readable, err
 	}
+	c.passedOn = max(c.passedOn, passedOn)
 	return c.advanceTo(revision), nil
 }
 
@@ -187,7 +217,7 @@
 	updated := &record{Item: change}
 	c.records[change.Key] = updated
 	c.changed = append(c.changed, change)
-	if ok && !c.startupOnly[change.Key] {
+	if ok && !c.isStartupOnly(change.Key) {
 		updated.patches = rec.patchesTo(change, patches)
 	}
 }
