Records of running streams are in the store, for the loss of all gateways

Cause: which version began a stream was known to gateways only.

Change: the gateway that asks the store first saves the records of streams that may still be running, each 0.3 s, while several versions may have begun streams; the others send it theirs as to a keeper. A process that starts reads them with its first copy of the store.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -43,6 +43,9 @@
 // Origins records which versions began the streams of this gateway. It is safe for concurrent use.
 type Origins struct {
 	Table *origin.Table
+	// Running holds the records of this and other gateways, while their streams may still be running, for
+	// gateways that begin after all were lost; nil if they are not needed.
+	Running *origin.Table
 	// Peers is nil if there are no other gateways.
 	Peers OriginPeers
 
@@ -66,6 +69,7 @@
 // begun records a stream whose first event is about to be passed on.
 func (o *Origins) begun(stream begunStream) {
 	stream.record = o.Table.Put(stream.record, stream.at)
+	o.noteRunning(stream.record, stream.at)
 	if o.Peers != nil {
 		o.Peers.SpreadOrigin(stream.record, stream.service)
 	}
@@ -78,6 +82,21 @@
 	o.recent = append(slices.Delete(o.recent, 0, old), stream)
 }
 
+// noteRunning keeps a record of a stream that is running.
+func (o *Origins) noteRunning(record origin.Record, now time.Time) {
+	if o.Running != nil {
+		o.Running.Put(record.WhileRunning(now), now)
+	}
+}
+
+// Restore takes over the records of gateways that were lost.
+func (o *Origins) Restore(records []origin.Record, now time.Time) {
+	for _, record := range records {
+		record.Expires = now.Add(minStreamLife)
+		o.noteRunning(o.Table.Put(record, now), now)
+	}
+}
+
 // retract marks the streams uncertain that began at an incarnation of a target after a given time.
 func (o *Origins) retract(incarnation string, since, now time.Time) {
 	o.mu.Lock()
@@ -89,6 +108,7 @@
 		uncertain := stream.record
 		uncertain.Version = origin.Uncertain
 		uncertain = o.Table.Put(uncertain, now)
+		o.noteRunning(uncertain, now)
 		if o.Peers != nil {
 			o.Peers.SpreadOrigin(uncertain, stream.service)
 		}
@@ -105,6 +125,7 @@
 	}
 	now := clock.Now()
 	record := origins.Table.Put(origin.Record{Stream: c.stream(), Version: origin.Uncertain, Expires: now.Add(c.streamLife())}, now)
+	origins.noteRunning(record, now)
 	if origins.Peers != nil {
 		origins.Peers.SpreadOriginNow(record)
 	}
@@ -135,6 +156,19 @@
 	return origin.VersionOf(service, version), ok
 }
 
+// MayMixVersions reports whether several versions of some service may have begun streams that may still be
+// resumed.
+func (g *Gateway) MayMixVersions() bool {
+	table := g.table.Load()
+	if table == nil {
+		return false
+	}
+	return slices.ContainsFunc(table.StreamServices(), func(service string) bool {
+		_, sole := g.SoleOrigin(service)
+		return !sole
+	})
+}
+
 // SoleOriginAfter returns for how long this gateway must have known the targets of a service before
 // SoleOrigin may return a version.
 func (g *Gateway) SoleOriginAfter(service string) time.Duration {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -40,6 +40,14 @@
 	Expires time.Time
 }
 
+// WhileRunning returns the record as it is kept while the stream may still be running: a caller may resume a
+// stream for at least twice the time that it may take.
+func (r Record) WhileRunning(now time.Time) Record {
+	const share = 0.5
+	r.Expires = now.Add(time.Duration(share * float64(r.Expires.Sub(now))))
+	return r
+}
+
 // maxRecords bounds a table. At the size that the fleet is designed for a gateway has some 6,000.
 const maxRecords = 1 << 16
 
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -43,6 +43,9 @@
 // OriginOptions connects the exchange of records to the process.
 type OriginOptions struct {
 	Table *origin.Table
+	// Running holds the records of streams that may still be running, for the gateway that saves them.
+	// Records from other gateways are added to it; nil if they are not needed.
+	Running *origin.Table
 	// Sole returns the only version of a service, by its name, if no other one can have begun a stream
 	// that may still be resumed.
 	Sole func(service string) (origin.Version, bool)
@@ -137,6 +140,16 @@
 	return keepersOf(uint64(record.Stream), candidates, s.hash, count)
 }
 
+// originSaver returns the gateway that saves records in the store, nil for this one. The caller must hold
+// s.mu.
+func (s *Service) originSaver(now time.Time) *peer {
+	current := s.currentView(now)
+	if len(current.candidates) == 0 || current.source == nil && current.rank == 0 {
+		return nil
+	}
+	return current.candidates[0]
+}
+
 // originCandidates returns the other gateways that may keep records. The caller must hold s.mu.
 func (s *Service) originCandidates(now time.Time) []*peer {
 	return slices.DeleteFunc(slices.Clone(s.currentView(now).live), func(p *peer) bool { return p.leaving })
@@ -192,8 +205,13 @@
 	if len(candidates) > 0 {
 		due := s.takeDueOrigins(candidates, now)
 		e.eager.Store(len(due) > 0 || !e.keepsUnsent())
+		saver := s.originSaver(now)
 		for _, record := range due {
-			e.outbox.add(s.originKeepers(record.Record, candidates), record, now)
+			keepers := s.originKeepers(record.Record, candidates)
+			if saver != nil && !slices.Contains(keepers, saver) {
+				keepers = append(keepers, saver)
+			}
+			e.outbox.add(keepers, record, now)
 		}
 	}
 	s.sendFreshOrigins(now)
@@ -311,7 +329,10 @@
 	}
 	e.noteKnowledge(from, heartbeat, now)
 	for _, message := range heartbeat.GetStreamOrigins() {
-		e.options.Table.Put(originOf(message, now), now)
+		record := e.options.Table.Put(originOf(message, now), now)
+		if e.options.Running != nil {
+			e.options.Running.Put(record.WhileRunning(now), now)
+		}
 	}
 	if question := heartbeat.GetOriginQuestion(); question != nil {
 		s.answerOrigin(from, question, now)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -108,7 +108,7 @@
 	p.gateway.Spools = spool.New(spool.Options{MaxPerCaller: spool.DefaultMaxPerCaller, WriteTimeout: spool.DefaultWriteTimeout, CallerEnded: p.observer.CallerEnded}, p.heldBudget)
 	p.crashes = gateway.NewCrashes(quarantine.New(), p.gateway.Balancer, sender, p.observer)
 	p.gateway.Crashes = p.crashes
-	p.gateway.Origins = &gateway.Origins{Table: origin.NewTable()}
+	p.gateway.Origins = &gateway.Origins{Table: origin.NewTable(), Running: origin.NewTable()}
 	p.store = p.observer.NewStoreDependency()
 	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, notifyPeers: p.notifyPeers}, p.storeRole, p.yieldsToPeers)
 	p.front = &platform.Front{Gateway: p.gateway, BodyBudget: p.heldBudget}
@@ -126,6 +126,7 @@
 		func() error { return p.kernel.Register("feed", p.feed) },
 		func() error { return p.kernel.Register("checkpoint", p.newCheckpointSaver()) },
 		p.registerCrashStore,
+		p.registerOriginStore,
 		func() error { return p.serveCallers(ctx) },
 		func() error { return p.serveReady(ctx) },
 		func() error { return p.serveMetrics(ctx, registry) },
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -44,7 +44,7 @@
 		Watcher:  peerWatcher{p.observer, p},
 
 		Quarantine: p.crashes.Table,
-		Origins:    peer.OriginOptions{Table: p.gateway.Origins.Table, Sole: p.gateway.SoleOrigin, SoleAfter: p.gateway.SoleOriginAfter},
+		Origins:    peer.OriginOptions{Table: p.gateway.Origins.Table, Running: p.gateway.Origins.Running, Sole: p.gateway.SoleOrigin, SoleAfter: p.gateway.SoleOriginAfter},
 		OnCensus:   p.applyCensus,
 		Lag:        p.lag.Lag,
 		Stale:      staleAfter(p.settings),
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -8,6 +8,7 @@
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/checkpoint"
 	"github.com/capersaddle/capersaddle/internal/clock"
+	"github.com/capersaddle/capersaddle/internal/originstore"
 	"github.com/capersaddle/capersaddle/internal/quarantine"
 	"github.com/capersaddle/capersaddle/internal/routing"
 )
@@ -145,6 +146,20 @@
 	}
 }
 
+// Streams receives which versions began streams. Only a process that starts needs it: those that run tell
+// each other.
+func (s *sink) Streams(data []byte) {
+	if s.process.feed.Loaded() {
+		return
+	}
+	records, err := originstore.Decode(data)
+	if err != nil {
+		s.process.observer.BadValue("streams", err)
+		return
+	}
+	s.process.gateway.Origins.Restore(records, clock.Now())
+}
+
 // claimFirstCheckpoint reports whether this is the first checkpoint received.
 func (s *sink) claimFirstCheckpoint() bool {
 	s.mu.Lock()
--- a/internal/routing/streams.go
+++ b/internal/routing/streams.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -35,6 +36,11 @@
 	return streams.timeout, ok && !streams.unlimited
 }
 
+// StreamServices returns the services that streams may go to, in order.
+func (t *Table) StreamServices() []string {
+	return slices.Sorted(maps.Keys(t.streams))
+}
+
 // MovedStreams returns the names of the routes that send their streams to other services, or in other
 // shares, than the routes of their names in an earlier table.
 func (t *Table) MovedStreams(earlier *Table) []string {
--- a/internal/soak/loss_of_all_test.go
+++ b/internal/soak/loss_of_all_test.go
@@ -86,7 +86,8 @@
 	time.Sleep(300 * time.Millisecond)
 }
 
-// addAndRemoveServers adds servers of another version and removes them a second later.
+// addAndRemoveServers adds servers of another version and removes them a second later, without breaking a
+// stream off.
 func (s *soak) addAndRemoveServers() {
 	s.passing++
 	version := "passing" + strconv.Itoa(s.passing)
@@ -98,7 +99,7 @@
 	for _, server := range added {
 		s.platform.Leave(server)
 	}
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep((seriesEvents + 4) * lossStreamGap) // until its streams have ended: no other version may continue them
 	for _, server := range added {
 		_ = server.Close()
 	}
