Records of running streams are written once, into slots

The value with all records was written anew each 0.3 s: fifty times the bytes of the records (54 KB/s at 90 streams a second), which the two gateways that watch the store read as well. Now each record is written with those of its second only, into one of twenty keys in turn. The time of day names the key: with a counter, a process that began replaced what the one before it had saved last.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -89,11 +89,12 @@
 	}
 }
 
-// Restore takes over the records of gateways that were lost.
+// Restore takes over the records of gateways that were lost. They stay in the store for as long as their
+// streams may have run.
 func (o *Origins) Restore(records []origin.Record, now time.Time) {
 	for _, record := range records {
 		record.Expires = now.Add(minStreamLife)
-		o.noteRunning(o.Table.Put(record, now), now)
+		o.Table.Put(record, now)
 	}
 }
 
--- a/internal/originstore/message.go
+++ b/internal/originstore/message.go
@@ -1,9 +1,6 @@
 package originstore
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -47,13 +44,3 @@
 	}
 	return records, nil
 }
-
-// latest returns the records that last longest, at most count, in an order that only the records
-// determine. An uncertain one is left out: a stream without a record is refused as well.
-func latest(records []origin.Record, count int) []origin.Record {
-	records = slices.DeleteFunc(records, func(record origin.Record) bool { return record.Version == origin.Uncertain })
-	slices.SortFunc(records, func(a, b origin.Record) int {
-		return cmp.Or(b.Expires.Compare(a.Expires), cmp.Compare(a.Stream, b.Stream))
-	})
-	return records[:min(len(records), count)]
-}
--- a/internal/originstore/saver.go
+++ b/internal/originstore/saver.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,15 +23,21 @@
 	saveEvery = 300 * time.Millisecond
 	// saveTimeout limits one call to the store.
 	saveTimeout = 800 * time.Millisecond
-	// maxRecords limits what is saved, at some nine bytes each.
-	maxRecords = 1 << 15
+	// Each record is written with those of the same second only, into one of several slots that are used
+	// in turn: writing all of them each time would take fifty times the bytes. slots is their number, and
+	// slotTime how long one is written to. The time of day names the slot, so that a process that starts
+	// does not replace what the one before it saved last.
+	slots    = 20
+	slotTime = time.Second
+	// keptFor is how long after it was written a record is surely in the store.
+	keptFor = (slots - 1) * slotTime
 )
 
 // Store stores the records of gateways.
 type Store interface {
-	// SaveStreams replaces the records that the gateway has saved. The store deletes them some minutes
-	// after the last call.
-	SaveStreams(ctx context.Context, gateway string, data []byte) error
+	// SaveStreams replaces the records that the gateway has saved in a slot. The store deletes them some
+	// minutes after the last call.
+	SaveStreams(ctx context.Context, gateway string, slot int, data []byte) error
 }
 
 // Options configure a Saver.
@@ -49,14 +57,23 @@
 type Saver struct {
 	options Options
 	// saved are the records that the store has.
-	saved  map[origin.Stream]origin.Version
+	saved map[origin.Stream]savedRecord
+	// slot is the current one, and inSlot what it holds.
+	slot   int
+	inSlot []origin.Record
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
 }
 
+// savedRecord is what the store has of a record since a time.
+type savedRecord struct {
+	version origin.Version
+	at      time.Time
+}
+
 // New returns a saver; Start starts it.
 func New(options Options) *Saver {
-	return &Saver{options: options}
+	return &Saver{options: options, saved: make(map[origin.Stream]savedRecord), slot: -1}
 }
 
 // Start starts saving.
@@ -80,42 +97,70 @@
 	return nil
 }
 
-// save saves the records if some are new. The next call makes up for a failed one.
+// save saves the records that the store lacks. The next call makes up for a failed one.
 func (s *Saver) save(ctx context.Context) {
 	if s.options.Table.Len() == 0 {
 		return
 	}
 	if !s.options.IsWriter() {
-		s.saved = nil
+		clear(s.saved)
 		return
 	}
-	records := latest(s.options.Table.Records(clock.Now()), maxRecords)
-	if !s.hasNew(records) {
+	now := clock.Now()
+	running := s.options.Table.Records(now)
+	s.forget(running)
+	missing := s.missing(running, now)
+	if len(missing) == 0 {
 		return
 	}
-	data, err := Encode(records)
-	if err == nil {
-		callCtx, cancel := context.WithTimeout(ctx, saveTimeout)
-		defer cancel()
-		err = s.options.Store.SaveStreams(callCtx, s.options.Gateway, data)
+	if slot := slotAt(now); slot != s.slot {
+		s.slot, s.inSlot = slot, nil
 	}
+	records := slices.Concat(s.inSlot, missing)
+	err := s.write(ctx, records)
 	s.options.OnCall(err)
 	if err != nil {
-		s.saved = nil
 		return
 	}
-	s.saved = make(map[origin.Stream]origin.Version, len(records))
-	for _, record := range records {
-		s.saved[record.Stream] = record.Version
+	s.inSlot = records
+	for _, record := range missing {
+		s.saved[record.Stream] = savedRecord{record.Version, now}
 	}
 }
 
-// hasNew reports whether the store lacks a record, or has another version of one.
-func (s *Saver) hasNew(records []origin.Record) bool {
-	for _, record := range records {
-		if version, ok := s.saved[record.Stream]; !ok || version != record.Version {
-			return true
-		}
+// slotAt returns the slot of a time.
+func slotAt(now time.Time) int {
+	return int(now.UnixNano() / int64(slotTime) % slots)
+}
+
+// write writes the records of the current slot.
+func (s *Saver) write(ctx context.Context, records []origin.Record) error {
+	data, err := Encode(records)
+	if err != nil {
+		return err
 	}
-	return false
+	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
+	defer cancel()
+	return s.options.Store.SaveStreams(ctx, s.options.Gateway, s.slot, data)
+}
+
+// forget drops what is known of records that have expired.
+func (s *Saver) forget(running []origin.Record) {
+	kept := make(map[origin.Stream]bool, len(running))
+	for _, record := range running {
+		kept[record.Stream] = true
+	}
+	maps.DeleteFunc(s.saved, func(stream origin.Stream, _ savedRecord) bool { return !kept[stream] })
+}
+
+// missing returns the records that the store lacks, or has with another version. One that is uncertain is
+// needed only to contradict that: a stream without a record is refused as well.
+func (s *Saver) missing(running []origin.Record, now time.Time) []origin.Record {
+	return slices.DeleteFunc(slices.Clone(running), func(record origin.Record) bool {
+		known, saved := s.saved[record.Stream]
+		if !saved {
+			return record.Version == origin.Uncertain
+		}
+		return known.version == record.Version && now.Sub(known.at) < keptFor
+	})
 }
--- a/internal/originstore/saver_test.go
+++ b/internal/originstore/saver_test.go
@@ -17,20 +17,20 @@
 
 func TestMain(m *testing.M) { rapidseed.Main(m) }
 
-// memoryStore keeps the records saved last, or fails with err.
+// memoryStore keeps the records saved last in each slot, or fails with err.
 type memoryStore struct {
-	records []origin.Record
+	records map[int][]origin.Record
 	saves   int
 	err     error
 }
 
-func (m *memoryStore) SaveStreams(_ context.Context, _ string, data []byte) error {
+func (m *memoryStore) SaveStreams(_ context.Context, _ string, slot int, data []byte) error {
 	m.saves++
 	if m.err != nil {
 		return m.err
 	}
 	records, err := Decode(data)
-	m.records = records
+	m.records[slot] = records
 	return err
 }
 
@@ -43,7 +43,7 @@
 }
 
 func newFixture() *fixture {
-	w := &fixture{table: origin.NewTable(), store: new(memoryStore), isWriter: true}
+	w := &fixture{table: origin.NewTable(), store: &memoryStore{records: make(map[int][]origin.Record)}, isWriter: true}
 	w.saver = New(Options{Gateway: "g", Table: w.table, Store: w.store, IsWriter: func() bool { return w.isWriter }, OnCall: func(error) {}})
 	return w
 }
@@ -54,14 +54,20 @@
 	w.table.Put(origin.Record{Stream: stream, Version: version, Expires: now.Add(runs)}, now)
 }
 
-// streams returns the streams in the store.
-func (w *fixture) streams() []origin.Stream {
-	var streams []origin.Stream
-	for _, record := range w.store.records {
-		streams = append(streams, record.Stream)
+// restored returns the versions of the streams as a process that starts reads them.
+func (w *fixture) restored() map[origin.Stream]origin.Version {
+	table, now := origin.NewTable(), time.Now()
+	for _, records := range w.store.records {
+		for _, record := range records {
+			record.Expires = now.Add(time.Minute)
+			table.Put(record, now)
+		}
+	}
+	versions := make(map[origin.Stream]origin.Version)
+	for _, record := range table.Records(now) {
+		versions[record.Stream] = record.Version
 	}
-	slices.Sort(streams)
-	return streams
+	return versions
 }
 
 // TestRecordsAreSaved guards against streams that are lost with all gateways, and against calls to the
@@ -81,18 +87,44 @@
 		w.begin(2, 8, 3*saveEvery/2)
 		w.begin(3, origin.Uncertain, time.Minute)
 		step()
-		is.Equal(w.streams(), []origin.Stream{1, 2})
+		is.Equal(w.restored(), map[origin.Stream]origin.Version{1: 7, 2: 8})
 		step()
 		step()
 		is.Equal(w.store.saves, 1) // a record that has expired is no reason for a call
 		w.begin(4, 7, time.Minute)
 		step()
-		is.Equal(w.streams(), []origin.Stream{1, 4})
 		w.begin(1, 8, time.Minute) // it turns out to be uncertain
 		w.begin(5, 8, time.Minute)
 		step()
-		is.Equal(w.streams(), []origin.Stream{4, 5})
+		is.Equal(w.restored(), map[origin.Stream]origin.Version{1: origin.Uncertain, 2: 8, 4: 7, 5: 8})
+		is.NoErr(w.saver.Close())
+	})
+}
+
+// TestSteadyStreams guards against records that are overwritten while their streams are running, and
+// against writing them again and again.
+func TestSteadyStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newFixture()
+		is.NoErr(w.saver.Start(t.Context()))
+		const perStep, runs = 30, 25 * time.Second // longer than the slots last
+		written, began := 0, origin.Stream(0)
+		for range int(time.Minute / saveEvery) {
+			for range perStep {
+				began++
+				w.begin(began, origin.Version(1+began%3), runs)
+			}
+			time.Sleep(saveEvery)
+			synctest.Wait()
+			written += len(w.store.records[w.saver.slot])
+		}
 		is.NoErr(w.saver.Close())
+		is.True(written <= 5*int(began)) // each record is written a few times only
+		versions := w.restored()
+		for _, record := range w.table.Records(time.Now()) {
+			is.Equal(versions[record.Stream], record.Version)
+		}
 	})
 }
 
@@ -106,14 +138,14 @@
 	w.saver.save(t.Context())
 	w.store.err = nil
 	w.saver.save(t.Context())
-	is.Equal(w.streams(), []origin.Stream{1})
+	is.Equal(w.restored(), map[origin.Stream]origin.Version{1: 7})
 	w.isWriter = false
 	w.begin(2, 7, time.Minute)
 	w.saver.save(t.Context())
-	is.Equal(w.streams(), []origin.Stream{1})
+	is.Equal(w.restored(), map[origin.Stream]origin.Version{1: 7})
 	w.isWriter = true
 	w.saver.save(t.Context())
-	is.Equal(w.streams(), []origin.Stream{1, 2})
+	is.Equal(w.restored(), map[origin.Stream]origin.Version{1: 7, 2: 7})
 }
 
 // TestEncode checks that a record keeps its version, whatever the others are.
