Crashes at one moment leave a request in doubt, and don't refuse it for good

Cause: for a part of prompts crashes at one moment counted as one, for a request as many as there were. Ruled out: crashes reported twice; requests the targets had not begun.

Change: a record states at how many moments its targets crashed (two at most; the lower figure of gateways that differ holds, the others learned of some late); with one moment the request is doubtful (503 with a time) and one copy is tried.

All tests of fatal requests and parts pass with unchanged bounds.

--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -12,6 +12,7 @@
 	message := &wire.CrashRecord{
 		Print: uint64(r.Fingerprint), Epoch: r.Epoch,
 		Trial: r.Trials, UnrunTrials: r.UnrunTrials, TrialLife: uint32(r.TrialIncarnation),
+		Moments: r.Moments,
 	}
 	for _, incarnation := range r.Incarnations {
 		message.Lives = append(message.Lives, uint32(incarnation))
@@ -32,6 +33,7 @@
 	record := Record{
 		Fingerprint: Fingerprint(message.GetPrint()), Epoch: message.GetEpoch(),
 		Trials: message.GetTrial(), UnrunTrials: message.GetUnrunTrials(), TrialIncarnation: Incarnation(message.GetTrialLife()),
+		Moments: message.GetMoments(),
 	}
 	for _, incarnation := range message.GetLives() {
 		record.Incarnations = append(record.Incarnations, Incarnation(incarnation))
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -198,6 +198,27 @@
 	return count
 }
 
+// hearCrashes records when this process learned of the crashes of a joined record, and returns at how many
+// moments they happened: as the record states or, if it doesn't, as this process learned of them. Of several
+// crashes that it first learns of at the same time, it can't tell whether they happened together. The caller
+// must hold t.mu.
+func (t *Table) hearCrashes(joined Record, now time.Time) uint32 {
+	unheard := 0
+	for _, incarnation := range joined.Incarnations {
+		if !t.heard.Contains(incarnation) {
+			unheard++
+		}
+		t.HeardOfCrash(incarnation, now)
+	}
+	switch {
+	case joined.Moments > 0:
+		return joined.Moments
+	case unheard > 1:
+		return minMoments
+	}
+	return min(uint32(t.moments(joined)), minMoments)
+}
+
 // HeardOfCrash records when this process learned that an incarnation of a target crashed.
 func (t *Table) HeardOfCrash(incarnation Incarnation, now time.Time) {
 	t.heard.ContainsOrAdd(incarnation, now)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -30,6 +30,9 @@
 	// Incarnations are those that have crashed under the request since it was last cleared, sorted,
 	// without duplicates, at most maxIncarnations.
 	Incarnations []Incarnation
+	// Moments is at how many moments they have crashed, at most minMoments; zero if that isn't known. Of
+	// gateways that differ, the lower figure holds: the others learned of some crashes late.
+	Moments uint32
 	// Suspects are incarnations that fell silent while they ran the request, sorted, each once, none
 	// of Incarnations, at most maxSuspects.
 	Suspects []Suspect
@@ -73,6 +76,7 @@
 		}
 		return r
 	}
+	known := r
 	r.Incarnations = append(slices.Clone(r.Incarnations), other.Incarnations...)
 	r.Suspects = append(slices.Clone(r.Suspects), other.Suspects...)
 	r.Workspaces = append(slices.Clone(r.Workspaces), other.Workspaces...)
@@ -80,7 +84,21 @@
 	if cmp.Or(cmp.Compare(other.Trials, r.Trials), cmp.Compare(other.UnrunTrials, r.UnrunTrials), cmp.Compare(other.TrialIncarnation, r.TrialIncarnation)) > 0 {
 		r.Trials, r.UnrunTrials, r.TrialIncarnation = other.Trials, other.UnrunTrials, other.TrialIncarnation
 	}
-	return r.Normal()
+	r = r.Normal()
+	r.Moments = joinMoments(r, known, other.Normal())
+	return r
+}
+
+// joinMoments returns the moments of the crashes of a joined record that one of the two records states which
+// it was joined from; zero if neither does. Where both have the same crashes, the lower one holds.
+func joinMoments(joined, one, other Record) uint32 {
+	moments := uint32(0)
+	for _, record := range []Record{one, other} {
+		if record.Moments > 0 && slices.Equal(record.Incarnations, joined.Incarnations) && (moments == 0 || record.Moments < moments) {
+			moments = record.Moments
+		}
+	}
+	return moments
 }
 
 // Normal returns the record in the form that its fields' comments describe, whatever its origin.
@@ -89,6 +107,7 @@
 	slices.Sort(incarnations)
 	incarnations = slices.Compact(incarnations)
 	r.Incarnations = incarnations[:min(len(incarnations), maxIncarnations)]
+	r.Moments = min(r.Moments, minMoments)
 	r.Suspects = mergeSuspects(r.Suspects, r.Incarnations)
 	r.Workspaces = slices.Clone(r.Workspaces)
 	slices.Sort(r.Workspaces)
@@ -100,7 +119,8 @@
 	return r
 }
 
-// Equal reports whether two records are the same.
+// Equal reports whether two records are the same, apart from their moments: these are estimates, in which
+// gateways that have the same crashes may differ for a while.
 func (r Record) Equal(other Record) bool {
 	same := r.Fingerprint == other.Fingerprint && r.Epoch == other.Epoch
 	sameTrial := r.Trials == other.Trials && r.UnrunTrials == other.UnrunTrials && r.TrialIncarnation == other.TrialIncarnation
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -226,7 +226,8 @@
 		e = &entry{Record: Record{Fingerprint: other.Fingerprint}}
 	}
 	joined := e.join(other)
-	change := Change{Record: joined, Before: len(e.Incarnations), previous: e.Record, Changed: !joined.Equal(e.Record), NewToSender: !joined.Equal(other)}
+	joined.Moments = t.hearCrashes(joined, now)
+	change := Change{Record: joined, Before: len(e.Incarnations), previous: e.Record, Changed: !joined.Equal(e.Record) || joined.Moments != e.Moments, NewToSender: !joined.Equal(other) || other.Moments > 0 && joined.Moments != other.Moments}
 	if !change.Changed {
 		return change
 	}
@@ -234,9 +235,6 @@
 		t.evict(now)
 		t.entries[other.Fingerprint] = e
 	}
-	for _, incarnation := range joined.Incarnations {
-		t.HeardOfCrash(incarnation, now)
-	}
 	if joined.AtLimit() && (!e.AtLimit() || joined.Epoch != e.Epoch) {
 		e.limitAt = now
 	}
