--- a/internal/process/restored_versions_test.go
+++ b/internal/process/restored_versions_test.go
@@ -13,13 +13,29 @@
 // TestStreamsAtRestoredTargets guards against streams of two versions that began at targets which
 // gateways knew only from the checkpoint: they didn't know these targets' versions.
 func TestStreamsAtRestoredTargets(t *testing.T) {
+	cases := map[string]struct {
+		versions []string
+		// replaced is every how many-th target begins again under its ID, at the next version, while
+		// entries are missing.
+		replaced int
+	}{
+		"the same targets": {[]string{"v1", "v2"}, 0},
+		"some begin again at another version meanwhile": {[]string{"v1", "v1.1", "v1.2"}, 3},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) { testRestoredTargets(t, test.replaced, test.versions) })
+	}
+}
+
+func testRestoredTargets(t *testing.T, replaced int, versions []string) {
 	const (
 		streams = 150
 		// lapsedFor is for how long the entries are missing, less than targets serve without one.
-		lapsedFor = time.Second
+		lapsedFor     = time.Second
+		replacedEvery = 50 * time.Millisecond
 	)
 	is := is.New(t)
-	f := streamFleet(t, 0, 8, "v1", "v2")
+	f := streamFleet(t, 0, 8, versions...)
 	f.leave = 4 * time.Second
 	f.startGateways(t, 2)
 	eventually(t, "the checkpoint has the targets", f.storedCheckpoint)
@@ -39,6 +55,13 @@
 	f.awaitReady(t)
 	callers, stop := f.startStreamCallers(4)
 	keepRunning(t, lapsedFor)
+	for number := range f.engines {
+		if replaced > 0 && number%replaced == 0 {
+			f.replaceEngine(t, number, versions[(number/streamTargets+1)%len(versions)])
+			f.platform.Leave(f.engines[number]) // its entry comes with the others
+			keepRunning(t, replacedEvery)
+		}
+	}
 	t.Logf("before the entries are back: %+v", callers.Counts())
 	for _, engine := range f.engines {
 		if err := f.platform.Enter("engine", "zone", "ready", engine); err != nil {
