A gateway starts while the address of its metrics is in use

Cause: all addresses had to open within 30 s, also the one that only operators need; a process whose port an outgoing connection or another program kept ended with exit code 2, again after each start.

--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -3,7 +3,9 @@
 package listen
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"net"
 	"syscall"
 	"time"
@@ -16,13 +18,17 @@
 )
 
 const (
-	// inUseTimeout is how long an address may stay in use before the start fails. A process before that
-	// stops as planned takes up to its grace period, and an outgoing connection may take longer.
+	// inUseTimeout is how long an address that a process can't do without may stay in use before its start
+	// fails. A process before that stops as planned takes up to its grace period, and an outgoing
+	// connection may take longer.
 	inUseTimeout = 30 * time.Second
 	// retryInterval is the time between two attempts.
 	retryInterval = 50 * time.Millisecond
 )
 
+// NoLimit is the patience of an Opener whose process does without the address meanwhile.
+const NoLimit = time.Duration(math.MaxInt64)
+
 // The events of the log.
 const (
 	EventInUse = "address_in_use"
@@ -37,6 +43,8 @@
 type Opener struct {
 	// Log gets a line when an address is in use, and one when it is free again.
 	Log *log.Logger
+	// Patience is how long an address may stay in use before opening it fails; zero means inUseTimeout.
+	Patience time.Duration
 }
 
 // TCP listens on an address, IP:port, with the options that control sets; control may be nil. It waits
@@ -101,9 +109,10 @@
 	}
 }
 
-// whileInUse opens an address, again and again while it is in use, until the context ends or inUseTimeout
-// is over. It returns the last error.
+// whileInUse opens an address, again and again while it is in use, until the context ends or the
+// patience is over. It returns the last error.
 func whileInUse[T any](ctx context.Context, o Opener, address string, open func() (T, error)) (T, error) {
+	patience := cmp.Or(o.Patience, inUseTimeout)
 	began := clock.Now()
 	for logged := false; ; logged = true {
 		opened, err := open()
@@ -114,9 +123,9 @@
 			return opened, err
 		}
 		if !logged {
-			o.Log.Warn(EventInUse, "address", address, "patience_ms", inUseTimeout.Milliseconds())
+			o.Log.Warn(EventInUse, "address", address, "patience_ms", patience.Milliseconds())
 		}
-		if clock.Since(began) >= inUseTimeout || !wait.For(ctx, retryInterval) {
+		if clock.Since(began) >= patience || !wait.For(ctx, retryInterval) {
 			return opened, err
 		}
 	}
--- a/internal/listen/listen_test.go
+++ b/internal/listen/listen_test.go
@@ -24,12 +24,14 @@
 		freeAfter time.Duration
 		then      error
 		cancel    time.Duration
+		patience  time.Duration
 		wantErr   error
 		wantTook  time.Duration
 	}{
 		"free":                   {},
 		"free after a while":     {freeAfter: 2 * time.Second, wantTook: 2 * time.Second},
 		"in use for good":        {freeAfter: time.Hour, wantErr: inUse, wantTook: inUseTimeout},
+		"patience has no limit":  {freeAfter: time.Hour, patience: NoLimit, wantTook: time.Hour},
 		"stopped while it waits": {freeAfter: time.Hour, cancel: time.Second, wantErr: inUse, wantTook: time.Second},
 		"another error":          {then: denied, wantErr: denied},
 	}
@@ -43,7 +45,7 @@
 					defer time.AfterFunc(test.cancel, cancel).Stop()
 				}
 				began := time.Now()
-				opened, err := whileInUse(ctx, Opener{Log: log.New(io.Discard)}, "a", func() (string, error) {
+				opened, err := whileInUse(ctx, Opener{Log: log.New(io.Discard), Patience: test.patience}, "a", func() (string, error) {
 					if time.Since(began) < test.freeAfter {
 						return "", inUse
 					}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -129,7 +129,7 @@
 		p.registerOriginStore,
 		func() error { return p.serveCallers(ctx) },
 		func() error { return p.serveReady(ctx) },
-		func() error { return p.serveMetrics(ctx, registry) },
+		func() error { return p.serveMetrics(registry) },
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
--- a/internal/process/gateway_http.go
+++ b/internal/process/gateway_http.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
@@ -84,8 +87,9 @@
 	return err
 }
 
-// serveMetrics listens on the metrics address, if there is one.
-func (p *GatewayProcess) serveMetrics(ctx context.Context, registry *prometheus.Registry) error {
+// serveMetrics serves operators on the metrics address, if there is one. Callers are served without it, so
+// the start does not wait for an address that is in use.
+func (p *GatewayProcess) serveMetrics(registry *prometheus.Registry) error {
 	if p.settings.Metrics == "" {
 		return nil
 	}
@@ -94,9 +98,17 @@
 	mux.Handle(PathRollouts, listHandler("rollouts", p.rollouts.Rollouts))
 	mux.Handle(PathTargets, listHandler("targets", p.targetStatuses))
 	mux.Handle(PathQuarantine, quarantineHandler(p.crashes))
-	address, err := p.serveHTTP(ctx, "metrics", p.settings.Metrics, mux)
-	p.addresses.Operators = address
-	return err
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	listener, err := net.Listen("tcp", p.settings.Metrics)
+	if errors.Is(err, syscall.EADDRINUSE) {
+		p.addresses.Operators = p.settings.Metrics
+		return p.kernel.Register("metrics", &lateService{opener: listen.Opener{Log: p.log, Patience: listen.NoLimit}, address: p.settings.Metrics, server: server})
+	}
+	if err != nil {
+		return listenError("metrics", err)
+	}
+	p.addresses.Operators = listener.Addr().String()
+	return p.kernel.Register("metrics", newServerService(listener, server))
 }
 
 // serveHTTP listens on an address, registers the HTTP service and returns the actual address.
--- a/internal/process/http.go
+++ b/internal/process/http.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/listen"
 )
 
 const (
@@ -60,3 +62,46 @@
 	s.wait.Wait()
 	return errors.Wrap(err, "close HTTP server")
 }
+
+// lateService runs an HTTP server on an address that is in use, from when that is free on.
+type lateService struct {
+	opener  listen.Opener
+	address string
+	server  *http.Server
+
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+	// serving is nil until the address is open. It belongs to the goroutine of Start until that has ended.
+	serving *httpService
+}
+
+// Start waits for the address in a goroutine.
+func (s *lateService) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.wait.Go(func() { s.open(ctx) })
+	return nil
+}
+
+func (s *lateService) open(ctx context.Context) {
+	listener, err := s.opener.TCP(ctx, s.address, nil)
+	if err != nil {
+		s.opener.Log.Warn("address_not_served", "address", s.address, "error", err)
+		return
+	}
+	s.serving = newServerService(listener, s.server)
+	_ = s.serving.Start(ctx) // never fails
+}
+
+// Close ends the wait for the address, or closes the server.
+func (s *lateService) Close() error {
+	if s.cancel == nil {
+		return nil
+	}
+	s.cancel()
+	s.wait.Wait()
+	if s.serving == nil {
+		return nil
+	}
+	return s.serving.Close()
+}
--- a/internal/soak/ends_test.go
+++ b/internal/soak/ends_test.go
@@ -481,13 +481,15 @@
 		prepare func(s *soak, g *gateway, cmd *exec.Cmd)
 		started func(g *gateway, pid int)
 		begin   func(s *soak)
+		setUp   func(s *soak)
 	}{
-		"the reader of the log ends":         {prepare: (*soak).attachLogReader},
-		"the disk of the log is full":        {prepare: (*soak).attachFullLog},
-		"a signal to reload while it starts": {started: reloadOften, begin: (*soak).killEach},
-		"listeners on its ports":             {begin: (*soak).startBesideListeners},
-		"connections from its ports":         {begin: (*soak).startBesideConnections},
-		"more callers than descriptors":      {started: limitDescriptors, begin: (*soak).openIdleConnections},
+		"the reader of the log ends":               {prepare: (*soak).attachLogReader},
+		"the disk of the log is full":              {prepare: (*soak).attachFullLog},
+		"a signal to reload while it starts":       {started: reloadOften, begin: (*soak).killEach},
+		"listeners on its ports":                   {begin: (*soak).startBesideListeners},
+		"a listener on the address of its metrics": {setUp: (*soak).holdMetricsAddress},
+		"connections from its ports":               {begin: (*soak).startBesideConnections},
+		"more callers than descriptors":            {started: limitDescriptors, begin: (*soak).openIdleConnections},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -495,7 +497,12 @@
 				if test.begin != nil {
 					test.begin(s)
 				}
-			}, func(s *soak) { s.prepare, s.started = test.prepare, test.started })
+			}, func(s *soak) {
+				s.prepare, s.started = test.prepare, test.started
+				if test.setUp != nil {
+					test.setUp(s)
+				}
+			})
 			is.New(t).True(result.served >= minServed)
 		})
 	}
@@ -610,6 +617,14 @@
 	}
 }
 
+// holdMetricsAddress makes the gateways serve metrics on an address that is in use throughout.
+func (s *soak) holdMetricsAddress() {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(s.t).NoErr(err)
+	s.t.Cleanup(func() { _ = listener.Close() })
+	s.settings["metrics"] = listener.Addr().String()
+}
+
 // startBesideConnections kills a gateway and opens connections from its ports, as a process that was
 // given such a port for an outgoing connection does.
 func (s *soak) startBesideConnections() {
