A planned stop does not wait for half-sent questions to a gateway

Cause: the services of readiness and metrics waited up to 5 s each for connections with a request under way, after the grace period had been used; the platform kills a process that is still there then.

soak.TestStopBesideStuckRequests, half a question about its readiness, its metrics: killed before, ended with 0 within the grace period after; a half-sent request of a caller, half a message of a gateway, a silent store and a request without an answer ended in time before too. Routers and agents have no grace period and keep 5 s for commands.

--- a/internal/process/gateway_http.go
+++ b/internal/process/gateway_http.go
@@ -82,9 +82,12 @@
 func (p *GatewayProcess) serveReady(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadinessHandler(func(context.Context) bool { return p.Ready() }))
-	address, err := p.serveHTTP(ctx, "ready", p.settings.Ready, mux)
-	p.addresses.Ready = address
-	return err
+	listener, err := p.opener().TCP(ctx, p.settings.Ready, nil)
+	if err != nil {
+		return listenError("ready", err)
+	}
+	p.addresses.Ready = listener.Addr().String()
+	return p.kernel.Register("ready", newQuestionService(listener, mux))
 }
 
 // serveMetrics serves operators on the metrics address, if there is one. Callers are served without it, so
@@ -98,25 +101,14 @@
 	mux.Handle(PathRollouts, listHandler("rollouts", p.rollouts.Rollouts))
 	mux.Handle(PathTargets, listHandler("targets", p.targetStatuses))
 	mux.Handle(PathQuarantine, quarantineHandler(p.crashes))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	listener, err := net.Listen("tcp", p.settings.Metrics)
 	if errors.Is(err, syscall.EADDRINUSE) {
 		p.addresses.Operators = p.settings.Metrics
-		return p.kernel.Register("metrics", &lateService{opener: listen.Opener{Log: p.log, Patience: listen.NoLimit}, address: p.settings.Metrics, server: server})
+		return p.kernel.Register("metrics", &lateService{opener: listen.Opener{Log: p.log, Patience: listen.NoLimit}, address: p.settings.Metrics, handler: mux})
 	}
 	if err != nil {
 		return listenError("metrics", err)
 	}
 	p.addresses.Operators = listener.Addr().String()
-	return p.kernel.Register("metrics", newServerService(listener, server))
-}
-
-// serveHTTP listens on an address, registers the HTTP service and returns the actual address.
-func (p *GatewayProcess) serveHTTP(ctx context.Context, name, address string, handler http.Handler) (string, error) {
-	listener, err := p.opener().TCP(ctx, address, nil)
-	if err != nil {
-		return "", listenError(name, err)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	return listener.Addr().String(), p.kernel.Register(name, newServerService(listener, server))
+	return p.kernel.Register("metrics", newQuestionService(listener, mux))
 }
--- a/internal/process/http.go
+++ b/internal/process/http.go
@@ -21,13 +21,18 @@
 	idleTimeout = 2 * time.Minute
 	// shutdownTimeout limits the shutdown of connections that were already drained.
 	shutdownTimeout = 5 * time.Second
+	// questionTimeout is shutdownTimeout for what the platform and operators ask a gateway. They ask again,
+	// and a planned stop has no more time after its grace period.
+	questionTimeout = 100 * time.Millisecond
 )
 
 // httpService runs an HTTP server as a service of the kernel.
 type httpService struct {
 	listener net.Listener
 	server   *http.Server
-	wait     sync.WaitGroup
+	// timeout limits the shutdown.
+	timeout time.Duration
+	wait    sync.WaitGroup
 }
 
 // newHTTPService returns a service that owns the listener.
@@ -42,7 +47,14 @@
 
 // newServerService returns a service that owns the listener and the server.
 func newServerService(listener net.Listener, server *http.Server) *httpService {
-	return &httpService{listener: listener, server: server}
+	return &httpService{listener: listener, server: server, timeout: shutdownTimeout}
+}
+
+// newQuestionService returns a service that owns the listener and answers what the platform and operators
+// ask a gateway.
+func newQuestionService(listener net.Listener, handler http.Handler) *httpService {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	return &httpService{listener: listener, server: server, timeout: questionTimeout}
 }
 
 // Start starts serving.
@@ -53,7 +65,7 @@
 
 // Close waits for requests in flight and then closes the remaining connections.
 func (s *httpService) Close() error {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
 	defer cancel()
 	err := s.server.Shutdown(ctx)
 	if err != nil {
@@ -63,11 +75,11 @@
 	return errors.Wrap(err, "close HTTP server")
 }
 
-// lateService runs an HTTP server on an address that is in use, from when that is free on.
+// lateService is a question service on an address that is in use, from when that is free on.
 type lateService struct {
 	opener  listen.Opener
 	address string
-	server  *http.Server
+	handler http.Handler
 
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
@@ -89,7 +101,7 @@
 		s.opener.Log.Warn("address_not_served", "address", s.address, "error", err)
 		return
 	}
-	s.serving = newServerService(listener, s.server)
+	s.serving = newQuestionService(listener, s.handler)
 	_ = s.serving.Start(ctx) // never fails
 }
 
