--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -107,6 +107,9 @@
 	Window Duration `json:"window,omitempty"`
 }
 
+// maxMemoryMB is the most memory in MB that settings may state; its bytes fit into 64 bits.
+const maxMemoryMB = 1 << 30
+
 // Defaults of a gateway's settings.
 const (
 	defaultApply        = 2 * time.Second
@@ -213,6 +216,9 @@
 	if s.Host.Share < 0 || s.Host.Cores < 0 || s.Host.LinkMbps < 0 || s.Host.MemoryMB < 0 {
 		c.addProblem("host", "", "found a negative share, cores, link_mbps or memory_mb; want 0 or more")
 	}
+	if s.Host.MemoryMB > maxMemoryMB {
+		c.addProblem("host", "", "found memory_mb %v; want %v at most", s.Host.MemoryMB, float64(maxMemoryMB))
+	}
 	if s.Load.Multiple != 0 && s.Load.Multiple < 1 {
 		c.addProblem("load.multiple", "", "found %v; want 1 or more", s.Load.Multiple)
 	}
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -35,6 +35,7 @@
 		"duration without a unit": {[2]string{`"id"`, `"grace": 8, "id"`}, "a time with its unit"},
 		"negative link bandwidth": {[2]string{`"id"`, `"host": {"link_mbps": -1}, "id"`}, "want 0 or more"},
 		"negative memory":         {[2]string{`"id"`, `"host": {"memory_mb": -1}, "id"`}, "want 0 or more"},
+		"memory beyond 64 bits":   {[2]string{`"id"`, `"host": {"memory_mb": 1e300}, "id"`}, "want 1.073741824e+09 at most"},
 		"negative pass time":      {[2]string{`"id"`, `"pass": "-1ms", "id"`}, "a time that is not negative"},
 		"load multiple below 1":   {[2]string{`"id"`, `"load": {"multiple": 0.5}, "id"`}, "want 1 or more"},
 		"negative share":          {[2]string{`"id"`, `"rollout": {"share": -0.1}, "id"`}, `g.json:3: field "rollout.share": found -0.1; want a share above 0, and 1 at most`},
