Callers' connections and the heads of their requests share a bounded part of the memory

What was seen: a gateway ends (memory over 284 MB) while callers keep 3,000 requests open whose heads have 60 KB and no end: one end in each of two cases, 287 and 284 MB. 5,000 connections that are idle since a request take it from 22 to 121 MB, over the quarter of the limit that a fault may add.

Cause: each head and each connection is bounded, all of them together were only by the descriptors, which are 4,100 at some hosts and a million at others. Class: as answers that are kept until complete, on the callers' side.

Change: connections take an eighth of the memory at most, 20 KB each (measured: 20 KB after a request, 8 KB before), or 0.6 of the descriptors as before; above that idle ones are ended, above one and a half times of it new ones are closed unread. A connection whose head finds no room is closed before anything of its request has run. caller_connections_ended_total counts by reason.

Ruled out: an answer 503 to such a head (net/http reads it whole first); the budget for bodies (heads without end would refuse everybody's bodies).

--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -41,10 +41,28 @@
 	// HeaderTimeout returns how long the headers of a request may take from their first byte.
 	HeaderTimeout func() time.Duration
 	// Connections is the number of connections above which each new one ends the one that has been idle
-	// the longest, or itself if none is idle; zero means no limit.
+	// the longest, or itself if none is idle; zero means no limit. Half as many again is the most that are
+	// served: further ones are closed unread.
 	Connections int
+	// Heads is the memory for the heads of requests beyond 8 KiB each; nil means no limit.
+	Heads Budget
+	// Ended is called when a connection is ended because of one of these limits; nil if nobody counts them.
+	Ended func(reason Reason)
 }
 
+// Reason is why a connection was ended for a limit of the process.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonIdle: it had been idle the longest of too many connections.
+	ReasonIdle Reason = "idle"
+	// ReasonConnections: there were too many connections that weren't idle.
+	ReasonConnections Reason = "connections"
+	// ReasonHeads: the heads of the callers' requests took too much memory.
+	ReasonHeads Reason = "heads"
+)
+
 // Listen returns a Listener that tracks the connections of listener, which it owns.
 func Listen(listener net.Listener, limits Limits) *Listener {
 	return &Listener{Listener: listener, limits: limits, conns: make(map[*conn]struct{}), empty: make(chan struct{})}
@@ -64,22 +82,45 @@
 	idleSince time.Time
 	// timer ends an idle connection, or one whose headers take too long.
 	timer *time.Timer
+	head  head
 }
 
 // Accept waits for the next connection.
 func (l *Listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admit(accepted); c != nil {
+			return c, nil
+		}
+		_ = accepted.Close()
+		l.ended(ReasonConnections)
 	}
-	c := &conn{Conn: accepted, listener: l, idle: true, idleSince: time.Now()}
+}
+
+// admit tracks a new connection. It returns nil if there are too many to serve it.
+func (l *Listener) admit(accepted net.Conn) *conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	limit := l.limits.Connections
+	if limit > 0 && len(l.conns) >= limit+limit/2 {
+		return nil
+	}
+	c := &conn{Conn: accepted, listener: l, idle: true, idleSince: time.Now(), head: head{budget: l.limits.Heads}}
 	l.conns[c] = struct{}{}
-	if l.limits.Connections > 0 && len(l.conns) > l.limits.Connections {
-		l.longestIdle().closeIfIdle()
+	if limit > 0 && len(l.conns) > limit && l.longestIdle().closeIfIdle() {
+		l.ended(ReasonIdle)
+	}
+	return c
+}
+
+// ended reports a connection that was ended because of a limit.
+func (l *Listener) ended(reason Reason) {
+	if l.limits.Ended != nil {
+		l.limits.Ended(reason)
 	}
-	return c, nil
 }
 
 // longestIdle returns the connection that has been idle the longest. One that was just accepted is idle,
@@ -118,6 +159,7 @@
 	case http.StateIdle:
 		c.beginIdle(l.idleLimit())
 	case http.StateClosed, http.StateHijacked:
+		c.releaseHead()
 		l.remove(c)
 	case http.StateActive:
 		c.headerRead()
@@ -193,8 +235,9 @@
 func (c *conn) beginIdle(limit time.Duration, bounded bool) {
 	c.mu.Lock()
 	c.idle, c.idleSince = true, time.Now()
+	c.head.release()
 	if bounded && limit > 0 {
-		c.timer = time.AfterFunc(limit, c.closeIfIdle)
+		c.timer = time.AfterFunc(limit, func() { c.closeIfIdle() })
 	}
 	c.mu.Unlock()
 	if bounded && limit == 0 {
@@ -202,16 +245,17 @@
 	}
 }
 
-// closeIfIdle closes the connection if it is idle and nothing has been received on it. What is
-// received later is lost with the connection, unread.
-func (c *conn) closeIfIdle() {
+// closeIfIdle closes the connection if it is idle and nothing has been received on it, and reports
+// whether it did. What is received later is lost with the connection, unread.
+func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.idle || c.closed || socket.Peek(c.Conn) == socket.Bytes {
-		return
+		return false
 	}
 	c.closed = true
 	_ = c.Conn.Close()
+	return true
 }
 
 // Read reads from the caller; it returns nothing once the connection was closed by the listener.
@@ -224,11 +268,18 @@
 	}
 	if n > 0 && c.idle {
 		c.idle = false
+		c.head.begin()
 		c.stopTimer()
 		if limit := c.listener.limits.HeaderTimeout(); limit > 0 {
 			c.timer = time.AfterFunc(limit, c.closeSlowHeader)
 		}
 	}
+	if !c.head.received(data[:n]) {
+		c.closed = true
+		_ = c.Conn.Close()
+		c.listener.ended(ReasonHeads)
+		return 0, net.ErrClosed
+	}
 	return n, err
 }
 
@@ -236,11 +287,19 @@
 func (c *conn) headerRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.head.complete()
 	if !c.idle {
 		c.stopTimer()
 	}
 }
 
+// releaseHead returns the memory of the last request's head.
+func (c *conn) releaseHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.release()
+}
+
 // closeSlowHeader closes a connection on which the headers of a request took too long. If they have
 // been read completely meanwhile, the timer is stopped or about to be; the request is then cut off
 // as too late.
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/capersaddle/capersaddle/internal/inbound"
+	"github.com/capersaddle/capersaddle/internal/spool"
 )
 
 // pipeListener is a listener whose connections are pipes.
@@ -74,18 +76,16 @@
 )
 
 func newTestServer() *testServer {
-	return newLimitedServer(0)
+	return newLimitedServer(inbound.Limits{})
 }
 
-// newLimitedServer returns a server with a limit of its connections; zero for none.
-func newLimitedServer(connections int) *testServer {
+// newLimitedServer returns a server with limits of its connections other than those of time.
+func newLimitedServer(limits inbound.Limits) *testServer {
 	s := &testServer{pipes: newPipeListener(), served: make(chan struct{})}
 	s.idleLimit.Store(int64(idleTimeout))
-	s.listener = inbound.Listen(s.pipes, inbound.Limits{
-		IdleTimeout:   func() time.Duration { return time.Duration(s.idleLimit.Load()) },
-		HeaderTimeout: func() time.Duration { return time.Duration(s.headerLimit.Load()) },
-		Connections:   connections,
-	})
+	limits.IdleTimeout = func() time.Duration { return time.Duration(s.idleLimit.Load()) }
+	limits.HeaderTimeout = func() time.Duration { return time.Duration(s.headerLimit.Load()) }
+	s.listener = inbound.Listen(s.pipes, limits)
 	s.server = &http.Server{
 		ConnState: s.listener.ConnState,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -356,7 +356,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const limit = 3
-		s := newLimitedServer(limit)
+		s := newLimitedServer(inbound.Limits{Connections: limit})
 		defer s.close()
 		s.setIdleLimit(time.Hour)
 		busy := s.caller()
@@ -378,3 +378,65 @@
 		}
 	})
 }
+
+// TestBusyConnectionLimit guards against callers who take memory without end by requests that they begin
+// and do not finish, so that none of their connections is idle.
+func TestBusyConnectionLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const limit = 4
+		ended := make(map[inbound.Reason]int)
+		s := newLimitedServer(inbound.Limits{Connections: limit, Ended: func(reason inbound.Reason) { ended[reason]++ }})
+		defer s.close()
+		var callers []*caller
+		for range 2 * limit {
+			c := s.caller()
+			callers = append(callers, c)
+			go func() { _ = c.send(request[:5]) }() // a connection that isn't served reads nothing
+			synctest.Wait()
+		}
+		is.Equal(s.listener.Connections(), limit) // those above were idle when they came
+		is.Equal(ended[inbound.ReasonIdle], limit)
+		for _, c := range callers[:limit] {
+			is.NoErr(c.send(request[5:]))
+			is.NoErr(c.answer())
+		}
+	})
+}
+
+// TestHeadsShareMemory guards against heads of requests that take memory without end: each is bounded, all
+// of them were not.
+func TestHeadsShareMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const room = 16 << 10
+		budget := spool.NewBudget(room)
+		refused := 0
+		s := newLimitedServer(inbound.Limits{Heads: budget, Ended: func(inbound.Reason) { refused++ }})
+		defer s.close()
+		begin := "GET /fast HTTP/1.1\r\nHost: h\r\nFill: " + strings.Repeat("a", 14<<10)
+		for small := range 3 { // small heads take nothing
+			c := s.caller()
+			is.NoErr(c.ask())
+			is.Equal(budget.Held(), int64(0))
+			is.Equal(small*refused, 0)
+		}
+		var callers []*caller
+		for range 3 {
+			c := s.caller()
+			callers = append(callers, c)
+			go func() { _ = c.send(begin) }()
+			synctest.Wait()
+			is.True(budget.Held() <= room)
+		}
+		is.Equal(refused, 1)
+		is.True(callers[2].answer() != nil)
+		for _, c := range callers[:2] {
+			is.NoErr(c.send("\r\n\r\n"))
+			is.NoErr(c.answer())
+		}
+		synctest.Wait()
+		is.Equal(budget.Held(), int64(0)) // answered requests need no memory
+		is.NoErr(callers[0].ask())
+	})
+}
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -46,6 +46,7 @@
 	crashes         prometheus.Counter
 	healthAsks      *prometheus.CounterVec
 	notices         *prometheus.CounterVec
+	callersEnded    *prometheus.CounterVec
 	configVersion   prometheus.Gauge
 
 	workspaces boundedLabel
@@ -155,6 +156,10 @@
 			Namespace: namespace, Name: "target_notices_total",
 			Help: "What targets have said of themselves in answers and was not known yet, by service.",
 		}, []string{"service", "notice"}),
+		callersEnded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "caller_connections_ended_total",
+			Help: "Connections of callers that were ended because of a limit of the process, by reason.",
+		}, []string{"reason"}),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "config_version",
 			Help: "Version of the configuration in force.",
@@ -162,7 +167,7 @@
 		workspaces: boundedLabel{limit: maxWorkspaces},
 		versions:   boundedLabel{limit: maxVersions},
 	}
-	registry.MustRegister(m.requestSeconds, m.firstSeconds, m.requests, m.attempts, m.versionAttempts, m.retries, m.retriesDenied, m.holderLookups, m.resumedStreams, m.prompts, m.storeCalls, m.replicas, m.badValues, m.targetEnds, m.crashes, m.healthAsks, m.notices, m.configVersion)
+	registry.MustRegister(m.requestSeconds, m.firstSeconds, m.requests, m.attempts, m.versionAttempts, m.retries, m.retriesDenied, m.holderLookups, m.resumedStreams, m.prompts, m.storeCalls, m.replicas, m.badValues, m.targetEnds, m.crashes, m.healthAsks, m.notices, m.callersEnded, m.configVersion)
 	return m
 }
 
--- a/internal/observe/state.go
+++ b/internal/observe/state.go
@@ -75,6 +75,11 @@
 	o.log.Warn(EventCallerEnded, "unread", unread, "reason", reason.Error())
 }
 
+// CallerConnectionEnded counts a connection of a caller that was ended because of a limit of the process.
+func (o *Observer) CallerConnectionEnded(reason string) {
+	o.metrics.callersEnded.WithLabelValues(reason).Inc()
+}
+
 // BadValue logs a value of the store that can't be read. The previous value stays in force.
 func (o *Observer) BadValue(what string, err error) {
 	o.metrics.badValues.Inc()
--- a/internal/process/gateway_http.go
+++ b/internal/process/gateway_http.go
@@ -15,6 +15,7 @@
 	"github.com/capersaddle/capersaddle/internal/inbound"
 	"github.com/capersaddle/capersaddle/internal/listen"
 	"github.com/capersaddle/capersaddle/internal/socket"
+	"github.com/capersaddle/capersaddle/internal/spool"
 	"github.com/capersaddle/capersaddle/internal/usage"
 	"github.com/capersaddle/capersaddle/platform"
 )
@@ -46,18 +47,44 @@
 	return listen.Opener{Log: p.log}
 }
 
-// callerDescriptorShare is the share of the process's file descriptors that callers' connections may take.
-// The rest is for targets, the store and other gateways.
-const callerDescriptorShare = 0.6
+const (
+	// callerDescriptorShare is the share of the process's file descriptors that callers' connections may
+	// take. The rest is for targets, the store and other gateways.
+	callerDescriptorShare = 0.6
+	// connectionMemoryShare is the share of the process's memory that callers' connections may take, each of
+	// callerConnectionBytes.
+	connectionMemoryShare = 1.0 / 8
+	callerConnectionBytes = 20 << 10
+	// headMemoryShare is the share of the process's memory for the heads of callers' requests. While a head
+	// is read it is held up to three times.
+	headMemoryShare = 1.0 / 16
+)
 
 // maxCallerConnections returns the number of callers' connections above which idle ones are closed; zero
 // for no limit.
-func maxCallerConnections() int {
+func maxCallerConnections(memory int64) int {
+	limit := int(connectionMemoryShare * float64(memory) / callerConnectionBytes)
 	descriptors, err := usage.MaxDescriptors()
 	if err != nil {
-		return 0 // the limit is not known
+		return limit // that of descriptors is not known
+	}
+	byDescriptors := int(callerDescriptorShare * float64(descriptors))
+	if limit == 0 {
+		return byDescriptors
+	}
+	return min(limit, byDescriptors)
+}
+
+// callerLimits returns the limits of callers' connections.
+func (p *GatewayProcess) callerLimits() inbound.Limits {
+	memory := memoryLimit(p.settings)
+	return inbound.Limits{
+		IdleTimeout:   p.callerIdleTimeout,
+		HeaderTimeout: p.callerHeaderTimeout,
+		Connections:   maxCallerConnections(memory),
+		Heads:         spool.NewBudget(int64(headMemoryShare * float64(memory))),
+		Ended:         func(reason inbound.Reason) { p.observer.CallerConnectionEnded(string(reason)) },
 	}
-	return int(callerDescriptorShare * float64(descriptors))
 }
 
 // serveCallers listens on the callers' address.
@@ -67,7 +94,7 @@
 		return listenError("callers", err)
 	}
 	p.addresses.Callers = listener.Addr().String()
-	p.callers = inbound.Listen(listener, inbound.Limits{IdleTimeout: p.callerIdleTimeout, HeaderTimeout: p.callerHeaderTimeout, Connections: maxCallerConnections()})
+	p.callers = inbound.Listen(listener, p.callerLimits())
 	p.server = &http.Server{
 		Handler:           p.front,
 		ReadHeaderTimeout: headerTimeout,
--- a/internal/process/reference_test.go
+++ b/internal/process/reference_test.go
@@ -117,6 +117,7 @@
 	observer.Request(&gateway.RequestRecord{TimeToHead: 1, HolderLookup: balance.Answered, OriginSource: gateway.OriginSole, RetryDenial: gateway.DeniedBudget, Attempts: []gateway.AttemptRecord{{Source: balance.SourceHeld, Version: "v2", Outcome: "lost"}, {Outcome: "lost"}}})
 	observer.Notice(&gateway.NoticeRecord{Change: balance.NoticeChange{Leaving: true}})
 	observer.HealthAsked(gateway.HealthAnswered)
+	observer.CallerConnectionEnded("idle")
 	observer.StoreCalled("watch", nil)
 	observer.ReplicaFetched("p", 1, 2, nil)
 	families, err := registry.Gather()
