Every server accepts again after a failed accept, and a failed read of a socket is not repeated at once

Found by looking for the class of (a failed accept ended the acceptance of links for good) at each other accept and read. net/http goes on after EMFILE only: with ENOBUFS, ENOMEM, EPERM (a packet filter) or an error of the network that waits at the new connection, Serve returns, its error was not looked at, and the process goes on but serves no caller, no readiness check, no operator any more. Routers and agents the same. In the other direction, the members' service of routers and agents repeated a failed read of its socket without a pause: a whole core as long as that lasts.

Change: listen.Steady goes on until the listener is closed, for all servers and links (link's own loop is gone), with one line accept_failed for each series. The servers' own errors go through the process's log: those of readiness, metrics, routers and agents went to standard error, where a reader that stands still held up the accept loop.

--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -13,7 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
-	"github.com/capersaddle/capersaddle/internal/wait"
+	"github.com/capersaddle/capersaddle/internal/listen"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -56,7 +56,7 @@
 func newServer(listener net.Listener, hello *wire.Hello, config *tls.Config, logger *log.Logger, handler Handler) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Server{
-		listener: listener,
+		listener: listen.Steady(listener, logger),
 		handler:  handler,
 		hello:    hello,
 		tls:      config,
@@ -80,20 +80,13 @@
 	return s.badPeers.Load()
 }
 
-// acceptPause is the pause after a failed accept: the process may have no descriptor left for a moment.
-const acceptPause = 50 * time.Millisecond
-
 func (s *Server) accept() {
 	for {
 		conn, err := s.listener.Accept()
-		switch {
-		case err == nil:
-			s.wg.Go(func() { s.serveConn(conn) })
-		case errors.Is(err, net.ErrClosed):
-			return
-		case !wait.For(s.ctx, acceptPause):
-			return
+		if err != nil {
+			return // it is closed
 		}
+		s.wg.Go(func() { s.serveConn(conn) })
 	}
 }
 
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -33,6 +33,8 @@
 	rosterThreshold = 20
 	// receiveBuffer is the maximum size of a datagram that is read, in bytes.
 	receiveBuffer = 2048
+	// receivePause is the pause after a failed read, which may fail again and again for a while.
+	receivePause = time.Millisecond
 )
 
 // PacketConn is the part of a UDP socket that the service uses.
@@ -244,6 +246,7 @@
 			return
 		}
 		if err != nil {
+			wait.For(context.Background(), receivePause)
 			continue
 		}
 		s.received.Add(int64(n))
--- a/internal/member/service_test.go
+++ b/internal/member/service_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -392,3 +393,36 @@
 func runInBubble(work func()) {
 	synctest.Test(new(testing.T), func(*testing.T) { work() })
 }
+
+// failingConn is a socket whose reads fail for a while.
+type failingConn struct {
+	*packetConn
+	failures int
+	reads    int
+}
+
+func (c *failingConn) ReadFromUDPAddrPort(buffer []byte) (int, netip.AddrPort, error) {
+	if c.reads++; c.reads <= c.failures {
+		return 0, netip.AddrPort{}, syscall.ENOBUFS
+	}
+	return c.packetConn.ReadFromUDPAddrPort(buffer)
+}
+
+// TestFailedReadsAreNotRepeatedAtOnce guards against a process that takes a whole core while reads of its
+// socket fail.
+func TestFailedReadsAreNotRepeatedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const failures = 100
+		conn := &failingConn{packetConn: newPacketNet(0).listen(0), failures: failures}
+		list := NewList(DefaultOptions(), cloneMember(benchMembers(1)[0]))
+		service := NewService(list, conn, ServiceOptions{BytesPerSecond: bytesPerSecond, ConfigRevision: func() uint64 { return 0 }}, log.New(io.Discard))
+		is.NoErr(service.Start(t.Context()))
+		synctest.Wait()
+		is.Equal(conn.reads, 1)
+		time.Sleep(failures * receivePause)
+		synctest.Wait()
+		is.Equal(conn.reads, failures+1) // it reads again
+		is.NoErr(service.Close())
+	})
+}
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -47,6 +47,7 @@
 	EventMemoryHigh        = "memory_high"
 	EventAddressInUse      = listen.EventInUse
 	EventAddressFree       = listen.EventFree
+	EventAcceptFailed      = listen.EventAcceptFailed
 	EventReload            = "settings_reloaded"
 	EventProcessLate       = "process_late"
 	EventProcessInTime     = "process_in_time"
@@ -74,7 +75,7 @@
 func Events() []string {
 	return []string{
 		EventRequest, EventConfig, EventTargetChanged, EventTargetsListed, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
-		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventTargetSuspected, EventStart, EventDrain, EventAcceptingEnded, EventGraceOver, EventStop, EventStopFailed, EventMemoryHigh, EventAddressInUse, EventAddressFree, EventReload, EventProcessLate, EventProcessInTime, EventRequestsNotLogged,
+		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventTargetSuspected, EventStart, EventDrain, EventAcceptingEnded, EventGraceOver, EventStop, EventStopFailed, EventMemoryHigh, EventAddressInUse, EventAddressFree, EventAcceptFailed, EventReload, EventProcessLate, EventProcessInTime, EventRequestsNotLogged,
 		EventUnusable, EventLeaving, EventTargetResting, EventCallerEnded, EventNoticeUnreadable, EventTargetEnded, EventCrash, EventHeldBack, EventCleared, EventPartAtLimit, EventPartHeld, EventPartCleared, EventTrial, EventSuspect,
 		EventRolloutOrdered, EventRolloutStage, EventRolloutHalted, EventRolloutRecorded, EventRolloutCommitFailed,
 	}
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -54,7 +54,7 @@
 	ops := &operators{common: c, ready: func() bool { return true }}
 	return p, errors.Join(
 		c.kernel.Register("agent", p.agent),
-		c.kernel.Register("operators", newHTTPService(c.operators, ops.handler())),
+		c.kernel.Register("operators", newHTTPService(c.operators, ops.handler(), c.log)),
 	)
 }
 
--- a/internal/process/gateway_http.go
+++ b/internal/process/gateway_http.go
@@ -7,7 +7,6 @@
 	"syscall"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -100,9 +99,8 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         p.callers.ConnState,
-		ErrorLog:          p.log.With("part", "callers").StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
-	return p.kernel.Register("callers", newServerService(p.callers, p.server))
+	return p.kernel.Register("callers", newServerService(p.callers, p.server, p.log.With("part", "callers")))
 }
 
 // serveReady listens on the address of the platform's readiness checks.
@@ -114,7 +112,7 @@
 		return listenError("ready", err)
 	}
 	p.addresses.Ready = listener.Addr().String()
-	return p.kernel.Register("ready", newQuestionService(listener, mux))
+	return p.kernel.Register("ready", newQuestionService(listener, mux, p.log))
 }
 
 // serveMetrics serves operators on the metrics address, if there is one. Callers are served without it, so
@@ -137,5 +135,5 @@
 		return listenError("metrics", err)
 	}
 	p.addresses.Operators = listener.Addr().String()
-	return p.kernel.Register("metrics", newQuestionService(listener, mux))
+	return p.kernel.Register("metrics", newQuestionService(listener, mux, p.log))
 }
--- a/internal/process/http.go
+++ b/internal/process/http.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"github.com/capersaddle/capersaddle/internal/listen"
@@ -36,30 +37,33 @@
 }
 
 // newHTTPService returns a service that owns the listener.
-func newHTTPService(listener net.Listener, handler http.Handler) *httpService {
+func newHTTPService(listener net.Listener, handler http.Handler, logger *log.Logger) *httpService {
 	return newServerService(listener, &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       idleTimeout,
-	})
+	}, logger)
 }
 
-// newServerService returns a service that owns the listener and the server.
-func newServerService(listener net.Listener, server *http.Server) *httpService {
-	return &httpService{listener: listener, server: server, timeout: shutdownTimeout}
+// newServerService returns a service that owns the listener and the server, whose errors go to the logger:
+// nobody may read the process's standard error.
+func newServerService(listener net.Listener, server *http.Server, logger *log.Logger) *httpService {
+	server.ErrorLog = logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel})
+	return &httpService{listener: listen.Steady(listener, logger), server: server, timeout: shutdownTimeout}
 }
 
 // newQuestionService returns a service that owns the listener and answers what the platform and operators
 // ask a gateway.
-func newQuestionService(listener net.Listener, handler http.Handler) *httpService {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	return &httpService{listener: listener, server: server, timeout: questionTimeout}
+func newQuestionService(listener net.Listener, handler http.Handler, logger *log.Logger) *httpService {
+	service := newServerService(listener, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}, logger)
+	service.timeout = questionTimeout
+	return service
 }
 
 // Start starts serving.
 func (s *httpService) Start(context.Context) error {
-	s.wait.Go(func() { _ = s.server.Serve(s.listener) })
+	s.wait.Go(func() { _ = s.server.Serve(s.listener) }) // until the listener is closed
 	return nil
 }
 
@@ -101,7 +105,7 @@
 		s.opener.Log.Warn("address_not_served", "address", s.address, "error", err)
 		return
 	}
-	s.serving = newQuestionService(listener, s.handler)
+	s.serving = newQuestionService(listener, s.handler, s.opener.Log)
 	_ = s.serving.Start(ctx) // never fails
 }
 
--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -74,8 +74,8 @@
 	return p, errors.Join(
 		c.kernel.Register("lag", p.lag),
 		c.kernel.Register("router", p.router),
-		c.kernel.Register("operators", newHTTPService(c.operators, ops.handler())),
-		c.kernel.Register("callers", newHTTPService(callers, p.router.Handler())),
+		c.kernel.Register("operators", newHTTPService(c.operators, ops.handler(), c.log)),
+		c.kernel.Register("callers", newHTTPService(callers, p.router.Handler(), c.log)),
 	)
 }
 
