Settings that are being written at a start are read again

What was seen: a gateway that is started while its settings file is being written ends with exit code 2, and again until the file is whole: 2 ends in 1.6 s in soak.TestProcessesGoOn/its_settings_are_written_as_it_starts. A running one that is told to reload then keeps the old settings for good.

Cause: half a file can't be told from a wrong one by its content. By its age it can: a file that was changed less than two seconds ago and can't be loaded is read again each 50 ms until it has settled; a wrong one that has been there for longer is an error at once, as before. Gateways, routers and agents, and a gateway's reload. A signal to stop ends the wait.

Ruled out: waiting for a file that is missing (a mistyped path is an operator's error, and its folder tells nothing).

--- a/internal/soak/ends_test.go
+++ b/internal/soak/ends_test.go
@@ -490,6 +490,7 @@
 		"a listener on the address of its metrics": {setUp: (*soak).holdMetricsAddress},
 		"connections from its ports":               {begin: (*soak).startBesideConnections},
 		"more callers than descriptors":            {started: limitDescriptors, begin: (*soak).openIdleConnections},
+		"its settings are written as it starts":    {begin: (*soak).startBesideChange},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -592,6 +593,21 @@
 	s.moveTargets()
 }
 
+// changeTime is how long it takes to write the settings of a gateway.
+const changeTime = time.Second
+
+// startBesideChange kills a gateway, which is started again while its settings are being written.
+func (s *soak) startBesideChange() {
+	is := is.New(s.t)
+	g := s.gateways[0]
+	whole, err := os.ReadFile(g.settingsFile)
+	is.NoErr(err)
+	<-g.signal(syscall.SIGKILL)
+	is.NoErr(os.WriteFile(g.settingsFile, whole[:len(whole)/2], 0o600))
+	time.Sleep(restartDelay + changeTime)
+	is.NoErr(os.WriteFile(g.settingsFile, whole, 0o600))
+}
+
 // killEach kills the gateways one after the other; the keeper starts them again.
 func (s *soak) killEach() {
 	for _, g := range s.gateways {
--- a/pkg/cmd/gateway/gateway.go
+++ b/pkg/cmd/gateway/gateway.go
@@ -77,8 +77,10 @@
 func gatewayRun(opts *GatewayOptions) error {
 	received := signals.Receive()
 	defer received.Close()
+	ctx, cancel := received.UntilStop(context.Background())
+	defer cancel()
 	limitHeap()
-	loaded, err := settings.LoadGateway(opts.File)
+	loaded, err := settings.LoadSettled(ctx, opts.File, settings.LoadGateway, opts.IO.ErrOut)
 	if err != nil {
 		return err
 	}
@@ -86,9 +88,7 @@
 	sink := logsink.New(opts.IO.Out)
 	defer sink.CloseSoon()
 	logger := process.NewLogger(sink, loaded.Log)
-	ctx, cancel := received.UntilStop(context.Background())
-	defer cancel()
-	err = serve(ctx, opts.File, received, loaded, logger)
+	err = serve(ctx, opts, received, loaded, logger)
 	if err != nil && ctx.Err() != nil {
 		logger.Warn(observe.EventStopFailed, "error", err.Error())
 		err = nil // it was told to stop, and it has
@@ -98,7 +98,7 @@
 }
 
 // serve runs a gateway until the context ends, and then stops it as planned.
-func serve(ctx context.Context, file string, received *signals.Received, loaded *settings.Gateway, logger *log.Logger) error {
+func serve(ctx context.Context, opts *GatewayOptions, received *signals.Received, loaded *settings.Gateway, logger *log.Logger) error {
 	proc, err := process.NewGateway(ctx, loaded, logger)
 	if err != nil {
 		return err
@@ -110,7 +110,7 @@
 		select {
 		case <-ctx.Done():
 		case <-received.Reload:
-			reload(file, proc, logger)
+			reload(ctx, opts, proc, logger)
 		}
 	}
 	err = proc.Drain(context.Background())
@@ -118,12 +118,12 @@
 }
 
 // reload reads the settings again; if they can't be read, the old ones stay in force.
-func reload(file string, proc *process.GatewayProcess, logger *log.Logger) {
-	loaded, err := settings.LoadGateway(file)
+func reload(ctx context.Context, opts *GatewayOptions, proc *process.GatewayProcess, logger *log.Logger) {
+	loaded, err := settings.LoadSettled(ctx, opts.File, settings.LoadGateway, opts.IO.ErrOut)
 	if err != nil {
-		logger.Error(observe.EventReload, "file", file, "taken", false, "reason", err.Error())
+		logger.Error(observe.EventReload, "file", opts.File, "taken", false, "reason", err.Error())
 		return
 	}
 	proc.Reload(loaded)
-	logger.Info(observe.EventReload, "file", file, "taken", true)
+	logger.Info(observe.EventReload, "file", opts.File, "taken", true)
 }
--- a/pkg/cmdutil/run.go
+++ b/pkg/cmdutil/run.go
@@ -21,7 +21,9 @@
 func RunProcess(streams *iostreams.IOStreams, role, file string, drainTimeout time.Duration) error {
 	received := signals.Receive()
 	defer received.Close()
-	loaded, err := settings.Load(file)
+	ctx, cancel := received.UntilStop(context.Background())
+	defer cancel()
+	loaded, err := settings.LoadSettled(ctx, file, settings.Load, streams.ErrOut)
 	if err != nil {
 		return err
 	}
@@ -31,8 +33,6 @@
 	sink := logsink.New(streams.ErrOut)
 	defer sink.CloseSoon()
 	logger := process.NewLogger(sink, loaded.Log)
-	ctx, cancel := received.UntilStop(context.Background())
-	defer cancel()
 	err = serve(ctx, received, loaded, logger, drainTimeout)
 	if err != nil && ctx.Err() != nil {
 		logger.Warn("the stop was not complete", "error", err)
