A request that came together with the one before it is not cut off as idle

What callers see: of two requests sent at once on one connection the second is broken off, after it has begun to run, by a planned stop, at the end of the connection's idle time, or by the limit of connections.

Cause: the server reports no new state of a connection for a request whose bytes it has already received with the one before (net/http, StateActive), so that the connection counts as idle while that request runs. Found while the limits of connections were made; present before.

Change: a request marks its connection as used when its handler begins. One whose connection was closed just before is not run.

inbound.TestPipelinedRequestIsNotIdle: unexpected EOF before, both the answer and the drain end now.

--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -17,8 +17,8 @@
 	"github.com/capersaddle/capersaddle/internal/socket"
 )
 
-// Listener returns connections that it can close while they are idle. Its ConnState method must be
-// the ConnState hook of the server that uses it.
+// Listener returns connections that it can close while they are idle. Its ConnState and ConnContext
+// methods must be the hooks of the server that uses it, whose handler must be one from its Handler method.
 type Listener struct {
 	net.Listener
 	limits Limits
@@ -149,6 +149,25 @@
 	return l.closeErr
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// ConnContext lets Handler know the connection of a request.
+func (l *Listener) ConnContext(ctx context.Context, served net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, served)
+}
+
+// Handler returns a handler that keeps the connection of each request open while next serves it. The server
+// reports no new state for a request that it received together with the one before.
+func (l *Listener) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.beginRequest() {
+			panic(http.ErrAbortHandler) // nobody can be answered any more
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // ConnState tracks the connection states that the server reports.
 func (l *Listener) ConnState(served net.Conn, state http.ConnState) {
 	c, ok := served.(*conn)
@@ -293,6 +312,20 @@
 	}
 }
 
+// beginRequest marks the connection as used. It returns false if the listener has closed it.
+func (c *conn) beginRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	if c.idle {
+		c.idle = false
+		c.stopTimer()
+	}
+	return true
+}
+
 // releaseHead returns the memory of the last request's head.
 func (c *conn) releaseHead() {
 	c.mu.Lock()
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -87,8 +87,9 @@
 	limits.HeaderTimeout = func() time.Duration { return time.Duration(s.headerLimit.Load()) }
 	s.listener = inbound.Listen(s.pipes, limits)
 	s.server = &http.Server{
-		ConnState: s.listener.ConnState,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ConnState:   s.listener.ConnState,
+		ConnContext: s.listener.ConnContext,
+		Handler: s.listener.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/slow" {
 				time.Sleep(slowAnswer)
 			}
@@ -96,7 +97,7 @@
 				return
 			}
 			_, _ = io.WriteString(w, "yes")
-		}),
+		})),
 	}
 	go func() {
 		defer close(s.served)
@@ -440,3 +441,22 @@
 		is.NoErr(callers[0].ask())
 	})
 }
+
+// TestPipelinedRequestIsNotIdle guards against a connection that is closed as idle while a request runs which
+// was received together with the one before it: by a planned stop, by its idle time, by a limit.
+func TestPipelinedRequestIsNotIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestServer()
+		defer s.close()
+		s.setIdleLimit(slowAnswer / 4)
+		c := s.caller()
+		go func() { _ = c.send(request + request) }()
+		is.NoErr(c.answer())
+		time.Sleep(slowAnswer / 2)
+		drained := make(chan error, 1)
+		go func() { drained <- s.listener.Drain(context.Background()) }()
+		is.NoErr(c.answer())
+		is.NoErr(<-drained)
+	})
+}
--- a/internal/process/gateway_http.go
+++ b/internal/process/gateway_http.go
@@ -95,10 +95,11 @@
 	p.addresses.Callers = listener.Addr().String()
 	p.callers = inbound.Listen(listener, p.callerLimits())
 	p.server = &http.Server{
-		Handler:           p.front,
+		Handler:           p.callers.Handler(p.front),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         p.callers.ConnState,
+		ConnContext:       p.callers.ConnContext,
 	}
 	return p.kernel.Register("callers", newServerService(p.callers, p.server, p.log.With("part", "callers")))
 }
