Routers and agents pause after a watch that found nothing

The class of (gateways) in the other programs: a store, or something before it, that answers a watch at once without a change was asked again at once, which takes a whole core and the store's rate for as long as that lasts.

config.TestHastyStoreIsNotAskedAtOnce, in virtual time, does not end before; now at most two calls a second in each of three cases.

--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -30,7 +30,8 @@
 	pullInterval = 200 * time.Millisecond
 	// watchTimeout limits one watch call.
 	watchTimeout = 60 * time.Second
-	// minWatchPause and maxWatchPause limit the wait after a failed watch.
+	// minWatchPause and maxWatchPause limit the wait after a failed watch; minWatchPause is also the one after
+	// a watch that found nothing.
 	minWatchPause = time.Second
 	maxWatchPause = 30 * time.Second
 	// pullTimeout limits one pull from a peer.
@@ -123,7 +124,8 @@
 			wait.For(ctx, minWatchPause)
 			continue
 		}
-		if err := f.watchOnce(ctx); err != nil && ctx.Err() == nil {
+		known := f.loadedVersion()
+		if err := f.watchOnce(ctx, known); err != nil && ctx.Err() == nil {
 			f.storeAnswered.Store(false)
 			f.log.Debug("store watch failed", "error", err)
 			wait.For(ctx, pause/2+rand.N(pause))
@@ -131,15 +133,17 @@
 			continue
 		}
 		pause = minWatchPause
+		if f.loadedVersion() == known {
+			wait.For(ctx, minWatchPause) // the store may not have waited
+		}
 	}
 }
 
-// watchOnce waits for a manifest later than the loaded one and loads it.
-func (f *Follower) watchOnce(ctx context.Context) error {
-	version := f.loadedVersion()
+// watchOnce waits for a manifest later than the loaded one, of a known version, and loads it.
+func (f *Follower) watchOnce(ctx context.Context, known uint64) error {
 	watchCtx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	value, err := f.repository.store.Watch(watchCtx, ManifestKey, version)
+	value, err := f.repository.store.Watch(watchCtx, ManifestKey, known)
 	if errors.Is(watchCtx.Err(), context.DeadlineExceeded) {
 		return nil
 	}
