--- a/internal/agent/sync.go
+++ b/internal/agent/sync.go
@@ -183,6 +183,7 @@
 	defer cancel()
 	hosts, err := a.options.Hosts.List(ctx)
 	if err != nil {
+		a.log.Warn("host list not read; what it said before holds", "error", err)
 		return
 	}
 	for _, host := range hosts {
--- a/internal/external/httpstore.go
+++ b/internal/external/httpstore.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
@@ -88,28 +87,3 @@
 	query := url.Values{"watch": {strconv.FormatUint(known, 10)}}
 	return s.call(ctx, http.MethodGet, s.keyURL(key, query), nil)
 }
-
-// HTTPHosts reads the platform's host list over HTTP.
-type HTTPHosts struct {
-	Base   string
-	Client *http.Client
-}
-
-// List reads the whole list.
-func (h *HTTPHosts) List(ctx context.Context) ([]Host, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, h.Base+"/v1/hosts", nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "make request")
-	}
-	response, err := h.Client.Do(request)
-	if err != nil {
-		return nil, errors.Wrap(err, "call host list")
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return nil, errors.Newf("host list answered %d", response.StatusCode)
-	}
-	var hosts []Host
-	err = json.NewDecoder(io.LimitReader(response.Body, MaxValue)).Decode(&hosts)
-	return hosts, errors.Wrap(err, "read host list")
-}
