A request that is held itself and for a part of its prompt can be tried

Causes: what is held twice, as a request and for a part, was never tried; a trial whose work takes longer than others are tried after was given up for silence, and its second attempt refused (502); a copy that was in flight at the ends itself could be the part's trial, whose crash then proved nothing about the part; and a sound request was fatal for good while those that explain its ends were held for a part that it has as well.

Change: one attempt is the trial of all that holds it; a trial isn't given up for silence; a request that was in flight at an end may be a part's trial two seconds later than others; a request is doubtful while a part of its own that crashed targets without it is undecided, or was cleared within five seconds.

TestAlikeRequestsAtLostDataCenter has a case in which all targets crash; its engines keep their IDs as its restarts do (without that the stand-in removed the new entries after 3 s).

--- a/internal/gateway/held_parts.go
+++ b/internal/gateway/held_parts.go
@@ -133,14 +133,14 @@
 	return c.trialPlace(parts[0])
 }
 
-// mayRunPartTrial reports whether this process may send one request with held parts now.
-func (c *Crashes) mayRunPartTrial(parts []quarantine.Fingerprint, now time.Time) bool {
-	return c.Table.PartTrialIn(parts, c.partTrialRank(parts), now) == 0
+// mayRunPartTrial reports whether this process may send a call with held parts now, as the only one.
+func (c *Crashes) mayRunPartTrial(call *call, parts []quarantine.Fingerprint, now time.Time) bool {
+	return c.Table.PartTrialIn(parts, call.fingerprint, c.partTrialRank(parts), now) == 0
 }
 
 // startPartTrial makes an attempt the trial of held parts if this process may begin one.
 func (c *Crashes) startPartTrial(a *attempt, parts []quarantine.Fingerprint, now time.Time) bool {
-	changes, started := c.Table.StartPartTrial(parts, c.partTrialRank(parts), quarantineIncarnation(a.incarnation), now)
+	changes, started := c.Table.StartPartTrial(parts, a.call.fingerprint, c.partTrialRank(parts), quarantineIncarnation(a.incarnation), now)
 	for _, change := range changes {
 		c.Watcher.TrialBegan(a.pick.Target.ID, change)
 		c.publish(change)
@@ -151,7 +151,7 @@
 // retryAfterParts returns when callers of requests with held parts may come again: when the next trial
 // may start.
 func (c *Crashes) retryAfterParts(parts []quarantine.Fingerprint) time.Duration {
-	return max(c.Table.PartTrialIn(parts, 0, clock.Now()), retryAfterDoubtful)
+	return max(c.Table.PartTrialIn(parts, 0, 0, clock.Now()), retryAfterDoubtful)
 }
 
 // partID returns the ID of the part with a fingerprint; empty for none.
--- a/internal/gateway/held_parts_test.go
+++ b/internal/gateway/held_parts_test.go
@@ -75,6 +75,61 @@
 	})
 }
 
+// TestTrialOfHeldRequestAndPart checks that an accused request is the trial of a held part only after others
+// could have been, and that a request which is held itself can be it: it may be the only one that comes.
+func TestTrialOfHeldRequestAndPart(t *testing.T) {
+	for name, crashes := range map[string][]quarantine.Incarnation{"accused": {1}, "held itself": {1, 2, 3}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newTestGateway(respond(200, "yes"))
+				startCrashes(t, w)
+				keepOneTarget(w, 1000)
+				crashParts(w, "f", time.Now())
+				ask := func() int {
+					request := partRequest(1, "/once/x", "a", "f")
+					w.gateway.Proof.Note(time.Now())
+					w.gateway.Serve(t.Context(), request, w.caller)
+					return len(w.sender.sent)
+				}
+				subject := quarantine.Subject{Workspace: "w", Method: "POST", Host: "h", URI: "/once/x", Body: []byte("r1")}
+				for _, incarnation := range crashes {
+					w.gateway.Crashes.Table.Crashed(subject.Fingerprint(), incarnation, time.Now())
+				}
+				time.Sleep(5 * time.Second)
+				is.Equal(ask(), 0)
+				time.Sleep(2 * time.Second)
+				is.Equal(ask(), 1)
+				is.Equal(ask(), 2) // its answer has cleared both
+			})
+		})
+	}
+}
+
+// TestTrialOfLongWork guards against trials that decide nothing: the target worked for longer than others are
+// tried after, and the trial was cut off for a second attempt, which was refused.
+func TestTrialOfLongWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		work := func(ctx context.Context, out *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
+			select {
+			case <-time.After(time.Second / 2):
+				return respond(http.StatusOK, "yes")(ctx, out)
+			case <-ctx.Done():
+				return nil, &gateway.SendError{Sent: true, Err: ctx.Err()}
+			}
+		}
+		w := newTestGateway(work)
+		startCrashes(t, w)
+		crashParts(w, "f", time.Now())
+		time.Sleep(5 * time.Second)
+		w.gateway.Proof.Note(time.Now())
+		w.gateway.Serve(t.Context(), partRequest(1, "/get/x", "a", "f"), w.caller)
+		is.Equal(w.caller.status, http.StatusOK)
+		is.Equal(len(w.sender.sent), 1)
+	})
+}
+
 // TestLastPartIsNotHeld checks that the part which belongs to a request alone holds back nothing, nor
 // does a part of a prompt without any other.
 func TestLastPartIsNotHeld(t *testing.T) {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/capersaddle/capersaddle/internal/balance"
@@ -31,23 +32,20 @@
 	return hold{request: crashes.Table.Held(c.fingerprint, now), parts: crashes.partsToHold(c, now)}
 }
 
-// mayRunTrial reports whether the call, which is held, may be the single trial of its request or of
-// its parts now. A call that was already sent may not, since that was its attempt.
+// mayRunTrial reports whether the call, which is held, may be the single trial of its request and of its
+// held parts now. A call that was already sent may not, since that was its attempt.
 func (c *call) mayRunTrial(held hold, now time.Time) bool {
-	switch {
-	case len(c.triedIncarnations) > 0, held.request && len(held.parts) > 0:
+	if len(c.triedIncarnations) > 0 || held.request && !c.gateway.Crashes.mayRunTrial(c, now) {
 		return false
-	case held.request:
-		return c.gateway.Crashes.mayRunTrial(c, now)
 	}
-	return c.gateway.Crashes.mayRunPartTrial(held.parts, now)
+	return len(held.parts) == 0 || c.gateway.Crashes.mayRunPartTrial(c, held.parts, now)
 }
 
 // checkQuarantine returns the refusal of a call that is held, right before it is sent, or nil
 // if it may be sent. It starts the trial of the request, or of its parts, if the attempt may be one.
 func (a *attempt) checkQuarantine(now time.Time) *fault.Error {
 	c := a.call
-	if a.trial || len(a.partTrial) > 0 {
+	if a.isTrial() {
 		return nil
 	}
 	held := c.currentHold(now)
@@ -57,17 +55,28 @@
 	return c.heldError(held, fault.NotRun, now)
 }
 
-// startTrial makes the attempt the trial of what is held, if it may be that, and reports whether it
-// did.
+// startTrial makes the attempt the trial of all that is held, if it may be that, and reports whether it did.
 func (a *attempt) startTrial(held hold, now time.Time) bool {
 	crashes := a.call.gateway.Crashes
-	switch {
-	case len(a.call.triedIncarnations) > 1, held.request && len(held.parts) > 0:
-	case held.request:
-		a.trial = crashes.startTrial(a, now)
-	case crashes.startPartTrial(a, held.parts, now):
+	if len(a.call.triedIncarnations) > 1 || len(held.parts) > 0 && !crashes.mayRunPartTrial(a.call, held.parts, now) {
+		return false
+	}
+	if held.request && !crashes.startTrial(a, now) {
+		return false
+	}
+	started := len(held.parts) == 0 || crashes.startPartTrial(a, held.parts, now)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.trial = held.request
+	if started {
 		a.partTrial = held.parts
 	}
+	return started
+}
+
+// isTrial reports whether the attempt is the trial of something held. Goroutines other than the attempt's own
+// must hold a.mu.
+func (a *attempt) isTrial() bool {
 	return a.trial || len(a.partTrial) > 0
 }
 
@@ -77,9 +86,9 @@
 	if answered || !a.outcome.NotRun() {
 		return
 	}
-	tried := a.partTrial
+	tried := slices.Clone(a.partTrial)
 	if a.trial {
-		tried = []quarantine.Fingerprint{a.call.fingerprint}
+		tried = append(tried, a.call.fingerprint)
 	}
 	crashes := a.call.gateway.Crashes
 	for _, fingerprint := range tried {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -57,14 +57,15 @@
 	a.timer = time.AfterFunc(silence, func() { a.onSilence(ctx) })
 }
 
-// onSilence abandons a silent attempt.
+// onSilence abandons a silent attempt, unless it is a trial: nothing else is sent meanwhile, and its answer
+// decides.
 func (a *attempt) onSilence(ctx context.Context) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.committed || a.abandoned {
 		return
 	}
-	if !a.call.takeRetry(ctx) {
+	if a.isTrial() || !a.call.takeRetry(ctx) {
 		a.startLivenessTimer() // it can't continue at another target
 		return
 	}
--- a/internal/process/crashes_at_once_test.go
+++ b/internal/process/crashes_at_once_test.go
@@ -19,19 +19,19 @@
 func TestAlikeRequestsAtLostDataCenter(t *testing.T) {
 	const (
 		interval = 50 * time.Millisecond
-		// lost is the number of targets that crash, after warmUp.
-		lost   = 3
+		// warmUp is the time before targets crash.
 		warmUp = 2 * time.Second
 		// judged is the time after the loss in which callers go on to ask.
 		judged = 10 * time.Second
 	)
 	cases := map[string]struct {
-		gateways int
-		work     time.Duration
+		gateways, lost int
+		work           time.Duration
 	}{
-		"four gateways":     {4, 4500 * time.Millisecond},
-		"one gateway":       {1, 4500 * time.Millisecond},
-		"fourteen gateways": {14, 4500 * time.Millisecond},
+		"four gateways":     {4, 3, 4500 * time.Millisecond},
+		"one gateway":       {1, 3, 4500 * time.Millisecond},
+		"fourteen gateways": {14, 3, 4500 * time.Millisecond},
+		"all targets":       {4, 9, 1500 * time.Millisecond},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -55,7 +55,7 @@
 				}
 			})
 			pauseFor(warmUp)
-			for _, server := range engines[:lost] {
+			for _, server := range engines[:test.lost] {
 				_, err := f.platform.Restart(server)
 				is.NoErr(err)
 			}
@@ -78,7 +78,7 @@
 	}
 	var engines []*emulator.Server
 	for i := range count {
-		options := emulator.ServerOptions{ID: fmt.Sprintf("slow-%d", i), Work: work, Events: 6, Gap: 10 * time.Millisecond}
+		options := emulator.ServerOptions{ID: fmt.Sprintf("slow-%d", i), Work: work, Events: 6, Gap: 10 * time.Millisecond, KeepsID: true}
 		server, err := f.platform.AddServer("engine", "zone", "127.0.0.1:0", options)
 		is.New(t).NoErr(err)
 		engines = append(engines, server)
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -42,6 +42,12 @@
 	// partTrialDelay is how long after the last crash the first of them is sent. By then, requests
 	// that were in flight when the part was held have been answered.
 	partTrialDelay = 5 * time.Second
+	// accusedTrialDelay is how much longer that takes for a request that was in flight at a crash itself:
+	// another one tells more, since its crash could only have the part as its cause.
+	accusedTrialDelay = 2 * time.Second
+	// partDecisionTime is how long after the last crash of a part, or the start of its trial, a decision on it
+	// may come.
+	partDecisionTime = partTrialDelay + accusedTrialDelay + trialTimeout
 	// maxWorkspaces limits the workspaces in a record: with two, it holds for all.
 	maxWorkspaces = 2
 	// maxAnsweredParts limits the parts whose last answer is remembered, and maxHeardCrashes the
@@ -264,16 +270,30 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, part := range parts {
-		if e, ok := t.entries[part]; ok && e.trialCrashed() {
+		if e, ok := t.entries[part]; ok && t.convicted(e) {
 			return Fatal
 		}
 	}
 	return Doubtful
 }
 
-// PartTrialIn returns how long it takes until this process may send one request with all of the held
-// parts; negative if it won't. The rank is that of the process among the gateways, 0 for the first.
-func (t *Table) PartTrialIn(parts []Fingerprint, rank int, now time.Time) time.Duration {
+// convicted reports whether the target of a part's last trial crashed, and no request that had crashed others
+// was in flight there. The caller must hold t.mu.
+func (t *Table) convicted(e *entry) bool {
+	if !e.trialCrashed() {
+		return false
+	}
+	for _, other := range t.entries {
+		if !other.Fingerprint.IsPart() && other.Suspicious() && slices.Contains(other.Incarnations, e.TrialIncarnation) {
+			return false
+		}
+	}
+	return true
+}
+
+// PartTrialIn returns how long it takes until this process may send a request with all of the held parts, as
+// the only one; negative if it won't. The rank is that of the process among the gateways, 0 for the first.
+func (t *Table) PartTrialIn(parts []Fingerprint, request Fingerprint, rank int, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	wait := time.Duration(0)
@@ -282,22 +302,31 @@
 		if !ok || !e.AtLimit() {
 			continue
 		}
-		if e.trialCrashed() || e.Trials-e.UnrunTrials >= maxPartTrials {
+		if t.convicted(e) || e.Trials-e.UnrunTrials >= maxPartTrials {
 			return -1
 		}
 		delay := partTrialDelay
-		if e.TrialIncarnation != 0 {
+		if e.TrialIncarnation != 0 && !e.trialCrashed() {
 			delay = trialTimeout
 		}
+		if t.accused(request, now) {
+			delay += accusedTrialDelay
+		}
 		wait = max(wait, delay+time.Duration(rank)*trialStagger-now.Sub(e.changedAt))
 	}
 	return wait
 }
 
-// StartPartTrial starts a trial of held parts at an incarnation of a target if PartTrialIn allows it
-// now. The caller has to announce the changes to the other gateways before the trial ends.
-func (t *Table) StartPartTrial(parts []Fingerprint, rank int, incarnation Incarnation, now time.Time) (changes []Change, started bool) {
-	if t.PartTrialIn(parts, rank, now) != 0 {
+// accused reports whether targets crashed while a request was in flight there. The caller must hold t.mu.
+func (t *Table) accused(request Fingerprint, now time.Time) bool {
+	e, ok := t.entries[request]
+	return ok && !e.expired(now) && len(e.Incarnations) > 0
+}
+
+// StartPartTrial makes a request the trial of held parts, at an incarnation of a target, if PartTrialIn allows
+// it now. The caller has to announce the changes to the other gateways before the trial ends.
+func (t *Table) StartPartTrial(parts []Fingerprint, request Fingerprint, rank int, incarnation Incarnation, now time.Time) (changes []Change, started bool) {
+	if t.PartTrialIn(parts, request, rank, now) != 0 {
 		return nil, false
 	}
 	t.mu.Lock()
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -13,6 +13,8 @@
 	shop, clinic Workspace = 1, 2
 	// apart is the time between two crashes that count as two moments.
 	apart = momentLength
+	// unaccused is a request without crashes.
+	unaccused Fingerprint = 0
 )
 
 // partsOf returns the fingerprints of parts.
@@ -216,6 +218,42 @@
 	is.Equal(len(table.SuspiciousParts(Prompt{shop, partsOf("s")}, fatal, now)), 1)
 }
 
+// TestRequestBesideHeldParts guards against a sound request that is refused for good because the requests which
+// explain its crashes are held too early to be found: for parts of their prompts that it has as well.
+func TestRequestBesideHeldParts(t *testing.T) {
+	const sound Fingerprint = 7
+	cleared := func(table *Table, now time.Time) { table.PartsAnswered(partsOf("s"), now) }
+	crashed := func(table *Table, now time.Time) {
+		table.StartPartTrial(partsOf("s"), unaccused, 0, 9, now)
+		table.PartCrashed(partsOf("s")[0], shop, 9, now)
+	}
+	undecided := func(*Table, time.Time) {}
+	cases := map[string]struct {
+		decide func(table *Table, now time.Time)
+		after  time.Duration
+		want   Verdict
+	}{
+		"not decided":               {undecided, time.Second, Doubtful},
+		"not decided for long":      {undecided, partDecisionTime, Fatal},
+		"just cleared":              {cleared, time.Second, Doubtful},
+		"cleared, nothing else":     {cleared, coveredSettleTime, Fatal},
+		"its trial crashed as well": {crashed, time.Second, Fatal},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := New()
+			now := crashUnder(table, shop, time.Now(), partsOf("s"), 1, 2, 3, 4, 5)
+			for _, target := range []Incarnation{1, 3, 5} { // not at all of them
+				table.Crashed(sound, target, now.Add((time.Duration(target)-6)*apart))
+			}
+			now = now.Add(partTrialDelay)
+			test.decide(table, now)
+			is.Equal(table.Verdict(sound, now.Add(test.after), partsOf("s")...), test.want)
+		})
+	}
+}
+
 // TestPartTrial checks when one request with held parts is sent, and what its end decides.
 func TestPartTrial(t *testing.T) {
 	cases := map[string]struct {
@@ -249,18 +287,61 @@
 			parts := partsOf("f")
 			now := crashUnder(table, shop, time.Now(), parts, 1, 2, 3, 4)
 			last := now.Add(-apart)
-			is.Equal(table.PartTrialIn(parts, 0, last), partTrialDelay)
-			is.Equal(table.PartTrialIn(parts, 2, last), partTrialDelay+2*trialStagger)
-			_, started := table.StartPartTrial(parts, 0, 9, last.Add(partTrialDelay-1))
+			is.Equal(table.PartTrialIn(parts, unaccused, 0, last), partTrialDelay)
+			is.Equal(table.PartTrialIn(parts, unaccused, 2, last), partTrialDelay+2*trialStagger)
+			_, started := table.StartPartTrial(parts, unaccused, 0, 9, last.Add(partTrialDelay-1))
 			is.True(!started)
 			now = last.Add(partTrialDelay)
-			_, started = table.StartPartTrial(parts, 0, 9, now)
+			_, started = table.StartPartTrial(parts, unaccused, 0, 9, now)
 			is.True(started)
-			_, started = table.StartPartTrial(parts, 0, 10, now.Add(partTrialDelay))
+			_, started = table.StartPartTrial(parts, unaccused, 0, 10, now.Add(partTrialDelay))
 			is.True(!started) // one at a time
 			test.ends(table, parts[0], now)
-			is.Equal(table.PartTrialIn(parts, 0, now.Add(trialTimeout)), test.wait)
+			is.Equal(table.PartTrialIn(parts, unaccused, 0, now.Add(trialTimeout)), test.wait)
+			is.Equal(table.PartsVerdict(parts), test.verdict)
+		})
+	}
+}
+
+// TestPartTrialOfAccusedRequest guards against parts that are refused for good although a request crashes
+// targets by itself: one of its copies was the trial of its parts.
+func TestPartTrialOfAccusedRequest(t *testing.T) {
+	const (
+		accused Fingerprint = 7
+		target  Incarnation = 9
+	)
+	cases := map[string]struct {
+		crashes []Incarnation
+		request Fingerprint
+		wait    time.Duration
+		verdict Verdict
+	}{
+		"another request":                         {[]Incarnation{1, 2}, unaccused, 0, Fatal},
+		"the request itself":                      {[]Incarnation{1, 2}, accused, accusedTrialDelay, Doubtful},
+		"the request itself, with a single crash": {[]Incarnation{1}, accused, accusedTrialDelay, Doubtful},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := New()
+			parts := partsOf("f")
+			now := crashUnder(table, shop, time.Now(), parts, 1, 2, 3, 4).Add(-apart)
+			for _, crashed := range test.crashes {
+				table.Crashed(accused, crashed, now)
+			}
+			now = now.Add(partTrialDelay)
+			is.Equal(table.PartTrialIn(parts, test.request, 0, now), test.wait)
+			now = now.Add(test.wait)
+			_, started := table.StartPartTrial(parts, test.request, 0, target, now)
+			is.True(started)
+			table.PartCrashed(parts[0], shop, target, now)
+			if test.request == accused {
+				table.Crashed(accused, target, now)
+			}
 			is.Equal(table.PartsVerdict(parts), test.verdict)
+			if test.verdict == Doubtful {
+				is.Equal(table.PartTrialIn(parts, unaccused, 0, now.Add(partTrialDelay)), time.Duration(0)) // one more
+			}
 		})
 	}
 }
@@ -274,7 +355,7 @@
 	started := 0
 	for target := range Incarnation(10) {
 		now = now.Add(trialTimeout)
-		if _, ok := table.StartPartTrial(parts, 0, 20+target, now); ok {
+		if _, ok := table.StartPartTrial(parts, unaccused, 0, 20+target, now); ok {
 			started++
 		}
 	}
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -70,12 +70,38 @@
 		return Sendable
 	}
 	blame := t.blame(e, ownParts)
-	if e.heldForSilence() || blame.explained || e.mayBeCoincidence() || e.unsettled(blame, now) {
+	if e.heldForSilence() || blame.explained || e.mayBeCoincidence() || e.unsettled(blame, now) || t.partsUndecided(e, ownParts, now) {
 		return Doubtful
 	}
 	return Fatal
 }
 
+// partsUndecided reports whether a part of a request's own prompt, under which targets crashed without the
+// request as well, is held and no trial has decided yet, or has been cleared so lately that the requests held
+// for it, one of which may be at fault, have hardly come again. The caller must hold t.mu.
+func (t *Table) partsUndecided(e *entry, ownParts []Fingerprint, now time.Time) bool {
+	for _, fingerprint := range ownParts {
+		part, ok := t.entries[fingerprint]
+		if !ok || part.limitAt.IsZero() {
+			continue
+		}
+		age := now.Sub(part.changedAt)
+		if len(part.Incarnations) == 0 && age < coveredSettleTime {
+			return true
+		}
+		waiting := part.isHeld(now) && age < partDecisionTime && !t.convicted(part)
+		if waiting && !e.crashedWhenever(part) {
+			return true
+		}
+	}
+	return false
+}
+
+// crashedWhenever reports whether the request was in flight at all crashes of a part.
+func (e *entry) crashedWhenever(part *entry) bool {
+	return !slices.ContainsFunc(part.Incarnations, func(incarnation Incarnation) bool { return !slices.Contains(e.Incarnations, incarnation) })
+}
+
 // mayBeCoincidence reports whether all crashes of the request happened at one moment, as when a data centre
 // is lost while copies of it are in flight there, and no trial has shown that it crashes its target.
 func (e *entry) mayBeCoincidence() bool {
