After crashes at one moment, requests that run elsewhere decide on a part

Cause: a part that was in flight at crashes of a single moment had the benefit of the doubt for two seconds, whatever ran with it at targets that go on.

Its answer clears the part; its target's crash is a second moment. Crashes at several moments are judged as before, so a fatal part that comes steadily is held as early.

--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -14,8 +14,8 @@
 // answer to any request with a part clears it.
 //
 // A part that reaches its limit before it could be answered, as a new one does when a data centre is
-// lost, gets the benefit of the doubt for coincidenceTime. After that it is confirmed, which all
-// gateways learn. A confirmed part holds back the requests of the workspaces whose requests crashed
+// lost, gets the benefit of the doubt for coincidenceTime, and after crashes at a single moment for as long as
+// requests with it run at other targets. After that it is confirmed, which all gateways learn. A confirmed part holds back the requests of the workspaces whose requests crashed
 // targets, and those of all workspaces if several did: what a part is called is the callers' choice,
 // so one workspace can't hold back what others name alike.
 //
@@ -89,9 +89,13 @@
 }
 
 // Holds reports whether the part is to be held. running means that it has been in flight for a while
-// at other targets that haven't crashed.
+// at other targets that haven't crashed: after crashes at one moment, these decide.
 func (s PartSuspicion) Holds(running bool) bool {
-	return s.Confirmed || !s.InTime || s.Moments >= minMoments && !running
+	severalMoments := s.Moments >= minMoments
+	if running {
+		return s.Confirmed || severalMoments && !s.InTime
+	}
+	return s.Confirmed || severalMoments || !s.InTime
 }
 
 // limit is the number of crashes at which the subject of the record may be held.
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -201,6 +201,28 @@
 	is.True(other.SuspiciousParts(prompt, 0, now)[0].Holds(true))
 }
 
+// TestHoldsOfParts guards against a sound part that is held although the requests with it which run at targets that
+// go on are about to be answered: work took longer than the time of the doubt.
+func TestHoldsOfParts(t *testing.T) {
+	cases := map[string]struct {
+		suspicion         PartSuspicion
+		want, wantRunning bool
+	}{
+		"one moment, lately":       {PartSuspicion{InTime: true, Moments: 1}, false, false},
+		"one moment, long ago":     {PartSuspicion{Moments: 1}, true, false},
+		"two moments, lately":      {PartSuspicion{InTime: true, Moments: 2}, true, false},
+		"two moments, long ago":    {PartSuspicion{Moments: 2}, true, true},
+		"confirmed, at one moment": {PartSuspicion{Confirmed: true, InTime: true, Moments: 1}, true, true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(test.suspicion.Holds(false), test.want)
+			is.Equal(test.suspicion.Holds(true), test.wantRunning)
+		})
+	}
+}
+
 // TestRequestExplainsItsParts checks that a request which is fatal by itself doesn't hold back others
 // that share the parts of its prompt, and that its own parts don't excuse it.
 func TestRequestExplainsItsParts(t *testing.T) {
