--- a/internal/listen/steady_test.go
+++ b/internal/listen/steady_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 )
 
@@ -67,7 +68,7 @@
 				}
 				is.NoErr(ours.Close())
 				is.NoErr(server.Close())
-				<-ended
+				is.True(errors.Is(<-ended, http.ErrServerClosed))
 			})
 		})
 	}
