--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -1,7 +1,9 @@
 package emulator
 
 import (
+	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -19,6 +21,9 @@
 	Made     int64  `json:"made,omitempty"`
 	Lease    int64  `json:"lease,omitempty"`
 	Gone     bool   `json:"gone,omitempty"`
+
+	// encoded is the item as JSON. Each change is encoded once: many processes read the same large ones.
+	encoded []byte
 }
 
 // StoreFaults describe how the store misbehaves.
@@ -37,6 +42,9 @@
 	Delay time.Duration
 	// Garbage answers with bytes that are not JSON.
 	Garbage bool
+	// SlowChanges leaves watches that find changes unanswered until the caller disconnects, as if the
+	// response were so large that it took too long.
+	SlowChanges bool
 	// Endless answers with bytes without end.
 	Endless StoreEndless
 }
@@ -222,6 +230,7 @@
 		made = known.Made
 	}
 	changed := Item{Key: key, Value: slices.Clone(value), Revision: s.revision, Made: made, Lease: lease}
+	changed.encoded, _ = json.Marshal(changed) // a plain struct can always be encoded
 	s.items[key] = changed
 	s.recordChange(changed)
 }
@@ -232,7 +241,9 @@
 	}
 	s.revision++
 	delete(s.items, key)
-	s.recordChange(Item{Key: key, Revision: s.revision, Gone: true})
+	gone := Item{Key: key, Revision: s.revision, Gone: true}
+	gone.encoded, _ = json.Marshal(gone)
+	s.recordChange(gone)
 }
 
 // recordChange adds a change to the history and notifies the observer and all waiting calls.
@@ -348,6 +359,21 @@
 	return address[:at]
 }
 
+// replyItems answers with items in a field, and with further fields.
+func replyItems(w http.ResponseWriter, name string, items []Item, more bool, at int64) {
+	w.Header().Set("Content-Type", "application/json")
+	body := bufio.NewWriter(w)
+	_, _ = fmt.Fprintf(body, `{"more":%t,"at":%d,"%s":[`, more, at, name) // an error shows at Flush
+	for number, item := range items {
+		if number > 0 {
+			_ = body.WriteByte(',')
+		}
+		_, _ = body.Write(item.encoded)
+	}
+	_, _ = body.WriteString("]}\n")
+	_ = body.Flush() // the caller may have gone
+}
+
 func reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/emulator/store_calls.go
+++ b/internal/emulator/store_calls.go
@@ -25,37 +25,24 @@
 	}{item, at})
 }
 
-// rangeResponse is one page of a range.
-type rangeResponse struct {
-	Items []Item `json:"items"`
-	More  bool   `json:"more"`
-	At    int64  `json:"at"`
-}
-
 func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	s.mu.Lock()
-	answer := rangeResponse{Items: []Item{}, At: s.revision}
-	size := 0
+	var items []Item
+	more, at, size := false, s.revision, 0
 	for _, key := range slices.Sorted(maps.Keys(s.items)) {
 		if !strings.HasPrefix(key, query.Get("path_prefix")) || key <= query.Get("since_revision") {
 			continue
 		}
-		if len(answer.Items) == s.pageItems || size >= rangePageBytes {
-			answer.More = true
+		if len(items) == s.pageItems || size >= rangePageBytes {
+			more = true
 			break
 		}
-		answer.Items = append(answer.Items, s.items[key])
+		items = append(items, s.items[key])
 		size += len(s.items[key].Value)
 	}
 	s.mu.Unlock()
-	reply(w, http.StatusOK, answer)
-}
-
-// watchResponse is the response to a watch.
-type watchResponse struct {
-	Events []Item `json:"events"`
-	At     int64  `json:"at"`
+	replyItems(w, "items", items, more, at)
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -77,8 +64,11 @@
 		case compacted:
 			w.WriteHeader(http.StatusGone)
 			return
+		case faults.SlowChanges && len(events) > 0:
+			<-r.Context().Done()
+			return
 		case len(events) > 0 || timedOut:
-			reply(w, http.StatusOK, watchResponse{Events: events, At: at})
+			replyItems(w, "events", events, false, at)
 			return
 		}
 		select {
@@ -106,6 +96,12 @@
 	return events, false
 }
 
+// conflict is the response to a transaction whose conditions don't hold: the keys as they are.
+type conflict struct {
+	Items []Item `json:"items"`
+	At    int64  `json:"at"`
+}
+
 // transactionBody is the request body of a transaction.
 type transactionBody struct {
 	Expected []expected `json:"expected_revision"`
@@ -174,7 +170,7 @@
 		revisionsMatch = revisionsMatch && item.Revision == expected.Revision
 	}
 	if !revisionsMatch {
-		return http.StatusPreconditionFailed, rangeResponse{Items: current, At: s.revision}
+		return http.StatusPreconditionFailed, conflict{Items: current, At: s.revision}
 	}
 	if slices.ContainsFunc(body.Remove, isExternalKey) {
 		return http.StatusForbidden, struct{}{}
