--- a/internal/member/service_test.go
+++ b/internal/member/service_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -397,12 +398,12 @@
 // failingConn is a socket whose reads fail for a while.
 type failingConn struct {
 	*packetConn
-	failures int
-	reads    int
+	failures int64
+	reads    atomic.Int64
 }
 
 func (c *failingConn) ReadFromUDPAddrPort(buffer []byte) (int, netip.AddrPort, error) {
-	if c.reads++; c.reads <= c.failures {
+	if c.reads.Add(1) <= c.failures {
 		return 0, netip.AddrPort{}, syscall.ENOBUFS
 	}
 	return c.packetConn.ReadFromUDPAddrPort(buffer)
@@ -419,10 +420,10 @@
 		service := NewService(list, conn, ServiceOptions{BytesPerSecond: bytesPerSecond, ConfigRevision: func() uint64 { return 0 }}, log.New(io.Discard))
 		is.NoErr(service.Start(t.Context()))
 		synctest.Wait()
-		is.Equal(conn.reads, 1)
+		is.Equal(conn.reads.Load(), int64(1))
 		time.Sleep(failures * receivePause)
 		synctest.Wait()
-		is.Equal(conn.reads, failures+1) // it reads again
+		is.Equal(conn.reads.Load(), int64(failures+1)) // it reads again
 		is.NoErr(service.Close())
 	})
 }
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -48,11 +48,11 @@
 		monitor := NewMonitor(100, func(_ int64, high bool) { reports = append(reports, high) })
 		monitor.held = held.Load
 		is.NoErr(monitor.Start(t.Context()))
+		time.Sleep(monitorInterval / 2) // each check falls between two changes
 		for _, used := range []int64{10, 76, 90, 75, 99} {
 			held.Store(used)
 			time.Sleep(monitorInterval)
 		}
-		time.Sleep(monitorInterval / 2)
 		is.NoErr(monitor.Close())
 		is.Equal(reports, []bool{true, false, true})
 		is.True(heldByRuntime() > 0)
