A further signal to stop does not end a process in its last moments

What the platform sees: a process that has stopped as planned ("stopped" is its last line) ends by SIGTERM in place of exit code 0, which can't be told from a failure.

Cause: the handlers were taken away when the stop was done, while the process still had some instructions to go; SIGHUP the same.

Change: a process receives its signals until it has ended; nothing is taken away.

--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -21,9 +21,10 @@
 	stop, reload chan os.Signal
 }
 
-// Receive begins to receive signals. It is called before the settings are read, so that a change after
-// that leads to a signal. From then on, writing to a pipe without a reader is an error like others and
-// does not end the process.
+// Receive begins to receive signals, for the rest of the process's life: one that is sent once more in its last
+// moments must not make a planned stop look like a failure. It is called before the settings are read, so that
+// a change after that leads to a signal. From then on, writing to a pipe without a reader is an error like
+// others and does not end the process.
 func Receive() *Received {
 	signal.Ignore(syscall.SIGPIPE)
 	const lastTwo = 2
@@ -52,9 +53,3 @@
 		<-done
 	}
 }
-
-// Close stops receiving. Signals have their usual effect again, but for SIGPIPE.
-func (r *Received) Close() {
-	signal.Stop(r.stop)
-	signal.Stop(r.reload)
-}
--- a/internal/signals/signals_test.go
+++ b/internal/signals/signals_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"os/signal"
 	"syscall"
 	"testing"
 
@@ -11,12 +12,17 @@
 	"golang.org/x/sys/unix"
 )
 
+// receive begins to receive signals until the test ends.
+func receive(t *testing.T) *Received {
+	t.Cleanup(func() { signal.Reset(syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP) })
+	return Receive()
+}
+
 // TestSignalsAreKept guards against a signal that is lost, or ends the process, because it comes while
 // the process is busy with its start or its stop.
 func TestSignalsAreKept(t *testing.T) {
 	is := is.New(t)
-	received := Receive()
-	defer received.Close()
+	received := receive(t)
 	for range 3 {
 		is.NoErr(syscall.Kill(syscall.Getpid(), syscall.SIGHUP))
 	}
@@ -34,8 +40,7 @@
 
 // TestContextEndsWithoutSignal checks that a context that is not needed any more takes no signal.
 func TestContextEndsWithoutSignal(t *testing.T) {
-	received := Receive()
-	defer received.Close()
+	received := receive(t)
 	ctx, cancel := received.UntilStop(context.Background())
 	cancel()
 	<-ctx.Done()
@@ -46,8 +51,7 @@
 // TestBrokenPipe guards against a process that ends when the reader of its output does.
 func TestBrokenPipe(t *testing.T) {
 	is := is.New(t)
-	received := Receive()
-	defer received.Close()
+	receive(t)
 	reader, writer, err := os.Pipe()
 	is.NoErr(err)
 	defer func() { _ = writer.Close() }()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -48,6 +48,8 @@
 	// 17: a check used the time at which a request reached its server, but a proxy had held the
 	// request up for more than a second after it was admitted in time.
 	17,
+	// 7212: a second signal to stop, in the last moments of a planned stop, ended the process.
+	7212,
 }
 
 func envNumber(t *testing.T, name string, defaultValue int) int {
--- a/internal/soak/stuck_requests_test.go
+++ b/internal/soak/stuck_requests_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -24,6 +25,7 @@
 		"half a request of a caller":            func(s *soak, g *gateway) func() { return s.sendHalf(g.callers) },
 		"half a message of another gateway":     func(s *soak, g *gateway) func() { return s.sendHalf(g.peers) },
 		"a store that answers nothing any more": (*soak).silenceStore,
+		"signals to stop, again and again":      (*soak).stopAgain,
 	}
 	for name, begin := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -82,3 +84,26 @@
 	s.platform.Store.SetFaults(emulator.StoreFaults{Silent: true})
 	return func() {}
 }
+
+// stopAgain tells the gateway's process to stop again and again, without a pause, once it has been told so.
+func (s *soak) stopAgain(g *gateway) (wait func()) {
+	g.mu.Lock()
+	pid, done := g.cmd.Process.Pid, g.done
+	g.mu.Unlock()
+	var sender sync.WaitGroup
+	sender.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			default:
+			}
+			g.mu.Lock()
+			if g.stopSignal == syscall.SIGTERM {
+				_ = syscall.Kill(pid, syscall.SIGTERM) // it may have ended
+			}
+			g.mu.Unlock()
+		}
+	})
+	return sender.Wait
+}
--- a/pkg/cmd/gateway/gateway.go
+++ b/pkg/cmd/gateway/gateway.go
@@ -76,7 +76,6 @@
 
 func gatewayRun(opts *GatewayOptions) error {
 	received := signals.Receive()
-	defer received.Close()
 	ctx, cancel := received.UntilStop(context.Background())
 	defer cancel()
 	limitHeap()
--- a/pkg/cmdutil/run.go
+++ b/pkg/cmdutil/run.go
@@ -20,7 +20,6 @@
 // only.
 func RunProcess(streams *iostreams.IOStreams, role, file string, drainTimeout time.Duration) error {
 	received := signals.Receive()
-	defer received.Close()
 	ctx, cancel := received.UntilStop(context.Background())
 	defer cancel()
 	loaded, err := settings.LoadSettled(ctx, file, settings.Load, streams.ErrOut)
