--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -14,10 +14,11 @@
 // answer to any request with a part clears it.
 //
 // A part that reaches its limit before it could be answered, as a new one does when a data centre is
-// lost, gets the benefit of the doubt for coincidenceTime, and after crashes at a single moment for as long as
-// requests with it run at other targets. After that it is confirmed, which all gateways learn. A confirmed part holds back the requests of the workspaces whose requests crashed
-// targets, and those of all workspaces if several did: what a part is called is the callers' choice,
-// so one workspace can't hold back what others name alike.
+// lost, gets the benefit of the doubt for coincidenceTime, and after crashes at a single moment for as
+// long as requests with it run at other targets. After that it is confirmed, which all gateways learn.
+// A confirmed part holds back the requests of the workspaces whose requests crashed targets, and those
+// of all workspaces if several did: what a part is called is the callers' choice, so one workspace
+// can't hold back what others name alike.
 //
 // Of several parts that were in all crashes, each is confirmed, but only requests with all of them
 // are held back: the crashes of each part are explained by the others that a request lacks. If that
