Request lines tell how old the proof was when a stream's version was decided

Change: origin_proof_ms is by how much the proof of the newest targets was older than the request when its stream was bound (0 if newer, -1 if there was none); answers between gateways say whether the version is the only one of its service (sole), logged as peer_sole, also in the metric. No decision changes. An older build's answer counts as a record, as before.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -54,9 +54,11 @@
 	versionUncertain bool
 	originRecorded   bool
 	// originSource is how the version that began a resumed stream became known, and originTime how
-	// long it took to find out.
-	originSource OriginSource
-	originTime   time.Duration
+	// long it took to find out. originProofLag is by how much the proof of the newest targets was older
+	// than the request then; zero if it was newer, noProof if there was none.
+	originSource   OriginSource
+	originTime     time.Duration
+	originProofLag time.Duration
 	// triedIncarnations are the incarnations of targets that were sent the request.
 	triedIncarnations []string
 	attempts          []AttemptRecord
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -36,8 +36,8 @@
 	// SpreadOriginNow sends a record before it returns.
 	SpreadOriginNow(record origin.Record)
 	// FindOrigin asks other gateways which version began a stream. Those without a record answer with
-	// the only version of the service, if it is given. asked is the number of gateways that it asked.
-	FindOrigin(ctx context.Context, stream origin.Stream, service string) (version origin.Version, found bool, asked int)
+	// the only version of the service, if it is given.
+	FindOrigin(ctx context.Context, stream origin.Stream, service string) origin.Finding
 }
 
 // Origins records which versions began the streams of this gateway. It is safe for concurrent use.
@@ -141,8 +141,11 @@
 	OriginRecorded OriginSource = "recorded"
 	// OriginSole: the service has had only one version for as long as a stream may last.
 	OriginSole OriginSource = "sole"
-	// OriginPeer: another gateway told it.
+	// OriginPeer: another gateway has a record of the stream.
 	OriginPeer OriginSource = "peer"
+	// OriginPeerSole: another gateway told that the service has had only one version for as long as a
+	// stream may last.
+	OriginPeerSole OriginSource = "peer_sole"
 	// OriginUnknown: no gateway that could be asked knows it, or it is uncertain.
 	OriginUnknown OriginSource = "unknown"
 )
@@ -281,10 +284,23 @@
 	}
 	began := clock.Now()
 	refusal := c.findOrigin(ctx)
-	c.originTime = clock.Since(began)
+	c.originTime, c.originProofLag = clock.Since(began), c.proofLag()
 	return refusal
 }
 
+// noProof is the lag of a proof that there is not.
+const noProof = time.Duration(-1)
+
+// proofLag returns how much earlier than the request's arrival the targets were last proven to be the
+// newest: zero if that was later, and noProof if it has not happened.
+func (c *call) proofLag() time.Duration {
+	age, ok := c.gateway.Proof.Age(c.request.Arrived)
+	if !ok {
+		return noProof
+	}
+	return max(age, 0)
+}
+
 func (c *call) findOrigin(ctx context.Context) *fault.Error {
 	origins := c.gateway.Origins
 	if origins != nil && c.request.Resumes != "" {
@@ -305,11 +321,13 @@
 	if !c.drawsItsService() {
 		service = "" // only a record can tell
 	}
-	version, found, asked := origins.Peers.FindOrigin(ctx, c.stream(), service)
+	finding := origins.Peers.FindOrigin(ctx, c.stream(), service)
 	switch {
-	case found:
-		return c.bindTo(version, OriginPeer)
-	case asked == 0:
+	case finding.Known && finding.Sole:
+		return c.bindTo(finding.Version, OriginPeerSole)
+	case finding.Known:
+		return c.bindTo(finding.Version, OriginPeer)
+	case finding.Asked == 0:
 		return c.unknownOrigin(retryAfterOtherRouter)
 	}
 	return c.unknownOrigin(retryAfterShortage)
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -45,9 +45,12 @@
 	LastEventID string
 	// StreamVersion is the version that began the request's stream; empty if none did. OriginSource is
 	// how it became known for a request that resumes a stream, and OriginTime how long that took.
-	StreamVersion string
-	OriginSource  OriginSource
-	OriginTime    time.Duration
+	// OriginProofLag is by how much the proof of the newest targets was older than the request when that
+	// was decided: zero if it was newer, negative if there was none.
+	StreamVersion  string
+	OriginSource   OriginSource
+	OriginTime     time.Duration
+	OriginProofLag time.Duration
 	// Prompt lists the parts of the prompt; nil if the request has none.
 	Prompt []Part
 	// Fingerprint identifies the content of the request and its workspace: a retried request has
@@ -139,6 +142,7 @@
 		StreamVersion:    c.streamVersion,
 		OriginSource:     c.originSource,
 		OriginTime:       c.originTime,
+		OriginProofLag:   c.originProofLag,
 		Prompt:           c.request.Parts,
 		Fingerprint:      c.fingerprint,
 		HeldPart:         c.heldPart,
--- a/internal/gateway/resumed_version_test.go
+++ b/internal/gateway/resumed_version_test.go
@@ -31,12 +31,12 @@
 
 func (f *fakeOriginPeers) SpreadOriginNow(record origin.Record) { f.SpreadOrigin(record, "s") }
 
-func (f *fakeOriginPeers) FindOrigin(context.Context, origin.Stream, string) (origin.Version, bool, int) {
+func (f *fakeOriginPeers) FindOrigin(context.Context, origin.Stream, string) origin.Finding {
 	f.asked++
 	if f.version == "" {
-		return origin.Uncertain, false, 3
+		return origin.Finding{Asked: 3}
 	}
-	return origin.VersionOf("s", f.version), true, 3
+	return origin.Finding{Version: origin.VersionOf("s", f.version), Known: true, Asked: 3}
 }
 
 func (w *testGateway) resume(t *testing.T, path, resumes, lastEvent string) *recorder {
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -129,10 +129,19 @@
 	o.log.Info(EventRequest,
 		"id", record.ID, "ending", record.Ending, "status", record.Status,
 		"route", record.Route, "kind", record.Kind, "workspace", record.Workspace, "service", record.Service,
-		"session", record.Session, "resumes", record.Resumes, "last_event", record.LastEventID, "stream_version", record.StreamVersion, "origin", record.OriginSource, "origin_ms", wholeMillis(record.OriginTime), "prompt", describePrompt(record.Prompt), "print", record.Fingerprint, "held_part", record.HeldPart, "config", record.ConfigVersion, "proof_ms", wholeMillis(record.ProofAge), "stop_ms", wholeMillis(record.SinceStop), "queued_ms", wholeMillis(record.QueueTime), "waited_ms", wholeMillis(record.PrefillWait), "found", record.HolderLookup, "asked_ms", wholeMillis(record.HolderLookupTime),
+		"session", record.Session, "resumes", record.Resumes, "last_event", record.LastEventID, "stream_version", record.StreamVersion, "origin", record.OriginSource, "origin_ms", wholeMillis(record.OriginTime), "origin_proof_ms", describeProofLag(record.OriginProofLag), "prompt", describePrompt(record.Prompt), "print", record.Fingerprint, "held_part", record.HeldPart, "config", record.ConfigVersion, "proof_ms", wholeMillis(record.ProofAge), "stop_ms", wholeMillis(record.SinceStop), "queued_ms", wholeMillis(record.QueueTime), "waited_ms", wholeMillis(record.PrefillWait), "found", record.HolderLookup, "asked_ms", wholeMillis(record.HolderLookupTime),
 		"wanted_ms", wholeMillis(record.TargetLatency), "first_ms", wholeMillis(record.TimeToHead), "took_ms", wholeMillis(record.Took), "no_retry", record.RetryDenial, "attempts", describeAttempts(record.Attempts))
 }
 
+// describeProofLag returns by how many ms a proof was older than a request, rounded up, so that only a proof
+// that was newer gives zero; -1 if there was none.
+func describeProofLag(lag time.Duration) int64 {
+	if lag < 0 {
+		return -1
+	}
+	return int64((lag + time.Millisecond - 1) / time.Millisecond)
+}
+
 func wholeMillis(d time.Duration) int64 {
 	return d.Milliseconds()
 }
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -40,6 +40,18 @@
 	Expires time.Time
 }
 
+// Finding is what other gateways told of the version that began a stream.
+type Finding struct {
+	// Version is the version if Known is true; otherwise Uncertain.
+	Version Version
+	Known   bool
+	// Sole means that the gateway which told it has no record of the stream: the stream's service has had no
+	// other version.
+	Sole bool
+	// Asked is the number of gateways that were asked.
+	Asked int
+}
+
 // WhileRunning returns the record as it is kept while the stream may still be running: a caller may resume a
 // stream for at least twice the time that it may take.
 func (r Record) WhileRunning(now time.Time) Record {
--- a/internal/peer/origin_lookup.go
+++ b/internal/peer/origin_lookup.go
@@ -25,12 +25,7 @@
 	// waiting are the gateways that have not answered.
 	waiting []*peer
 	// settled receives one result.
-	settled chan originFinding
-}
-
-type originFinding struct {
-	version origin.Version
-	found   bool
+	settled chan origin.Finding
 }
 
 // answerOrigin answers a question.
@@ -39,7 +34,7 @@
 	if record, ok := s.origins.options.Table.Get(origin.Stream(question.GetStream()), now); ok {
 		answer.Version, answer.Uncertain = uint32(record.Version), record.Version == origin.Uncertain
 	} else if sole, ok := s.origins.options.Sole(question.GetService()); ok {
-		answer.Version = uint32(sole)
+		answer.Version, answer.Sole = uint32(sole), true
 	}
 	heartbeat := s.bareHeartbeatTo(from)
 	heartbeat.OriginAnswer = answer
@@ -56,17 +51,17 @@
 	known := answer.GetVersion() != uint32(origin.Uncertain)
 	if known || answer.GetUncertain() || len(lookup.waiting) == 0 {
 		delete(e.lookups, answer.GetNumber())
-		lookup.settled <- originFinding{version: origin.Version(answer.GetVersion()), found: known}
+		lookup.settled <- origin.Finding{Version: origin.Version(answer.GetVersion()), Known: known, Sole: answer.GetSole()}
 	}
 }
 
 // FindOrigin asks other gateways which version began a stream. Those without a record answer with the
-// only version of the service, unless it is empty. It returns when one of them knows, when all have answered, or after a short time. asked is the number of gateways that it
-// asked.
-func (s *Service) FindOrigin(ctx context.Context, stream origin.Stream, service string) (version origin.Version, found bool, asked int) {
+// only version of the service, unless it is empty. It returns when one of them knows, when all have
+// answered, or after a short time.
+func (s *Service) FindOrigin(ctx context.Context, stream origin.Stream, service string) origin.Finding {
 	number, lookup, asked := s.openOriginLookup(stream)
 	if asked == 0 {
-		return origin.Uncertain, false, 0
+		return origin.Finding{}
 	}
 	question := &wire.OriginQuestion{Number: number, Stream: uint64(stream), Service: service}
 	ticker := time.NewTicker(originAskInterval)
@@ -75,14 +70,17 @@
 		s.askOrigin(lookup, question)
 		select {
 		case finding := <-lookup.settled:
-			return finding.version, finding.found, asked
+			finding.Asked = asked
+			return finding
 		case <-ticker.C:
 			continue
 		case <-ctx.Done():
 		}
 		break
 	}
-	return s.closeOriginLookup(number, lookup, asked)
+	finding := s.closeOriginLookup(number, lookup)
+	finding.Asked = asked
+	return finding
 }
 
 // openOriginLookup opens a lookup and chooses the gateways to ask.
@@ -90,7 +88,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := s.currentView(clock.Now())
-	lookup = &originLookup{waiting: slices.Clone(current.live), settled: make(chan originFinding, 1)}
+	lookup = &originLookup{waiting: slices.Clone(current.live), settled: make(chan origin.Finding, 1)}
 	if current.large {
 		first := keepersOf(uint64(stream), current.live, s.hash, originAsked)
 		lookup.waiting = slices.DeleteFunc(first, func(p *peer) bool { return p == nil })
@@ -112,14 +110,14 @@
 }
 
 // closeOriginLookup ends a lookup. An answer may have arrived since.
-func (s *Service) closeOriginLookup(number uint32, lookup *originLookup, asked int) (origin.Version, bool, int) {
+func (s *Service) closeOriginLookup(number uint32, lookup *originLookup) origin.Finding {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.origins.lookups, number)
 	select {
 	case finding := <-lookup.settled:
-		return finding.version, finding.found, asked
+		return finding
 	default:
-		return origin.Uncertain, false, asked
+		return origin.Finding{}
 	}
 }
--- a/internal/peer/origins_test.go
+++ b/internal/peer/origins_test.go
@@ -133,10 +133,11 @@
 			if _, ok := asking.table.Get(testStream, time.Now()); ok && tc.found {
 				return // it is a keeper itself
 			}
-			version, found, asked := asking.service.FindOrigin(t.Context(), testStream, testService)
-			is.Equal(version, tc.version)
-			is.Equal(found, tc.found)
-			is.True(asked > 0)
+			finding := asking.service.FindOrigin(t.Context(), testStream, testService)
+			is.Equal(finding.Version, tc.version)
+			is.Equal(finding.Known, tc.found)
+			is.Equal(finding.Sole, tc.found && tc.sole != origin.Uncertain)
+			is.True(finding.Asked > 0)
 			is.Equal(len(asking.service.origins.lookups), 0)
 		})
 	}
@@ -271,9 +272,9 @@
 			if _, ok := asking.table.Get(testStream, time.Now()); ok {
 				return // it is a keeper itself
 			}
-			version, found, _ := asking.service.FindOrigin(t.Context(), testStream, testService)
-			is.True(found)
-			is.Equal(version, streamVersion)
+			finding := asking.service.FindOrigin(t.Context(), testStream, testService)
+			is.True(finding.Known)
+			is.Equal(finding.Version, streamVersion)
 		})
 	}
 }
@@ -285,9 +286,9 @@
 	_ = nodes[0].service.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, found, asked := nodes[1].service.FindOrigin(ctx, testStream, testService)
-	is.True(!found)
-	is.Equal(asked, 1)
+	finding := nodes[1].service.FindOrigin(ctx, testStream, testService)
+	is.True(!finding.Known)
+	is.Equal(finding.Asked, 1)
 }
 
 // TestStreamOriginSize limits the size in bytes of datagrams with records.
--- a/internal/process/reference_test.go
+++ b/internal/process/reference_test.go
@@ -97,7 +97,7 @@
 	is.New(t).Equal(len(lines), 2) // the ejection and the request
 	var fields map[string]any
 	is.New(t).NoErr(json.Unmarshal([]byte(lines[1]), &fields))
-	for _, name := range []string{"time", "level", "msg", "id", "ending", "status", "route", "kind", "workspace", "service", "session", "resumes", "last_event", "stream_version", "origin", "origin_ms", "print", "held_part", "config", "proof_ms", "stop_ms", "first_ms", "took_ms", "no_retry", "attempts"} {
+	for _, name := range []string{"time", "level", "msg", "id", "ending", "status", "route", "kind", "workspace", "service", "session", "resumes", "last_event", "stream_version", "origin", "origin_ms", "origin_proof_ms", "print", "held_part", "config", "proof_ms", "stop_ms", "first_ms", "took_ms", "no_retry", "attempts"} {
 		if _, ok := fields[name]; !ok {
 			t.Errorf("the log line of a request lacks %s", name)
 		}
