A failing test: streams of two versions at a gateway that is out of step

What callers saw: streams that a gateway out of step took up went on at another version. A new test of real processes shows it: four gateways, twelve targets of one version for 14 s, 150 streams a second of 0.75 s; then one gateway is cut off from the others and the store, or its process is stopped, and twelve targets of another version join 0.3 s later. Callers lose half of the streams, and take two of three of them up at that gateway, until 2 s after it is in step again.

A relay for each pair of gateways and direction stands between them and translates the addresses in heartbeats, so that the program needs nothing for it. TestMesh checks what arrives.

--- a/internal/emulator/streams.go
+++ b/internal/emulator/streams.go
@@ -46,11 +46,30 @@
 	// LoseEvery makes callers lose the connection of every so many-th stream in its middle, once;
 	// zero means never.
 	LoseEvery int
+	// Choose returns the address for an attempt at a stream, both numbered from 0; nil means round robin
+	// over Addresses.
+	Choose func(number, attempt int) string
+	// Observe is called with the attempts at each stream that has ended, in order; may be nil.
+	Observe func(attempts []StreamAttempt)
 
 	mu     sync.Mutex
 	counts StreamCounts
 }
 
+// StreamAttempt is one request of a caller for a stream.
+type StreamAttempt struct {
+	ID string
+	// Address is the address of the gateway.
+	Address string
+	// Resumes reports whether the request resumes the stream.
+	Resumes bool
+	SentAt  time.Time
+	// Status is zero if no response arrived.
+	Status int
+	// Versions are the versions of the events that arrived, each once, in the order of their first events.
+	Versions []string
+}
+
 // maxStreamAttempts bounds the requests of a caller for one stream.
 const maxStreamAttempts = 3
 
@@ -84,9 +103,14 @@
 	began, brokeOff time.Time
 	// mayLose is the number of events after which the caller loses its connection; zero for never.
 	mayLose int
+	// attempts are the requests sent so far.
+	attempts []StreamAttempt
 }
 
 func (c *StreamCallers) record(stream *callerStream) {
+	if c.Observe != nil {
+		c.Observe(stream.attempts)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	add := func(count *int, holds bool) {
@@ -114,15 +138,16 @@
 	}
 	for attempt := range maxStreamAttempts {
 		id := fmt.Sprintf("%s-%d-%d", c.Key, number, attempt)
-		addresses := c.awaitAddresses()
-		if len(addresses) == 0 {
+		address := c.choose(number, attempt)
+		if address == "" {
 			return stream
 		}
-		request, err := http.NewRequest(http.MethodPost, "http://"+addresses[(number+attempt)%len(addresses)]+c.Path, http.NoBody)
+		request, err := http.NewRequest(http.MethodPost, "http://"+address+c.Path, http.NoBody)
 		if err != nil {
 			return stream
 		}
 		c.setHeaders(request, id, number, stream)
+		stream.attempts = append(stream.attempts, StreamAttempt{ID: id, Address: address, Resumes: stream.resumed, SentAt: time.Now()})
 		wait, err := stream.readResponse(client, request, id)
 		if err == nil || stream.last == c.Events {
 			return stream
@@ -135,6 +160,18 @@
 	return stream
 }
 
+// choose returns the address for an attempt; empty if no gateway serves for long.
+func (c *StreamCallers) choose(number, attempt int) string {
+	if c.Choose != nil {
+		return c.Choose(number, attempt)
+	}
+	addresses := c.awaitAddresses()
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[(number+attempt)%len(addresses)]
+}
+
 // awaitAddresses returns the addresses of the gateways that serve. While there are none, it waits, as long
 // as callers do.
 func (c *StreamCallers) awaitAddresses() []string {
@@ -174,6 +211,7 @@
 		return 0, errors.Wrap(err, "send request")
 	}
 	defer func() { _ = response.Body.Close() }()
+	s.attempts[len(s.attempts)-1].Status = response.StatusCode
 	if response.StatusCode != http.StatusOK {
 		seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 		return time.Duration(seconds * float64(time.Second)), errors.Newf("status %d", response.StatusCode)
@@ -216,6 +254,9 @@
 		s.id, s.began = id, time.Now()
 	}
 	s.last = number
+	if current := &s.attempts[len(s.attempts)-1]; !seen[version] {
+		current.Versions = append(current.Versions, version)
+	}
 	s.versions[version], seen[version] = true, true
 }
 
--- a/internal/soak/killed_in_series_test.go
+++ b/internal/soak/killed_in_series_test.go
@@ -116,6 +116,9 @@
 	var seeds []string
 	const maxSeeds = 3
 	for i := range gateways {
+		if s.mesh != nil {
+			seeds = s.mesh.seeds(i, maxSeeds)
+		}
 		peers := s.addGateway(dir, fmt.Sprintf("gateway-%d", i), seeds)
 		seeds = append(seeds, peers)[:min(len(seeds)+1, maxSeeds)]
 	}
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -46,7 +46,12 @@
 
 // newProxy starts a proxy that forwards connections to an address, IP:port.
 func newProxy(upstream string) (*proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return newProxyAt("127.0.0.1:0", upstream)
+}
+
+// newProxyAt is like newProxy, for a proxy that listens on a given address.
+func newProxyAt(address, upstream string) (*proxy, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -107,7 +107,9 @@
 	// links are the proxies in front of the servers, in the same order.
 	links    []*proxy
 	gateways []*gateway
-	faults   sync.WaitGroup
+	// mesh are the relays between the gateways; nil if these reach each other directly.
+	mesh   *mesh
+	faults sync.WaitGroup
 
 	mu        sync.Mutex
 	calls     []call
--- a/internal/soak/system_test.go
+++ b/internal/soak/system_test.go
@@ -173,7 +173,7 @@
 	store, err := newProxy(s.platform.StoreAddress())
 	is.New(s.t).NoErr(err)
 	g := &gateway{id: id, settingsFile: filepath.Join(dir, id+".json"), callers: freeAddress(s.t), logFile: filepath.Join(dir, id+".log"), store: store}
-	g.ready, g.peers = freeAddress(s.t), freeAddress(s.t)
+	g.ready, g.peers = freeAddress(s.t), s.peerAddress(len(s.gateways))
 	settings := map[string]any{
 		"role": "gateway", "id": id, "data_center": "dc", "callers": g.callers, "ready": g.ready, "peers": g.peers,
 		"seeds": append([]string{}, seeds...), "store": store.address(), "revocation": revocation.String(), "grace": cmp.Or(s.grace, defaultGrace).String(),
@@ -248,6 +248,9 @@
 	for _, link := range s.links {
 		link.close()
 	}
+	if s.mesh != nil {
+		s.mesh.close()
+	}
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
