A resumed stream counts as of the only version by a proof newer than its request

What callers saw: streams taken up at a gateway that was cut off, or had stood still, went on at another version (ORDER), with nothing in the answer to show it.

Cause: that a service has had one version only was taken as known if the last proof of the list was at most 3 s old. It is a negative fact, true until the time of the proof: a stream may have begun later, elsewhere, at a version of which that proof knows nothing. The same in the answer of a gateway that another one asks. Class: something is taken as not there because nothing of it is known, on a proof that is older than the question.

Change: whoever binds a stream to the only version, for its own caller or in an answer to another gateway, first obtains a proof newer than the question, in 75 ms at most. In a small fleet the gateways that ask the store are asked, in a large one the parent, which asks its own; they read the store's revision and what they lack. No proof: records of others decide, otherwise the request is refused as before. What is held back while one version serves is judged as before: that claims nothing.

Gateways of internal/peer's tests can prove their content now, since an answer needs that; a new case says that without it the only version is not told.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -8,6 +8,7 @@
 package freshness
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -22,6 +23,8 @@
 	at time.Time
 	// unbrokenSince is the first proven time after the last gap.
 	unbrokenSince time.Time
+	// advanced is closed when the proven time advances; nil while nobody waits for that.
+	advanced chan struct{}
 }
 
 // Note records a proof for the time at; an older proof than the known one is ignored. The
@@ -36,6 +39,50 @@
 		p.unbrokenSince = at
 	}
 	p.at = at
+	if p.advanced != nil {
+		close(p.advanced)
+		p.advanced = nil
+	}
+}
+
+// Covers reports whether the proven time is not before a time: whatever was accepted until then has been
+// applied here.
+func (p *Proof) Covers(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.coversLocked(at)
+}
+
+func (p *Proof) coversLocked(at time.Time) bool {
+	return !p.at.IsZero() && !p.at.Before(at)
+}
+
+// Await waits until the proof covers a time. It returns false if the context ends before.
+func (p *Proof) Await(ctx context.Context, at time.Time) bool {
+	for {
+		advanced := p.untilCovers(at)
+		if advanced == nil {
+			return true
+		}
+		select {
+		case <-advanced:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// untilCovers returns a channel that is closed when the proven time advances; nil if the proof covers a time.
+func (p *Proof) untilCovers(at time.Time) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.coversLocked(at) {
+		return nil
+	}
+	if p.advanced == nil {
+		p.advanced = make(chan struct{})
+	}
+	return p.advanced
 }
 
 // UnbrokenFor returns for how long the proven times have followed each other without a gap until now;
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -1,7 +1,9 @@
 package freshness_test
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -23,6 +25,28 @@
 	is.Equal(age, time.Second)
 }
 
+// TestAwaitProof checks that a wait ends when a proof covers the time, and not with an older one.
+func TestAwaitProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		proof := new(freshness.Proof)
+		asked := time.Now()
+		is.True(!proof.Covers(asked))
+		go func() {
+			proof.Note(asked.Add(-1))
+			time.Sleep(time.Second)
+			proof.Note(asked)
+		}()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		is.True(proof.Await(ctx, asked))
+		is.Equal(time.Since(asked), time.Second)
+		is.True(proof.Covers(asked))
+		is.True(!proof.Await(ctx, asked.Add(1))) // nothing newer comes
+		is.Equal(time.Since(asked), time.Minute)
+	})
+}
+
 // TestUnbrokenProof guards against a process that takes what it knows for complete although it was cut
 // off in between.
 func TestUnbrokenProof(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,8 +69,11 @@
 	// Limiters limits what is sent to each service; nil means no limit.
 	Limiters *admission.Limiters
 	Proof    *freshness.Proof
-	Events   Recorder
-	Options  Options
+	// Prove makes the proof cover a time, within a short limit, and reports whether it does. Nil if no newer
+	// proof than the present one can be had.
+	Prove   func(ctx context.Context, since time.Time) bool
+	Events  Recorder
+	Options Options
 	// Stop is the planned stop of the process.
 	Stop shutdown.Stop
 	// Spools buffers what callers have not read yet; if nil, a slow caller delays its target.
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -151,7 +151,8 @@
 )
 
 // SoleOrigin returns the only version of a service if no other one, and no other service, can have begun
-// a stream that may still be resumed there.
+// a stream that may still be resumed there, until the time of the proof. A stream that began later may be of
+// another version: whoever binds one needs a proof that is newer than the stream.
 func (g *Gateway) SoleOrigin(service string) (origin.Version, bool) {
 	if g.moves.within("", minStreamLife, clock.Now()) {
 		return origin.Uncertain, false
@@ -199,6 +200,30 @@
 	return g.Balancer.SoleVersion(service, span, now)
 }
 
+// provenSoleVersion returns the only version of the call's service, if no other one can have begun a stream
+// that its caller resumes.
+func (c *call) provenSoleVersion(ctx context.Context) (string, bool) {
+	if _, ok := c.gateway.soleVersion(c.service, c.request.Patience); !ok || !c.drawsItsService() {
+		return "", false
+	}
+	if !c.gateway.proveNow(ctx) {
+		return "", false
+	}
+	// The new proof may have come with another version, or with a configuration that moved the route.
+	version, ok := c.gateway.soleVersion(c.service, c.request.Patience)
+	return version, ok && c.drawsItsService()
+}
+
+// proveNow obtains a proof that the content of the store is the newest, for a time that has not passed yet.
+// The stream of a request that has been read began before.
+func (g *Gateway) proveNow(ctx context.Context) bool {
+	now := clock.Check()
+	if g.Proof.Covers(now) {
+		return true
+	}
+	return g.Prove != nil && g.Prove(ctx, now)
+}
+
 // soleTime returns for how long a version must have been the only one to have begun a stream.
 func soleTime(patience, timeout time.Duration) time.Duration {
 	return max(minSoleTime, patience, timeout)
@@ -302,16 +327,18 @@
 }
 
 func (c *call) findOrigin(ctx context.Context) *fault.Error {
-	origins := c.gateway.Origins
-	if origins != nil && c.request.Resumes != "" {
-		if record, ok := origins.Table.Get(c.stream(), clock.Now()); ok {
-			return c.bindTo(record.Version, OriginRecorded)
-		}
+	if record, ok := c.recordedOrigin(); ok {
+		return c.bindTo(record.Version, OriginRecorded)
+	}
+	version, sole := c.provenSoleVersion(ctx)
+	if record, ok := c.recordedOrigin(); ok {
+		return c.bindTo(record.Version, OriginRecorded) // it has come meanwhile
 	}
-	if version, ok := c.gateway.soleVersion(c.service, c.request.Patience); ok && c.drawsItsService() {
+	if sole {
 		c.streamVersion, c.originSource = version, OriginSole
 		return nil
 	}
+	origins := c.gateway.Origins
 	if origins == nil || origins.Peers == nil {
 		return c.unknownOrigin(retryAfterShortage)
 	}
@@ -333,22 +360,38 @@
 	return c.unknownOrigin(retryAfterShortage)
 }
 
+// recordedOrigin returns this gateway's record of the call's stream.
+func (c *call) recordedOrigin() (origin.Record, bool) {
+	if c.gateway.Origins == nil || c.request.Resumes == "" {
+		return origin.Record{}, false
+	}
+	return c.gateway.Origins.Table.Get(c.stream(), clock.Now())
+}
+
 // bindTo binds the call to the version that began its stream, and to the service of that version.
 func (c *call) bindTo(began origin.Version, source OriginSource) *fault.Error {
 	if began == origin.Uncertain {
 		return c.unknownOrigin(retryAfterShortage)
 	}
+	c.originSource = source
+	if c.bindToListed(began) {
+		return nil
+	}
+	return fault.New(fault.NoTarget, fault.NotRun, "the route has no targets of the version that began the stream").After(retryAfterShortage)
+}
+
+// bindToListed binds the call to a version, and to its service, if the route has targets of it.
+func (c *call) bindToListed(began origin.Version) bool {
 	for _, share := range c.route.Split {
 		version, ok := c.gateway.Balancer.VersionNamed(share.Service, func(version string) bool {
 			return origin.VersionOf(share.Service, version) == began
 		})
 		if ok {
-			c.service, c.streamVersion, c.originSource = share.Service, version, source
-			return nil
+			c.service, c.streamVersion = share.Service, version
+			return true
 		}
 	}
-	c.originSource = source
-	return fault.New(fault.NoTarget, fault.NotRun, "the route has no targets of the version that began the stream").After(retryAfterShortage)
+	return false
 }
 
 func (c *call) unknownOrigin(retryAfter time.Duration) *fault.Error {
--- a/internal/gateway/resumed_version_test.go
+++ b/internal/gateway/resumed_version_test.go
@@ -77,6 +77,10 @@
 		proofAge time.Duration
 		// gapEnded is how long ago a gap between the proofs ended; zero for none.
 		gapEnded time.Duration
+		// provable means that a new proof can be had. It brings a target of the version brings, if that is
+		// not empty, and a record of the stream if recorded is true.
+		provable, recorded bool
+		brings             string
 	}{
 		"recorded here":                     {versions: []string{"v1", "v2", "v2"}, known: long, began: "v1", resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginRecorded},
 		"recorded here, list is old":        {versions: []string{"v1", "v2"}, known: long, began: "v1", resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginRecorded, proofAge: time.Minute},
@@ -97,6 +101,12 @@
 		"was cut off, a peer was not":       {versions: []string{"v1"}, known: long, told: "v1", resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginPeer, gapEnded: 5 * time.Second},
 		"was cut off long ago":              {versions: []string{"v1"}, known: long, resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginSole, gapEnded: time.Minute},
 		"a new stream, list may be old":     {versions: []string{"v1"}, known: long, version: "v1", proofAge: 4 * time.Second},
+		"proof is older than the request":   {versions: []string{"v1"}, known: long, resumes: "r1", lastEvent: "1", source: gateway.OriginUnknown, kind: fault.StreamUnknown, proofAge: time.Millisecond},
+		"proof is older, a peer knows":      {versions: []string{"v1"}, known: long, told: "v1", resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginPeer, proofAge: time.Millisecond},
+		"new proof brings nothing":          {versions: []string{"v1"}, known: long, resumes: "r1", lastEvent: "1", version: "v1", source: gateway.OriginSole, proofAge: time.Second, provable: true},
+		"new proof brings another version":  {versions: []string{"v1"}, known: long, resumes: "r1", lastEvent: "1", source: gateway.OriginUnknown, kind: fault.StreamUnknown, proofAge: time.Second, provable: true, brings: "v2"},
+		"new proof after a gap":             {versions: []string{"v1"}, known: long, resumes: "r1", lastEvent: "1", source: gateway.OriginUnknown, kind: fault.StreamUnknown, proofAge: 4 * time.Second, provable: true},
+		"record comes with the new proof":   {versions: []string{"v1"}, known: long, resumes: "r1", lastEvent: "1", version: "v2", source: gateway.OriginRecorded, proofAge: time.Second, provable: true, brings: "v2", recorded: true},
 		"one version, told another by peer": {versions: []string{"v2"}, known: short, told: "v1", resumes: "r1", lastEvent: "1", source: gateway.OriginPeer, kind: fault.NoTarget},
 	}
 	for name, tc := range cases {
@@ -137,6 +147,18 @@
 				if tc.began != "" {
 					w.gateway.Origins.Table.Put(origin.Record{Stream: origin.StreamOf("w", "r1"), Version: origin.VersionOf("s", tc.began), Expires: time.Now().Add(time.Minute)}, time.Now())
 				}
+				if tc.provable {
+					w.gateway.Prove = func(context.Context, time.Time) bool {
+						if tc.brings != "" {
+							w.gateway.Balancer.Put(balance.Target{ID: "new", Service: "s", Address: "new", Version: tc.brings}, time.Now())
+						}
+						if tc.recorded {
+							w.gateway.Origins.Table.Put(origin.Record{Stream: origin.StreamOf("w", "r1"), Version: origin.VersionOf("s", tc.brings), Expires: time.Now().Add(time.Minute)}, time.Now())
+						}
+						w.gateway.Proof.Note(time.Now())
+						return true
+					}
+				}
 				caller := w.resume(t, "/resumable/x", tc.resumes, tc.lastEvent)
 				record := caller.records[0]
 				is.Equal(record.OriginSource, tc.source)
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -256,6 +256,7 @@
 	s.table.discover(heartbeat.GetKnown(), s.options.Address)
 	if !heartbeat.GetBare() {
 		s.applyProof(heartbeat)
+		s.applyNewProof(heartbeat)
 	}
 	if !heartbeat.GetBrief() {
 		s.options.Balancer.Observe(from.id, countsOf(heartbeat), now)
@@ -272,6 +273,8 @@
 	switch {
 	case heartbeat.GetQuestion() != 0:
 		s.answerLookup(from, heartbeat, now)
+	case heartbeat.GetWantsNewProof():
+		s.answerProofQuestion(from, heartbeat, now)
 	case heartbeat.GetWantsProof():
 		s.send(from.address, s.briefHeartbeat(from, now), true)
 	}
--- a/internal/peer/origin_lookup.go
+++ b/internal/peer/origin_lookup.go
@@ -28,17 +28,38 @@
 	settled chan origin.Finding
 }
 
-// answerOrigin answers a question.
-func (s *Service) answerOrigin(from *peer, question *wire.OriginQuestion, now time.Time) {
+// answerOrigin answers a question: with the record, or with the only version of the service. That no other
+// version began the stream has to be proven for a time after the question. The caller must hold s.mu.
+func (s *Service) answerOrigin(from *peer, question *wire.OriginQuestion, received time.Time) {
+	mayBeSole := func() bool {
+		_, ok := s.origins.options.Sole(question.GetService())
+		return ok
+	}
+	if s.hasOrigin(question, received) || s.options.Prove == nil || s.proofs.answering >= maxProofAnswers || !mayBeSole() {
+		s.sendOriginAnswer(from, question, false)
+		return
+	}
+	s.prove(received, func(proven bool) { s.sendOriginAnswer(from, question, proven) })
+}
+
+// hasOrigin reports whether there is a record of the stream of a question.
+func (s *Service) hasOrigin(question *wire.OriginQuestion, now time.Time) bool {
+	_, ok := s.origins.options.Table.Get(origin.Stream(question.GetStream()), now)
+	return ok
+}
+
+// sendOriginAnswer sends the answer to a question. proven tells whether the targets are proven to be the
+// newest at a time after it. The caller must hold s.mu.
+func (s *Service) sendOriginAnswer(to *peer, question *wire.OriginQuestion, proven bool) {
 	answer := &wire.OriginAnswer{Number: question.GetNumber()}
-	if record, ok := s.origins.options.Table.Get(origin.Stream(question.GetStream()), now); ok {
+	if record, ok := s.origins.options.Table.Get(origin.Stream(question.GetStream()), clock.Now()); ok {
 		answer.Version, answer.Uncertain = uint32(record.Version), record.Version == origin.Uncertain
-	} else if sole, ok := s.origins.options.Sole(question.GetService()); ok {
+	} else if sole, ok := s.origins.options.Sole(question.GetService()); ok && proven {
 		answer.Version, answer.Sole = uint32(sole), true
 	}
-	heartbeat := s.bareHeartbeatTo(from)
+	heartbeat := s.bareHeartbeatTo(to)
 	heartbeat.OriginAnswer = answer
-	s.send(from.address, heartbeat, true)
+	s.send(to.address, heartbeat, true)
 }
 
 // settle takes in an answer.
--- a/internal/peer/origins_test.go
+++ b/internal/peer/origins_test.go
@@ -43,6 +43,7 @@
 	t.Helper()
 	table := origin.NewTable()
 	prepare := func(service *Service) {
+		proves(service)
 		starts(service)
 		service.origins.options = OriginOptions{Table: table, Sole: func(string) (origin.Version, bool) { return sole, sole != origin.Uncertain }, SoleAfter: func(string) time.Duration { return testSoleAfter }}
 	}
@@ -114,10 +115,18 @@
 			waitFor(t, "others have the record", func() bool { return holders(nodes[1:]) >= originKeepers-1 })
 			_ = nodes[0].service.Close()
 		}, streamVersion, true},
-		"it is unknown":              {4, 0, func(*testing.T, []*originNode) {}, 0, false},
-		"it is unknown, many":        {14, 0, func(*testing.T, []*originNode) {}, 0, false},
-		"it is uncertain":            {4, 0, func(t *testing.T, nodes []*originNode) { nodes[0].begin(origin.Uncertain) }, 0, false},
-		"there was only one version": {4, streamVersion, func(*testing.T, []*originNode) {}, streamVersion, true},
+		"it is unknown":                    {4, 0, func(*testing.T, []*originNode) {}, 0, false},
+		"it is unknown, many":              {14, 0, func(*testing.T, []*originNode) {}, 0, false},
+		"it is uncertain":                  {4, 0, func(t *testing.T, nodes []*originNode) { nodes[0].begin(origin.Uncertain) }, 0, false},
+		"there was only one version":       {4, streamVersion, func(*testing.T, []*originNode) {}, streamVersion, true},
+		"there was only one version, many": {14, streamVersion, func(*testing.T, []*originNode) {}, streamVersion, true},
+		"one version, not proven since": {4, streamVersion, func(_ *testing.T, nodes []*originNode) {
+			for _, n := range nodes {
+				n.service.mu.Lock()
+				n.service.options.Prove = func(context.Context, time.Time) bool { return false }
+				n.service.mu.Unlock()
+			}
+		}, 0, false},
 		"all others are lost": {4, 0, func(_ *testing.T, nodes []*originNode) {
 			for _, n := range nodes[:len(nodes)-1] {
 				_ = n.service.Close()
--- a/internal/peer/replica.go
+++ b/internal/peer/replica.go
@@ -23,7 +23,7 @@
 	if s.behindSince.IsZero() {
 		s.behindSince = now
 	}
-	if s.pulling || s.awaitsStore(now) {
+	if s.pulling || s.proofs.pending.at.IsZero() && s.awaitsStore(now) {
 		return
 	}
 	s.pulling = true
@@ -98,6 +98,7 @@
 		err = s.applyPage(reply, asked)
 	}
 	s.options.Watcher.ReplicaFetched(id, from, s.options.Replica.Revision(), err)
+	s.settlePendingProof()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pulling = false
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -64,6 +64,7 @@
 	store    *observe.Dependency
 	peers    *peer.Service
 	crashes  *gateway.Crashes
+	prover   *prover
 	// heldBudget limits the bytes buffered for callers.
 	heldBudget *spool.Budget
 	rollouts   *rollout.Controller
@@ -111,6 +112,8 @@
 	p.gateway.Origins = &gateway.Origins{Table: origin.NewTable(), Running: origin.NewTable()}
 	p.store = p.observer.NewStoreDependency()
 	p.feed = platform.NewFeed(platform.NewStore(s.Store), &sink{process: p, notifyPeers: p.notifyPeers}, p.storeRole, p.yieldsToPeers)
+	p.prover = newProver(p)
+	p.gateway.Prove = p.prover.Prove
 	p.front = &platform.Front{Gateway: p.gateway, BodyBudget: p.heldBudget}
 	observe.RegisterGauges(registry, p.gauges())
 	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -42,6 +42,7 @@
 		Proof:    p.gateway.Proof,
 		Balancer: p.gateway.Balancer,
 		Watcher:  peerWatcher{p.observer, p},
+		Prove:    p.prover.ProveForPeer,
 
 		Quarantine: p.crashes.Table,
 		Origins:    peer.OriginOptions{Table: p.gateway.Origins.Table, Running: p.gateway.Origins.Running, Sole: p.gateway.SoleOrigin, SoleAfter: p.gateway.SoleOriginAfter},
--- /dev/null
+++ b/internal/process/gateway_proof.go
@@ -0,0 +1,110 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/capersaddle/capersaddle/internal/clock"
+)
+
+const (
+	// proveTimeout limits the wait for a new proof: other gateways are asked three times meanwhile.
+	proveTimeout = 75 * time.Millisecond
+	// askOthersAfter is the time that the store has to answer, a few times what it takes, before a gateway
+	// that asks it also asks other gateways, or one that asked others in vain asks the store.
+	askOthersAfter = 25 * time.Millisecond
+	// confirmsPerSecond and confirmBurst limit the calls to the store for new proofs. Requests that come
+	// while one is under way share the next one.
+	confirmsPerSecond = 50
+	confirmBurst      = 10
+)
+
+// prover obtains new proofs that this process's content of the store is the newest.
+type prover struct {
+	process *GatewayProcess
+	limiter *rate.Limiter
+	// turn is held during a call to the store.
+	turn chan struct{}
+}
+
+func newProver(p *GatewayProcess) *prover {
+	return &prover{process: p, limiter: rate.NewLimiter(confirmsPerSecond, confirmBurst), turn: make(chan struct{}, 1)}
+}
+
+// Prove makes the process's proof cover a time, within proveTimeout, and reports whether it does.
+func (p *prover) Prove(ctx context.Context, since time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, proveTimeout)
+	defer cancel()
+	first, second := p.confirm, p.askOthers
+	if p.follows() {
+		first, second = p.askOthers, p.confirm
+	}
+	return p.proveBy(ctx, since, first, second)
+}
+
+// ProveForPeer is Prove for another gateway that asks for a proof. It asks no gateway in a small fleet, in
+// which all ask the same ones.
+func (p *prover) ProveForPeer(ctx context.Context, since time.Time) bool {
+	if p.process.peers.Many() {
+		return p.Prove(ctx, since)
+	}
+	p.confirm(ctx, since)
+	return p.process.gateway.Proof.Covers(since)
+}
+
+// follows reports whether other gateways ask the store for this one.
+func (p *prover) follows() bool {
+	return p.process.peers != nil && !p.process.peers.Leads()
+}
+
+// proveBy tries one way to obtain a proof and, if that takes too long, also another one.
+func (p *prover) proveBy(ctx context.Context, since time.Time, first, second func(ctx context.Context, since time.Time)) bool {
+	proof := p.process.gateway.Proof
+	ctx, cancel := context.WithCancel(ctx)
+	patience, endPatience := context.WithTimeout(ctx, askOthersAfter)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		first(ctx, since)
+		endPatience()
+	}()
+	defer func() {
+		cancel()
+		<-done
+		endPatience()
+	}()
+	if proof.Await(patience, since) || proof.Covers(since) {
+		return true
+	}
+	second(ctx, since)
+	return proof.Await(ctx, since)
+}
+
+// askOthers asks other gateways for a proof.
+func (p *prover) askOthers(ctx context.Context, since time.Time) {
+	if p.process.peers != nil {
+		p.process.peers.AskProof(ctx, since)
+	}
+}
+
+// confirm asks the store for a proof, unless a call that began later than since brings one.
+func (p *prover) confirm(ctx context.Context, since time.Time) {
+	select {
+	case p.turn <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-p.turn }()
+	if p.process.gateway.Proof.Covers(since) || p.limiter.Wait(ctx) != nil {
+		return
+	}
+	began := clock.Now()
+	if err := p.process.feed.Confirm(ctx); err != nil && ctx.Err() == nil {
+		p.process.log.Debug(eventProofFailed, "error", err, "took_ms", clock.Since(began).Milliseconds())
+	}
+}
+
+// eventProofFailed is the event of a call to the store that brought no proof.
+const eventProofFailed = "proof_failed"
