A record of a version that is not listed here makes the list be fetched

Cause: the record proves that the list is behind, and the gateway did not act on it.

Change: before it refuses, the gateway obtains a proof newer than the request, as for an only version, which fetches what is missing, and looks again. A version whose targets have left costs one question more.

TestResumedStreamKeepsItsVersion: its two new cases fail without the question. How the list itself comes late is another fault.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -328,11 +328,11 @@
 
 func (c *call) findOrigin(ctx context.Context) *fault.Error {
 	if record, ok := c.recordedOrigin(); ok {
-		return c.bindTo(record.Version, OriginRecorded)
+		return c.bindTo(ctx, record.Version, OriginRecorded)
 	}
 	version, sole := c.provenSoleVersion(ctx)
 	if record, ok := c.recordedOrigin(); ok {
-		return c.bindTo(record.Version, OriginRecorded) // it has come meanwhile
+		return c.bindTo(ctx, record.Version, OriginRecorded) // it has come meanwhile
 	}
 	if sole {
 		c.streamVersion, c.originSource = version, OriginSole
@@ -351,9 +351,9 @@
 	finding := origins.Peers.FindOrigin(ctx, c.stream(), service)
 	switch {
 	case finding.Known && finding.Sole:
-		return c.bindTo(finding.Version, OriginPeerSole)
+		return c.bindTo(ctx, finding.Version, OriginPeerSole)
 	case finding.Known:
-		return c.bindTo(finding.Version, OriginPeer)
+		return c.bindTo(ctx, finding.Version, OriginPeer)
 	case finding.Asked == 0:
 		return c.unknownOrigin(retryAfterOtherRouter)
 	}
@@ -369,12 +369,13 @@
 }
 
 // bindTo binds the call to the version that began its stream, and to the service of that version.
-func (c *call) bindTo(began origin.Version, source OriginSource) *fault.Error {
+func (c *call) bindTo(ctx context.Context, began origin.Version, source OriginSource) *fault.Error {
 	if began == origin.Uncertain {
 		return c.unknownOrigin(retryAfterShortage)
 	}
 	c.originSource = source
-	if c.bindToListed(began) {
+	// A version that is not known here has no targets any more, or is newer than the list of targets.
+	if c.bindToListed(began) || c.gateway.proveNow(ctx) && c.bindToListed(began) {
 		return nil
 	}
 	return fault.New(fault.NoTarget, fault.NotRun, "the route has no targets of the version that began the stream").After(retryAfterShortage)
--- a/internal/gateway/resumed_version_test.go
+++ b/internal/gateway/resumed_version_test.go
@@ -107,6 +107,8 @@
 		"new proof brings another version":  {versions: []string{"v1"}, known: long, resumes: "r1", lastEvent: "1", source: gateway.OriginUnknown, kind: fault.StreamUnknown, proofAge: time.Second, provable: true, brings: "v2"},
 		"new proof after a gap":             {versions: []string{"v1"}, known: long, resumes: "r1", lastEvent: "1", source: gateway.OriginUnknown, kind: fault.StreamUnknown, proofAge: 4 * time.Second, provable: true},
 		"record comes with the new proof":   {versions: []string{"v1"}, known: long, resumes: "r1", lastEvent: "1", version: "v2", source: gateway.OriginRecorded, proofAge: time.Second, provable: true, brings: "v2", recorded: true},
+		"recorded, targets not listed yet":  {versions: []string{"v1"}, known: long, began: "v2", resumes: "r1", lastEvent: "1", version: "v2", source: gateway.OriginRecorded, proofAge: time.Second, provable: true, brings: "v2"},
+		"told, targets not listed yet":      {versions: []string{"v1"}, known: short, told: "v2", resumes: "r1", lastEvent: "1", version: "v2", source: gateway.OriginPeer, proofAge: time.Second, provable: true, brings: "v2"},
 		"one version, told another by peer": {versions: []string{"v2"}, known: short, told: "v1", resumes: "r1", lastEvent: "1", source: gateway.OriginPeer, kind: fault.NoTarget},
 	}
 	for name, tc := range cases {
