A copy that skipped history no longer counts as unbroken

What callers saw: a stream that another version had begun could go on at the version that its gateway took for the only one, although each answer and each proof was in order.

Cause: freshness.Proof.UnbrokenFor says for how long the newest state was known without a gap of over 3 s. soleVersion needs more: that this gateway has seen each version that came and went. Three ways to be up to date leave that out: a whole read of the store, after its history was compacted or after slow calls; a whole page of a peer, which follows from such a read; and a removal of a target that this copy never knew, or knew as removed. The latter comes with each page of changes, since a page holds the last state of a key.

Ruled out: asking for a fresh proof at the resumed request. It shows that the newest state is known, which is true here.

The copy now reports what it has skipped, before it reaches the revision after it, and the proof's time without a gap begins anew. Records of streams are then sent and asked for as after any gap, for 10 s or the longest time limit of the service's streams.

A whole reading that shows each change since the copy's revision skips nothing: each change raises the store's revision by one, and all of them are among the items. So a compaction at a calm time is no gap. Nor does the copy then forget which removals it knows: until now each whole read also made all others fetch whole pages from it.

Limit: a target that begins at a second version and again at the first one, both within one page of changes, is still not seen.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -21,7 +21,7 @@
 type Proof struct {
 	mu sync.Mutex
 	at time.Time
-	// unbrokenSince is the first proven time after the last gap.
+	// unbrokenSince is the first proven time after the last gap, or the time of a later break.
 	unbrokenSince time.Time
 	// advanced is closed when the proven time advances; nil while nobody waits for that.
 	advanced chan struct{}
@@ -36,7 +36,7 @@
 		return
 	}
 	if p.at.IsZero() || at.Sub(p.at) > MaxGap {
-		p.unbrokenSince = at
+		p.breakAt(at)
 	}
 	p.at = at
 	if p.advanced != nil {
@@ -85,6 +85,22 @@
 	return p.advanced
 }
 
+// Break records that what was added and removed again until a time may never have been known here, as in
+// a gap.
+func (p *Proof) Break(at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.breakAt(at)
+}
+
+// breakAt begins the time without a gap at a given time, or later if it already does. The caller must hold
+// p.mu.
+func (p *Proof) breakAt(at time.Time) {
+	if at.After(p.unbrokenSince) {
+		p.unbrokenSince = at
+	}
+}
+
 // UnbrokenFor returns for how long the proven times have followed each other without a gap until now;
 // zero if there is none, or if the last one is too old.
 func (p *Proof) UnbrokenFor(now time.Time) time.Duration {
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -64,3 +64,28 @@
 	is.Equal(proof.UnbrokenFor(now.Add(freshness.MaxGap)), freshness.MaxGap-1)
 	is.Equal(proof.UnbrokenFor(now), time.Duration(0)) // a time before the gap's end
 }
+
+// TestBrokenProof guards against a process that takes what it knows for complete although it has passed
+// over a part of the history.
+func TestBrokenProof(t *testing.T) {
+	is := is.New(t)
+	proof, start := new(freshness.Proof), time.Unix(100, 0)
+	proof.Break(start) // before any proof
+	is.Equal(proof.UnbrokenFor(start), time.Duration(0))
+	proof.Note(start.Add(time.Second))
+	proof.Note(start.Add(3 * time.Second))
+	now := start.Add(4 * time.Second)
+	is.Equal(proof.UnbrokenFor(now), 3*time.Second)
+	proof.Break(now)
+	proof.Note(start.Add(3500 * time.Millisecond)) // of a time before the break
+	is.Equal(proof.UnbrokenFor(now), time.Duration(0))
+	proof.Break(now.Add(-time.Second)) // an earlier break changes nothing
+	proof.Note(now.Add(time.Second))
+	is.Equal(proof.UnbrokenFor(now.Add(2*time.Second)), 2*time.Second)
+	age, _ := proof.Age(now.Add(2 * time.Second))
+	is.Equal(age, time.Second) // the newest state is as well known as before
+	later := now.Add(time.Minute)
+	proof.Break(later)
+	proof.Note(later.Add(-time.Second)) // after a gap, but of a time before the break
+	is.Equal(proof.UnbrokenFor(later), time.Duration(0))
+}
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -89,6 +89,11 @@
 	s.notifyPeers()
 }
 
+// Skipped is called when targets may have come and gone that were never known here.
+func (s *sink) Skipped() {
+	s.process.gateway.Proof.Break(clock.Now())
+}
+
 // Evacuated is called when a data centre is evacuated, so that nothing more may be sent to its
 // targets, or when that is reverted. It notifies the other gateways immediately, because it must
 // be in force within seconds.
--- a/internal/replica/page.go
+++ b/internal/replica/page.go
@@ -136,12 +136,6 @@
 	item.Packed = r.packed
 }
 
-// receivedItem is an unpacked item of a page.
-type receivedItem struct {
-	Item
-	patches []patch
-}
-
 // Absorb applies another process's page. A page that can't be unpacked changes nothing.
 func (c *Copy) Absorb(page *wire.ReplicaPage) error {
 	sent, err := itemsOf(page)
@@ -161,22 +155,23 @@
 
 // applyPage applies the items of a page. The caller must hold c.mu.
 func (c *Copy) applyPage(sent []*wire.ReplicaItem, whole bool, revision int64) error {
-	items := make([]receivedItem, 0, len(sent))
+	items, patches := make([]Item, 0, len(sent)), make([][]patch, 0, len(sent))
 	for _, packed := range sent {
-		item, err := c.unpack(packed)
+		item, received, err := c.unpack(packed)
 		c.needsWhole = err != nil
 		if err != nil {
 			return errors.Wrapf(err, "key %q at revision %d", packed.GetKey(), packed.GetRevision())
 		}
-		items = append(items, item)
+		items, patches = append(items, item), append(patches, received)
 	}
 	if whole {
 		c.readable = true
+		c.noteWhole(items, revision)
 	}
 	present := make(map[string]bool, len(items))
-	for _, item := range items {
+	for i, item := range items {
 		present[item.Key] = true
-		c.applyChange(item.Item, item.patches)
+		c.applyChange(item, patches[i])
 	}
 	if whole {
 		c.dropMissing(present, revision)
@@ -184,23 +179,22 @@
 	return nil
 }
 
-// unpack reads one item of a page. The caller must hold c.mu.
-func (c *Copy) unpack(packed *wire.ReplicaItem) (receivedItem, error) {
-	item := receivedItem{Item: Item{Key: packed.GetKey(), Value: packed.GetValue(), Revision: packed.GetRevision(), Gone: packed.GetGone()}}
+// unpack reads one item of a page, and the patches that brought it. The caller must hold c.mu.
+func (c *Copy) unpack(packed *wire.ReplicaItem) (item Item, patches []patch, err error) {
+	item = Item{Key: packed.GetKey(), Value: packed.GetValue(), Revision: packed.GetRevision(), Gone: packed.GetGone()}
 	rec := c.records[item.Key]
 	if rec != nil && rec.Revision >= item.Revision {
-		return item, nil // applyChange will ignore it
+		return item, nil, nil // applyChange will ignore it
 	}
-	var err error
 	switch {
 	case packed.GetKept():
 		err = errNotHeld
 	case len(packed.GetPatches()) > 0:
-		item.Value, item.patches, err = rec.applyPatches(packed.GetPatches(), item.Revision)
+		item.Value, patches, err = rec.applyPatches(packed.GetPatches(), item.Revision)
 	case len(packed.GetPacked()) > 0:
 		item.Value, err = decompress(packed.GetPacked(), nil)
 	}
-	return item, err
+	return item, patches, err
 }
 
 var errNotHeld = errors.New("page omits a value that this copy does not hold")
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -31,6 +31,11 @@
 // Copy is a copy of the store's content. It is safe for concurrent use. Its ChangeFunc is called by one
 // goroutine at a time, in the order of the changes, while others may read the copy.
 type Copy struct {
+	// OnSkipped is called when values of a key may have come and gone without a call of the ChangeFunc,
+	// before the copy reaches a revision after them; the key is empty if any may have. It must be set
+	// before the first change; nil if this doesn't matter.
+	OnSkipped func(key string)
+
 	onChange ChangeFunc
 	// startupOnly are the keys, or prefixes of keys that end with a slash, that only a starting process
 	// needs. Their changes are not passed on to copies that hold the rest, and no patches of them are
@@ -43,6 +48,8 @@
 	mu sync.Mutex
 	// changed are the changes for which onChange is still to be called.
 	changed []Item
+	// skipped are the keys for which OnSkipped is still to be called.
+	skipped []string
 	// records includes removed keys, so that an older change can't restore them.
 	records  map[string]*record
 	revision int64
@@ -144,6 +151,7 @@
 	readable, _ := c.update(revision, revision, func() error {
 		present := make(map[string]bool, len(items))
 		c.readable = true
+		c.noteWhole(items, revision)
 		for _, item := range items {
 			present[item.Key] = true
 			c.applyChange(item, nil)
@@ -154,6 +162,45 @@
 	return readable
 }
 
+// noteWhole records what a whole reading made at a revision leaves out, unless it shows each change since the
+// copy's own revision: removals up to its revision may be unknown, and values of any key may have come and
+// gone. The caller must hold c.mu.
+func (c *Copy) noteWhole(items []Item, revision int64) {
+	if c.showsAllSince(items, revision) {
+		return
+	}
+	c.floor = max(c.floor, revision)
+	if c.revision > 0 {
+		c.skipped = append(c.skipped, "")
+	}
+}
+
+// noteUnseen records that values of a key have come and gone before its removal at a revision. The caller
+// must hold c.mu.
+func (c *Copy) noteUnseen(key string, revision int64) {
+	if revision > c.revision {
+		c.skipped = append(c.skipped, key)
+	}
+}
+
+// showsAllSince reports whether a whole reading made at a revision shows each change since the copy's own
+// one: each change raises the store's revision by one. The caller must hold c.mu.
+func (c *Copy) showsAllSince(items []Item, revision int64) bool {
+	if revision <= c.revision {
+		return true
+	}
+	shown := make(map[int64]bool)
+	for _, item := range items {
+		if item.Revision > revision {
+			return false // it may have replaced a value that was never read
+		}
+		if item.Revision > c.revision {
+			shown[item.Revision] = true
+		}
+	}
+	return int64(len(shown)) == revision-c.revision
+}
+
 // update applies changes up to a revision, calls onChange with those that were new, and only then
 // records that the revision, and the one of the last change that is passed on, are reached. onChange is
 // called without c.mu: it may wait for goroutines that read the copy. An error of apply leaves the
@@ -163,9 +210,14 @@
 	defer c.updating.Unlock()
 	c.mu.Lock()
 	err = apply()
-	changed := c.changed
-	c.changed = nil
+	changed, skipped := c.changed, c.skipped
+	c.changed, c.skipped = nil, nil
 	c.mu.Unlock()
+	for _, key := range skipped {
+		if c.OnSkipped != nil {
+			c.OnSkipped(key)
+		}
+	}
 	readable = true
 	for _, change := range changed {
 		if !c.onChange(change) {
@@ -182,10 +234,8 @@
 	return c.advanceTo(revision), nil
 }
 
-// dropMissing removes the keys that a whole reading made at a revision lacks. Keys that were added
-// and removed again before it were never known here. The caller must hold c.mu.
+// dropMissing removes the keys that a whole reading made at a revision lacks. The caller must hold c.mu.
 func (c *Copy) dropMissing(present map[string]bool, revision int64) {
-	c.floor = max(c.floor, revision)
 	for _, key := range slices.Sorted(maps.Keys(c.records)) {
 		rec := c.records[key]
 		if !rec.Gone && !present[key] && rec.Revision <= revision {
@@ -212,8 +262,12 @@
 		// Other copies may hold a key that this copy never knew, so pages for them have to be
 		// whole.
 		c.floor = max(c.floor, change.Revision)
+		c.noteUnseen(change.Key, change.Revision)
 		return
 	}
+	if ok && rec.Gone && change.Gone {
+		c.noteUnseen(change.Key, change.Revision)
+	}
 	updated := &record{Item: change}
 	c.records[change.Key] = updated
 	c.changed = append(c.changed, change)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -20,19 +20,24 @@
 	*replica.Copy
 	values  map[string]string
 	changes int
+	// read holds the revision of the last value of each key that was passed on, and skipped the keys for
+	// which OnSkipped was called.
+	read    map[string]int64
+	skipped []string
 }
 
 func newTestCopy(startupOnly ...string) *testCopy {
-	k := &testCopy{values: make(map[string]string)}
+	k := &testCopy{values: make(map[string]string), read: make(map[string]int64)}
 	k.Copy = replica.New(func(change replica.Item) bool {
 		k.changes++
 		if change.Gone {
 			delete(k.values, change.Key)
 			return true
 		}
-		k.values[change.Key] = string(change.Value)
+		k.values[change.Key], k.read[change.Key] = string(change.Value), change.Revision
 		return string(change.Value) != "unreadable"
 	}, startupOnly...)
+	k.OnSkipped = func(key string) { k.skipped = append(k.skipped, key) }
 	return k
 }
 
@@ -316,6 +321,113 @@
 	})
 }
 
+// TestSkippedHistoryIsReported guards against a copy that counts as having seen all that came and went,
+// although a key was added and removed again in a part of the history that it never read.
+func TestSkippedHistoryIsReported(t *testing.T) {
+	keys := []string{"a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		var history []replica.Item
+		// listed holds, for each revision, the items of the store at it.
+		listed := []map[string]replica.Item{{}}
+		now := func() int64 { return int64(len(history)) }
+		write := func(change replica.Item) {
+			next := maps.Clone(listed[now()])
+			next[change.Key] = change
+			if change.Gone {
+				delete(next, change.Key)
+			}
+			history, listed = append(history, change), append(listed, next)
+		}
+		copies := []*testCopy{newTestCopy(), newTestCopy(), newTestCopy()}
+		checked, reports := make([]int64, len(copies)), make([]int, len(copies))
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				write(put(rapid.SampledFrom(keys).Draw(t, "key"), []byte("1"), now()+1))
+			},
+			"removal": func(t *rapid.T) {
+				key := rapid.SampledFrom(keys).Draw(t, "key")
+				if _, ok := listed[now()][key]; ok {
+					write(replica.Item{Key: key, Revision: now() + 1, Gone: true})
+				}
+			},
+			"watch": func(t *rapid.T) {
+				k := rapid.SampledFrom(copies).Draw(t, "copy")
+				k.Change(history[k.Revision():], now())
+			},
+			"whole reading": func(t *rapid.T) {
+				k := rapid.SampledFrom(copies).Draw(t, "copy")
+				k.Replace(slices.Collect(maps.Values(listed[now()])), now())
+			},
+			"page": func(t *rapid.T) {
+				from := rapid.SampledFrom(copies).Draw(t, "from")
+				to := rapid.SampledFrom(copies).Draw(t, "to")
+				if err := to.Absorb(from.Page(to.Pull())); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"": func(t *rapid.T) {
+				for i, k := range copies {
+					before, after, reported := checked[i], k.Revision(), len(k.skipped) > reports[i]
+					checked[i], reports[i] = after, len(k.skipped)
+					if before == 0 || reported {
+						continue
+					}
+					for _, change := range history[before:after] {
+						_, wasListed := listed[before][change.Key]
+						_, isListed := listed[after][change.Key]
+						if !wasListed && !isListed && k.read[change.Key] <= before {
+							t.Fatalf("copy %d went from revision %d to %d and never read %q", i, before, after, change.Key)
+						}
+					}
+				}
+			},
+		})
+	})
+}
+
+// TestSkippedHistory guards against a whole reading that counts as a gap although it shows all that has
+// changed, and against whole pages for all other copies after it.
+func TestSkippedHistory(t *testing.T) {
+	const before = 3
+	a, b := put("a", []byte("1"), 1), put("b", []byte("1"), 3)
+	cases := map[string]struct {
+		update  func(k *testCopy)
+		skipped []string
+		// whole reports whether another copy at the earlier revision gets a whole page, and other what
+		// that has skipped then.
+		whole bool
+		other []string
+	}{
+		"changes":                    {func(k *testCopy) { k.Change([]replica.Item{put("a", nil, 4), put("a", nil, 6)}, 6) }, nil, false, nil},
+		"whole, no change":           {func(k *testCopy) { k.Replace([]replica.Item{a, b}, 3) }, nil, false, nil},
+		"whole, older":               {func(k *testCopy) { k.Replace([]replica.Item{a}, 2) }, nil, false, nil},
+		"whole, all shown":           {func(k *testCopy) { k.Replace([]replica.Item{put("a", nil, 5), b, put("c", nil, 4)}, 5) }, nil, false, nil},
+		"whole, one change missing":  {func(k *testCopy) { k.Replace([]replica.Item{put("a", nil, 5), b}, 5) }, []string{""}, true, []string{""}},
+		"whole, a key removed":       {func(k *testCopy) { k.Replace([]replica.Item{b}, 4) }, []string{""}, true, []string{""}},
+		"whole, changed while read":  {func(k *testCopy) { k.Replace([]replica.Item{put("a", nil, 4), put("b", nil, 6)}, 4) }, []string{""}, true, []string{""}},
+		"unknown key removed":        {func(k *testCopy) { k.Change([]replica.Item{{Key: "c", Gone: true, Revision: 5}}, 5) }, []string{"c"}, true, []string{""}},
+		"unknown key removed before": {func(k *testCopy) { k.Change([]replica.Item{{Key: "c", Gone: true, Revision: 3}}, 4) }, nil, false, nil},
+		"removed key removed":        {func(k *testCopy) { k.Change([]replica.Item{{Key: "old", Gone: true, Revision: 5}}, 5) }, []string{"old"}, false, []string{"old"}},
+		"added and removed":          {func(k *testCopy) { k.Change([]replica.Item{put("c", nil, 4), {Key: "c", Gone: true, Revision: 5}}, 5) }, nil, false, []string{"c"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			k, other := newTestCopy(), newTestCopy()
+			k.Change([]replica.Item{a, put("old", nil, 1)}, 1)
+			k.Change([]replica.Item{{Key: "old", Gone: true, Revision: 2}, b}, before)
+			transfer(t, k, other)
+			is.Equal(len(k.skipped)+len(other.skipped), 0) // a first copy, or a page of all that has changed, skips nothing
+			tc.update(k)
+			is.Equal(k.skipped, tc.skipped)
+			is.Equal(k.Page(other.Pull()).GetWhole(), tc.whole)
+			transfer(t, k, other)
+			is.Equal(other.values, k.values)
+			is.Equal(other.skipped, tc.other)
+		})
+	}
+}
+
 // TestWholeCopyOfManyTargetsIsPacked guards against large whole copies. With 300 gateways and
 // 3,000 targets most bytes between data centres were whole copies for starting gateways, and
 // gateways on links of 10 Mbit/s could not send one within its timeout.
