Take a stream whose connection ends before its first event for broken off

Callers got an empty stream with 200, framed as whole, when a target sent the head of a stream with neither length nor chunks and closed: it missed all of its pieces and looked complete.

The end of a connection is the end of such a body in HTTP, and the gateway passed it on as that. A target that ends behind its head and one that has nothing to send look the same. A stream of no events is therefore only complete if a length or a last chunk says so; otherwise it is broken off, as one that ends inside an event: retried if the request may be repeated, a failure if not. This holds too where a stream is resumed and the target sends nothing more. Answers to HEAD requests end with their head and are not concerned.

What a plain answer without length and chunks brings until its connection is closed remains the whole of it, also if that is nothing: HTTP has no other sign.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -105,6 +105,15 @@
 	}
 }
 
+// unframed makes the end of the connection the only sign of the end of a script's answer.
+func unframed(answered script) script {
+	return func(ctx context.Context, out *gateway.Outgoing) (*gateway.Answer, *gateway.SendError) {
+		answer, err := answered(ctx, out)
+		answer.EndsWithConnection = true
+		return answer, err
+	}
+}
+
 // recorder is the caller and the event recorder.
 type recorder struct {
 	status  int
@@ -243,6 +252,11 @@
 		"broken body is retried":                {[]script{stream("half", io.ErrUnexpectedEOF), respond(200, "yes")}, "/get/x", 2, 200, "yes", "", "", false},
 		"a complete stream":                     {[]script{stream(one+two, io.EOF)}, "/stream/x", 1, 200, one + two, "", "", false},
 		"an empty stream":                       {[]script{stream("", io.EOF)}, "/stream/x", 1, 200, "", "", "", false},
+		"no events, without a framing":          {[]script{unframed(stream("", io.EOF))}, "/stream/x", 1, 502, "", fault.TargetFailed, fault.Unknown, false},
+		"no events, without a framing, retried": {[]script{unframed(stream("", io.EOF)), unframed(stream(one, io.EOF))}, "/resumable/x", 2, 200, one, "", "", false},
+		"none left, without a framing":          {[]script{stream(one, io.ErrUnexpectedEOF), unframed(stream("", io.EOF))}, "/resumable/x", 2, 200, one, "", "", true},
+		"none left, with a framing":             {[]script{stream(one, io.ErrUnexpectedEOF), stream("", io.EOF)}, "/resumable/x", 2, 200, one, "", "", false},
+		"events without a framing":              {[]script{unframed(stream(one, io.EOF))}, "/stream/x", 1, 200, one, "", "", false},
 		"a cut stream is broken off":            {[]script{stream(one+two[:5], io.ErrUnexpectedEOF)}, "/stream/x", 1, 200, one, "", "", true},
 		"an end inside an event is a cut":       {[]script{stream(one+two[:5], io.EOF)}, "/stream/x", 1, 200, one, "", "", true},
 		"a resumable stream is resumed":         {[]script{stream(one+two[:5], io.ErrUnexpectedEOF), stream(two, io.EOF)}, "/resumable/x", 2, 200, one + two, "", "", false},
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -100,6 +100,9 @@
 	Header http.Header
 	// Size is the length of the body in bytes, or -1 if it isn't known.
 	Size int64
+	// EndsWithConnection means that only the end of the target's connection shows the end of the body:
+	// there is neither a length nor chunks.
+	EndsWithConnection bool
 	// Body ends with io.EOF only if the answer is complete. Close ends the attempt if it isn't
 	// over.
 	Body io.ReadCloser
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -129,8 +129,16 @@
 	a.call.delivery.Begin()
 }
 
+// errNoEvents is the error of a stream whose connection ended before the first event. A target that ended
+// looks the same as one that had nothing to send, and a stream without events needs a length or chunks.
+var errNoEvents = errors.New("the connection of the stream ended before its first event")
+
 // endStream ends a stream that its target ended completely.
 func (a *attempt) endStream(answer *Answer) bool {
+	if a.events == 0 && answer.EndsWithConnection {
+		a.failStream(errNoEvents)
+		return false
+	}
 	if err := a.beginStream(answer); err != nil {
 		a.failWriting(err)
 		return false
