--- a/internal/peer/proof_question_test.go
+++ b/internal/peer/proof_question_test.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/capersaddle/capersaddle/internal/link"
+	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
 // proves makes a node able to prove its content anew.
@@ -81,3 +83,24 @@
 		_ = n.service.Close()
 	}
 }
+
+// TestProofQuestionSize limits the size in bytes of a question for a proof and of its answer.
+func TestProofQuestionSize(t *testing.T) {
+	const maxSize = 64
+	heartbeat := &wire.GatewayBeat{
+		Life: 1 << 60, Sequence: 1 << 20, Revision: 1 << 30, StoreReachable: true, Echo: 1 << 20, Brief: true,
+		HasProof: true, ProofAgeMs: 1000, KnowsTargetsS: 3600, LagMs: 10,
+	}
+	cases := map[string]func(heartbeat *wire.GatewayBeat){
+		"question": func(heartbeat *wire.GatewayBeat) { heartbeat.WantsNewProof = true },
+		"answer":   func(heartbeat *wire.GatewayBeat) { heartbeat.ProvesSequence = 1 << 20 },
+	}
+	for name, add := range cases {
+		t.Run(name, func(t *testing.T) {
+			sent := proto.CloneOf(heartbeat)
+			add(sent)
+			t.Logf("%d bytes", proto.Size(sent))
+			is.New(t).True(proto.Size(sent) <= maxSize)
+		})
+	}
+}
