Test streams that break off for callers of HTTP 1.0

A stream that breaks off, on a route that may not be resumed or at the last target that may be asked, reaches a caller of HTTP 1.0 as a whole one: it knows no chunks, so that the body ends with the connection, which is closed as at any other end. platform: in the case "stream" each position behind the first event; in a gateway's process with two targets that break off.

--- a/internal/process/framing_test.go
+++ b/internal/process/framing_test.go
@@ -7,9 +7,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/emulator"
 )
 
 // TestRequestFraming sends raw bytes for cases of RFC 9112 and for headers that identify the
@@ -102,3 +106,21 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	return response, err
 }
+
+// TestBrokenStreamOfOldCaller guards against a stream that breaks off and looks whole to a caller of HTTP 1.0,
+// which takes all that comes until the end of the connection for the body.
+func TestBrokenStreamOfOldCaller(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	for _, server := range f.engines {
+		server.Misbehave(emulator.EndInside, -1)
+	}
+	conn, err := net.Dial("tcp", f.gateways[0].Addresses().Callers)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /chat/1 HTTP/1.0\r\nHost: %s\r\nX-Attempt-Id: r\r\nX-Api-Key: key-1\r\nContent-Length: 0\r\n\r\n", host)
+	is.NoErr(err)
+	received, err := io.ReadAll(conn)
+	is.True(strings.HasSuffix(string(received), emulator.Event(2))) // one event of each of two servers
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
