--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -346,6 +346,11 @@
 	_ = c.Conn.Close()
 }
 
+// NetConn returns the connection without its limits.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.mu.Lock()
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -70,3 +70,23 @@
 	}
 	return End
 }
+
+// Reset closes a connection so that its peer sees it broken off: a peer that reads until the end of the
+// connection takes any other end for that of the data. It reaches the socket of a wrapped connection through
+// its method NetConn.
+func Reset(conn net.Conn) {
+	inner := conn
+	for {
+		wrapped, ok := inner.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		inner = wrapped.NetConn()
+	}
+	if tcp, ok := inner.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	// The socket first: to close a TLS connection would announce an end.
+	_ = inner.Close()
+	_ = conn.Close()
+}
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -1,10 +1,14 @@
 package socket_test
 
 import (
+	"crypto/tls"
+	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/capersaddle/capersaddle/internal/socket"
@@ -60,6 +64,35 @@
 	is.New(t).Equal(socket.Peek(local), socket.Unknown)
 }
 
+// wrappedConn is a connection within another one.
+type wrappedConn struct{ net.Conn }
+
+func (c wrappedConn) NetConn() net.Conn { return c.Conn }
+
+func TestReset(t *testing.T) {
+	cases := map[string]func(conn net.Conn) net.Conn{
+		"a socket": func(conn net.Conn) net.Conn { return conn },
+		"wrapped":  func(conn net.Conn) net.Conn { return wrappedConn{conn} },
+		"with TLS": func(conn net.Conn) net.Conn { return tls.Server(wrappedConn{conn}, nil) },
+	}
+	for name, wrap := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			local, remote := connectedPair(t)
+			socket.Reset(wrap(local))
+			_, err := remote.Read(make([]byte, 1))
+			is.True(errors.Is(err, syscall.ECONNRESET))
+		})
+	}
+}
+
+func TestResetWithoutSocket(t *testing.T) {
+	local, remote := net.Pipe()
+	socket.Reset(local)
+	_, err := remote.Read(make([]byte, 1))
+	is.New(t).True(errors.Is(err, io.EOF))
+}
+
 func TestUserTimeout(t *testing.T) {
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
