Reset broken answers of services and engines to callers of HTTP 1.0

At the routers' door too, callers of HTTP 1.0 got answers that broke off as whole ones: their connection was closed as at the end of a body. It is reset now, as at the gateways' door; streams keep the error event.

router.TestCutAnswers: service and stream with HTTP 1.0 red before, all eight cases green after.

--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -15,6 +15,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/config"
 	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/inbound"
 )
 
 // Headers of the HTTP API.
@@ -209,7 +210,7 @@
 	if err != nil && headersSent {
 		// Abort the connection: a client that checks little could take an answer that simply ends
 		// for a complete one.
-		panic(http.ErrAbortHandler)
+		inbound.Abort(w, req)
 	}
 }
 
