Read the start of a large answer before any of it is passed on

Callers of an answer of over 1 MiB that broke off right behind its head got a closed connection without any answer. The answer counted as begun with its head, before anything had left the gateway, so that a request that may be repeated was not, and any other got no 502.

The first 16 KiB are read now before the answer begins; if that fails, the request is lost as with a small answer. What breaks off later ends short of its length, as before.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -108,7 +109,17 @@
 	return true
 }
 
+// largeStart is how much of a large answer is read before any of it is passed on, in bytes: more than the
+// buffers of the caller's connection keep back.
+const largeStart = 16 << 10
+
+// passLarge passes an answer on as it arrives. Until its first part has been read, the request can be retried.
 func (a *attempt) passLarge(answer *Answer) bool {
+	start, err := io.ReadAll(io.LimitReader(answer.Body, largeStart))
+	if err != nil {
+		a.failReading(err)
+		return false
+	}
 	a.stopSilenceTimer()
 	a.recordAnswer(answer)
 	a.markBegun()
@@ -117,7 +128,7 @@
 		return false
 	}
 	to := &outputWriter{call: a.call}
-	_, err := io.Copy(to, answer.Body)
+	_, err = io.Copy(to, io.MultiReader(bytes.NewReader(start), answer.Body))
 	if to.err != nil {
 		a.failWriting(to.err)
 		return false
