Test: a late answer brings a removed key back

A gateway reads the store and its peers at the same time. An answer that was made before a key was removed may arrive after another one by which the copy had passed the removal without ever knowing the key: a watch after a page, or a whole reading and a whole page at the start. The copy then adds the key, and no later change removes it: a target that has left gets requests, a data centre stays evacuated, an order that was withdrawn runs.

--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -252,6 +252,135 @@
 	is.Equal(other.values, map[string]string{"stays": "1"})
 }
 
+// TestLateAnswerBringsNothingBack guards against a removed key that a copy holds for good: an answer that
+// was made before the removal arrived after another one by which the copy had passed it.
+func TestLateAnswerBringsNothingBack(t *testing.T) {
+	a, b, removed := put("a", []byte("1"), 1), put("b", []byte("1"), 6), put("removed", []byte("1"), 3)
+	removal := replica.Item{Key: "removed", Revision: 5, Gone: true}
+	// passed is a copy that has seen all, and earlier one that has not seen the removal.
+	passed, earlier := newTestCopy(), newTestCopy()
+	passed.Change([]replica.Item{a, removed, removal, b}, 6)
+	earlier.Change([]replica.Item{a, removed}, 4)
+	cases := map[string]struct {
+		first, late func(t *testing.T, k *testCopy)
+	}{
+		"a watch after a page": {
+			func(t *testing.T, k *testCopy) {
+				k.Replace([]replica.Item{a}, 2)
+				transfer(t, passed, k)
+			},
+			func(_ *testing.T, k *testCopy) { k.Change([]replica.Item{removed}, 4) },
+		},
+		"a whole reading after a page": {
+			func(t *testing.T, k *testCopy) {
+				k.Replace([]replica.Item{a}, 2)
+				transfer(t, passed, k)
+			},
+			func(_ *testing.T, k *testCopy) { k.Replace([]replica.Item{a, removed}, 4) },
+		},
+		"a whole reading after a whole page": {
+			func(t *testing.T, k *testCopy) { transfer(t, passed, k) },
+			func(_ *testing.T, k *testCopy) { k.Replace([]replica.Item{a, removed}, 4) },
+		},
+		"a whole page after a whole reading": {
+			func(_ *testing.T, k *testCopy) { k.Replace([]replica.Item{a, b}, 6) },
+			func(t *testing.T, k *testCopy) {
+				is.New(t).NoErr(k.Absorb(earlier.Page(&wire.ReplicaPull{Packs: true, PacksPages: true})))
+			},
+		},
+		"a page after a whole reading": {
+			func(_ *testing.T, k *testCopy) { k.Replace([]replica.Item{a, b}, 6) },
+			func(t *testing.T, k *testCopy) {
+				is.New(t).NoErr(k.Absorb(earlier.Page(&wire.ReplicaPull{Since: 2, Packs: true, PacksPages: true})))
+			},
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			k, next := newTestCopy(), newTestCopy()
+			tc.first(t, k)
+			tc.late(t, k)
+			is.Equal(k.Revision(), int64(6))
+			is.Equal(k.values, passed.values)
+			transfer(t, k, next)
+			is.Equal(next.values, passed.values) // nor does it pass the key on
+		})
+	}
+}
+
+// TestLateAnswersAgree is like TestCopiesAgree with answers that arrive after later ones.
+func TestLateAnswersAgree(t *testing.T) {
+	keys := []string{"a", "b", "large"}
+	rapid.Check(t, func(t *rapid.T) {
+		var history []replica.Item
+		store := make(map[string]replica.Item)
+		copies := []*testCopy{newTestCopy(), newTestCopy()}
+		// underway are the answers that have been made and not arrived.
+		var underway []func()
+		now := func() int64 { return int64(len(history)) }
+		write := func(change replica.Item) {
+			history, store[change.Key] = append(history, change), change
+			if change.Gone {
+				delete(store, change.Key)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				key, value := rapid.SampledFrom(keys).Draw(t, "key"), []byte(fmt.Sprint(now()))
+				if key == "large" {
+					value = largeDocument(len(history))
+				}
+				write(put(key, value, now()+1))
+			},
+			"removal": func(t *rapid.T) {
+				key := rapid.SampledFrom(keys).Draw(t, "key")
+				if _, ok := store[key]; ok {
+					write(replica.Item{Key: key, Revision: now() + 1, Gone: true})
+				}
+			},
+			"watch": func(t *rapid.T) {
+				k, at := rapid.SampledFrom(copies).Draw(t, "copy"), now()
+				changes := history[k.Revision():at]
+				underway = append(underway, func() { k.Change(changes, at) })
+			},
+			"whole reading": func(t *rapid.T) {
+				k, at, items := rapid.SampledFrom(copies).Draw(t, "copy"), now(), slices.Collect(maps.Values(store))
+				underway = append(underway, func() { k.Replace(items, at) })
+			},
+			"page": func(t *rapid.T) {
+				from, to := rapid.SampledFrom(copies).Draw(t, "from"), rapid.SampledFrom(copies).Draw(t, "to")
+				page := from.Page(to.Pull())
+				underway = append(underway, func() { _ = to.Absorb(page) }) // one that can't be read changes nothing
+			},
+			"arrival": func(t *rapid.T) {
+				if len(underway) == 0 {
+					return
+				}
+				number := rapid.IntRange(0, len(underway)-1).Draw(t, "number")
+				arrive := underway[number]
+				underway = slices.Delete(underway, number, number+1)
+				arrive()
+			},
+			"": func(t *rapid.T) {
+				for i, k := range copies {
+					if k.Revision() != now() {
+						continue
+					}
+					for key := range k.values {
+						if _, listed := store[key]; !listed {
+							t.Fatalf("copy %d holds %q at revision %d, the store does not", i, key, now())
+						}
+					}
+					if len(k.values) != len(store) {
+						t.Fatalf("copy %d holds %d keys at revision %d, the store %d", i, len(k.values), now(), len(store))
+					}
+				}
+			},
+		})
+	})
+}
+
 // TestCopiesAgree checks that copies never go back to older values, whatever part of a store's
 // history they receive, from the store or from each other, in any order, and that a copy that has
 // reached the store's revision holds the store's content.
