A late answer no longer brings a removed key back

What callers saw: a gateway could hold a removed key of the store for good: a target that has left and may still answer, an evacuation that has ended, an order that was withdrawn.

Cause: the copy compares a change with the revision of its own record of the key. Of a key that was added and removed in a part that came as a whole reading, or of which only the removal came, it has no record. So a watch, a whole reading or a page that was made before the removal and arrives later added the key, and since the copy had passed the removal, no later change removed it.

Ruled out: a record of each unknown removal alone: whole readings don't say what was removed.

The copy now ignores what names a key that it doesn't hold if it has reached a later revision: it has passed the removal. A whole reading at the copy's own revision or a later one is still taken as it is. Keys that only starting processes need are left out, since their changes aren't passed on.

Evidence: TestLateAnswerBringsNothingBack failed in 5 of 5 cases, and in a sixth, of a key that was known as removed, and passes. TestLateAnswersAgree failed after 2,083 random histories; 20,000 pass, as do 20,000 each of TestCopiesAgree and TestSkippedHistoryIsReported. go test -race -count=1 of internal/replica, internal/peer and platform passes.

--- a/internal/replica/page.go
+++ b/internal/replica/page.go
@@ -171,7 +171,9 @@
 	present := make(map[string]bool, len(items))
 	for i, item := range items {
 		present[item.Key] = true
-		c.applyChange(item, patches[i])
+		if whole && revision >= c.revision || !c.passedRemoval(item) {
+			c.applyChange(item, patches[i])
+		}
 	}
 	if whole {
 		c.dropMissing(present, revision)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -127,7 +127,9 @@
 func (c *Copy) Change(changes []Item, revision int64) bool {
 	readable, _ := c.update(revision, c.lastPassedOn(changes), func() error {
 		for _, change := range changes {
-			c.applyChange(change, nil)
+			if !c.passedRemoval(change) {
+				c.applyChange(change, nil)
+			}
 		}
 		return nil
 	})
@@ -154,7 +156,9 @@
 		c.noteWhole(items, revision)
 		for _, item := range items {
 			present[item.Key] = true
-			c.applyChange(item, nil)
+			if revision >= c.revision || !c.passedRemoval(item) {
+				c.applyChange(item, nil)
+			}
 		}
 		c.dropMissing(present, revision)
 		return nil
@@ -183,6 +187,13 @@
 	}
 }
 
+// passedRemoval reports whether a change comes from an answer that was made before its key was removed: the
+// copy has reached a later revision and doesn't hold the key. The caller must hold c.mu.
+func (c *Copy) passedRemoval(change Item) bool {
+	rec := c.records[change.Key]
+	return (rec == nil || rec.Gone) && change.Revision <= c.revision && !c.isStartupOnly(change.Key)
+}
+
 // showsAllSince reports whether a whole reading made at a revision shows each change since the copy's own
 // one: each change raises the store's revision by one. The caller must hold c.mu.
 func (c *Copy) showsAllSince(items []Item, revision int64) bool {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -278,6 +278,13 @@
 			},
 			func(_ *testing.T, k *testCopy) { k.Replace([]replica.Item{a, removed}, 4) },
 		},
+		"a watch, after a whole reading that lacks another life of the key": {
+			func(_ *testing.T, k *testCopy) {
+				k.Change([]replica.Item{put("removed", nil, 1), {Key: "removed", Revision: 2, Gone: true}}, 2)
+				k.Replace([]replica.Item{a, b}, 6)
+			},
+			func(_ *testing.T, k *testCopy) { k.Change([]replica.Item{removed}, 4) },
+		},
 		"a whole reading after a whole page": {
 			func(t *testing.T, k *testCopy) { transfer(t, passed, k) },
 			func(_ *testing.T, k *testCopy) { k.Replace([]replica.Item{a, removed}, 4) },
