A removed document reaches processes that lagged

What callers saw: a router or agent could hold a document of the configuration that operators had removed, for good: a workspace whose keys had been withdrawn, a target that had been marked.

Cause: a process tells those behind it the removals that it has seen. One that began after a removal, or read the store after a document was both added and removed, has seen none, and answered with a delta all the same. The process that lagged took the delta's revision and was never told again.

Ruled out: a whole answer from each process that has passed over a revision.

A delta from the store now has the removals of all documents that commands since the state's revision have changed: the manifest records the last 256 commands with their documents. Where it doesn't reach back, or the content came whole from a peer, removals up to its revision count as unknown, and those behind it get whole answers, as after forgotten removals.

Evidence: TestRemovalReachesProcessesBehind failed in 8 of 13 cases and passes.

--- a/internal/config/manifest.go
+++ b/internal/config/manifest.go
@@ -69,6 +69,22 @@
 	return Accepted{}, false
 }
 
+// recordsSince reports whether the manifest records all commands since a revision.
+func (m *Manifest) recordsSince(revision uint64) bool {
+	return m.Revision <= revision || len(m.Commands) > 0 && m.Commands[0].Revision <= revision+1
+}
+
+// changedSince returns the names of the documents that the recorded commands since a revision changed.
+func (m *Manifest) changedSince(revision uint64) []string {
+	var names []string
+	for _, accepted := range m.Commands {
+		if accepted.Revision > revision {
+			names = append(names, accepted.Names...)
+		}
+	}
+	return names
+}
+
 // next returns the manifest after one more command.
 func (m *Manifest) next(accepted Accepted, written []int) Manifest {
 	next := Manifest{Revision: accepted.Revision, Buckets: make(map[int]string), version: m.version}
@@ -151,16 +167,25 @@
 }
 
 // load reads the documents of the buckets that differ from those of known, and returns the delta
-// to the manifest's revision.
+// to the manifest's revision. The delta includes the removals of documents that the state never held,
+// since peers may hold them; if the manifest doesn't record all of these, it is whole.
 func (r *repository) load(ctx context.Context, manifest *Manifest, state *State, known *Manifest) (*wire.Delta, error) {
-	delta := &wire.Delta{From: state.Revision(), To: manifest.Revision}
-	heldNames := make(map[int]map[string]bool)
+	revision := state.Revision()
+	delta := &wire.Delta{From: revision, To: manifest.Revision, Whole: !manifest.recordsSince(revision)}
+	if delta.GetWhole() {
+		known = nil
+	}
+	names := manifest.changedSince(revision)
 	for _, document := range state.Documents() {
-		bucket := bucketOf(document.Name)
-		if heldNames[bucket] == nil {
-			heldNames[bucket] = make(map[string]bool)
+		names = append(names, document.Name)
+	}
+	missing := make(map[int]map[string]bool)
+	for _, name := range names {
+		bucket := bucketOf(name)
+		if missing[bucket] == nil {
+			missing[bucket] = make(map[string]bool)
 		}
-		heldNames[bucket][document.Name] = true
+		missing[bucket][name] = true
 	}
 	for bucket := range bucketCount {
 		if known != nil && known.Buckets[bucket] == manifest.Buckets[bucket] {
@@ -171,10 +196,10 @@
 			return nil, err
 		}
 		for _, document := range documents {
-			delete(heldNames[bucket], document.Name)
+			delete(missing[bucket], document.Name)
 			delta.Documents = append(delta.Documents, &wire.Document{Name: document.Name, Value: document.Value, Revision: document.Revision})
 		}
-		for name := range heldNames[bucket] {
+		for name := range missing[bucket] {
 			delta.Documents = append(delta.Documents, &wire.Document{Name: name, Revision: manifest.Revision})
 		}
 	}
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -73,6 +73,11 @@
 	}
 	if delta.GetWhole() {
 		s.removeAbsent(delta)
+		if delta.GetTo() > current+1 {
+			// A document that was added and removed since the current revision was never known here,
+			// and a peer may hold it.
+			s.fullDeltaBelow = max(s.fullDeltaBelow, delta.GetTo())
+		}
 	}
 	for _, document := range delta.GetDocuments() {
 		s.put(document)
