What other gateways have recorded of a stream goes before an only version

What callers could see: a stream that began at a target which had begun again under its ID at another version, before its entry showed that, went on at the version that the entry names. The gateway that saw the sign marks the stream uncertain, kept that to itself while one version is listed, and another gateway, whose proof is new, did not ask.

Cause: the record was held back by the same rule as those that need not be sent, and the only version went before any record of others.

Change: an uncertain record is due at once. A resumed stream without a record here is asked for while the new proof is obtained (one more datagram to each gateway of a small fleet, five in a large one), and what has come by then, a version or uncertain, goes before the only version. Answers that say "uncertain" count as known, so that a lookup's result tells them from silence. A lookup that nobody answered is refused with the shorter time to come back: the gateway that is out of touch is this one, and others can serve the caller.

--- a/internal/gateway/origin_binding.go
+++ b/internal/gateway/origin_binding.go
@@ -62,13 +62,10 @@
 	if record, ok := c.recordedOrigin(); ok {
 		return c.bindTo(ctx, record.Version, OriginRecorded)
 	}
-	version, sole := c.provenSoleVersion(ctx)
-	if record, ok := c.recordedOrigin(); ok {
-		return c.bindTo(ctx, record.Version, OriginRecorded) // it has come meanwhile
-	}
-	if sole {
-		c.streamVersion, c.originSource = version, OriginSole
-		return nil
+	if c.mayBeSole() {
+		if known, refusal := c.bindToSole(ctx); known {
+			return refusal
+		}
 	}
 	origins := c.gateway.Origins
 	if origins == nil || origins.Peers == nil {
@@ -86,12 +83,46 @@
 		return c.bindTo(ctx, finding.Version, OriginPeerSole)
 	case finding.Known:
 		return c.bindTo(ctx, finding.Version, OriginPeer)
-	case finding.Asked == 0:
-		return c.unknownOrigin(retryAfterOtherRouter)
+	case finding.Answered == 0:
+		return c.unknownOrigin(retryAfterOtherRouter) // this gateway is the one that is out of touch
 	}
 	return c.unknownOrigin(retryAfterShortage)
 }
 
+// bindToSole binds the call to the only version of its service, if that is proven and no gateway has a record
+// that says otherwise. known is false if neither is the case.
+func (c *call) bindToSole(ctx context.Context) (known bool, refusal *fault.Error) {
+	endQuestion := c.askForRecord(ctx)
+	version, sole := c.provenSoleVersion(ctx)
+	finding := endQuestion()
+	if record, ok := c.recordedOrigin(); ok { // it has come meanwhile
+		return true, c.bindTo(ctx, record.Version, OriginRecorded)
+	}
+	if finding.Known {
+		return true, c.bindTo(ctx, finding.Version, OriginPeer)
+	}
+	if sole {
+		c.streamVersion, c.originSource = version, OriginSole
+	}
+	return sole, nil
+}
+
+// askForRecord begins to ask other gateways for a record of the call's stream. The returned function ends that
+// and returns what they have told.
+func (c *call) askForRecord(ctx context.Context) (end func() origin.Finding) {
+	origins := c.gateway.Origins
+	if origins == nil || origins.Peers == nil || c.request.Resumes == "" {
+		return func() origin.Finding { return origin.Finding{} }
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	told := make(chan origin.Finding, 1)
+	go func() { told <- origins.Peers.FindOrigin(ctx, c.stream(), "") }()
+	return func() origin.Finding {
+		cancel()
+		return <-told
+	}
+}
+
 // recordedOrigin returns this gateway's record of the call's stream.
 func (c *call) recordedOrigin() (origin.Record, bool) {
 	if c.gateway.Origins == nil || c.request.Resumes == "" {
--- a/internal/gateway/sole_version.go
+++ b/internal/gateway/sole_version.go
@@ -61,18 +61,26 @@
 	return g.Balancer.SoleVersion(service, span, now)
 }
 
-// provenSoleVersion returns the only version of the call's service, if no other one can have begun a stream
-// that its caller resumes.
+// soleVersion returns the only version of the call's service, if no other one can have begun a stream that its
+// caller resumes, until the time of the proof.
+func (c *call) soleVersion() (string, bool) {
+	version, ok := c.gateway.soleVersion(c.service, c.request.Patience)
+	return version, ok && c.drawsItsService()
+}
+
+// mayBeSole reports whether soleVersion returns a version.
+func (c *call) mayBeSole() bool {
+	_, ok := c.soleVersion()
+	return ok
+}
+
+// provenSoleVersion is soleVersion by a proof that is newer than the stream.
 func (c *call) provenSoleVersion(ctx context.Context) (string, bool) {
-	if _, ok := c.gateway.soleVersion(c.service, c.request.Patience); !ok || !c.drawsItsService() {
-		return "", false
-	}
 	if !c.gateway.proveNow(ctx) {
 		return "", false
 	}
 	// The new proof may have come with another version, or with a configuration that moved the route.
-	version, ok := c.gateway.soleVersion(c.service, c.request.Patience)
-	return version, ok && c.drawsItsService()
+	return c.soleVersion()
 }
 
 // proveNow obtains a proof that the content of the store is the newest, for a time that has not passed yet.
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -42,14 +42,15 @@
 
 // Finding is what other gateways told of the version that began a stream.
 type Finding struct {
-	// Version is the version if Known is true; otherwise Uncertain.
-	Version Version
+	// Known means that a gateway has a record of the stream, which may be Uncertain, or knows the only
+	// version. Without it Version is Uncertain.
 	Known   bool
+	Version Version
 	// Sole means that the gateway which told it has no record of the stream: the stream's service has had no
 	// other version.
 	Sole bool
-	// Asked is the number of gateways that were asked.
-	Asked int
+	// Answered is the number of gateways that answered.
+	Answered int
 }
 
 // WhileRunning returns the record as it is kept while the stream may still be running: a caller may resume a
--- a/internal/peer/origin_lookup.go
+++ b/internal/peer/origin_lookup.go
@@ -22,7 +22,8 @@
 
 // originLookup is a question that has not been settled.
 type originLookup struct {
-	// waiting are the gateways that have not answered.
+	// asked is the number of gateways that are asked, and waiting are those that have not answered.
+	asked   int
 	waiting []*peer
 	// settled receives one result.
 	settled chan origin.Finding
@@ -69,20 +70,25 @@
 		return
 	}
 	lookup.waiting = slices.DeleteFunc(lookup.waiting, func(p *peer) bool { return p == from })
-	known := answer.GetVersion() != uint32(origin.Uncertain)
-	if known || answer.GetUncertain() || len(lookup.waiting) == 0 {
+	known := answer.GetVersion() != uint32(origin.Uncertain) || answer.GetUncertain()
+	if known || len(lookup.waiting) == 0 {
 		delete(e.lookups, answer.GetNumber())
-		lookup.settled <- origin.Finding{Version: origin.Version(answer.GetVersion()), Known: known, Sole: answer.GetSole()}
+		lookup.settled <- origin.Finding{Known: known, Version: origin.Version(answer.GetVersion()), Sole: answer.GetSole(), Answered: lookup.answered()}
 	}
 }
 
+// answered returns the number of gateways that have answered.
+func (l *originLookup) answered() int {
+	return l.asked - len(l.waiting)
+}
+
 // FindOrigin asks other gateways which version began a stream. Those without a record answer with the
 // only version of the service, unless it is empty. It returns when one of them knows, when all have
 // answered, or after a short time.
 func (s *Service) FindOrigin(ctx context.Context, stream origin.Stream, service string) origin.Finding {
-	number, lookup, asked := s.openOriginLookup(stream)
-	if asked == 0 {
-		return origin.Finding{}
+	number, lookup := s.openOriginLookup(stream)
+	if lookup.asked == 0 {
+		return s.closeOriginLookup(number, lookup)
 	}
 	question := &wire.OriginQuestion{Number: number, Stream: uint64(stream), Service: service}
 	ticker := time.NewTicker(originAskInterval)
@@ -91,7 +97,6 @@
 		s.askOrigin(lookup, question)
 		select {
 		case finding := <-lookup.settled:
-			finding.Asked = asked
 			return finding
 		case <-ticker.C:
 			continue
@@ -99,13 +104,11 @@
 		}
 		break
 	}
-	finding := s.closeOriginLookup(number, lookup)
-	finding.Asked = asked
-	return finding
+	return s.closeOriginLookup(number, lookup)
 }
 
 // openOriginLookup opens a lookup and chooses the gateways to ask.
-func (s *Service) openOriginLookup(stream origin.Stream) (number uint32, lookup *originLookup, asked int) {
+func (s *Service) openOriginLookup(stream origin.Stream) (number uint32, lookup *originLookup) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := s.currentView(clock.Now())
@@ -114,9 +117,10 @@
 		first := keepersOf(uint64(stream), current.live, s.hash, originAsked)
 		lookup.waiting = slices.DeleteFunc(first, func(p *peer) bool { return p == nil })
 	}
+	lookup.asked = len(lookup.waiting)
 	s.origins.lastNumber++
 	s.origins.lookups[s.origins.lastNumber] = lookup
-	return s.origins.lastNumber, lookup, len(lookup.waiting)
+	return s.origins.lastNumber, lookup
 }
 
 // askOrigin sends a question to the gateways that have not answered it.
@@ -139,6 +143,6 @@
 	case finding := <-lookup.settled:
 		return finding
 	default:
-		return origin.Finding{}
+		return origin.Finding{Answered: lookup.answered()}
 	}
 }
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -250,7 +250,8 @@
 	}
 }
 
-// takeDueOrigins removes and returns the unsent records of services that may have several versions, and
+// takeDueOrigins removes and returns the unsent records of services that may have several versions, those
+// of uncertain streams, which no gateway may take for streams of the only version, and
 // those of which a keeper is new: should this gateway be lost, such a keeper can't tell that there was only
 // one. The caller must hold s.mu.
 func (s *Service) takeDueOrigins(candidates []*peer, now time.Time) []unsentRecord {
@@ -270,7 +271,7 @@
 		anyNew := slices.ContainsFunc(candidates, isNew)
 		kept := records[:e.settled[service]]
 		for _, record := range records[len(kept):] {
-			if anyNew && slices.ContainsFunc(s.originKeepers(record.Record, candidates), isNew) {
+			if record.Version == origin.Uncertain || anyNew && slices.ContainsFunc(s.originKeepers(record.Record, candidates), isNew) {
 				due = append(due, record)
 				continue
 			}
