--- a/internal/soak/killed_in_series_test.go
+++ b/internal/soak/killed_in_series_test.go
@@ -200,7 +200,7 @@
 		return addresses
 	}
 	callers = &emulator.StreamCallers{
-		Addresses: serving, Host: host, Path: "/chat/1", Events: seriesEvents, Every: interval,
+		Addresses: serving, Host: host, Path: "/chat/1", Events: seriesEvents, Every: interval, LoseEvery: s.loseEvery,
 	}
 	ctx, cancel := context.WithCancel(s.t.Context())
 	var wait sync.WaitGroup
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -93,6 +93,8 @@
 	grace time.Duration
 	// streamGap is the pause between the events of versioned servers' streams; zero means seriesGap.
 	streamGap time.Duration
+	// loseEvery makes callers of streams lose the connection of every so many-th one; zero for none.
+	loseEvery int
 	// passing is the number of versions that have come and gone.
 	passing int
 	// settings are added to those of all gateways.
