Gateways announce changes of the store whatever their budget

Callers saw resumed streams refused (`recorded`, `no_target`) for up to two seconds at gateways that did not know the targets of a new version, though others did.

The records of streams that a second version sets free used up their bytes for 4.7 s.

A gateway that has applied a change now tells its revision in a bare heartbeat (23 bytes), before it sends anything else in the round and whatever its budget: in a small fleet to the peers that lack it; in a large one to those that have it as their parent, to the others that ask the store, since the calls of one of them may hang, and to gateways that don't reach the store, which are no candidates for the tree and were told by nobody; at most 33 in all, so 0.8 KB for a change at 385. Peers that have just begun are left to their source in a large fleet. A finished pull starts a round, so that the next level of the tree is told at once. Datagrams with records carry the revision as well (4 bytes): a gateway that gets a record has word that its list is behind. The messages are charged to the budget. Nothing waits for them, and none of the pauses, roles and timeouts changes.

A bare heartbeat's revision was ignored; the field is the same, so that older gateways go on ignoring it and hear of changes as before.

TestAnnouncedChanges expects one message more where many gateways are cut off: the other one that asks the store no longer counts among these. TestEachGatewayIsToldOfChange is new.

Race tests of internal/peer, internal/replica and platform pass.

Left: whole heartbeats, with loads and proofs, still wait until the bytes of the records are paid back.

--- a/internal/peer/announce_test.go
+++ b/internal/peer/announce_test.go
@@ -105,16 +105,18 @@
 	}{
 		"few":                               {4, 0, 1, false, 3},
 		"few, not one that asks":            {4, 3, 1, false, 3},
+		"few, the others have just begun":   {4, 0, 0, false, 3},
 		"few, the others have it":           {4, 0, known, false, 0},
 		"many, the first":                   {30, 0, 1, false, 14 + 1},
 		"many, the second":                  {30, 1, 1, false, 14 + 1},
 		"many, the first is cut off":        {30, 1, 1, true, 14 + 2},
 		"many, both first ones are":         {30, 2, 1, true, 13 + 3},
 		"many, the others have it":          {30, 0, known, false, 0},
+		"many, the others have just begun":  {30, 0, 0, false, 0},
 		"many, one that passes nothing on":  {30, 2, 1, false, 0},
 		"a large fleet, the first":          {385, 0, 1, false, fanOut + 1},
 		"a large fleet, one that passes on": {385, watchers, 1, false, fanOut},
-		"a large fleet, many are cut off":   {385, 100, 1, true, 2 * fanOut},
+		"a large fleet, many are cut off":   {385, 100, 1, true, 2*fanOut + 1},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -152,6 +154,45 @@
 	}
 }
 
+// TestEachGatewayIsToldOfChange guards against gateways that nobody tells of a change, such as one whose calls
+// to the store fail, so that it is no candidate for a place in the tree.
+func TestEachGatewayIsToldOfChange(t *testing.T) {
+	cases := map[string]struct {
+		gateways int
+		cutOff   bool
+	}{
+		"eleven":          {11, false},
+		"eleven, cut off": {11, true},
+		"many":            {100, false},
+		"many, cut off":   {100, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			all := tables(tc.gateways)
+			for _, tbl := range all {
+				for _, p := range tbl.peers {
+					p.revision = 1
+				}
+			}
+			for id := range all {
+				tellers := 0
+				for other, tbl := range all {
+					if other == id {
+						continue
+					}
+					tbl.peers[id].reachesStore = !tc.cutOff
+					if slices.Contains(tbl.newView(start).audience(), tbl.peers[id]) {
+						tellers++
+					}
+					tbl.peers[id].reachesStore = true
+				}
+				is.True(tellers >= 1 && tellers <= watchers)
+			}
+		})
+	}
+}
+
 // TestRecordTellsOfChange guards against a gateway that has the record of a stream, but doesn't know the
 // version in it: its sender has a change that this gateway lacks.
 func TestRecordTellsOfChange(t *testing.T) {
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -278,7 +278,7 @@
 	case heartbeat.GetWantsProof():
 		s.send(from.address, s.briefHeartbeat(from, now), true)
 	}
-	if !heartbeat.GetBare() && heartbeat.GetRevision() > s.options.Replica.Revision() {
+	if heartbeat.GetRevision() > s.options.Replica.Revision() {
 		s.catchUp(now)
 	}
 	return from
--- a/internal/peer/origin_outbox.go
+++ b/internal/peer/origin_outbox.go
@@ -185,9 +185,11 @@
 	return nil
 }
 
-// originHeartbeat returns a heartbeat with records.
+// originHeartbeat returns a heartbeat with records. A receiver that lacks the targets of their versions
+// sees from the revision where to fetch them.
 func (s *Service) originHeartbeat(to *peer, records []origin.Record, now time.Time) *wire.GatewayBeat {
 	heartbeat := s.bareHeartbeatTo(to)
+	heartbeat.Revision = s.options.Replica.PassedOn()
 	for _, record := range records {
 		heartbeat.StreamOrigins = append(heartbeat.StreamOrigins, originMessage(record, now))
 	}
--- a/internal/peer/replica.go
+++ b/internal/peer/replica.go
@@ -110,6 +110,9 @@
 	if p := s.table.peers[id]; p != nil && err != nil {
 		p.pullFailedAt = clock.Now()
 	}
+	if err == nil {
+		s.wake() // others may get the changes from this gateway
+	}
 }
 
 // applyPage applies a page and the proof that came with it. The page was requested at asked, and
--- a/internal/peer/rounds.go
+++ b/internal/peer/rounds.go
@@ -52,6 +52,7 @@
 		s.options.Watcher.PeerLost(lost.id, lost.address, now.Sub(lost.lastHeartbeat))
 		s.crashes.peersChanged = true
 	}
+	s.announceChanges(now)
 	s.sendCrashes(now)
 	s.sendOrigins(now)
 	s.sendRefused(now)
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -170,6 +170,8 @@
 	lastFills    []balance.Placement
 	lastRevision int64
 	lastRound    time.Time
+	// announced is the revision that was last announced.
+	announced int64
 	// behindSince is when a peer was first seen ahead; zero while none is.
 	behindSince time.Time
 	pulling     bool
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -147,6 +147,7 @@
 	p.unanswered, p.unansweredLookups = 0, 0
 	p.sequence = heartbeat.GetSequence()
 	if heartbeat.GetBare() {
+		p.revision = max(p.revision, heartbeat.GetRevision())
 		return p, result
 	}
 	p.revision = heartbeat.GetRevision()
--- a/internal/peer/tree.go
+++ b/internal/peer/tree.go
@@ -48,6 +48,8 @@
 	// candidates are the live peers that may ask the store or pass on its changes, in the order
 	// that all gateways share.
 	candidates []*peer
+	// own has this gateway's place in that order.
+	own *peer
 	// rank is the number of candidates that precede this gateway.
 	rank int
 	// source is the peer that this recently started gateway follows; nil for none.
@@ -71,8 +73,8 @@
 		return p.leaving || p.follows || t.loaded && p.revision == 0 || !p.reachesStore || p.unanswered >= maxUnanswered || now.Sub(p.lastHeartbeat) > v.maxSilence
 	})
 	slices.SortFunc(v.candidates, inAskOrder)
-	own := &peer{id: t.self, class: t.class, askScore: askScore(t.self)}
-	for v.rank < len(v.candidates) && inAskOrder(v.candidates[v.rank], own) < 0 {
+	v.own = &peer{id: t.self, class: t.class, askScore: askScore(t.self)}
+	for v.rank < len(v.candidates) && inAskOrder(v.candidates[v.rank], v.own) < 0 {
 		v.rank++
 	}
 	return v
