A version whose last target may serve on is not gone

What callers saw: a stream could go on at another version although gateways had its record.

Cause: SoleVersion counted a version's last target for the span asked for, and 2 s for lapsed entries, after its entry had gone: 12 s where streams last 10 s. A target that leaves unannounced serves on after that for as long as others do after their announcement, at times many seconds, and what it still serves may break off then. From 12 s on another version counted as the only one, and the record that other gateways hold was not asked for.

Ruled out: the requests in flight at this gateway alone; others have some there too.

Such a target now counts for a minute more, after which the balancer forgets it anyway; so does one restored from a checkpoint without an entry. One that announced that it leaves has ended when its entry goes, and counts as before.

Not covered: a gateway that has known the targets for less than that minute and the span, since it began or since a gap. It never knew such a target.

--- a/internal/balance/sole_version.go
+++ b/internal/balance/sole_version.go
@@ -5,6 +5,10 @@
 // formerTTL is how long the versions of a service's former targets are remembered.
 const formerTTL = time.Hour
 
+// servesOn is how long a target may serve at most after its entry has disappeared, unless it announced that
+// it leaves: it waits for as long as others do after their announcement, and for the requests in flight.
+const servesOn = time.Minute
+
 // noteFormerVersion remembers the version of a target that is removed from the service's lists.
 func (s *service) noteFormerVersion(name string, now time.Time) {
 	if s.formerVersions == nil {
@@ -30,8 +34,7 @@
 	}
 	sole, found := "", false
 	for _, target := range svc.targets {
-		// A target may serve for a while after its entry has disappeared.
-		if target.unlistedFor(now) > span+b.options.ExpiryGrace {
+		if target.unlistedFor(now) > span+servesOn {
 			continue
 		}
 		if target.VersionUnknown || found && target.Version != sole {
