--- a/internal/router/cut_answers_test.go
+++ b/internal/router/cut_answers_test.go
@@ -94,6 +94,24 @@
 	return ended == nil
 }
 
+// TestCutBeforeFirstPart guards against a connection that is closed without any answer, although nothing of the
+// one that broke off had been passed on.
+func TestCutBeforeFirstPart(t *testing.T) {
+	head := &wire.Reply{Kind: &wire.Reply_Head{Head: &wire.Head{Status: 200, Headers: []*wire.Header{{Name: "X-Shop", Value: "1"}}}}}
+	for name, replies := range map[string][]*wire.Reply{"no reply": nil, "the head": {head}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(newRepliesRouter(t, replies).Handler())
+			defer server.Close()
+			received, err := callRaw(t, server.Listener.Addr().String(), "1.1", "/v1/services/shop/x", "")
+			is.NoErr(err)
+			is.True(strings.HasPrefix(received, fmt.Sprintf("HTTP/1.1 %d ", fault.AnswerOf(fault.Cut).Status)))
+			is.True(!strings.Contains(received, "X-Shop"))
+			is.True(strings.Contains(received, HeaderRunState+": "+string(fault.Unknown)))
+		})
+	}
+}
+
 // TestCutAnswers guards against answers that end early and look whole: an agent ends its answer after each of
 // its replies, by the end of its link or by saying that the target broke off.
 func TestCutAnswers(t *testing.T) {
