Send the head of a service's answer with its first part

At the routers' door, callers of a service whose answer broke off right behind its head got a closed connection without any answer. The head counted as sent when the router had it, but net/http keeps it until the first part of the body.

The head now waits for the first part, or for the end of an answer without a body. When the answer breaks off before, the caller gets 502 with the run state unknown, as when not even the head arrives. The head leaves the router no later than before.

--- a/internal/router/httpservice.go
+++ b/internal/router/httpservice.go
@@ -133,32 +133,45 @@
 	return passed
 }
 
-// serviceWriter streams a service's answer to the caller.
+// serviceWriter streams a service's answer to the caller. The head waits for the first part of the body: an
+// answer that breaks off before that can be replaced by an error.
 type serviceWriter struct {
-	w           http.ResponseWriter
+	w http.ResponseWriter
+	// waiting is the head that has not been sent; nil if there is none.
+	waiting     *wire.Head
 	headersSent bool
 }
 
 func (s *serviceWriter) head(head *wire.Head) error {
-	s.headersSent = true
-	for _, h := range head.GetHeaders() {
+	s.waiting = head
+	return nil
+}
+
+// writeHeaders sends the head if it is waiting.
+func (s *serviceWriter) writeHeaders() {
+	if s.waiting == nil {
+		return
+	}
+	for _, h := range s.waiting.GetHeaders() {
 		if !hopByHopHeaders[textproto.CanonicalMIMEHeaderKey(h.GetName())] {
 			s.w.Header().Add(h.GetName(), h.GetValue())
 		}
 	}
 	s.w.Header().Set(HeaderRunState, string(fault.Ran))
-	s.w.WriteHeader(int(head.GetStatus()))
-	return nil
+	s.w.WriteHeader(int(s.waiting.GetStatus()))
+	s.waiting, s.headersSent = nil, true
 }
 
 func (s *serviceWriter) data(data *wire.Data) error {
+	s.writeHeaders()
 	if _, err := s.w.Write(data.GetBytes()); err != nil {
 		return err
 	}
 	return http.NewResponseController(s.w).Flush()
 }
 
-// finish flushes the head of an answer without a body.
+// finish sends the head of an answer without a body.
 func (s *serviceWriter) finish(*wire.End) error {
+	s.writeHeaders()
 	return http.NewResponseController(s.w).Flush()
 }
