Pass on the length that a server states in its answer to a HEAD request

Callers of HEAD got "Content-Length: 0" whatever the server stated, since an answer that is read whole went out with the length of what was read. It goes out with the stated length now, or with none where the server stated none.

platform.TestLengthInAnswersToHead: its four cases red before, green after; TestCutAnswersToHead as before.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -21,7 +21,9 @@
 type bufferedAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	// size is the length that the target stated, or -1. The body of an answer to a HEAD request is shorter.
+	size int64
+	body []byte
 	reservation
 }
 
@@ -29,7 +31,7 @@
 
 // bufferAnswer reads an answer to its end, with memory of a budget; nil for no bound.
 func bufferAnswer(answer *Answer, budget *spool.Budget) (*bufferedAnswer, error) {
-	whole := &bufferedAnswer{status: answer.Status, header: answer.Header, reservation: reservation{budget: budget}}
+	whole := &bufferedAnswer{status: answer.Status, header: answer.Header, size: answer.Size, reservation: reservation{budget: budget}}
 	part := make([]byte, bufferedPart)
 	for {
 		n, err := answer.Body.Read(part)
@@ -54,7 +56,11 @@
 
 // send passes the answer on.
 func (b *bufferedAnswer) send(c *call) error {
-	if err := c.responder.Begin(b.status, b.header, int64(len(b.body))); err != nil {
+	size := int64(len(b.body))
+	if c.request.Method == http.MethodHead {
+		size = b.size
+	}
+	if err := c.responder.Begin(b.status, b.header, size); err != nil {
 		return err
 	}
 	if len(b.body) == 0 {
