--- a/internal/emulator/fatal.go
+++ b/internal/emulator/fatal.go
@@ -157,6 +157,22 @@
 
 // RestartAs is Restart at another version of the server's software.
 func (p *Platform) RestartAs(server *Server, version string) (*Server, error) {
+	next, err := p.restart(server, version)
+	if err != nil {
+		return nil, err
+	}
+	return next.Server, p.Enter(next.service, next.zone, "ready", next.Server)
+}
+
+// RestartBeforeEntry is RestartAs, but the server's entry still describes the previous incarnation, until
+// Enter is called.
+func (p *Platform) RestartBeforeEntry(server *Server, version string) (*Server, error) {
+	next, err := p.restart(server, version)
+	return next.Server, err
+}
+
+// restart is RestartAs without the entry.
+func (p *Platform) restart(server *Server, version string) (registeredServer, error) {
 	p.mu.Lock()
 	index := slices.IndexFunc(p.servers, func(known registeredServer) bool { return known.Server == server })
 	previous := p.servers[index]
@@ -165,8 +181,8 @@
 	next := registeredServer{service: previous.service, zone: previous.zone, firstID: previous.firstID}
 	options := server.options
 	options.Version = version
-	err := p.addIncarnation(&next, server.Address(), options, 1)
-	return next.Server, err
+	err := p.startIncarnation(&next, server.Address(), options, 1)
+	return next, err
 }
 
 // runAfter runs an action after a delay, unless the platform is closed first.
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -142,6 +142,14 @@
 
 // addIncarnation starts one incarnation of a server and registers it in the store.
 func (p *Platform) addIncarnation(added *registeredServer, address string, options ServerOptions, incarnation int) error {
+	if err := p.startIncarnation(added, address, options, incarnation); err != nil {
+		return err
+	}
+	return p.Enter(added.service, added.zone, "ready", added.Server)
+}
+
+// startIncarnation starts one incarnation of a server.
+func (p *Platform) startIncarnation(added *registeredServer, address string, options ServerOptions, incarnation int) error {
 	server, err := NewServer(address, options)
 	if err != nil {
 		return errors.Wrap(err, "listen for a server")
@@ -160,7 +168,7 @@
 		server.disableCrashes()
 	}
 	p.mu.Unlock()
-	return p.Enter(registered.service, registered.zone, "ready", server)
+	return nil
 }
 
 // Enter writes a server's entry with the given state.
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -88,6 +88,8 @@
 	// KeepsID makes further incarnations of the server keep its ID. Its entry then tells them
 	// apart by their start time.
 	KeepsID bool
+	// ReportsNothing makes the server know no report.
+	ReportsNothing bool
 	// Fatal describes the requests that crash the server; may be nil.
 	Fatal *Fatal
 }
@@ -109,6 +111,8 @@
 	inFlight         int
 	notice           Notice
 	sentNotices      []SentNotice
+	// reports counts the questions for the server's report.
+	reports int
 	// crashed reports that a request has crashed the server; onCrash is called then.
 	crashed bool
 	onCrash func()
@@ -261,6 +265,10 @@
 		w.Header().Set("X-Instance-Id", s.options.ID)
 		return
 	}
+	if r.URL.Path == "/capersaddle/report" {
+		s.answerReport(w)
+		return
+	}
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.options.ID {
 		w.Header().Set("X-Instance-Id", s.options.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/internal/emulator/streams.go
+++ b/internal/emulator/streams.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -54,6 +55,8 @@
 
 	mu     sync.Mutex
 	counts StreamCounts
+	// mixed holds the attempts at the streams that have events of two versions.
+	mixed [][]StreamAttempt
 }
 
 // StreamAttempt is one request of a caller for a stream.
@@ -86,6 +89,13 @@
 	return c.counts
 }
 
+// Mixed returns the attempts at each stream that has events of two versions.
+func (c *StreamCallers) Mixed() [][]StreamAttempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.mixed)
+}
+
 // callerStream is what one caller has received of its stream.
 type callerStream struct {
 	// id is the ID of the attempt that brought the first event; empty before that.
@@ -125,6 +135,9 @@
 	add(&c.counts.Disordered, stream.disordered)
 	add(&c.counts.Resumed, stream.resumed)
 	add(&c.counts.Continued, stream.continued)
+	if len(stream.versions) > 1 {
+		c.mixed = append(c.mixed, stream.attempts)
+	}
 	if stream.resumed && !stream.continued {
 		c.counts.OldestEnded = max(c.counts.OldestEnded, stream.brokeOff.Sub(stream.began))
 	}
--- a/internal/process/restored_versions_test.go
+++ b/internal/process/restored_versions_test.go
@@ -70,7 +70,7 @@
 	}
 	eventually(t, "enough streams have begun", func() bool { return callers.Counts().Begun >= streams })
 	counts := stop()
-	t.Logf("%+v", counts)
+	t.Logf("%+v %+v", counts, callers.Mixed())
 	is.Equal(counts.Mixed, 0)
 	is.Equal(counts.Disordered, 0)
 	is.True(counts.Resumed > 0)
--- a/internal/process/stream_versions_test.go
+++ b/internal/process/stream_versions_test.go
@@ -144,7 +144,7 @@
 			test.disrupt(t, f)
 			eventually(t, "enough streams have begun", func() bool { return callers.Counts().Begun >= streams })
 			counts := stop()
-			t.Logf("%+v", counts)
+			t.Logf("%+v %+v", counts, callers.Mixed())
 			is.Equal(counts.Mixed, 0)                     // streams with events of two versions
 			is.Equal(counts.Disordered, 0)                // streams that miss an event or have one twice
 			is.True(2*counts.Continued >= counts.Resumed) // streams that could go on and ended
