--- a/internal/process/old_entries_test.go
+++ b/internal/process/old_entries_test.go
@@ -13,26 +13,35 @@
 // targets which had begun again at another version under their IDs before their entries showed it: a gateway
 // without an open connection to such a target saw no sign of it.
 func TestStreamsAtTargetsWithOldEntries(t *testing.T) {
-	const streams = 150
+	const (
+		streams = 150
+		// soleAfter is how long gateways must have known one version only to be certain that no other one has
+		// begun streams.
+		soleAfter = 16 * time.Second
+	)
 	twoVersions := []string{"v1", "v2"}
 	cases := map[string]struct {
 		gateways, cutEvery, loseEvery int
 		// versions are those in the entries. The first target of each begins again at the other one.
 		versions []string
+		// knownFor is for how long gateways have known the targets when these begin again.
+		knownFor time.Duration
 		// entriesAfter is when the entries show the new incarnations; zero for not in this test.
 		entriesAfter time.Duration
 	}{
-		"callers lose connections":                          {4, 0, 2, twoVersions, 0},
-		"targets break streams off":                         {4, 4, 0, twoVersions, 0},
-		"callers lose connections, entries come":            {4, 0, 2, twoVersions, time.Second},
-		"targets break streams off, one gateway":            {1, 4, 0, twoVersions, 0},
-		"both, many gateways":                               {11, 4, 2, twoVersions, 0},
-		"targets break streams off, entries come meanwhile": {4, 4, 0, twoVersions, time.Second},
+		"callers lose connections":                          {4, 0, 2, twoVersions, 0, 0},
+		"targets break streams off":                         {4, 4, 0, twoVersions, 0, 0},
+		"callers lose connections, entries come":            {4, 0, 2, twoVersions, 0, time.Second},
+		"targets break streams off, one gateway":            {1, 4, 0, twoVersions, 0, 0},
+		"both, many gateways":                               {11, 4, 2, twoVersions, 0, 0},
+		"callers lose connections, one version known":       {4, 0, 2, []string{"v1"}, soleAfter, 0},
+		"targets break streams off, entries come meanwhile": {4, 4, 0, twoVersions, 0, time.Second},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := streamFleet(t, test.gateways, test.cutEvery, test.versions...)
+			keepRunning(t, test.knownFor)
 			var replaced []int
 			for number := 0; number < len(f.engines); number += streamTargets {
 				f.replaceEngineBeforeEntry(t, number, twoVersions[1-number/streamTargets])
