--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -251,9 +251,9 @@
 }
 
 // takeDueOrigins removes and returns the unsent records of services that may have several versions, those
-// of uncertain streams, which no gateway may take for streams of the only version, and
-// those of which a keeper is new: should this gateway be lost, such a keeper can't tell that there was only
-// one. The caller must hold s.mu.
+// that are uncertain, since other gateways would take the only version that they know for that of the stream,
+// and those of which a keeper is new: should this gateway be lost, such a keeper can't tell that there was
+// only one. The caller must hold s.mu.
 func (s *Service) takeDueOrigins(candidates []*peer, now time.Time) []unsentRecord {
 	e := s.origins
 	e.mu.Lock()
