Process: targets with old entries, one version known, eleven gateways

With four gateways each is a keeper of all streams and has the record that the stream is uncertain; with eleven some aren't, and they take the only version that they know before they ask.

--- a/internal/process/old_entries_test.go
+++ b/internal/process/old_entries_test.go
@@ -35,6 +35,7 @@
 		"targets break streams off, one gateway":            {1, 4, 0, twoVersions, 0, 0},
 		"both, many gateways":                               {11, 4, 2, twoVersions, 0, 0},
 		"callers lose connections, one version known":       {4, 0, 2, []string{"v1"}, soleAfter, 0},
+		"callers lose connections, one version known, many": {11, 0, 2, []string{"v1"}, soleAfter, 0},
 		"targets break streams off, entries come meanwhile": {4, 4, 0, twoVersions, 0, time.Second},
 	}
 	for name, test := range cases {
