--- a/internal/peer/origins_test.go
+++ b/internal/peer/origins_test.go
@@ -193,14 +193,6 @@
 	waitFor(t, "the others have the record", func() bool { return holders(nodes) == len(nodes) })
 }
 
-// TestUncertainStreamsAreTold guards against gateways that take a stream for one of the only version, although
-// another gateway knows that it is uncertain which version began it.
-func TestUncertainStreamsAreTold(t *testing.T) {
-	nodes := newKnowingFleet(t, link.NewMemory(), 3, streamVersion)
-	nodes[0].begin(origin.Uncertain)
-	waitFor(t, "the others have the record", func() bool { return holders(nodes) == len(nodes) })
-}
-
 // knowsTargets makes a node know all targets without a gap for long, and until after the test.
 func knowsTargets(service *Service) {
 	now := time.Now()
