Test redirects of services

An agent follows a service's 302 with a GET request to its Location, which no caller sent. Where nothing listens there, the call counts as not run, though the service has answered it, and a router sends it to another server. A 307 is passed on, since the body can't be read again.

--- a/internal/target/httpservice_test.go
+++ b/internal/target/httpservice_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -82,3 +84,35 @@
 	_, err = service.Do(t.Context(), ServiceRequest{Method: http.MethodPost, Path: "/", Header: http.Header{}})
 	is.True(errors.Is(err, ErrRefused))
 }
+
+// TestRedirectIsAnAnswer guards against an HTTP client that follows a redirect: it sends a request that no caller
+// sent, and where nothing listens at the other address, a call that has run counts as not run and is sent again.
+func TestRedirectIsAnAnswer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	closed := "http://" + listener.Addr().String()
+	_ = listener.Close()
+	var followed atomic.Int32
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { followed.Add(1) }))
+	defer other.Close()
+	for name, location := range map[string]string{"nobody listens there": closed, "somebody listens there": other.URL} {
+		for _, status := range []int{http.StatusFound, http.StatusTemporaryRedirect} {
+			t.Run(fmt.Sprintf("%s, %d", name, status), func(t *testing.T) {
+				is := is.New(t)
+				followed.Store(0)
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					w.Header().Set("Location", location)
+					w.WriteHeader(status)
+				}))
+				defer server.Close()
+				service := &HTTPService{Base: server.URL, Client: new(http.Client)}
+				response, err := service.Do(t.Context(), ServiceRequest{Method: http.MethodPost, Path: "/credit", Header: http.Header{}, Body: []byte("{}")})
+				is.NoErr(err)
+				is.NoErr(response.Body.Close())
+				is.Equal(response.Status, status)
+				is.Equal(response.Header.Get("Location"), location)
+				is.Equal(followed.Load(), int32(0))
+			})
+		}
+	}
+}
