Pass on redirects of services and engines as answers

An agent followed a service's 302 with a GET request that no caller had sent. Where nothing listened at the other address, the failure to connect counted as that of the call itself: not run, and sent to another server, although the first one had answered. Requests that must not be repeated could run twice.

The HTTP client of targets no longer follows redirects: the answer goes to the caller, as at the gateways' door. An engine's redirect counts as a refusal, as its other answers but 200 do.

--- a/internal/target/httpengine.go
+++ b/internal/target/httpengine.go
@@ -130,7 +130,7 @@
 		return nil, errors.Wrap(err, "make request")
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := e.Client.Do(request)
+	response, err := withoutRedirects(e.Client).Do(request)
 	if err != nil {
 		return nil, errors.Wrap(err, "call engine")
 	}
--- a/internal/target/httpservice.go
+++ b/internal/target/httpservice.go
@@ -41,7 +41,7 @@
 	}
 	call.Header = request.Header.Clone()
 	call.ContentLength = int64(len(request.Body))
-	response, err := s.Client.Do(call)
+	response, err := withoutRedirects(s.Client).Do(call)
 	if err != nil {
 		var dial *net.OpError
 		if errors.As(err, &dial) && dial.Op == "dial" {
@@ -52,6 +52,14 @@
 	return ServiceResponse{Status: response.StatusCode, Header: response.Header, Body: response.Body, RetryAfter: retryAfterOf(response)}, nil
 }
 
+// withoutRedirects returns a client that returns a redirect as the answer that it is. Only the caller may send
+// another request.
+func withoutRedirects(client *http.Client) *http.Client {
+	own := *client
+	own.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &own
+}
+
 // retryAfterOf returns the delay that a target asks for with a 503 response; zero if it asks
 // for none. A Retry-After header that is not valid counts as none: the caller gets the response
 // unchanged, or its text is part of the error.
