The only version waits for gateways that may have a record that says otherwise

What callers saw: with eleven gateways, 1 to 3 of some 165 streams held events of two versions where a target had begun again under its ID before its entry showed it and all gateways knew one version only.

Cause: others are asked for a record while a new proof is obtained, but the proof may come first, from a gateway's own call to a quick store; what had not been answered by then counted as not there.

Change: the answers are awaited, for 25 ms in all. They come within a few ms; only a gateway that was just lost lets a request wait for the rest.

--- a/internal/gateway/origin_binding.go
+++ b/internal/gateway/origin_binding.go
@@ -92,9 +92,9 @@
 // bindToSole binds the call to the only version of its service, if that is proven and no gateway has a record
 // that says otherwise. known is false if neither is the case.
 func (c *call) bindToSole(ctx context.Context) (known bool, refusal *fault.Error) {
-	endQuestion := c.askForRecord(ctx)
+	answers := c.askForRecord(ctx)
 	version, sole := c.provenSoleVersion(ctx)
-	finding := endQuestion()
+	finding := answers()
 	if record, ok := c.recordedOrigin(); ok { // it has come meanwhile
 		return true, c.bindTo(ctx, record.Version, OriginRecorded)
 	}
@@ -107,20 +107,24 @@
 	return sole, nil
 }
 
-// askForRecord begins to ask other gateways for a record of the call's stream. The returned function ends that
-// and returns what they have told.
-func (c *call) askForRecord(ctx context.Context) (end func() origin.Finding) {
+// recordPatience is how long the only version waits for gateways that may have a record that says otherwise,
+// a few times what an answer takes. Those that were just lost don't answer.
+const recordPatience = 25 * time.Millisecond
+
+// askForRecord begins to ask other gateways for a record of the call's stream. The returned function waits for
+// their answers, for recordPatience in all, and returns what they have told.
+func (c *call) askForRecord(ctx context.Context) (answers func() origin.Finding) {
 	origins := c.gateway.Origins
 	if origins == nil || origins.Peers == nil || c.request.Resumes == "" {
 		return func() origin.Finding { return origin.Finding{} }
 	}
-	ctx, cancel := context.WithCancel(ctx)
 	told := make(chan origin.Finding, 1)
-	go func() { told <- origins.Peers.FindOrigin(ctx, c.stream(), "") }()
-	return func() origin.Finding {
-		cancel()
-		return <-told
-	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, recordPatience)
+		defer cancel()
+		told <- origins.Peers.FindOrigin(ctx, c.stream(), "")
+	}()
+	return func() origin.Finding { return <-told }
 }
 
 // recordedOrigin returns this gateway's record of the call's stream.
