Gateways tell of a change, and fetch it, without waiting for a round

Callers would see streams refused at gateways that learn of new targets up to 0.45 s after others, on a busy machine, where 0.5 s is the bound.

Cause: a change waited up to 95 ms for the next round before it was announced; and a gateway that asks the store itself, and leaves 0.15 s for the store's own answer before it fetches a change from others, waited up to 95 ms more for a round after that. Where the calls of the first gateway hang among eleven, both waits, the 0.15 s and two fetches are one after the other for those that have it as their parent.

The feed has a round started once it has applied an answer with a change, and a timer ends the wait for the store. Neither pause changes: a change is told sooner, and fetched after 0.15 s as before.

--- a/internal/peer/announce.go
+++ b/internal/peer/announce.go
@@ -27,6 +27,16 @@
 	}
 }
 
+// Changed announces a change of the store that this gateway has just applied, if there is one, without waiting
+// for the next round.
+func (s *Service) Changed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.options.Replica.PassedOn() != s.announced {
+		s.wake()
+	}
+}
+
 // audience returns the peers to which this gateway announces changes: all in a small fleet, those that ask it
 // for proofs in a large one. Gateways that ask the store tell each other as well, since the calls of one of
 // them may hang.
--- a/internal/peer/announce_test.go
+++ b/internal/peer/announce_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -154,6 +155,46 @@
 	}
 }
 
+// TestChangeStartsRound guards against changes that wait for the next round before others are told.
+func TestChangeStartsRound(t *testing.T) {
+	cases := map[string]struct {
+		revision int64
+		starts   bool
+	}{
+		"a change":    {8, true},
+		"none":        {7, false},
+		"none at all": {0, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			service := newTestService()
+			service.announced = min(tc.revision, 7)
+			service.options.Replica.(*fakeReplica).set(tc.revision, true)
+			service.Changed()
+			is.Equal(len(service.wakeup) == 1, tc.starts)
+		})
+	}
+}
+
+// TestWaitForStoreEndsWithRound guards against a change that is fetched late: a gateway that asks the store
+// itself waits for its answer first, and then waited for the next round.
+func TestWaitForStoreEndsWithRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := newTestService()
+		heartbeat := heartbeatFrom("1", 1)
+		heartbeat.Revision = 9
+		service.table.record(heartbeat, time.Now())
+		service.catchUp(time.Now())
+		is.True(!service.pulling)
+		time.Sleep(storeAnswerDelay)
+		synctest.Wait()
+		is.Equal(len(service.wakeup), 1)
+		is.True(!service.awaitsStore(time.Now()))
+	})
+}
+
 // TestEachGatewayIsToldOfChange guards against gateways that nobody tells of a change, such as one whose calls
 // to the store fail, so that it is no candidate for a place in the tree.
 func TestEachGatewayIsToldOfChange(t *testing.T) {
--- a/internal/peer/replica.go
+++ b/internal/peer/replica.go
@@ -22,6 +22,9 @@
 	}
 	if s.behindSince.IsZero() {
 		s.behindSince = now
+		if s.awaitsStore(now) {
+			time.AfterFunc(storeAnswerDelay, s.wake)
+		}
 	}
 	if s.pulling || s.proofs.pending.at.IsZero() && s.awaitsStore(now) {
 		return
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -183,9 +183,13 @@
 	}
 }
 
-// Current records that every change accepted until that time is in force.
+// Current records that every change accepted until that time is in force, and has the other gateways told
+// of what is new.
 func (s *sink) Current(at time.Time) {
 	s.process.gateway.Proof.Note(at)
+	if s.process.peers != nil {
+		s.process.peers.Changed()
+	}
 }
 
 // Unreadable records a value that could not be parsed.
