A standstill is no time without another version

What callers saw: a single gateway that stood still for some seconds while the entries of a service's targets had lapsed could give all requests to a version on trial, a bad one too, and refuse the other versions for good.

Cause: the time for which a service has had targets of the ordered version only ran on while the process stood still. On waking it was over, judged on what the process had known before; the entries that were back were read a moment later.

Ruled out: the same among several gateways: one that wakes takes itself for cut off from the others and completes nothing.

That time now begins anew after a second without an evaluation. Entries are back within 2 s of the store's return, so of the 4 s one second may be missed.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -249,6 +249,7 @@
 func (c *Controller) stepAll(inputs []serviceInput, livePeers []string, reachable bool, now time.Time) ([]Step, []pendingCommit) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	stoodStill := !c.steppedAt.IsZero() && now.Sub(c.steppedAt) > maxSoleGap
 	c.steppedAt = now
 	for name, d := range c.deciders {
 		active := slices.ContainsFunc(inputs, func(input serviceInput) bool { return input.view.service == name })
@@ -271,7 +272,7 @@
 			continue
 		}
 		decision := c.stepOne(d, input, tookOver, stepInput{
-			view: input.view, reportInterval: c.reportInterval, livePeers: livePeers, minority: minority, maxPeers: c.maxPeers, reachable: reachable,
+			view: input.view, reportInterval: c.reportInterval, livePeers: livePeers, minority: minority, maxPeers: c.maxPeers, reachable: reachable, stoodStill: stoodStill,
 			versions: input.versions, committing: d.commitInFlight, completionUnresolved: d.hasUnresolved(input.view),
 		}, now)
 		if pending, ok := d.nextCommit(decision, input.view.revision, now); ok {
--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -22,6 +22,8 @@
 	maxPeers int
 	// reachable reports whether the store answered the last call.
 	reachable bool
+	// stoodStill is set if the process has just stood still, so that what it knows may be as old.
+	stoodStill bool
 	// versions is the number of the service's targets per version.
 	versions map[string]int
 	// committing is set while the store has not answered a commit.
@@ -155,7 +157,7 @@
 		}
 	}
 	switch {
-	case others > 0 || s.versions[d.order.Version] == 0 || !s.reachable:
+	case others > 0 || s.versions[d.order.Version] == 0 || !s.reachable || s.stoodStill:
 		d.soleSince = time.Time{}
 	case d.soleSince.IsZero():
 		d.soleSince = now
--- a/internal/rollout/times.go
+++ b/internal/rollout/times.go
@@ -79,6 +79,9 @@
 	// soleVersionDelay is how long a service must have had no targets of other versions to count
 	// as moved, since entries may expire with the store's history and come back.
 	soleVersionDelay = 4 * time.Second
+	// maxSoleGap is the longest time between two evaluations in which soleVersionDelay goes on. Entries that
+	// come back in a longer one may not be known after it.
+	maxSoleGap = time.Second
 	// replicaReadTime is how long after a record was read an order that was not seen counts as
 	// withdrawn: the replica has been read completely by then.
 	replicaReadTime = 5 * time.Second
