Soak of gateways out of step: half cut off together, and a long table

TestStreamsAtGatewayOutOfStep covered one gateway of four, cut off or standing still. Relays can delay datagrams (TestMesh).

A mixed stream is traced by the lines of its requests, and the logs are kept. The counts tell how many resumed streams the second version began and how long it took to know the version.

--- a/internal/soak/killed_in_series_test.go
+++ b/internal/soak/killed_in_series_test.go
@@ -130,9 +130,10 @@
 // addVersionedServer starts a server of a software version.
 func (s *soak) addVersionedServer(version string, number int) *emulator.Server {
 	s.t.Helper()
-	options := emulator.ServerOptions{ID: serverID(version, number), Events: seriesEvents, Gap: cmp.Or(s.streamGap, seriesGap), Version: version, VersionInEvents: true}
+	options := emulator.ServerOptions{ID: serverID(version, number), Events: seriesEvents, Gap: cmp.Or(s.streamGap, seriesGap), Version: version, VersionInEvents: true, KeepsID: s.keepIDs}
 	server, err := s.platform.AddServer("engine", "dc", "127.0.0.1:0", options)
 	is.New(s.t).NoErr(err)
+	s.versioned = append(s.versioned, server)
 	return server
 }
 
--- a/internal/soak/mesh_test.go
+++ b/internal/soak/mesh_test.go
@@ -79,6 +79,17 @@
 	}
 }
 
+// setDelay changes the delay of all datagrams.
+func (m *mesh) setDelay(delay time.Duration) {
+	for _, relays := range m.relays {
+		for _, r := range relays {
+			if r != nil {
+				r.delay.Store(int64(delay))
+			}
+		}
+	}
+}
+
 func (m *mesh) close() {
 	for _, relays := range m.relays {
 		for _, r := range relays {
@@ -121,7 +132,9 @@
 	// cut means that datagrams are dropped, and dropped counts those that were.
 	cut     atomic.Bool
 	dropped atomic.Int64
-	wait    sync.WaitGroup
+	// delay is the delay of datagrams, in nanoseconds.
+	delay atomic.Int64
+	wait  sync.WaitGroup
 }
 
 func newRelay(t *testing.T, m *mesh, from, to int) *relay {
@@ -163,12 +176,23 @@
 			r.dropped.Add(1)
 			continue
 		}
-		if data, ok := r.translate(buffer[:n]); ok {
-			_, _ = r.conn.WriteToUDPAddrPort(data, r.upstream) // what can't be sent is as good as lost
+		data, ok := r.translate(buffer[:n])
+		delay := time.Duration(r.delay.Load())
+		switch {
+		case !ok:
+		case delay > 0:
+			time.AfterFunc(delay, func() { r.pass(data) })
+		default:
+			r.pass(data)
 		}
 	}
 }
 
+// pass sends a datagram on. What can't be sent is as good as lost.
+func (r *relay) pass(data []byte) {
+	_, _ = r.conn.WriteToUDPAddrPort(data, r.upstream)
+}
+
 // translate returns a datagram with the addresses that its receiver uses; false if it is none of a gateway.
 func (r *relay) translate(data []byte) ([]byte, bool) {
 	heartbeat := new(wire.GatewayBeat)
@@ -229,4 +253,10 @@
 	m.setBetween([]int{0}, normal)
 	send(0, 1)
 	is.Equal(receive(1).GetSequence(), sequence)
+	const delay = 30 * time.Millisecond
+	m.setDelay(delay)
+	sent := time.Now()
+	send(0, 1)
+	is.Equal(receive(1).GetSequence(), sequence)
+	is.True(time.Since(sent) >= delay)
 }
--- a/internal/soak/out_of_step_test.go
+++ b/internal/soak/out_of_step_test.go
@@ -2,18 +2,21 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/capersaddle/capersaddle/internal/emulator"
+	"github.com/capersaddle/capersaddle/internal/peer"
 )
 
 const (
@@ -23,100 +26,90 @@
 	joinsAfter = 300 * time.Millisecond
 	// resumedAfter is for how long after the gateway is in step again streams are resumed there.
 	resumedAfter = 2 * time.Second
-	// outOfStepPerSecond is the number of streams that begin in a second. Callers lose every second one.
+	// outOfStepPerSecond is the usual number of streams that begin in a second. Callers lose every second one.
 	outOfStepPerSecond = 150
 	outOfStepLoseEvery = 2
+	// maxTraced is the number of streams of two versions that are traced.
+	maxTraced = 5
 	// minContinuedInStep is the least share of the streams resumed at gateways in step that must go on.
 	minContinuedInStep = 0.99
 )
 
-// outOfStep is how gateways get out of step with the others.
-type outOfStep struct {
-	begin, end func(s *soak, numbers []int)
-}
-
-var (
-	// cutOff: they neither reach the others nor the store. Callers and targets reach them.
-	cutOff = outOfStep{
-		func(s *soak, numbers []int) { s.mesh.setBetween(numbers, silenced); s.setStoreLinks(numbers, silenced) },
-		func(s *soak, numbers []int) { s.mesh.setBetween(numbers, normal); s.setStoreLinks(numbers, normal) },
-	}
-	// standingStill: their processes are stopped.
-	standingStill = outOfStep{
-		func(s *soak, numbers []int) { s.signalAll(numbers, syscall.SIGSTOP) },
-		func(s *soak, numbers []int) { s.signalAll(numbers, syscall.SIGCONT) },
+// TestStreamsAtGatewayOutOfStep guards against streams with events of two versions at gateways that know
+// nothing of a version because they are cut off or have just woken: streams that it began elsewhere
+// meanwhile went on at the version that they took for the only one.
+func TestStreamsAtGatewayOutOfStep(t *testing.T) {
+	binary := buildBinary(t)
+	cases := outOfStepCases()
+	if envNumber(t, envOutOfStep, 0) > 0 {
+		maps.Copy(cases, moreOutOfStepCases())
 	}
-)
-
-func (s *soak) setStoreLinks(numbers []int, next condition) {
-	for _, number := range numbers {
-		s.gateways[number].store.set(next)
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) { test.run(t, binary) })
 	}
 }
 
-func (s *soak) signalAll(numbers []int, signal syscall.Signal) {
-	for _, number := range numbers {
-		s.gateways[number].signal(signal)
+func (test outOfStepCase) run(t *testing.T, binary string) {
+	is := is.New(t)
+	s := &soak{t: t, binary: binary, seed: 1, grace: stopGrace, mesh: newMesh(t, test.gateways), streamGap: test.gap, keepIDs: test.keepIDs}
+	s.startVersionedSystem(test.gateways, 1)
+	defer s.stopSystem()
+	if test.prepare != nil {
+		test.prepare(s)
 	}
+	time.Sleep(outOfStepCertainAfter)
+	callers := &outOfStepCallers{out: test.outOf(s), soak: s}
+	stop := callers.start(cmp.Or(test.perSecond, outOfStepPerSecond))
+	time.Sleep(time.Second)
+	callers.prefersOut(true)
+	test.disturb(s, callers.out)
+	time.Sleep(resumedAfter)
+	s.faults.Wait()
+	callers.prefersOut(false)
+	time.Sleep(time.Second)
+	counts := stop()
+	t.Logf("all streams: %+v", counts)
+	t.Logf("resumed at gateways out of step: %s", callers.atOut.String())
+	t.Logf("resumed at gateways in step: %s", callers.inStep.String())
+	is.True(callers.atOut.Resumed > 0)
+	is.True(callers.inStep.Resumed > 0)
+	is.Equal(counts.Mixed, 0)
+	is.Equal(counts.Disordered, 0)
+	is.True(callers.inStep.share() >= cmp.Or(test.minInStep, minContinuedInStep))
+	is.True(callers.atOut.share() >= test.minAtOut)
 }
 
-// TestStreamsAtGatewayOutOfStep guards against streams with events of two versions at gateways that know
-// nothing of a version because they are cut off or have just woken: streams that it began elsewhere
-// meanwhile went on at the version that they took for the only one.
-func TestStreamsAtGatewayOutOfStep(t *testing.T) {
-	binary := buildBinary(t)
-	cases := map[string]struct {
-		gateways int
-		way      outOfStep
-		// out is the number of gateways that are out of step together, for the given length.
-		out    int
-		length time.Duration
-	}{
-		"cut off":                {4, cutOff, 1, 2500 * time.Millisecond},
-		"standing still":         {4, standingStill, 1, 2500 * time.Millisecond},
-		"standing still shorter": {4, standingStill, 1, 1500 * time.Millisecond},
+// disturb makes gateways get out of step, targets of another version join meanwhile, and the gateways get
+// into step again.
+func (test outOfStepCase) disturb(s *soak, out []int) {
+	test.way.begin(s, out)
+	ends := time.Now().Add(test.length)
+	time.Sleep(min(joinsAfter, test.length/2))
+	if test.join != nil {
+		test.join(s)
 	}
-	for name, test := range cases {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			s := &soak{t: t, binary: binary, seed: 1, grace: stopGrace, mesh: newMesh(t, test.gateways)}
-			s.startVersionedSystem(test.gateways, 1)
-			defer s.stopSystem()
-			time.Sleep(outOfStepCertainAfter)
-			callers := &outOfStepCallers{out: lastNumbers(test.gateways, test.out), soak: s}
-			stop := callers.start()
-			time.Sleep(time.Second)
-			callers.prefersOut(true)
-			test.way.begin(s, callers.out)
-			time.Sleep(joinsAfter)
-			for i := range serversOfVersion {
-				s.addVersionedServer("newer", i)
-			}
-			time.Sleep(test.length - joinsAfter)
-			test.way.end(s, callers.out)
-			time.Sleep(resumedAfter)
-			callers.prefersOut(false)
-			time.Sleep(time.Second)
-			counts := stop()
-			t.Logf("all streams: %+v", counts)
-			t.Logf("resumed at gateways out of step: %+v", callers.atOut)
-			t.Logf("resumed at gateways in step: %+v", callers.inStep)
-			is.True(callers.atOut.Resumed > 0)
-			is.True(callers.inStep.Resumed > 0)
-			is.Equal(counts.Mixed, 0)
-			is.Equal(counts.Disordered, 0)
-			is.True(callers.inStep.share() >= minContinuedInStep)
-		})
+	if test.meanwhile != nil {
+		s.faults.Go(func() { test.meanwhile(s) })
 	}
+	time.Sleep(time.Until(ends))
+	test.way.end(s, out)
 }
 
-// lastNumbers returns the last of the numbers below total, count of them.
-func lastNumbers(total, count int) []int {
+// outOf returns the numbers of the gateways that are out of step.
+func (test outOfStepCase) outOf(s *soak) []int {
 	var numbers []int
-	for number := total - count; number < total; number++ {
+	for number := range s.gateways {
 		numbers = append(numbers, number)
 	}
-	return numbers
+	if test.readers || test.followers {
+		slices.SortFunc(numbers, func(a, b int) int {
+			return cmp.Compare(peer.StoreOrder(s.gateways[a].id), peer.StoreOrder(s.gateways[b].id))
+		})
+	}
+	if test.readers {
+		slices.Reverse(numbers)
+	}
+	return numbers[test.gateways-test.out:]
 }
 
 // outOfStepCallers request streams at all gateways. They lose some of those that they requested at gateways
@@ -130,25 +123,40 @@
 	prefers bool
 	// atOut and inStep count the streams that were resumed first at a gateway out of step, and in step.
 	atOut, inStep resumedCounts
-	// resumed and mixed hold the counts of a stream by the ID of the attempt that resumed it first, and of one
-	// that brought events of another version.
-	resumed, mixed map[string]*resumedCounts
+	// resumed holds the counts of a stream by the ID of the attempt that resumed it first.
+	resumed map[string]*resumedCounts
+	// mixed holds the attempts at streams of two versions.
+	mixed [][]emulator.StreamAttempt
 }
 
 // resumedCounts counts resumed streams.
 type resumedCounts struct {
 	Resumed int
+	// OfNewer counts those that another version than the first one had begun.
+	OfNewer int
 	// AtOnce counts streams that went on with the first request that resumed them, and Later those that
 	// did with another one.
 	AtOnce, Later int
 	// Mixed counts streams with events of two versions.
 	Mixed int
 	// Endings counts the first requests that resumed streams by how the gateway knew the version and how
-	// they ended, and Origins the requests that made streams mixed by how it did, both by its log. Lines
-	// are missing if there were too many.
-	Endings, Origins map[string]int
-	// OldestProof is the greatest age of a proof of the targets when a mixed stream ended, by the same.
-	OldestProof time.Duration
+	// they ended, by its log. Lines are missing if there were too many.
+	Endings map[string]int
+	// originMs holds how long it took to know the version, in milliseconds, by the same.
+	originMs []int
+}
+
+// String describes the counts.
+func (c *resumedCounts) String() string {
+	slices.Sort(c.originMs)
+	part := func(share float64) int {
+		if len(c.originMs) == 0 {
+			return -1
+		}
+		return c.originMs[int(share*float64(len(c.originMs)-1))]
+	}
+	return fmt.Sprintf("%d, of which %d of another version; mixed %d; %d went on at once, %d later (%.3f); by the log %v; origin_ms median %d, 95 in 100 %d, most %d",
+		c.Resumed, c.OfNewer, c.Mixed, c.AtOnce, c.Later, c.share(), c.Endings, part(0.5), part(0.95), part(1))
 }
 
 // share returns the share of the resumed streams that went on.
@@ -157,13 +165,11 @@
 }
 
 // start starts the callers; stop ends them and returns what they saw.
-func (c *outOfStepCallers) start() (stop func() emulator.StreamCounts) {
-	c.resumed, c.mixed = make(map[string]*resumedCounts), make(map[string]*resumedCounts)
-	for _, counts := range []*resumedCounts{&c.atOut, &c.inStep} {
-		counts.Endings, counts.Origins = make(map[string]int), make(map[string]int)
-	}
+func (c *outOfStepCallers) start(perSecond int) (stop func() emulator.StreamCounts) {
+	c.resumed = make(map[string]*resumedCounts)
+	c.atOut.Endings, c.inStep.Endings = make(map[string]int), make(map[string]int)
 	callers := &emulator.StreamCallers{
-		Host: host, Key: "out-of-step", Path: "/chat/1", Events: seriesEvents, Every: time.Second / outOfStepPerSecond,
+		Host: host, Key: "out-of-step", Path: "/chat/1", Events: seriesEvents, Every: time.Second / time.Duration(perSecond),
 		LoseEvery: outOfStepLoseEvery, Choose: c.choose, Observe: c.observe,
 	}
 	ctx, cancel := context.WithCancel(c.soak.t.Context())
@@ -172,7 +178,7 @@
 	return func() emulator.StreamCounts {
 		cancel()
 		wait.Wait()
-		c.readOrigins()
+		c.readLogs()
 		return callers.Counts()
 	}
 }
@@ -195,7 +201,19 @@
 	if c.prefers && attempt == 1 && lost%3 != 0 {
 		return c.soak.gateways[c.out[lost%len(c.out)]].callers
 	}
-	return c.soak.gateways[(number+attempt)%(len(c.soak.gateways)-len(c.out))].callers
+	return c.inStepAddress(number + attempt)
+}
+
+// inStepAddress returns the address of a gateway in step that serves.
+func (c *outOfStepCallers) inStepAddress(turn int) string {
+	for range c.soak.gateways {
+		number := turn % len(c.soak.gateways)
+		if !slices.Contains(c.out, number) && !c.soak.gateways[number].stopping.Load() {
+			return c.soak.gateways[number].callers
+		}
+		turn++
+	}
+	return ""
 }
 
 // observe counts a stream that has ended.
@@ -219,23 +237,70 @@
 	case went > 0:
 		counts.Later++
 	}
-	version := ""
+	versions := versionsOf(attempts)
+	if versions[0] != firstVersion {
+		counts.OfNewer++
+	}
+	if len(versions) > 1 {
+		counts.Mixed++
+		c.mixed = append(c.mixed, attempts)
+	}
+}
+
+// versionsOf returns the versions of a stream's events, each once, in the order of their first events.
+func versionsOf(attempts []emulator.StreamAttempt) []string {
+	var versions []string
 	for _, attempt := range attempts {
-		for _, v := range attempt.Versions {
-			if version != "" && v != version {
-				counts.Mixed++
-				c.mixed[attempt.ID] = counts
-				return
+		for _, version := range attempt.Versions {
+			if !slices.Contains(versions, version) {
+				versions = append(versions, version)
 			}
-			version = v
 		}
 	}
+	return versions
+}
+
+// requestLine holds what a gateway's log says of a request that resumes a stream.
+type requestLine struct {
+	Message       string `json:"msg"`
+	ID            string `json:"id"`
+	Time          string `json:"time"`
+	Process       string `json:"process"`
+	Ending        string `json:"ending"`
+	Resumes       string `json:"resumes"`
+	StreamVersion string `json:"stream_version"`
+	Origin        string `json:"origin"`
+	OriginMs      int    `json:"origin_ms"`
+	OriginProofMs int    `json:"origin_proof_ms"`
+	ProofMs       int    `json:"proof_ms"`
 }
 
-// readOrigins reads from the gateways' logs how they knew the versions of resumed streams.
-func (c *outOfStepCallers) readOrigins() {
+// readLogs reads from the gateways' logs how they knew the versions of resumed streams, and traces streams of
+// two versions.
+func (c *outOfStepCallers) readLogs() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	lines := c.readLines()
+	for id, counts := range c.resumed {
+		if line, ok := lines[id]; ok {
+			counts.Endings[line.Origin+" "+line.Ending]++
+			counts.originMs = append(counts.originMs, line.OriginMs)
+		}
+	}
+	if len(c.mixed) == 0 {
+		return
+	}
+	for _, attempts := range c.mixed[:min(len(c.mixed), maxTraced)] {
+		for _, attempt := range attempts {
+			c.soak.t.Logf("stream of two versions: sent %s, events of %v, status %d: %+v", attempt.SentAt.UTC().Format(time.RFC3339Nano), attempt.Versions, attempt.Status, lines[attempt.ID])
+		}
+	}
+	c.soak.t.Logf("logs in %s", c.soak.keepLogs())
+}
+
+// readLines reads the lines of all requests from the gateways' logs, by the IDs of the requests.
+func (c *outOfStepCallers) readLines() map[string]requestLine {
+	lines := make(map[string]requestLine)
 	for _, g := range c.soak.gateways {
 		log, err := os.Open(g.logFile)
 		if err != nil {
@@ -244,24 +309,12 @@
 		}
 		scanner := bufio.NewScanner(log)
 		for scanner.Scan() {
-			var line struct {
-				Message string `json:"msg"`
-				ID      string `json:"id"`
-				Origin  string `json:"origin"`
-				Ending  string `json:"ending"`
-				ProofMs int    `json:"proof_ms"`
-			}
-			if json.Unmarshal(scanner.Bytes(), &line) != nil || line.Message != "request" {
-				continue
-			}
-			if counts := c.resumed[line.ID]; counts != nil {
-				counts.Endings[line.Origin+" "+line.Ending]++
-			}
-			if counts := c.mixed[line.ID]; counts != nil {
-				counts.Origins[line.Origin]++
-				counts.OldestProof = max(counts.OldestProof, time.Duration(line.ProofMs)*time.Millisecond)
+			var line requestLine
+			if json.Unmarshal(scanner.Bytes(), &line) == nil && line.Message == "request" {
+				lines[line.ID] = line
 			}
 		}
 		_ = log.Close()
 	}
+	return lines
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -95,6 +95,10 @@
 	streamGap time.Duration
 	// loseEvery makes callers of streams lose the connection of every so many-th one; zero for none.
 	loseEvery int
+	// keepIDs means that versioned servers that begin again keep their IDs.
+	keepIDs bool
+	// versioned are the versioned servers, in the order in which they were added.
+	versioned []*emulator.Server
 	// passing is the number of versions that have come and gone.
 	passing int
 	// settings are added to those of all gateways.
