A resumed stream waits longer for a proof where the store is slow

Cause: 75 ms for a proof are less than two calls to such a store; and other gateways are asked for records that were not sent, since one version counts as certain.

Change: where another gateway answers the question for a record, so that this one is not the one that is out of touch, a request waits 300 ms for the proof; else 75 ms as before. The limit is the caller's, the prover has none of its own. Two calls may be under way at once, so that a request waits for the rest of none but its own.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,8 +69,8 @@
 	// Limiters limits what is sent to each service; nil means no limit.
 	Limiters *admission.Limiters
 	Proof    *freshness.Proof
-	// Prove makes the proof cover a time, within a short limit, and reports whether it does. Nil if no newer
-	// proof than the present one can be had.
+	// Prove makes the proof cover a time, and reports whether it does. Nil if no newer proof than the present
+	// one can be had.
 	Prove   func(ctx context.Context, since time.Time) bool
 	Events  Recorder
 	Options Options
--- a/internal/gateway/origin_binding.go
+++ b/internal/gateway/origin_binding.go
@@ -89,11 +89,23 @@
 	return c.unknownOrigin(retryAfterShortage)
 }
 
+const (
+	// recordPatience is how long the only version waits for gateways that may have a record that says
+	// otherwise, a few times what an answer takes. Those that were just lost don't answer.
+	recordPatience = 25 * time.Millisecond
+	// proofPatience is how long a request waits for a new proof at a gateway that no other one answers, and
+	// slowProofPatience at one that others do: then the store is slow.
+	proofPatience     = 75 * time.Millisecond
+	slowProofPatience = 300 * time.Millisecond
+)
+
 // bindToSole binds the call to the only version of its service, if that is proven and no gateway has a record
 // that says otherwise. known is false if neither is the case.
 func (c *call) bindToSole(ctx context.Context) (known bool, refusal *fault.Error) {
-	answers := c.askForRecord(ctx)
-	version, sole := c.provenSoleVersion(ctx)
+	proofCtx, cancel := context.WithTimeout(ctx, slowProofPatience)
+	defer cancel()
+	answers := c.askForRecord(ctx, func() { time.AfterFunc(proofPatience-recordPatience, cancel) })
+	version, sole := c.provenSoleVersion(proofCtx)
 	finding := answers()
 	if record, ok := c.recordedOrigin(); ok { // it has come meanwhile
 		return true, c.bindTo(ctx, record.Version, OriginRecorded)
@@ -107,13 +119,9 @@
 	return sole, nil
 }
 
-// recordPatience is how long the only version waits for gateways that may have a record that says otherwise,
-// a few times what an answer takes. Those that were just lost don't answer.
-const recordPatience = 25 * time.Millisecond
-
-// askForRecord begins to ask other gateways for a record of the call's stream. The returned function waits for
-// their answers, for recordPatience in all, and returns what they have told.
-func (c *call) askForRecord(ctx context.Context) (answers func() origin.Finding) {
+// askForRecord begins to ask other gateways for a record of the call's stream, for recordPatience, and calls
+// unanswered if none of them has answered by then. The returned function returns what they have told.
+func (c *call) askForRecord(ctx context.Context, unanswered func()) (answers func() origin.Finding) {
 	origins := c.gateway.Origins
 	if origins == nil || origins.Peers == nil || c.request.Resumes == "" {
 		return func() origin.Finding { return origin.Finding{} }
@@ -122,7 +130,11 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, recordPatience)
 		defer cancel()
-		told <- origins.Peers.FindOrigin(ctx, c.stream(), "")
+		finding := origins.Peers.FindOrigin(ctx, c.stream(), "")
+		if finding.Answered == 0 {
+			unanswered()
+		}
+		told <- finding
 	}()
 	return func() origin.Finding { return <-told }
 }
@@ -142,12 +154,19 @@
 	}
 	c.originSource = source
 	// A version that is not known here has no targets any more, or is newer than the list of targets.
-	if c.bindToListed(began) || c.gateway.proveNow(ctx) && c.bindToListed(began) {
+	if c.bindToListed(began) || c.provesNow(ctx) && c.bindToListed(began) {
 		return nil
 	}
 	return fault.New(fault.NoTarget, fault.NotRun, "the route has no targets of the version that began the stream").After(retryAfterShortage)
 }
 
+// provesNow is proveNow within proofPatience.
+func (c *call) provesNow(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, proofPatience)
+	defer cancel()
+	return c.gateway.proveNow(ctx)
+}
+
 // bindToListed binds the call to a version, and to its service, if the route has targets of it.
 func (c *call) bindToListed(began origin.Version) bool {
 	for _, share := range c.route.Split {
--- a/internal/peer/proof_question.go
+++ b/internal/peer/proof_question.go
@@ -23,7 +23,7 @@
 	proofQuestionPause      = 5 * time.Millisecond
 	proofQuestionPauseLarge = 25 * time.Millisecond
 	// proofAnswerTimeout limits the time that an answer takes. The gateway that asked has given up by then.
-	proofAnswerTimeout = 100 * time.Millisecond
+	proofAnswerTimeout = 300 * time.Millisecond
 	// maxProofAnswers limits the answers that are being prepared at the same time.
 	maxProofAnswers = 256
 )
--- a/internal/process/gateway_proof.go
+++ b/internal/process/gateway_proof.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// proveTimeout limits the wait for a new proof: other gateways are asked three times meanwhile.
-	proveTimeout = 75 * time.Millisecond
 	// askOthersAfter is the time that the store has to answer, a few times what it takes, before a gateway
 	// that asks it also asks other gateways, or one that asked others in vain asks the store.
 	askOthersAfter = 25 * time.Millisecond
@@ -19,24 +17,25 @@
 	// while one is under way share the next one.
 	confirmsPerSecond = 50
 	confirmBurst      = 10
+	// maxConfirms limits the calls that are under way at the same time. With a slow store a request that
+	// comes during one call waits for the next one only.
+	maxConfirms = 2
 )
 
 // prover obtains new proofs that this process's content of the store is the newest.
 type prover struct {
 	process *GatewayProcess
 	limiter *rate.Limiter
-	// turn is held during a call to the store.
-	turn chan struct{}
+	// turns are held during calls to the store.
+	turns chan struct{}
 }
 
 func newProver(p *GatewayProcess) *prover {
-	return &prover{process: p, limiter: rate.NewLimiter(confirmsPerSecond, confirmBurst), turn: make(chan struct{}, 1)}
+	return &prover{process: p, limiter: rate.NewLimiter(confirmsPerSecond, confirmBurst), turns: make(chan struct{}, maxConfirms)}
 }
 
-// Prove makes the process's proof cover a time, within proveTimeout, and reports whether it does.
+// Prove makes the process's proof cover a time before the context ends, and reports whether it does.
 func (p *prover) Prove(ctx context.Context, since time.Time) bool {
-	ctx, cancel := context.WithTimeout(ctx, proveTimeout)
-	defer cancel()
 	first, second := p.confirm, p.askOthers
 	if p.follows() {
 		first, second = p.askOthers, p.confirm
@@ -92,11 +91,11 @@
 // confirm asks the store for a proof, unless a call that began later than since brings one.
 func (p *prover) confirm(ctx context.Context, since time.Time) {
 	select {
-	case p.turn <- struct{}{}:
+	case p.turns <- struct{}{}:
 	case <-ctx.Done():
 		return
 	}
-	defer func() { <-p.turn }()
+	defer func() { <-p.turns }()
 	if p.process.gateway.Proof.Covers(since) || p.limiter.Wait(ctx) != nil {
 		return
 	}
