--- a/internal/gateway/resumed_version_test.go
+++ b/internal/gateway/resumed_version_test.go
@@ -292,3 +292,41 @@
 		})
 	}
 }
+
+// slowOriginPeers tells that a stream is uncertain, after a time.
+type slowOriginPeers struct {
+	fakeOriginPeers
+	takes time.Duration
+}
+
+func (s *slowOriginPeers) FindOrigin(ctx context.Context, stream origin.Stream, service string) origin.Finding {
+	select {
+	case <-time.After(s.takes):
+		return s.fakeOriginPeers.FindOrigin(ctx, stream, service)
+	case <-ctx.Done():
+		return origin.Finding{}
+	}
+}
+
+// TestRecordThatComesAfterTheProof guards against streams that go on at the only version because the store
+// answered sooner than the gateway that knows that the stream is uncertain.
+func TestRecordThatComesAfterTheProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		sender := &firstSender{first: stream(two, io.EOF), others: stream(two, io.EOF)}
+		w := versionGateway(sender)
+		time.Sleep(2 * time.Hour)
+		w.gateway.Balancer.Put(balance.Target{ID: "x", Service: "s", Address: "x", Version: "v1"}, time.Now())
+		time.Sleep(time.Hour)
+		prove(w.gateway.Proof, time.Now().Add(-time.Hour), time.Now().Add(-time.Second))
+		w.gateway.Prove = func(context.Context, time.Time) bool {
+			time.Sleep(time.Millisecond)
+			w.gateway.Proof.Note(time.Now())
+			return true
+		}
+		w.gateway.Origins = &gateway.Origins{Table: origin.NewTable(), Peers: &slowOriginPeers{fakeOriginPeers{version: uncertain}, 2 * time.Millisecond}}
+		caller := w.resume(t, "/resumable/x", "r1", "1")
+		is.Equal(caller.records[0].OriginSource, gateway.OriginUnknown)
+		is.Equal(len(sender.sent), 0)
+	})
+}
