--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -19,7 +19,11 @@
 func (s *Service) baseHeartbeat(now time.Time) *wire.GatewayBeat {
 	s.sequence++
 	s.sentAt[s.sequence%sentHistory] = now
+	// The age is read before the revision: a proof that comes in between may be about a later revision.
+	proofAge, hasProof := s.proofAge()
 	heartbeat := &wire.GatewayBeat{
+		ProofAgeMs:     proofAge,
+		HasProof:       hasProof,
 		Life:           s.incarnation,
 		Sequence:       s.sequence,
 		Revision:       s.options.Replica.PassedOn(),
@@ -32,8 +36,6 @@
 	if s.options.Lag != nil {
 		heartbeat.LagMs = uint32(s.options.Lag().Milliseconds())
 	}
-	// The revision is read before the age, since the proof can only become newer in between.
-	heartbeat.ProofAgeMs, heartbeat.HasProof = s.proofAge()
 	return heartbeat
 }
 
@@ -273,7 +275,7 @@
 	switch {
 	case heartbeat.GetQuestion() != 0:
 		s.answerLookup(from, heartbeat, now)
-	case heartbeat.GetWantsNewProof():
+	case heartbeat.GetNewProofHops() > 0:
 		s.answerProofQuestion(from, heartbeat, now)
 	case heartbeat.GetWantsProof():
 		s.send(from.address, s.briefHeartbeat(from, now), true)
--- a/internal/peer/origin_lookup.go
+++ b/internal/peer/origin_lookup.go
@@ -25,6 +25,9 @@
 	// asked is the number of gateways that are asked, and waiting are those that have not answered.
 	asked   int
 	waiting []*peer
+	// sole is the answer of gateways that have no record and know the only version; its Known is false if
+	// there is none. A record of another gateway goes before it.
+	sole origin.Finding
 	// settled receives one result.
 	settled chan origin.Finding
 }
@@ -40,7 +43,7 @@
 		s.sendOriginAnswer(from, question, false)
 		return
 	}
-	s.prove(received, func(proven bool) { s.sendOriginAnswer(from, question, proven) })
+	s.prove(received, 0, func(proven bool) { s.sendOriginAnswer(from, question, proven) })
 }
 
 // hasOrigin reports whether there is a record of the stream of a question.
@@ -70,11 +73,31 @@
 		return
 	}
 	lookup.waiting = slices.DeleteFunc(lookup.waiting, func(p *peer) bool { return p == from })
-	known := answer.GetVersion() != uint32(origin.Uncertain) || answer.GetUncertain()
-	if known || len(lookup.waiting) == 0 {
-		delete(e.lookups, answer.GetNumber())
-		lookup.settled <- origin.Finding{Known: known, Version: origin.Version(answer.GetVersion()), Sole: answer.GetSole(), Answered: lookup.answered()}
+	finding := origin.Finding{Version: origin.Version(answer.GetVersion()), Sole: answer.GetSole(), Answered: lookup.answered()}
+	finding.Known = finding.Version != origin.Uncertain || answer.GetUncertain()
+	if finding.Sole {
+		lookup.sole = finding
 	}
+	switch {
+	case finding.Known && !finding.Sole:
+		e.end(answer.GetNumber(), finding)
+	case len(lookup.waiting) == 0:
+		e.end(answer.GetNumber(), lookup.best())
+	}
+}
+
+// end ends a lookup with its result.
+func (e *originExchange) end(number uint32, finding origin.Finding) {
+	lookup := e.lookups[number]
+	delete(e.lookups, number)
+	lookup.settled <- finding
+}
+
+// best returns what is known without a record.
+func (l *originLookup) best() origin.Finding {
+	finding := l.sole
+	finding.Answered = l.answered()
+	return finding
 }
 
 // answered returns the number of gateways that have answered.
@@ -99,7 +122,9 @@
 		case finding := <-lookup.settled:
 			return finding
 		case <-ticker.C:
-			continue
+			if !s.knowsSole(lookup) {
+				continue
+			}
 		case <-ctx.Done():
 		}
 		break
@@ -107,6 +132,13 @@
 	return s.closeOriginLookup(number, lookup)
 }
 
+// knowsSole reports whether a gateway has answered a lookup with the only version.
+func (s *Service) knowsSole(lookup *originLookup) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return lookup.sole.Known
+}
+
 // openOriginLookup opens a lookup and chooses the gateways to ask.
 func (s *Service) openOriginLookup(stream origin.Stream) (number uint32, lookup *originLookup) {
 	s.mu.Lock()
@@ -143,6 +175,6 @@
 	case finding := <-lookup.settled:
 		return finding
 	default:
-		return origin.Finding{Answered: lookup.answered()}
+		return lookup.best()
 	}
 }
--- a/internal/peer/origins_test.go
+++ b/internal/peer/origins_test.go
@@ -123,7 +123,7 @@
 		"one version, not proven since": {4, streamVersion, func(_ *testing.T, nodes []*originNode) {
 			for _, n := range nodes {
 				n.service.mu.Lock()
-				n.service.options.Prove = func(context.Context, time.Time) bool { return false }
+				n.service.options.Prove = func(context.Context, time.Time, uint32) bool { return false }
 				n.service.mu.Unlock()
 			}
 		}, 0, false},
@@ -319,3 +319,17 @@
 		})
 	}
 }
+
+// TestRecordGoesBeforeSoleVersionOfAnotherPeer guards against the only version that one gateway knows where
+// another one has the record of the stream and answers a little later.
+func TestRecordGoesBeforeSoleVersionOfAnotherPeer(t *testing.T) {
+	is := is.New(t)
+	nodes := newOriginFleet(t, link.NewMemory(), 4, streamVersion)
+	nodes[0].table.Put(origin.Record{Stream: testStream, Version: origin.Uncertain, Expires: time.Now().Add(time.Minute)}, time.Now())
+	nodes[0].service.mu.Lock() // its answer takes 10 ms
+	time.AfterFunc(10*time.Millisecond, nodes[0].service.mu.Unlock)
+	finding := nodes[3].service.FindOrigin(t.Context(), testStream, testService)
+	t.Logf("%+v", finding)
+	is.Equal(finding.Version, origin.Uncertain)
+	is.True(!finding.Sole)
+}
--- a/internal/peer/proof_question.go
+++ b/internal/peer/proof_question.go
@@ -24,6 +24,9 @@
 	proofQuestionPauseLarge = 25 * time.Millisecond
 	// proofAnswerTimeout limits the time that an answer takes. The gateway that asked has given up by then.
 	proofAnswerTimeout = 300 * time.Millisecond
+	// maxProofHops is the number of gateways that a question passes in the largest fleet: the one that needs
+	// the proof, its parent, and one that asks the store.
+	maxProofHops = 2
 	// maxProofAnswers limits the answers that are being prepared at the same time.
 	maxProofAnswers = 256
 )
@@ -44,12 +47,30 @@
 	revision int64
 }
 
-// AskProof asks other gateways until the proof covers a time, or the context ends. It returns whether it does.
-func (s *Service) AskProof(ctx context.Context, since time.Time) bool {
+// AskProof asks other gateways until the proof covers a time, or the context ends.
+func (s *Service) AskProof(ctx context.Context, since time.Time) {
+	s.askProof(ctx, since, 1, (*view).proofSources)
+}
+
+// AskParentForProof asks the parent, for a gateway whose question has come over some hops. A question ends after
+// maxProofHops, so that gateways with different views of the tree don't ask each other for ever.
+func (s *Service) AskParentForProof(ctx context.Context, since time.Time, hops uint32) {
+	if hops < maxProofHops {
+		s.askProof(ctx, since, hops+1, func(v *view, _ bool) []*peer { return v.proofSources(true) })
+	}
+}
+
+// askProof asks the gateways that sources returns, less and less often, until the proof covers a time, or the
+// context ends.
+func (s *Service) askProof(ctx context.Context, since time.Time, hops uint32, sources func(v *view, first bool) []*peer) {
+	interval := proofQuestionInterval
 	for first := true; ctx.Err() == nil && !s.options.Proof.Covers(since); first = false {
-		s.awaitProof(ctx, since, s.sendProofQuestion(since, first))
+		sent, pause := s.sendProofQuestion(since, hops, first, sources)
+		if sent {
+			pause, interval = interval, 2*interval
+		}
+		s.awaitProof(ctx, since, pause)
 	}
-	return s.options.Proof.Covers(since)
 }
 
 // awaitProof waits until the proof covers a time, for a limited time.
@@ -59,31 +80,31 @@
 	s.options.Proof.Await(ctx, since)
 }
 
-// sendProofQuestion sends the question for a proof that covers a time, unless one that does is on its way.
-// It returns how long to wait for the answer, or until the question may be sent.
-func (s *Service) sendProofQuestion(since time.Time, first bool) time.Duration {
+// sendProofQuestion sends the question for a proof that covers a time. sent is false if one that does is on its
+// way, or if the last one was sent a moment ago: then pause is the time until it may be sent.
+func (s *Service) sendProofQuestion(since time.Time, hops uint32, first bool, sources func(v *view, first bool) []*peer) (sent bool, pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
 	current := s.currentView(now)
-	pause := proofQuestionPause
+	least := proofQuestionPause
 	if current.large {
-		pause = proofQuestionPauseLarge
+		least = proofQuestionPauseLarge
 	}
 	elapsed := now.Sub(s.proofs.askedAt)
 	if first && !s.proofs.askedAt.Before(since) && elapsed < proofQuestionInterval {
-		return proofQuestionInterval - elapsed
+		return false, proofQuestionInterval - elapsed
 	}
-	if elapsed < pause {
-		return pause - elapsed
+	if elapsed < least {
+		return false, least - elapsed
 	}
 	s.proofs.askedAt = now
-	for _, to := range current.proofSources(first) {
+	for _, to := range sources(current, first) {
 		question := s.briefHeartbeat(to, now)
-		question.WantsNewProof = true
+		question.NewProofHops = hops
 		s.send(to.address, question, true)
 	}
-	return proofQuestionInterval
+	return true, 0
 }
 
 // proofSources returns the gateways that are asked for a new proof: first the one that most likely has the
@@ -109,8 +130,8 @@
 	if s.options.Prove == nil || s.proofs.answering >= maxProofAnswers {
 		return
 	}
-	sequence := heartbeat.GetSequence()
-	s.prove(received, func(proven bool) {
+	sequence, hops := heartbeat.GetSequence(), heartbeat.GetNewProofHops()
+	s.prove(received, hops, func(proven bool) {
 		if !proven {
 			return // the gateway that asked asks others too
 		}
@@ -120,14 +141,14 @@
 	})
 }
 
-// prove begins to obtain a proof that covers a time. It calls a function with the result, which holds s.mu.
+// prove begins to obtain a proof that covers a time, for a question that has come over some hops. It calls a function with the result, which holds s.mu.
 // The caller must hold s.mu too.
-func (s *Service) prove(since time.Time, then func(proven bool)) {
+func (s *Service) prove(since time.Time, hops uint32, then func(proven bool)) {
 	s.proofs.answering++
 	s.wait.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), proofAnswerTimeout)
 		defer cancel()
-		proven := s.options.Prove(ctx, since)
+		proven := s.options.Prove(ctx, since, hops)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.proofs.answering--
--- a/internal/peer/proof_question_test.go
+++ b/internal/peer/proof_question_test.go
@@ -3,19 +3,21 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/link"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
 // proves makes a node able to prove its content anew.
 func proves(service *Service) {
-	service.options.Prove = func(context.Context, time.Time) bool {
+	service.options.Prove = func(context.Context, time.Time, uint32) bool {
 		service.options.Proof.Note(time.Now())
 		return true
 	}
@@ -68,9 +70,9 @@
 				defer cancel()
 			}
 			since := time.Now()
-			proven := asking.service.AskProof(ctx, since)
+			asking.service.AskProof(ctx, since)
+			proven := asking.proof.Covers(since)
 			is.Equal(proven, tc.provable && !lost)
-			is.Equal(asking.proof.Covers(since), proven)
 			if proven {
 				is.True(asking.replica.Revision() >= tc.revision)
 			}
@@ -92,7 +94,7 @@
 		HasProof: true, ProofAgeMs: 1000, KnowsTargetsS: 3600, LagMs: 10,
 	}
 	cases := map[string]func(heartbeat *wire.GatewayBeat){
-		"question": func(heartbeat *wire.GatewayBeat) { heartbeat.WantsNewProof = true },
+		"question": func(heartbeat *wire.GatewayBeat) { heartbeat.NewProofHops = 1 },
 		"answer":   func(heartbeat *wire.GatewayBeat) { heartbeat.ProvesSequence = 1 << 20 },
 	}
 	for name, add := range cases {
@@ -104,3 +106,78 @@
 		})
 	}
 }
+
+// changingReplica is a replica that a change reaches, with a new proof, right after its revision was read.
+type changingReplica struct {
+	*fakeReplica
+	change func()
+}
+
+func (c *changingReplica) PassedOn() int64 {
+	revision := c.fakeReplica.PassedOn()
+	if c.change != nil {
+		c.change()
+	}
+	return revision
+}
+
+// TestHeartbeatProvesItsRevision guards against heartbeats of which the proof is about a later revision than the
+// one that they state.
+func TestHeartbeatProvesItsRevision(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, "g-0", link.NewMemory())
+	n.replica.set(1, true)
+	n.service.mu.Lock()
+	defer n.service.mu.Unlock()
+	n.proof.Note(clock.Now().Add(-time.Second))
+	n.service.options.Replica = &changingReplica{fakeReplica: n.replica, change: func() {
+		n.replica.set(2, true)
+		n.proof.Note(clock.Now())
+	}}
+	sent := n.service.baseHeartbeat(clock.Now())
+	proves := time.Duration(sent.GetProofAgeMs()) * time.Millisecond
+	t.Logf("revision %d, proof %v old", sent.GetRevision(), proves)
+	is.True(sent.GetRevision() == 2 || proves >= time.Second)
+}
+
+// TestProofQuestionsEnd guards against questions for a proof that gateways of a large fleet go on asking each
+// other after the one that needed it has given up.
+func TestProofQuestionsEnd(t *testing.T) {
+	const count, patience, quietRounds = 14, 75 * time.Millisecond, 20
+	network := link.NewMemory()
+	// Each takes any other one for its parent, and no store answers in time.
+	slow := func(service *Service) {
+		service.options.Prove = func(ctx context.Context, since time.Time, hops uint32) bool {
+			service.AskParentForProof(ctx, since, hops)
+			return service.options.Proof.Covers(since)
+		}
+	}
+	var nodes []*node
+	var seeds []string
+	for i := range count {
+		nodes = append(nodes, newNodeWith(t, fmt.Sprintf("g-%d", i), network, slow, seeds...))
+		nodes[i].replica.set(1, true)
+		seeds = append(seeds, nodes[i].service.options.Address)
+	}
+	waitFor(t, "the gateways know each other", func() bool {
+		return !slices.ContainsFunc(nodes, func(n *node) bool { return n.service.Live() != count-1 })
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	nodes[count-1].service.AskProof(ctx, clock.Now())
+	quiet := 0
+	waitFor(t, "no more answers are prepared", func() bool {
+		quiet++
+		if slices.ContainsFunc(nodes, (*node).answersProofs) {
+			quiet = 0
+		}
+		return quiet >= quietRounds
+	})
+}
+
+// answersProofs reports whether a node is preparing an answer.
+func (n *node) answersProofs() bool {
+	n.service.mu.Lock()
+	defer n.service.mu.Unlock()
+	return n.service.proofs.answering > 0
+}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -121,9 +121,9 @@
 	Origins OriginOptions
 	// Stale is the age of the proof at which this process asks the store even if others do.
 	Stale time.Duration
-	// Prove obtains a proof that covers a time, for a gateway that asks for one, and reports whether it
-	// could. Nil if this process can't.
-	Prove func(ctx context.Context, since time.Time) bool
+	// Prove obtains a proof that covers a time, for a gateway that asks for one over a number of hops, and
+	// reports whether it could. Nil if this process can't.
+	Prove func(ctx context.Context, since time.Time, hops uint32) bool
 	// Lag returns how late this process's timers fire; nil means not at all.
 	Lag func() time.Duration
 	// OnCensus is called with the current counts of peers in every round of heartbeats.
--- a/internal/process/gateway_proof.go
+++ b/internal/process/gateway_proof.go
@@ -43,13 +43,14 @@
 	return p.proveBy(ctx, since, first, second)
 }
 
-// ProveForPeer is Prove for another gateway that asks for a proof. It asks no gateway in a small fleet, in
-// which all ask the same ones.
-func (p *prover) ProveForPeer(ctx context.Context, since time.Time) bool {
-	if p.process.peers.Many() {
-		return p.Prove(ctx, since)
+// ProveForPeer is Prove for another gateway, whose question has come over a number of hops. Gateways that ask the
+// store, and all in a small fleet, which all ask these, ask the store only; others ask their parent.
+func (p *prover) ProveForPeer(ctx context.Context, since time.Time, hops uint32) bool {
+	if p.process.peers.Many() && p.follows() {
+		p.process.peers.AskParentForProof(ctx, since, hops)
+	} else {
+		p.confirm(ctx, since)
 	}
-	p.confirm(ctx, since)
 	return p.process.gateway.Proof.Covers(since)
 }
 
