--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -41,7 +41,7 @@
 
 // proofAge returns the age of this process's proof in ms, rounded up; false if there is none.
 func (s *Service) proofAge() (uint32, bool) {
-	age, ok := s.options.Proof.Age(clock.Now())
+	age, ok := s.options.Proof.Age(clock.Check())
 	if !ok {
 		return 0, false
 	}
--- a/internal/peer/proof_question_test.go
+++ b/internal/peer/proof_question_test.go
@@ -181,3 +181,68 @@
 	defer n.service.mu.Unlock()
 	return n.service.proofs.answering > 0
 }
+
+// TestAnswerProvesTheTimeOfTheQuestion guards against proofs of times after the question, by an answer that
+// arrives late.
+func TestAnswerProvesTheTimeOfTheQuestion(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, "g-0", link.NewMemory())
+	n.service.mu.Lock()
+	question := n.service.baseHeartbeat(clock.Now())
+	n.service.mu.Unlock()
+	asked := clock.Now()
+	waitFor(t, "time has passed", func() bool { return clock.Now().After(asked) })
+	n.service.handleHeartbeat(&wire.GatewayBeat{Life: 7, Id: "g-1", Address: "127.0.0.2:9", Sequence: 1, Brief: true, ProvesSequence: question.GetSequence()}, clock.Now())
+	is.True(!n.proof.Covers(asked.Add(time.Nanosecond)))
+	_, proven := n.proof.Age(clock.Now())
+	is.True(proven)
+}
+
+// TestUnprovenIsNotAnswered guards against answers of gateways that could not prove their content.
+func TestUnprovenIsNotAnswered(t *testing.T) {
+	is := is.New(t)
+	network := link.NewMemory()
+	asking := newNode(t, "asks", network)
+	newNodeWith(t, "g-1", network, func(service *Service) {
+		service.options.Prove = func(context.Context, time.Time, uint32) bool { return false }
+	}, asking.service.options.Address)
+	waitFor(t, "the gateways know each other", func() bool { return asking.service.Live() == 1 })
+	ctx, cancel := context.WithTimeout(t.Context(), 3*proofQuestionInterval)
+	defer cancel()
+	since := clock.Now()
+	asking.service.AskProof(ctx, since)
+	is.True(!asking.proof.Covers(since))
+}
+
+// TestAnswerToEarlierLife guards against proofs by an answer to a question of an earlier life of this process, at
+// the same address, which proves nothing for times after that question.
+func TestAnswerToEarlierLife(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, "g-0", link.NewMemory())
+	// The earlier life asked with its third heartbeat; the answer was held up until this life has sent as many.
+	answer := &wire.GatewayBeat{Life: 7, Id: "g-1", Address: "127.0.0.2:9", Sequence: 1, Brief: true, Revision: 0, ProvesSequence: 3}
+	asked := clock.Now() // by the earlier life, before this one sends its third heartbeat
+	n.service.mu.Lock()
+	for n.service.sequence < 3 {
+		n.service.baseHeartbeat(clock.Now())
+	}
+	n.service.mu.Unlock()
+	n.service.handleHeartbeat(answer, clock.Now())
+	is.True(!n.proof.Covers(asked.Add(time.Nanosecond)))
+}
+
+// TestProofAgeAfterSuspension guards against answers, right after the host was suspended, that state the age of
+// the proof without the suspension.
+func TestProofAgeAfterSuspension(t *testing.T) {
+	const suspended = 10 * time.Second
+	is := is.New(t)
+	n := newNode(t, "g-0", link.NewMemory())
+	n.service.handleHeartbeat(&wire.GatewayBeat{Life: 7, Id: "g-1", Address: "127.0.0.2:9", Sequence: 1, Brief: true}, clock.Now())
+	n.service.mu.Lock() // no round comes in between
+	defer n.service.mu.Unlock()
+	n.proof.Note(clock.Check())
+	defer clock.Simulate(suspended)()
+	answer := n.service.briefHeartbeat(n.service.table.peers["g-1"], clock.Now())
+	t.Logf("age %d ms", answer.GetProofAgeMs())
+	is.True(answer.GetProofAgeMs() >= uint32(suspended.Milliseconds()))
+}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -59,6 +59,9 @@
 	receiveBuffer = 4096
 	// sentHistory is the number of heartbeats whose sending time is remembered.
 	sentHistory = 1024
+	// maxFirstSequence bounds the sequence of the first heartbeat, which is random: an answer to one of an
+	// earlier run of this process is not taken for one to a heartbeat of this run.
+	maxFirstSequence = 1 << 20
 	// pullTimeout limits the fetching of a replica.
 	pullTimeout = time.Second
 	// storeAnswerDelay is how long a gateway that asks the store itself waits for the store's
@@ -204,6 +207,7 @@
 		conn:            conn,
 		dialer:          dialer,
 		incarnation:     rand.Uint64(),
+		sequence:        rand.Uint64N(maxFirstSequence),
 		hash:            policy.HashName(options.ID),
 		bucket:          rate.NewLimiter(rate.Limit(options.Budget), max(options.Budget, receiveBuffer)),
 		directoryBucket: rate.NewLimiter(rate.Limit(directoryShare*float64(options.Budget)), max(options.Budget, receiveBuffer)),
--- a/internal/process/gateway_proof.go
+++ b/internal/process/gateway_proof.go
@@ -15,8 +15,8 @@
 	askOthersAfter = 25 * time.Millisecond
 	// confirmsPerSecond and confirmBurst limit the calls to the store for new proofs. Requests that come
 	// while one is under way share the next one.
-	confirmsPerSecond = 50
-	confirmBurst      = 10
+	confirmsPerSecond = 250
+	confirmBurst      = 50
 	// maxConfirms limits the calls that are under way at the same time. With a slow store a request that
 	// comes during one call waits for the next one only.
 	maxConfirms = 2
@@ -34,13 +34,17 @@
 	return &prover{process: p, limiter: rate.NewLimiter(confirmsPerSecond, confirmBurst), turns: make(chan struct{}, maxConfirms)}
 }
 
-// Prove makes the process's proof cover a time before the context ends, and reports whether it does.
+// Prove makes the process's proof cover a time before the context ends, and reports whether it does. In a large
+// fleet only the gateways that ask the store call it.
 func (p *prover) Prove(ctx context.Context, since time.Time) bool {
-	first, second := p.confirm, p.askOthers
-	if p.follows() {
-		first, second = p.askOthers, p.confirm
+	switch {
+	case !p.follows():
+		return p.proveBy(ctx, since, p.confirm, p.askOthers)
+	case p.process.peers.Many():
+		p.askOthers(ctx, since)
+		return p.process.gateway.Proof.Covers(since)
 	}
-	return p.proveBy(ctx, since, first, second)
+	return p.proveBy(ctx, since, p.askOthers, p.confirm)
 }
 
 // ProveForPeer is Prove for another gateway, whose question has come over a number of hops. Gateways that ask the
