--- a/internal/peer/proof_question.go
+++ b/internal/peer/proof_question.go
@@ -24,8 +24,8 @@
 	proofQuestionPauseLarge = 25 * time.Millisecond
 	// proofAnswerTimeout limits the time that an answer takes. The gateway that asked has given up by then.
 	proofAnswerTimeout = 300 * time.Millisecond
-	// maxProofHops is the number of gateways that a question passes in the largest fleet: the one that needs
-	// the proof, its parent, and one that asks the store.
+	// maxProofHops is the greatest number of hops of a question in the largest fleet: to the parent, and from
+	// there to one that asks the store.
 	maxProofHops = 2
 	// maxProofAnswers limits the answers that are being prepared at the same time.
 	maxProofAnswers = 256
