A question for health that a recent answer put off is asked later

Cause: a target under a suspected request was asked for its health 20 ms after the request was sent, and not at all if it had answered another request within 50 ms before; nothing asked it later but another copy at the same gateway.

Change: such a check is made after another silence, 20 ms for a suspected request, as after an answered question. The attempt's end stops it.

The new test fails before: 0 targets suspected in place of 1.

--- a/internal/gateway/silent_targets.go
+++ b/internal/gateway/silent_targets.go
@@ -114,7 +114,10 @@
 	switch {
 	case a.sentAt.Load() == 0, c.Table.AnsweredLately(a.call.fingerprint, now):
 		return
-	case !c.Balancer.Serving(a.incarnation), c.Balancer.AnsweredSince(a.incarnation, now.Add(-recentAnswer)):
+	case !c.Balancer.Serving(a.incarnation):
+		return
+	case c.Balancer.AnsweredSince(a.incarnation, now.Add(-recentAnswer)):
+		a.checkLater(now)
 		return
 	case a.silenceChecks.Add(1) > maxSilenceChecks, !c.mayAsk(a.call.fingerprint, now):
 		return
@@ -210,6 +213,11 @@
 // request. If the request is suspected, the target is asked again after another silence.
 func (a *attempt) recordAlive(now time.Time) {
 	a.aliveAt.Store(int64(now.Sub(a.started)))
+	a.checkLater(now)
+}
+
+// checkLater has the target checked after another silence if the request is suspected.
+func (a *attempt) checkLater(now time.Time) {
 	if !a.call.gateway.Crashes.Table.Doubted(a.call.fingerprint, now) {
 		return
 	}
--- a/internal/gateway/silent_targets_test.go
+++ b/internal/gateway/silent_targets_test.go
@@ -76,6 +76,39 @@
 	}
 }
 
+// TestTargetThatJustAnsweredIsCheckedLater checks that a target which answered another request right
+// before it fell silent under a suspected one is asked as soon as that answer no longer shows that it is
+// alive, and not only when the request comes again.
+func TestTargetThatJustAnsweredIsCheckedLater(t *testing.T) {
+	cases := map[string]struct {
+		answer    func(prober *fakeProber) script
+		suspected int
+	}{
+		"ends its target": {answer: endsTargets, suspected: 1},
+		"slow":            {answer: func(*fakeProber) script { return slow(500 * time.Millisecond) }},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newTestGateway(respond(http.StatusOK, "yes"))
+				prober := startCrashes(t, w)
+				suspect := quarantine.Suspect{Incarnation: 1, Evidence: quarantine.Silent}
+				w.gateway.Crashes.Table.Suspect(subjectOf("/once/x").Fingerprint(), suspect, time.Now())
+				for range 12 { // four for each target
+					w.serve(t.Context(), "/get/y")
+				}
+				w.sender.scripts = []script{tc.answer(prober)}
+				ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+				defer cancel()
+				w.serve(ctx, "/once/x")
+				synctest.Wait()
+				is.Equal(len(prober.suspected), tc.suspected)
+			})
+		})
+	}
+}
+
 // TestSuspectedRequestIsHeld checks that a request that comes again is held once three targets have
 // fallen silent under it, that its callers are told to come back, and that an answer of one of the
 // targets lifts the hold.
