--- a/internal/process/quarantine_test.go
+++ b/internal/process/quarantine_test.go
@@ -332,6 +332,7 @@
 	t.Parallel()
 	fatal := emulator.Fatal{Body: fatalBody, After: 10 * time.Millisecond, Silent: true}
 	f := startFatalTargets(t, fatal, false)
+	defer f.logCrashes(t, "plain")
 	for i := range silentTargets {
 		options := emulator.ServerOptions{ID: fmt.Sprintf("silent-%d", i), Work: soundWork, Fatal: &fatal}
 		if _, err := f.platform.AddServer("plain", "zone", "127.0.0.1:0", options); err != nil {
