A reset while a request is written ends no answer

Callers saw: a 200 (500, 503) without a length, of which the server had sent a part before it reset the connection, framed as whole; streams that broke off behind a whole event ended as complete.

Cause: the kernel tells of a reset once, to whichever call comes first. While a long body is written, that may be the writer; the reader then gets 0 bytes, which is the end of an answer that ends with its connection. The same where the server closes with unread bytes; there the end may also come first and the reset behind it, once the server gets more of the request.

Change: httpcheck.Conn, which every connection of the pool is. At the end of its input it asks the kernel for the state of the connection: after a reset it is closed, whoever got the error. If part of the request is still on its way, it looks again until the server has taken all of it, or takes more behind its end (then it has not closed), or a reset can't be on its way any more (250 ms).

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/capersaddle/capersaddle/internal/clock"
+	"github.com/capersaddle/capersaddle/internal/httpcheck"
 	"github.com/capersaddle/capersaddle/internal/socket"
 )
 
@@ -39,7 +40,7 @@
 
 // Conn is a connection to one incarnation of a target, for one request at a time.
 type Conn struct {
-	net.Conn
+	*httpcheck.Conn
 	// Reader reads the target's responses.
 	Reader *bufio.Reader
 	// limit bounds what Reader receives.
@@ -172,8 +173,9 @@
 	if err != nil {
 		return nil, err
 	}
-	limit := &receiveLimit{conn: netConn, left: unlimited}
-	return &Conn{Conn: netConn, Reader: bufio.NewReaderSize(limit, readBuffer), limit: limit, target: target, IdleTimeout: defaultIdleTimeout, OpenedAt: clock.Now()}, nil
+	conn := httpcheck.NewConn(netConn)
+	limit := &receiveLimit{conn: conn, left: unlimited}
+	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(limit, readBuffer), limit: limit, target: target, IdleTimeout: defaultIdleTimeout, OpenedAt: clock.Now()}, nil
 }
 
 // maxIdleTime returns the idle time after which a connection is no longer used. Targets may
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/httpcheck"
 )
 
 // TestStaleConnections checks that, once an idle connection was found dead, requests that must
@@ -40,7 +42,7 @@
 			p := New(nil)
 			local, remote := net.Pipe()
 			defer func() { _ = remote.Close() }()
-			p.Put(&Conn{Conn: local, Reader: bufio.NewReader(local), target: "s", IdleTimeout: 4 * time.Second})
+			p.Put(&Conn{Conn: httpcheck.NewConn(local), Reader: bufio.NewReader(local), target: "s", IdleTimeout: 4 * time.Second})
 			p.NoteUnresponsive(tc.unresponsive)
 			is.Equal(len(p.idle["s"]), tc.wantIdle)
 		})
@@ -52,7 +54,7 @@
 	p := New(nil)
 	local, remote := net.Pipe()
 	defer func() { _ = remote.Close() }()
-	p.Put(&Conn{Conn: local, Reader: bufio.NewReader(local), target: "s", IdleTimeout: 4 * time.Second})
+	p.Put(&Conn{Conn: httpcheck.NewConn(local), Reader: bufio.NewReader(local), target: "s", IdleTimeout: 4 * time.Second})
 	p.Sweep(time.Now())
 	is.Equal(len(p.idle["s"]), 1)
 	p.Sweep(time.Now().Add(4 * time.Second))
--- /dev/null
+++ b/internal/httpcheck/conn.go
@@ -0,0 +1,132 @@
+// Package httpcheck checks what targets and other servers answer over HTTP/1: that an answer which ends with its
+// connection was not broken off. It serves both those that read answers from a connection themselves and those
+// that use a transport of net/http.
+package httpcheck
+
+import (
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/socket"
+)
+
+const (
+	// maxResetDelay is how long a reset may take to arrive behind the end of the peer's output, when the
+	// peer has closed the connection and bytes of the request are still on their way. The kernel sends a
+	// lost segment again after 200 ms.
+	maxResetDelay = 250 * time.Millisecond
+	// resetCheckInterval is the time between two checks for it.
+	resetCheckInterval = 2 * time.Millisecond
+)
+
+// errReset is the error of a read at the end of a connection that its peer has reset.
+var errReset = errors.Wrap(syscall.ECONNRESET, "the end of the connection is no end of an answer")
+
+// errNoSocket is the error of a connection that has no socket.
+var errNoSocket = errors.New("the connection has no socket")
+
+// Conn is a connection to a server that answers requests. Its Read returns io.EOF only if the peer has ended its
+// output in order. One goroutine may write a request while another one reads the answer: the kernel then reports
+// a reset to one of them only, and the other one finds what looks like an ordinary end.
+type Conn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// writing means that a request is being written, as long as BeginRequest and EndRequest say.
+	writing bool
+	// writeErr is the first error of a write.
+	writeErr error
+}
+
+// NewConn returns a connection that checks its end.
+func NewConn(conn net.Conn) *Conn {
+	return &Conn{Conn: conn}
+}
+
+// BeginRequest must be called before a request is written while its answer may be read.
+func (c *Conn) BeginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = true
+}
+
+// EndRequest must be called when the request has been written, or has failed to be.
+func (c *Conn) EndRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+}
+
+// Write writes data, and keeps an error for the reader.
+func (c *Conn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.writeErr = errors.CombineErrors(c.writeErr, err)
+	}
+	return n, err
+}
+
+// Read reads what has arrived. At the end of a connection that was reset, its error is syscall.ECONNRESET.
+func (c *Conn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if errors.Is(err, io.EOF) {
+		err = c.endError()
+	}
+	return n, err
+}
+
+// SyscallConn gives access to the socket.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	if inner, ok := c.Conn.(syscall.Conn); ok {
+		return inner.SyscallConn()
+	}
+	return nil, errNoSocket
+}
+
+// endError returns io.EOF if the peer has ended its output in order, otherwise errReset. A peer that has closed
+// the connection resets it once it gets more of the request; one that has only ended its output may read on.
+func (c *Conn) endError() error {
+	first := c.sendState()
+	deadline := time.Now().Add(maxResetDelay)
+	for state := first; ; state = c.sendState() {
+		switch {
+		case state.reset:
+			return errReset
+		case state.settled, state.acknowledged > first.acknowledged, time.Now().After(deadline):
+			return io.EOF
+		}
+		time.Sleep(resetCheckInterval)
+	}
+}
+
+// sendState is what is known of the request when the peer has ended its output.
+type sendState struct {
+	// reset means that the connection is broken.
+	reset bool
+	// settled means that the peer has taken the whole request, so that nothing makes it reset the connection.
+	settled bool
+	// acknowledged is how many bytes the peer has taken; zero if that isn't known. A peer that takes more
+	// after it has ended its output has not closed the connection.
+	acknowledged uint64
+}
+
+func (c *Conn) sendState() sendState {
+	c.mu.Lock()
+	state := sendState{reset: c.writeErr != nil, settled: !c.writing}
+	c.mu.Unlock()
+	output, known := socket.OutputOf(c)
+	if !known {
+		return state
+	}
+	state.reset = state.reset || output.Broken
+	state.settled = state.settled && !output.Pending
+	state.acknowledged = output.Acknowledged
+	return state
+}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -71,6 +71,37 @@
 	return End
 }
 
+// Output is the send state of a TCP connection.
+type Output struct {
+	// Broken means that the connection has ended in both directions, as after a reset.
+	Broken bool
+	// Pending means that there are bytes that the remote side has not acknowledged.
+	Pending bool
+	// Acknowledged is the number of bytes that it has acknowledged.
+	Acknowledged uint64
+}
+
+// OutputOf returns the send state of a connection. It returns false if the state can't be read.
+func OutputOf(conn syscall.Conn) (Output, bool) {
+	control, err := conn.SyscallConn()
+	if err != nil {
+		return Output{}, false
+	}
+	var info *unix.TCPInfo
+	var failure error
+	err = control.Control(func(fd uintptr) {
+		info, failure = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || failure != nil {
+		return Output{}, false
+	}
+	return Output{
+		Broken:       info.State == unix.BPF_TCP_CLOSE,
+		Pending:      info.Unacked > 0 || info.Notsent_bytes > 0,
+		Acknowledged: info.Bytes_acked,
+	}, true
+}
+
 // Reset closes a connection so that its peer sees it broken off: a peer that reads until the end of the
 // connection takes any other end for that of the data. It reaches the socket of a wrapped connection through
 // its method NetConn.
