Responses with an invalid status are no answers

Callers saw: the body of a response with a status under 100 (000, 099), or of an informational one that claims to have a body, as their answer if it was the text of a 200.

Cause: what http.ReadResponse lets through was taken for checked. It accepts any three digits; every status under 200 was skipped as informational, and whatever followed, its body too, was read as the next response.

Statuses that are no number were refused before.

Statuses from 600 to 999 stay as they are: RFC 9110 has them treated as a server's error.

--- /dev/null
+++ b/internal/httpcheck/head.go
@@ -0,0 +1,40 @@
+package httpcheck
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Head returns why the head of a response is no valid one, or nil. net/http lets through more than the
+// protocol does; nothing of such a response may be used, and nothing that follows it on its connection. The
+// status may be one of an informational response.
+func Head(response *http.Response) error {
+	return checkStatus(response)
+}
+
+// lowestStatus is the lowest status that there is. One above 599 has no meaning of its own, and stands for a
+// server error (RFC 9110, section 15).
+const lowestStatus = 100
+
+// checkStatus checks the status. An informational response has no body, so that one which claims to have a body
+// is followed by bytes that are no response. Nobody asks a server to switch to another protocol.
+func checkStatus(response *http.Response) error {
+	switch status := response.StatusCode; {
+	case status < lowestStatus:
+		return errors.Newf("the response has the invalid status %03d", status)
+	case status >= http.StatusOK:
+		return nil
+	case status == http.StatusSwitchingProtocols:
+		return errors.New("the server switches protocols unasked")
+	case claimsBody(response):
+		return errors.Newf("the response has a body although its status is %d", status)
+	}
+	return nil
+}
+
+// claimsBody reports whether an informational response says that it has a body.
+func claimsBody(response *http.Response) bool {
+	length := response.Header.Get("Content-Length")
+	return len(response.TransferEncoding) > 0 || length != "" && length != "0"
+}
