Responses with fields of invalid names are no answers

Callers saw: a 200 of which a line was left out (a name with a blank, a blank before the colon), and where that line stated the framing (Content-Length :, Transfer Encoding), a body that was not the server's, chunk sizes in it.

Cause: net/http accepts blanks in names of fields, as other names: neither the framing nor a report of the server is found under them. The server of net/http then leaves them out of the answer to the caller.

Control bytes, tabs, parentheses, bytes above ASCII, an empty name, no colon, control bytes in values were refused before; the cases stay. TestUnusualHeads holds what is unusual and valid (every byte of a token, empty values, obs-text, folded lines, 103 with fields, statuses 299, 600, 999): it passed before and does now.

Change: httpcheck.Head checks each name by httpguts.ValidHeaderFieldName of golang.org/x/net, which the module needed before for its dependencies; the version is the same.

--- a/internal/httpcheck/head.go
+++ b/internal/httpcheck/head.go
@@ -4,13 +4,17 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // Head returns why the head of a response is no valid one, or nil. net/http lets through more than the
 // protocol does; nothing of such a response may be used, and nothing that follows it on its connection. The
 // status may be one of an informational response.
 func Head(response *http.Response) error {
-	return checkStatus(response)
+	if err := checkStatus(response); err != nil {
+		return err
+	}
+	return checkNames(response.Header)
 }
 
 // lowestStatus is the lowest status that there is. One above 599 has no meaning of its own, and stands for a
@@ -38,3 +42,14 @@
 	length := response.Header.Get("Content-Length")
 	return len(response.TransferEncoding) > 0 || length != "" && length != "0"
 }
+
+// checkNames checks the names of the fields. net/http lets blanks through, as in a name with a blank before its
+// colon: another reader may take such a field for the one without the blank.
+func checkNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Newf("the response has a field with the invalid name %q", name)
+		}
+	}
+	return nil
+}
