Responses of another major version of HTTP are no answers

Callers saw: a response of HTTP/9.9 (2.0, 0.9) as their answer.

Cause: http.ReadResponse accepts any version of two numbers, and reads what follows as HTTP 1.0 or 1.1.

Words that are no version were refused before. Two blanks before the status stay accepted (RFC 9112, section 4).

Change: httpcheck.Head wants the major version 1; any minor one is as 1.1, as the RFC asks.

--- a/internal/httpcheck/head.go
+++ b/internal/httpcheck/head.go
@@ -11,6 +11,9 @@
 // protocol does; nothing of such a response may be used, and nothing that follows it on its connection. The
 // status may be one of an informational response.
 func Head(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return errors.Newf("the response is of the unknown version %s", response.Proto)
+	}
 	if err := checkStatus(response); err != nil {
 		return err
 	}
