A response of HTTP 1.0 with chunks is no answer

Cause: net/http ignores the field Transfer-Encoding of HTTP 1.0 and removes it, so that the answer seems to end with its connection. RFC 9112, section 6.1: such framing is faulty, whatever the length says.

Change: the connection keeps the text of a head while it is read (bounded as the head is); of HTTP 1.0 its fields are read once more, by net/textproto, before net/http has removed any.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -100,6 +101,15 @@
 	c.limit.left = unlimited
 }
 
+// RecordHead begins to keep the input of Reader. The function that it returns ends that and returns it.
+func (c *Conn) RecordHead() (received func() []byte) {
+	// It never fails: no more is asked for than there is.
+	buffered, _ := c.Reader.Peek(c.Reader.Buffered())
+	text := bytes.Clone(buffered)
+	c.Record()
+	return func() []byte { return append(text, c.Recorded()...) }
+}
+
 // Write records that bytes may have been sent, then writes them.
 func (c *Conn) Write(data []byte) (int, error) {
 	c.wrote.Store(true)
--- a/internal/httpcheck/conn.go
+++ b/internal/httpcheck/conn.go
@@ -22,6 +22,8 @@
 	maxResetDelay = 250 * time.Millisecond
 	// resetCheckInterval is the time between two checks for it.
 	resetCheckInterval = 2 * time.Millisecond
+	// maxRecorded bounds what is recorded of a connection's input, in bytes. Heads are bounded by their readers.
+	maxRecorded = 64 << 10
 )
 
 // errReset is the error of a read at the end of a connection that its peer has reset.
@@ -41,6 +43,9 @@
 	writing bool
 	// writeErr is the first error of a write.
 	writeErr error
+	// recording means that recorded keeps what is received.
+	recording bool
+	recorded  []byte
 }
 
 // NewConn returns a connection that checks its end.
@@ -73,9 +78,34 @@
 	return n, err
 }
 
+// Record begins to keep what is received, for Recorded.
+func (c *Conn) Record() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recording, c.recorded = true, nil
+}
+
+// Recorded returns what has been received since Record, up to maxRecorded, and ends the recording.
+func (c *Conn) Recorded() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	recorded := c.recorded
+	c.recording, c.recorded = false, nil
+	return recorded
+}
+
+func (c *Conn) record(data []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.recording {
+		c.recorded = append(c.recorded, data[:min(len(data), maxRecorded-len(c.recorded))]...)
+	}
+}
+
 // Read reads what has arrived. At the end of a connection that was reset, its error is syscall.ECONNRESET.
 func (c *Conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	c.record(data[:n])
 	if errors.Is(err, io.EOF) {
 		err = c.endError()
 	}
--- a/internal/httpcheck/head.go
+++ b/internal/httpcheck/head.go
@@ -1,7 +1,10 @@
 package httpcheck
 
 import (
+	"bufio"
+	"bytes"
 	"net/http"
+	"net/textproto"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
@@ -9,15 +12,19 @@
 
 // Head returns why the head of a response is no valid one, or nil. net/http lets through more than the
 // protocol does; nothing of such a response may be used, and nothing that follows it on its connection. The
-// status may be one of an informational response.
-func Head(response *http.Response) error {
+// status may be one of an informational response. The text is what the connection brought from the head of the
+// response on.
+func Head(response *http.Response, text []byte) error {
 	if response.ProtoMajor != 1 {
 		return errors.Newf("the response is of the unknown version %s", response.Proto)
 	}
 	if err := checkStatus(response); err != nil {
 		return err
 	}
-	return checkNames(response.Header)
+	if err := checkNames(response.Header); err != nil {
+		return err
+	}
+	return checkOldFraming(response, text)
 }
 
 // lowestStatus is the lowest status that there is. One above 599 has no meaning of its own, and stands for a
@@ -56,3 +63,23 @@
 	}
 	return nil
 }
+
+// checkOldFraming checks that a response of HTTP 1.0, which knows no chunks, claims none: its framing is faulty
+// (RFC 9112, section 6.1). net/http removes the field, so that it is looked for in the text of the head.
+func checkOldFraming(response *http.Response, text []byte) error {
+	if response.ProtoAtLeast(1, 1) {
+		return nil
+	}
+	reader := textproto.NewReader(bufio.NewReader(bytes.NewReader(text)))
+	if _, err := reader.ReadLine(); err != nil {
+		return errors.Wrap(err, "read the status line again")
+	}
+	header, err := reader.ReadMIMEHeader()
+	if err != nil {
+		return errors.Wrap(err, "read the headers again")
+	}
+	if len(header["Transfer-Encoding"]) > 0 {
+		return errors.New("the response is of HTTP 1.0 and has a Transfer-Encoding")
+	}
+	return nil
+}
