Routers answer 502 where an agent passes on an invalid status

Callers saw: a connection that was closed without any answer (a status under 100 or over 999 makes the server of net/http panic), or an informational response with the body of an answer behind it.

Cause: the status in an agent's reply was passed on unchecked; agents took any three digits from their targets.

Evidence: router.TestInvalidStatus, a stand-in of an agent: nine of nine statuses fail without the change, none with it.

Change: a status outside 200 to 999 ends the attempt as target_failed; whether the call ran is unknown.

--- a/internal/router/cut_answers_test.go
+++ b/internal/router/cut_answers_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -155,3 +156,25 @@
 		}
 	}
 }
+
+// TestInvalidStatus guards against a connection that is closed without any answer, and against bytes that are no
+// answer, where an agent passes on a status that is none.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []int32{-1, 0, 20, 99, 100, 101, 103, 199, 1000} {
+		t.Run(strconv.Itoa(int(status)), func(t *testing.T) {
+			is := is.New(t)
+			replies := []*wire.Reply{
+				{Kind: &wire.Reply_Head{Head: &wire.Head{Status: status}}},
+				{Kind: &wire.Reply_Data{Data: &wire.Data{Bytes: []byte("wrong")}}},
+				{Kind: &wire.Reply_End{End: &wire.End{Length: 5}}},
+			}
+			server := httptest.NewServer(newRepliesRouter(t, replies).Handler())
+			defer server.Close()
+			received, err := callRaw(t, server.Listener.Addr().String(), "1.1", "/v1/services/shop/x", "")
+			is.NoErr(err)
+			is.True(strings.HasPrefix(received, fmt.Sprintf("HTTP/1.1 %d ", fault.AnswerOf(fault.TargetFailed).Status)))
+			is.True(strings.Contains(received, HeaderRunState+": "+string(fault.Unknown)))
+			is.True(!strings.Contains(received, "wrong"))
+		})
+	}
+}
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -97,6 +98,9 @@
 			e.updateLoad(kind.Admitted.GetLoad())
 			defer e.decrementInFlight()
 		case *wire.Reply_Head:
+			if err := checkStatus(kind.Head); err != nil {
+				return result{}, err
+			}
 			if err := out.head(kind.Head); err != nil {
 				return result{}, disconnectError(err)
 			}
@@ -116,6 +120,20 @@
 	}
 }
 
+// lowestStatus and highestStatus are the statuses of final answers that can be passed on.
+const (
+	lowestStatus  = http.StatusOK
+	highestStatus = 999
+)
+
+// checkStatus checks the status of an answer, which an agent of an older build may not have done.
+func checkStatus(head *wire.Head) error {
+	if status := head.GetStatus(); status < lowestStatus || status > highestStatus {
+		return fault.New(fault.TargetFailed, fault.Unknown, "the target answered with the invalid status %d", status)
+	}
+	return nil
+}
+
 // linkError returns the error for a lost link; whether the request ran is unknown.
 func linkError(ctx context.Context, e *endpoint, err error) error {
 	if ctx.Err() != nil {
