A reset while a call is written ends no answer at agents

Callers saw: a 200, 500 or 503 of a plain service without a length, of which a part had come before the service reset the connection, framed as whole; a keyed call would have kept that part as its answer.

An answer whose target ends its output and reads on stays whole.

Change: httpcheck.Transport makes connections that check their end, and tells them by net/http's own trace when a request is being written. All clients use it: those of routers and agents to targets, store and host list, the gateway's to the platform's store, and the operators' commands, which keep their proxy setting.

--- /dev/null
+++ b/internal/agent/broken_answers_test.go
@@ -0,0 +1,117 @@
+package agent
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/capersaddle/capersaddle/internal/wire"
+)
+
+// earlyEnd is what a target does behind an answer that it sends before it has read the whole call.
+type earlyEnd struct {
+	// readBefore and readAfter are how many bytes of the body it reads before and after it answers.
+	readBefore, readAfter int64
+	// reset makes it reset the connection, endsOutput end its output and read on. Otherwise it closes.
+	reset, endsOutput bool
+}
+
+// longBody is the size of a call's body that takes long enough to be written for its answer to arrive meanwhile.
+const longBody = 3 << 20
+
+// earlyTarget starts a target that answers each call with a text before it has read all of it.
+func earlyTarget(t *testing.T, text string, end earlyEnd) (address string, arrivals *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	arrivals = new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			arrivals.Add(1)
+			go end.serve(conn.(*net.TCPConn), text)
+		}
+	}()
+	return listener.Addr().String(), arrivals
+}
+
+func (e earlyEnd) serve(conn *net.TCPConn, text string) {
+	defer func() { _ = conn.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, request.Body, e.readBefore)
+	_, _ = io.WriteString(conn, text)
+	_, _ = io.CopyN(io.Discard, request.Body, e.readAfter)
+	if e.reset {
+		_ = conn.SetLinger(0)
+	}
+	if e.endsOutput {
+		_ = conn.CloseWrite()
+		_, _ = io.Copy(io.Discard, request.Body)
+	}
+}
+
+// earlyTries is how often each early answer is tried: what is guarded against depends on which of two goroutines
+// uses the connection first.
+const earlyTries = 60
+
+// TestEarlyAnswers guards against an answer that counts as whole although its target reset the connection while
+// the call was still being written.
+func TestEarlyAnswers(t *testing.T) {
+	texts := map[string]string{
+		"neither":  "HTTP/1.1 200 X\r\n\r\nwhole",
+		"HTTP 1.0": "HTTP/1.0 200 X\r\n\r\nwhole",
+		"500":      "HTTP/1.1 500 X\r\n\r\nwhole",
+		"503":      "HTTP/1.1 503 X\r\n\r\nwhole",
+	}
+	broken := map[string]earlyEnd{
+		"reset":                       {reset: true},
+		"reset, a part read":          {reset: true, readBefore: 100_000},
+		"closed":                      {},
+		"closed, more read meanwhile": {readAfter: 1 << 20},
+	}
+	for name, text := range texts {
+		for ending, end := range broken {
+			t.Run(name+", "+ending, func(t *testing.T) {
+				for range earlyTries {
+					got := callEarly(t, text, end)
+					if got.end() != nil || got.refusal().GetRunState() != wire.RunState_RUN_STATE_UNKNOWN {
+						t.Errorf("%q counts as whole, refusal %v", got.text(), got.refusal())
+					}
+				}
+			})
+		}
+		t.Run(name+", whole", func(t *testing.T) {
+			for range 3 {
+				got := callEarly(t, text, earlyEnd{endsOutput: true})
+				if got.end() == nil || got.text() != "whole" {
+					t.Errorf("%q, refusal %v", got.text(), got.refusal())
+				}
+			}
+		})
+	}
+}
+
+// callEarly makes a call with a long body at a target that answers early.
+func callEarly(t *testing.T, text string, end earlyEnd) *replies {
+	address, arrivals := earlyTarget(t, text, end)
+	a := newCuttingAgent(t, &cuttingTarget{address: address})
+	recorded := new(replies)
+	p := a.targets["plain"]
+	work := &wire.ServiceWork{Service: "s", Method: http.MethodPost, Path: "/", Body: []byte(strings.Repeat("x", longBody))}
+	a.serveService(t.Context(), p, &wire.Call{}, work, &replyWriter{stream: recorded, id: "r", target: p})
+	is.New(t).Equal(arrivals.Load(), int64(1))
+	return recorded
+}
--- a/internal/agent/cut_answers_test.go
+++ b/internal/agent/cut_answers_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/admission"
 	"github.com/capersaddle/capersaddle/internal/config"
+	"github.com/capersaddle/capersaddle/internal/httpcheck"
 	"github.com/capersaddle/capersaddle/internal/member"
 	"github.com/capersaddle/capersaddle/internal/target"
 	"github.com/capersaddle/capersaddle/internal/wire"
@@ -90,12 +91,17 @@
 	}
 }
 
+// newTestClient returns a client as agents have it.
+func newTestClient(t *testing.T) *http.Client {
+	transport := httpcheck.NewTransport(&http.Transport{DisableCompression: true})
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
 // newCuttingAgent returns an agent that reaches the target as an engine and as a plain service.
 func newCuttingAgent(t *testing.T, cutting *cuttingTarget) *Agent {
 	t.Helper()
-	transport := &http.Transport{DisableCompression: true}
-	t.Cleanup(transport.CloseIdleConnections)
-	client := &http.Client{Transport: transport}
+	client := newTestClient(t)
 	return New(Options{
 		ID: "a", Admission: admission.DefaultOptions(), PieceWait: time.Minute,
 		Targets: []Target{
@@ -233,8 +239,7 @@
 			for at := range len(text) + 1 {
 				cutting := newCuttingTarget(t)
 				cutting.answer(text[:at], false, true)
-				client := &http.Client{Transport: new(http.Transport)}
-				service := &target.HTTPService{Base: "http://" + cutting.address, Client: client}
+				service := &target.HTTPService{Base: "http://" + cutting.address, Client: newTestClient(t)}
 				response, err := service.Do(t.Context(), target.ServiceRequest{Method: http.MethodPost, Path: "/", Header: http.Header{KeyHeader: {"k"}}})
 				is.True(!errors.Is(err, target.ErrRefused))
 				if err == nil {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -17,6 +17,7 @@
 
 	"github.com/capersaddle/capersaddle/internal/external"
 	"github.com/capersaddle/capersaddle/internal/fault"
+	"github.com/capersaddle/capersaddle/internal/httpcheck"
 	"github.com/capersaddle/capersaddle/internal/kernel"
 	"github.com/capersaddle/capersaddle/internal/listen"
 	"github.com/capersaddle/capersaddle/internal/node"
@@ -93,7 +94,7 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: httpcheck.NewTransport(transport)}
 }
 
 func newCommon(ctx context.Context, s *settings.Settings, logger *log.Logger) (*common, error) {
--- a/pkg/cmdutil/factory.go
+++ b/pkg/cmdutil/factory.go
@@ -3,10 +3,12 @@
 package cmdutil
 
 import (
+	"crypto/tls"
 	"net/http"
 	"os"
 	"time"
 
+	"github.com/capersaddle/capersaddle/internal/httpcheck"
 	"github.com/capersaddle/capersaddle/internal/secure"
 	"github.com/capersaddle/capersaddle/pkg/iostreams"
 )
@@ -46,7 +48,7 @@
 			return NewClient(firstNonEmpty(address, os.Getenv(EnvRouter), defaultRouter), os.Getenv(EnvKey), newHTTPClient())
 		},
 		Gateway: func(address string) *GatewayClient {
-			return NewGatewayClient(address, &http.Client{Timeout: clientTimeout})
+			return NewGatewayClient(address, &http.Client{Timeout: clientTimeout, Transport: newTransport(nil)})
 		},
 	}
 }
@@ -54,7 +56,7 @@
 // newHTTPClient returns a client that uses the operator's certificate, if the environment names
 // one.
 func newHTTPClient() *http.Client {
-	client := &http.Client{Timeout: clientTimeout}
+	client := &http.Client{Timeout: clientTimeout, Transport: newTransport(nil)}
 	source := secure.Source{CA: os.Getenv(EnvCA), Cert: os.Getenv(EnvCert), Key: os.Getenv(EnvKeyFile)}
 	if !source.Set() {
 		return client
@@ -64,10 +66,15 @@
 		client.Transport = failingTransport{err}
 		return client
 	}
-	client.Transport = &http.Transport{TLSClientConfig: keys.Client(secure.RoleRouter, secure.RoleAgent)}
+	client.Transport = newTransport(keys.Client(secure.RoleRouter, secure.RoleAgent))
 	return client
 }
 
+// newTransport returns a transport that checks answers; the configuration of TLS may be nil.
+func newTransport(config *tls.Config) *httpcheck.Transport {
+	return httpcheck.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, TLSClientConfig: config})
+}
+
 // failingTransport fails every request with the error of an unusable certificate.
 type failingTransport struct{ err error }
 
