Broken heads are no answers at agents

Callers saw, by way of routers and agents, what those of gateways did: a status 000 or 099 (as a closed connection, since the router fails to write it), the text of another answer in the body of an informational response, answers with a line left out, HTTP/9.9, chunks as the body of HTTP 1.0.

Cause: net/http's client passes on what it parses, as its ReadResponse does.

An engine whose broken head says 503 and Retry-After counted as not run, and its agent held further requests back.

Change: httpcheck.Transport checks each final head as the gateway does, and from the recorded text the informational ones before it, of which net/http removes a Transfer-Encoding. At most eight of those may come: a trace of them would otherwise lift net/http's own limit. The call has an unknown outcome, and its connection is closed.

--- a/internal/agent/broken_answers_test.go
+++ b/internal/agent/broken_answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -9,11 +10,72 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/capersaddle/capersaddle/internal/emulator"
+	"github.com/capersaddle/capersaddle/internal/target"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
+// TestBrokenHeads guards against bytes that are no answer and are passed on as one, or are skipped, so that what
+// follows them is passed on, and against a call that counts as not run for what such bytes say.
+func TestBrokenHeads(t *testing.T) {
+	for name, text := range emulator.BrokenResponses("X-Header: 1\r\nRetry-After: 60\r\n") {
+		for preface, early := range map[string]string{"": "", ", behind 103": "HTTP/1.1 103 X\r\nLink: </a>\r\n\r\n"} {
+			for _, targetID := range []string{"plain", "engine"} {
+				for _, kept := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s, kept %v, %s%s", targetID, kept, name, preface), func(t *testing.T) {
+						tryBrokenHead(t, targetID, early+text, kept)
+					})
+				}
+			}
+		}
+	}
+}
+
+func tryBrokenHead(t *testing.T, targetID, text string, kept bool) {
+	is := is.New(t)
+	cutting := newCuttingTarget(t)
+	a := newCuttingAgent(t, cutting)
+	if kept {
+		cutting.answer("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", false, false)
+		callTarget(t, a, targetID)
+	}
+	cutting.answer(text, false, true)
+	got := callTarget(t, a, targetID)
+	is.Equal(got.end(), nil)
+	is.Equal(got.text(), "")
+	is.Equal(got.refusal().GetRunState(), wire.RunState_RUN_STATE_UNKNOWN)
+	is.Equal(got.refusal().GetRetryAfterMs(), int64(0))
+	arrivals, keptArrivals := cutting.counts()
+	is.Equal(arrivals, 1)
+	is.Equal(keptArrivals == 1, kept)
+	cutting.answer("HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nwhole", false, false)
+	callTarget(t, a, targetID)
+	arrivals, keptArrivals = cutting.counts()
+	is.Equal(arrivals, 1)     // the agent doesn't hold its calls back for a while
+	is.Equal(keptArrivals, 0) // nothing else is sent on the connection
+}
+
+// TestBrokenHeadsOfKeyedCalls guards against a call that must not be repeated and that counts as answered, or as
+// not run, after bytes that are no answer.
+func TestBrokenHeadsOfKeyedCalls(t *testing.T) {
+	for name, text := range emulator.BrokenResponses("") {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cutting := newCuttingTarget(t)
+			cutting.answer(text, false, true)
+			service := &target.HTTPService{Base: "http://" + cutting.address, Client: newTestClient(t)}
+			_, err := service.Do(t.Context(), target.ServiceRequest{Method: http.MethodPost, Path: "/", Header: http.Header{KeyHeader: {"k"}}})
+			is.True(err != nil)
+			is.True(!errors.Is(err, target.ErrRefused))
+			arrivals, _ := cutting.counts()
+			is.Equal(arrivals, 1)
+		})
+	}
+}
+
 // earlyEnd is what a target does behind an answer that it sends before it has read the whole call.
 type earlyEnd struct {
 	// readBefore and readAfter are how many bytes of the body it reads before and after it answers.
--- a/internal/httpcheck/transport.go
+++ b/internal/httpcheck/transport.go
@@ -5,10 +5,18 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
+
+	"github.com/cockroachdb/errors"
 )
 
-// Transport is a transport of net/http that checks how the connections of responses end.
+// maxInformational is the number of informational responses that may come before a final one.
+const maxInformational = 8
+
+var errTooManyInformational = errors.Newf("the server sends more than %d informational responses", maxInformational)
+
+// Transport is a transport of net/http that checks the heads of responses and how their connections end.
 type Transport struct {
 	base *http.Transport
 }
@@ -39,10 +47,20 @@
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	x := new(exchange)
 	trace := &httptrace.ClientTrace{
-		GotConn:      func(info httptrace.GotConnInfo) { x.begin(info.Conn) },
-		WroteRequest: func(httptrace.WroteRequestInfo) { x.endRequest() },
+		GotConn:        func(info httptrace.GotConnInfo) { x.begin(info.Conn) },
+		WroteRequest:   func(httptrace.WroteRequestInfo) { x.endRequest() },
+		Got1xxResponse: x.noteInformational,
 	}
-	return t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := x.check(response); err != nil {
+		x.abort()
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
 }
 
 // exchange is one request and its response.
@@ -50,13 +68,17 @@
 	mu sync.Mutex
 	// conn is the connection that carries the request; nil before there is one, and if it is encrypted.
 	conn *Conn
+	// informational is the number of informational responses so far.
+	informational int
 }
 
 func (x *exchange) begin(conn net.Conn) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.conn, _ = conn.(*Conn)
+	x.informational = 0
 	if x.conn != nil {
+		x.conn.Record()
 		x.conn.BeginRequest()
 	}
 }
@@ -68,3 +90,37 @@
 		x.conn.EndRequest()
 	}
 }
+
+// noteInformational counts the informational responses.
+func (x *exchange) noteInformational(int, textproto.MIMEHeader) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.informational++
+	if x.informational > maxInformational {
+		return errTooManyInformational
+	}
+	return nil
+}
+
+// check checks the final response.
+func (x *exchange) check(response *http.Response) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.conn == nil {
+		return Head(response, nil)
+	}
+	text, err := skipInformational(x.conn.Recorded(), x.informational)
+	if err != nil {
+		return err
+	}
+	return Head(response, text)
+}
+
+// abort closes the connection.
+func (x *exchange) abort() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.conn != nil {
+		_ = x.conn.Close()
+	}
+}
