Tests of broken answers with real processes; callers in tests want framed answers

Callers of the emulator, the soak and the tests of processes read answers through net/http, which takes a cut answer without length and chunks for whole now and then: they would have been deceived by the same. Gateways never send such answers to callers of HTTP 1.1, so that these callers now count them as failed.

--- a/internal/emulator/answers.go
+++ b/internal/emulator/answers.go
@@ -45,7 +45,7 @@
 		w.Header().Del("X-Server-Stamp")
 		_, _ = io.WriteString(w, "not the server's")
 		return
-	case ResetAfter, Unframed, EndInside, UnframedReset, Foreign, Garbage:
+	case ResetAfter, Unframed, EndInside, UnframedReset, EarlyReset, Foreign, Garbage:
 		s.writeRaw(w, mode, lastEventID)
 		return
 	}
@@ -119,10 +119,10 @@
 	switch mode {
 	case ResetAfter:
 		resetOnClose(conn)
-	case Unframed, EndInside, UnframedReset:
+	case Unframed, EndInside, UnframedReset, EarlyReset:
 		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\n%s\r\n%s", id, s.stamp(id), noticeLines, s.unframedBody(mode, lastEventID))
 		_ = buffered.Flush()
-		if mode == UnframedReset {
+		if mode == UnframedReset || mode == EarlyReset {
 			resetOnClose(conn)
 		}
 	case Foreign:
@@ -154,9 +154,11 @@
 			text.WriteString(s.event(number))
 		}
 		return text.String()
+	case mode == EarlyReset && s.options.Events > 0:
+		return s.event(lastEventID + 1)
 	case s.options.Events > 0:
 		return s.event(lastEventID+1) + s.event(lastEventID + 2)[:6]
-	case mode == UnframedReset:
+	case mode == UnframedReset || mode == EarlyReset:
 		return Body[:len(Body)/2]
 	}
 	return Body
--- a/internal/emulator/callers.go
+++ b/internal/emulator/callers.go
@@ -98,12 +98,27 @@
 	return nil
 }
 
+// errUnframed is the error of a response that only the end of its connection would show to be complete.
+var errUnframed = errors.New("the response has neither a length nor chunks")
+
+// CheckFraming returns an error for a response that a gateway never sends to callers of HTTP 1.1, and of which
+// they can't see whether it is complete.
+func CheckFraming(response *http.Response) error {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return errUnframed
+	}
+	return nil
+}
+
 // checkResponse reads a response and returns an error unless it is complete and successful.
 func checkResponse(response *http.Response, err error) error {
 	if err != nil {
 		return errors.Wrap(err, "send request")
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := CheckFraming(response); err != nil {
+		return err
+	}
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
 		return errors.Wrap(err, "read response")
 	}
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -44,6 +44,8 @@
 	UnframedReset Mode = "unframed_reset"
 	// Early answers before it has read the body.
 	Early Mode = "early"
+	// EarlyReset sends a part of an unframed response before it has read the body, and resets the connection.
+	EarlyReset Mode = "early_reset"
 )
 
 // Run is one request as a server received it.
@@ -287,7 +289,7 @@
 	}
 	var body []byte
 	s.mu.Lock()
-	early := s.mode == Early && s.misbehaviorsLeft != 0
+	early := (s.mode == Early || s.mode == EarlyReset) && s.misbehaviorsLeft != 0
 	s.mu.Unlock()
 	if !early {
 		body, _ = io.ReadAll(r.Body)
--- a/internal/emulator/streams.go
+++ b/internal/emulator/streams.go
@@ -249,6 +249,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	s.attempts[len(s.attempts)-1].Status = response.StatusCode
+	if err := CheckFraming(response); err != nil {
+		return 0, err
+	}
 	if response.StatusCode != http.StatusOK {
 		seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 		return time.Duration(seconds * float64(time.Second)), errors.Newf("status %d", response.StatusCode)
--- a/internal/process/client_test.go
+++ b/internal/process/client_test.go
@@ -47,3 +47,32 @@
 	const buffered = 8 << 20 // what the kernel may hold of it
 	is.True(sent.Load() <= maxHeaderBytes+buffered)
 }
+
+// TestClientInformationalWithoutEnd guards against routers and agents that read informational responses as long
+// as a target sends them.
+func TestClientInformationalWithoutEnd(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		for err == nil {
+			_, err = io.WriteString(conn, "HTTP/1.1 103 X\r\nLink: </a>\r\n\r\n")
+		}
+	}()
+	client := newHTTPClient()
+	defer client.CloseIdleConnections()
+	response, err := client.Get("http://" + listener.Addr().String() + "/")
+	if response != nil {
+		_ = response.Body.Close()
+	}
+	is.True(err != nil)
+	<-done
+}
--- a/internal/process/gateway_test.go
+++ b/internal/process/gateway_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/capersaddle/capersaddle/internal/emulator"
@@ -205,6 +206,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	got, err := io.ReadAll(response.Body)
+	err = errors.CombineErrors(err, emulator.CheckFraming(response))
 	return answer{response.StatusCode, string(got), response.Header, err}
 }
 
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -9,6 +9,10 @@
 	"net/http/httptrace"
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/capersaddle/capersaddle/internal/emulator"
 )
 
 // caller is a worker that sends requests one after another.
@@ -86,5 +90,6 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
+	err = errors.CombineErrors(err, emulator.CheckFraming(response))
 	c.status, c.body, c.stamp, c.err = response.StatusCode, string(body), response.Header.Get("X-Server-Stamp"), err
 }
--- a/internal/soak/ends_test.go
+++ b/internal/soak/ends_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/capersaddle/capersaddle/internal/emulator"
@@ -180,6 +181,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
+	err = errors.CombineErrors(err, emulator.CheckFraming(response))
 	whole := string(body) == emulator.Body || strings.Contains(string(body), emulator.Event(streamEvents))
 	return err == nil && response.StatusCode == http.StatusOK && whole
 }
--- a/internal/soak/planned_stop_test.go
+++ b/internal/soak/planned_stop_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/capersaddle/capersaddle/internal/emulator"
@@ -336,5 +337,6 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	read, err := io.ReadAll(response.Body)
+	err = errors.CombineErrors(err, emulator.CheckFraming(response))
 	return response.StatusCode, string(read), err == nil
 }
