Unusual but valid heads at agents, in one table with the gateway's; one test of clients' heads without end

TestClientHeadWithoutEnd is a case of TestClientHeadsWithoutEnd, with the same bound; its other case is the one of informational responses.

--- a/internal/agent/broken_answers_test.go
+++ b/internal/agent/broken_answers_test.go
@@ -58,6 +58,37 @@
 	is.Equal(keptArrivals, 0) // nothing else is sent on the connection
 }
 
+// TestUnusualHeads checks that answers which are unusual, but valid, are passed on.
+func TestUnusualHeads(t *testing.T) {
+	for name, unusual := range emulator.UnusualResponses("X-Header: 1\r\n") {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cutting := newCuttingTarget(t)
+			cutting.answer(unusual.Text, false, true)
+			got := callTarget(t, newCuttingAgent(t, cutting), "plain")
+			is.True(got.end() != nil)
+			is.Equal(got.text(), unusual.Body)
+			head := got.head()
+			is.Equal(int(head.GetStatus()), unusual.Status)
+			found := unusual.Name == ""
+			for _, field := range head.GetHeaders() {
+				found = found || field.GetName() == unusual.Name && field.GetValue() == unusual.Value
+			}
+			is.True(found)
+		})
+	}
+}
+
+// head returns the head among the replies, or nil if there is none.
+func (r *replies) head() *wire.Head {
+	for _, reply := range r.all {
+		if head := reply.GetHead(); head != nil {
+			return head
+		}
+	}
+	return nil
+}
+
 // TestBrokenHeadsOfKeyedCalls guards against a call that must not be repeated and that counts as answered, or as
 // not run, after bytes that are no answer.
 func TestBrokenHeadsOfKeyedCalls(t *testing.T) {
--- a/internal/emulator/broken.go
+++ b/internal/emulator/broken.go
@@ -1,6 +1,9 @@
 package emulator
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // forgedBody is the body of a response that a server has not made, but that stands in the bytes it has sent.
 const forgedBody = "forged"
@@ -100,3 +103,41 @@
 	responses["HTTP 1.0, chunks, first"] = "HTTP/1.0 200 X\r\n" + chunked + "\r\n" + headers + "X-Last: 1" + chunks
 	responses["HTTP 1.0, 500, chunks"] = "HTTP/1.0 500 X\r\n" + headers + chunked + chunks
 }
+
+// UnusualResponse is a response that few servers send, but that is valid.
+type UnusualResponse struct {
+	// Text is what the server sends.
+	Text   string
+	Status int
+	// Name and Value are a field of the response; the name is empty if there is nothing to look for.
+	Name, Value string
+	Body        string
+}
+
+// UnusualResponses returns such responses with some header lines, by what is unusual.
+func UnusualResponses(headers string) map[string]UnusualResponse {
+	const body = "whole"
+	framed := headers + "Content-Length: 5\r\n\r\n" + body
+	withField := func(line, name, value string) UnusualResponse {
+		return UnusualResponse{"HTTP/1.1 200 X\r\n" + line + "\r\n" + framed, 200, name, value, body}
+	}
+	const token = "A!#$%&'*+-.^_`|~9"
+	responses := map[string]UnusualResponse{
+		"all bytes of a token":   withField(token+": 1", token, "1"),
+		"empty value":            withField("X-Empty:", "X-Empty", ""),
+		"value above ASCII":      withField("X-Text: caf\xe9", "X-Text", "caf\xe9"),
+		"tab in a value":         withField("X-Text: a\tb", "X-Text", "a\tb"),
+		"no blank behind colon":  withField("X-Text:a", "X-Text", "a"),
+		"folded line":            withField("X-Text: a\r\n b", "X-Text", "a b"),
+		"103 with fields":        {"HTTP/1.1 103 X\r\nLink: </a>\r\nX-Early: 1\r\n\r\nHTTP/1.1 200 X\r\n" + framed, 200, "", "", body},
+		"100 with a length of 0": {"HTTP/1.1 100 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 X\r\n" + framed, 200, "", "", body},
+		"HTTP 1.0":               {"HTTP/1.0 200 X\r\n" + framed, 200, "", "", body},
+		"HTTP 1.2":               {"HTTP/1.2 200 X\r\n" + framed, 200, "", "", body},
+		"no reason":              {"HTTP/1.1 200\r\n" + framed, 200, "", "", body},
+		"lines end without CR":   {"HTTP/1.1 200 X\n" + strings.ReplaceAll(framed, "\r", ""), 200, "", "", body},
+	}
+	for _, status := range []int{299, 600, 999} {
+		responses[fmt.Sprintf("status %d", status)] = UnusualResponse{fmt.Sprintf("HTTP/1.1 %d X\r\n%s", status, framed), status, "", "", body}
+	}
+	return responses
+}
--- a/internal/process/client_test.go
+++ b/internal/process/client_test.go
@@ -3,76 +3,57 @@
 import (
 	"io"
 	"net"
-	"sync/atomic"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 )
 
-// TestClientHeadWithoutEnd guards against routers and agents that keep whatever a target, the store or the
-// host list sends as the head of a response.
-func TestClientHeadWithoutEnd(t *testing.T) {
-	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer func() { _ = listener.Close() }()
-	var sent atomic.Int64
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Filler: ")
-		part := make([]byte, 1<<10)
-		for i := range part {
-			part[i] = 'a'
-		}
-		for err == nil {
-			var n int
-			n, err = conn.Write(part)
-			sent.Add(int64(n))
-		}
-	}()
-	client := newHTTPClient()
-	defer client.CloseIdleConnections()
-	response, err := client.Get("http://" + listener.Addr().String() + "/")
-	if response != nil {
-		_ = response.Body.Close()
+// TestClientHeadsWithoutEnd guards against routers and agents that keep whatever a target, the store or the host
+// list sends as the head of a response, or read informational responses as long as these send them.
+func TestClientHeadsWithoutEnd(t *testing.T) {
+	cases := map[string]struct{ start, repeated string }{
+		"header line":             {"HTTP/1.1 200 OK\r\nX-Filler: ", strings.Repeat("a", 1<<10)},
+		"informational responses": {"", "HTTP/1.1 103 X\r\nLink: </a>\r\n\r\n"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, sent := sendWithoutEnd(t, tc.start, tc.repeated)
+			client := newHTTPClient()
+			defer client.CloseIdleConnections()
+			response, err := client.Get("http://" + address + "/")
+			if response != nil {
+				_ = response.Body.Close()
+			}
+			is.True(err != nil)
+			const buffered = 8 << 20 // what the kernel may hold of it
+			is.True(<-sent <= maxHeaderBytes+buffered)
+		})
 	}
-	is.True(err != nil)
-	<-done
-	const buffered = 8 << 20 // what the kernel may hold of it
-	is.True(sent.Load() <= maxHeaderBytes+buffered)
 }
 
-// TestClientInformationalWithoutEnd guards against routers and agents that read informational responses as long
-// as a target sends them.
-func TestClientInformationalWithoutEnd(t *testing.T) {
-	is := is.New(t)
+// sendWithoutEnd returns the address of a server that sends a text and then another one, again and again, until
+// its caller closes the connection, and a channel that then brings how many bytes it has sent.
+func sendWithoutEnd(t *testing.T, start, repeated string) (address string, sent <-chan int) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer func() { _ = listener.Close() }()
-	done := make(chan struct{})
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	result := make(chan int, 1)
 	go func() {
-		defer close(done)
 		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
 		defer func() { _ = conn.Close() }()
+		total, err := io.WriteString(conn, start)
 		for err == nil {
-			_, err = io.WriteString(conn, "HTTP/1.1 103 X\r\nLink: </a>\r\n\r\n")
+			var n int
+			n, err = io.WriteString(conn, repeated)
+			total += n
 		}
+		result <- total
 	}()
-	client := newHTTPClient()
-	defer client.CloseIdleConnections()
-	response, err := client.Get("http://" + listener.Addr().String() + "/")
-	if response != nil {
-		_ = response.Body.Close()
-	}
-	is.True(err != nil)
-	<-done
+	return listener.Addr().String(), result
 }
