An engine's answer that breaks off says nothing of whether the chat ran

Callers saw: "not run" for a chat whose engine had answered 500 or 503 without a length while the request was still being written, and reset the connection.

Cause: agents take an engine's answer of another status than 200 for a refusal, and dropped the error of reading its text.

Evidence: agent.TestEarlyRefusalsOfEngines, a stand-in that breaks off so: four of four cases fail without the change, none with it.

Change: such an error makes the outcome unknown, so that the chat goes on elsewhere as one that may have run. A whole answer of such a status counts as a refusal as before.

--- a/internal/agent/broken_answers_test.go
+++ b/internal/agent/broken_answers_test.go
@@ -179,7 +179,7 @@
 		for ending, end := range broken {
 			t.Run(name+", "+ending, func(t *testing.T) {
 				for range earlyTries {
-					got := callEarly(t, text, end)
+					got := callEarly(t, "plain", text, end)
 					if got.end() != nil || got.refusal().GetRunState() != wire.RunState_RUN_STATE_UNKNOWN {
 						t.Errorf("%q counts as whole, refusal %v", got.text(), got.refusal())
 					}
@@ -188,7 +188,7 @@
 		}
 		t.Run(name+", whole", func(t *testing.T) {
 			for range 3 {
-				got := callEarly(t, text, earlyEnd{endsOutput: true})
+				got := callEarly(t, "plain", text, earlyEnd{endsOutput: true})
 				if got.end() == nil || got.text() != "whole" {
 					t.Errorf("%q, refusal %v", got.text(), got.refusal())
 				}
@@ -197,14 +197,37 @@
 	}
 }
 
+// TestEarlyRefusalsOfEngines guards against a chat that counts as not run although its engine broke off the
+// answer that would have said so.
+func TestEarlyRefusalsOfEngines(t *testing.T) {
+	for _, status := range []int{http.StatusInternalServerError, http.StatusServiceUnavailable} {
+		for ending, end := range map[string]earlyEnd{"reset": {reset: true}, "closed": {}} {
+			t.Run(fmt.Sprintf("%d, %s", status, ending), func(t *testing.T) {
+				is := is.New(t)
+				for range earlyTries / 4 {
+					got := callEarly(t, "engine", fmt.Sprintf("HTTP/1.1 %d X\r\nRetry-After: 60\r\n\r\npart", status), end)
+					is.Equal(got.end(), nil)
+					is.Equal(got.refusal().GetRunState(), wire.RunState_RUN_STATE_UNKNOWN)
+				}
+			})
+		}
+	}
+}
+
 // callEarly makes a call with a long body at a target that answers early.
-func callEarly(t *testing.T, text string, end earlyEnd) *replies {
+func callEarly(t *testing.T, targetID, text string, end earlyEnd) *replies {
 	address, arrivals := earlyTarget(t, text, end)
 	a := newCuttingAgent(t, &cuttingTarget{address: address})
 	recorded := new(replies)
-	p := a.targets["plain"]
-	work := &wire.ServiceWork{Service: "s", Method: http.MethodPost, Path: "/", Body: []byte(strings.Repeat("x", longBody))}
-	a.serveService(t.Context(), p, &wire.Call{}, work, &replyWriter{stream: recorded, id: "r", target: p})
+	p := a.targets[targetID]
+	writer := &replyWriter{stream: recorded, id: "r", target: p}
+	long := strings.Repeat("x", longBody)
+	if targetID == "engine" {
+		a.serveChat(t.Context(), p, &wire.Call{}, &wire.ChatWork{Model: "m", Body: []byte(`{"user":"` + long + `"}`)}, writer)
+	} else {
+		work := &wire.ServiceWork{Service: "s", Method: http.MethodPost, Path: "/", Body: []byte(long)}
+		a.serveService(t.Context(), p, &wire.Call{}, work, writer)
+	}
 	is.New(t).Equal(arrivals.Load(), int64(1))
 	return recorded
 }
--- a/internal/target/httpengine.go
+++ b/internal/target/httpengine.go
@@ -138,7 +138,11 @@
 		return response, nil
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorText))
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxErrorText))
+	if err != nil {
+		// What broke off says nothing of whether the request ran.
+		return nil, errors.Wrapf(err, "read the engine's answer %d", response.StatusCode)
+	}
 	refused := errors.Wrapf(ErrRefused, "engine answered %d: %s", response.StatusCode, text)
 	if retryAfter := retryAfterOf(response); retryAfter > 0 {
 		return nil, &RetryAfterError{RetryAfter: retryAfter, Err: refused}
