A client's connection carries no request before the last response on it is checked

Found by reading the change: net/http may use a connection again before RoundTrip returns the response that came on it, if that has no body. A request could then be sent behind a broken head, or a sound response be checked by the bytes of another one.

Change: an exchange holds its connection until its response is checked. That the request has been written is noted later too, or an answer whose head comes early would be held up at its end (TestAnswerBehindEarlyHead fails without that).

--- a/internal/httpcheck/conn.go
+++ b/internal/httpcheck/conn.go
@@ -1,5 +1,5 @@
-// Package httpcheck checks what targets and other servers answer over HTTP/1: that an answer which ends with its
-// connection was not broken off. It serves both those that read answers from a connection themselves and those
+// Package httpcheck checks what targets and other servers answer over HTTP/1: that the head of an answer is valid,
+// and that an answer which ends with its connection was not broken off. It serves both those that read answers from a connection themselves and those
 // that use a transport of net/http.
 package httpcheck
 
@@ -38,11 +38,15 @@
 type Conn struct {
 	net.Conn
 
+	// exchange is held by a Transport from the moment at which it uses the connection for a request until it
+	// has checked the response. net/http may use the connection again before that.
+	exchange sync.Mutex
+
 	mu sync.Mutex
 	// writing means that a request is being written, as long as BeginRequest and EndRequest say.
 	writing bool
-	// writeErr is the first error of a write.
-	writeErr error
+	// writeFailed means that a write has failed.
+	writeFailed bool
 	// recording means that recorded keeps what is received.
 	recording bool
 	recorded  []byte
@@ -67,13 +71,13 @@
 	c.writing = false
 }
 
-// Write writes data, and keeps an error for the reader.
+// Write writes data, and notes a failure for the reader.
 func (c *Conn) Write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
 	if err != nil {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.writeErr = errors.CombineErrors(c.writeErr, err)
+		c.writeFailed = true
 	}
 	return n, err
 }
@@ -149,7 +153,7 @@
 
 func (c *Conn) sendState() sendState {
 	c.mu.Lock()
-	state := sendState{reset: c.writeErr != nil, settled: !c.writing}
+	state := sendState{reset: c.writeFailed, settled: !c.writing}
 	c.mu.Unlock()
 	output, known := socket.OutputOf(c)
 	if !known {
--- a/internal/httpcheck/head.go
+++ b/internal/httpcheck/head.go
@@ -84,6 +84,9 @@
 
 // skipInformational returns what follows a number of informational responses in a text, or why they are not valid.
 func skipInformational(text []byte, count int) ([]byte, error) {
+	if count == 0 {
+		return text, nil
+	}
 	reader := textReader(text)
 	for range count {
 		line, header, err := readHead(reader)
--- a/internal/httpcheck/transport.go
+++ b/internal/httpcheck/transport.go
@@ -46,6 +46,7 @@
 // connection could be made.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	x := new(exchange)
+	defer x.release()
 	trace := &httptrace.ClientTrace{
 		GotConn:        func(info httptrace.GotConnInfo) { x.begin(info.Conn) },
 		WroteRequest:   func(httptrace.WroteRequestInfo) { x.endRequest() },
@@ -56,38 +57,55 @@
 		return nil, err
 	}
 	if err := x.check(response); err != nil {
-		x.abort()
 		_ = response.Body.Close()
 		return nil, err
 	}
 	return response, nil
 }
 
-// exchange is one request and its response.
+// exchange is one request and its response, until that has been checked.
 type exchange struct {
 	mu sync.Mutex
-	// conn is the connection that carries the request; nil before there is one, and if it is encrypted.
+	// conn is the connection that carries the request; nil before there is one, after release, and if it is
+	// encrypted.
 	conn *Conn
+	// writer is the same, also after release: the request may still be written then.
+	writer *Conn
 	// informational is the number of informational responses so far.
 	informational int
 }
 
+// begin takes a connection for the request. net/http may try several.
 func (x *exchange) begin(conn net.Conn) {
+	x.release()
+	checked, ok := conn.(*Conn)
+	if !ok {
+		return
+	}
+	checked.exchange.Lock()
+	checked.Record()
+	checked.BeginRequest()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.conn, x.writer, x.informational = checked, checked, 0
+}
+
+// release lets another request use the connection.
+func (x *exchange) release() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.conn, _ = conn.(*Conn)
-	x.informational = 0
 	if x.conn != nil {
-		x.conn.Record()
-		x.conn.BeginRequest()
+		x.conn.exchange.Unlock()
+		x.conn = nil
 	}
 }
 
+// endRequest notes that the request has been written.
 func (x *exchange) endRequest() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.conn != nil {
-		x.conn.EndRequest()
+	if x.writer != nil {
+		x.writer.EndRequest()
 	}
 }
 
@@ -102,7 +120,7 @@
 	return nil
 }
 
-// check checks the final response.
+// check checks the final response. If that is not valid, it closes the connection.
 func (x *exchange) check(response *http.Response) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -110,17 +128,11 @@
 		return Head(response, nil)
 	}
 	text, err := skipInformational(x.conn.Recorded(), x.informational)
-	if err != nil {
-		return err
+	if err == nil {
+		err = Head(response, text)
 	}
-	return Head(response, text)
-}
-
-// abort closes the connection.
-func (x *exchange) abort() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.conn != nil {
+	if err != nil {
 		_ = x.conn.Close()
 	}
+	return err
 }
--- a/pkg/cmdutil/factory.go
+++ b/pkg/cmdutil/factory.go
@@ -3,7 +3,6 @@
 package cmdutil
 
 import (
-	"crypto/tls"
 	"net/http"
 	"os"
 	"time"
@@ -48,7 +47,7 @@
 			return NewClient(firstNonEmpty(address, os.Getenv(EnvRouter), defaultRouter), os.Getenv(EnvKey), newHTTPClient())
 		},
 		Gateway: func(address string) *GatewayClient {
-			return NewGatewayClient(address, &http.Client{Timeout: clientTimeout, Transport: newTransport(nil)})
+			return NewGatewayClient(address, &http.Client{Timeout: clientTimeout, Transport: newPlainTransport()})
 		},
 	}
 }
@@ -56,7 +55,7 @@
 // newHTTPClient returns a client that uses the operator's certificate, if the environment names
 // one.
 func newHTTPClient() *http.Client {
-	client := &http.Client{Timeout: clientTimeout, Transport: newTransport(nil)}
+	client := &http.Client{Timeout: clientTimeout, Transport: newPlainTransport()}
 	source := secure.Source{CA: os.Getenv(EnvCA), Cert: os.Getenv(EnvCert), Key: os.Getenv(EnvKeyFile)}
 	if !source.Set() {
 		return client
@@ -66,13 +65,13 @@
 		client.Transport = failingTransport{err}
 		return client
 	}
-	client.Transport = newTransport(keys.Client(secure.RoleRouter, secure.RoleAgent))
+	client.Transport = httpcheck.NewTransport(&http.Transport{TLSClientConfig: keys.Client(secure.RoleRouter, secure.RoleAgent)})
 	return client
 }
 
-// newTransport returns a transport that checks answers; the configuration of TLS may be nil.
-func newTransport(config *tls.Config) *httpcheck.Transport {
-	return httpcheck.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, TLSClientConfig: config})
+// newPlainTransport returns a transport without TLS.
+func newPlainTransport() *httpcheck.Transport {
+	return httpcheck.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})
 }
 
 // failingTransport fails every request with the error of an unusable certificate.
