--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -31,6 +31,7 @@
 	mu       sync.Mutex
 	sequence int64
 	unlisted bool
+	leaving  bool
 	arrivals []*arrival
 }
 
