--- a/review/standin-2/client.go
+++ b/review/standin-2/client_test.go
@@ -1,6 +1,6 @@
 //go:build review2
 
-package main
+package standin2
 
 import (
 	"bufio"
--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig_test.go
@@ -1,8 +1,6 @@
 //go:build review2
 
-// Command standin-2 plays the cases of the second review: it starts gateways as separate processes before
-// stand-ins of the store, of servers and of clients, and judges what these have seen.
-package main
+package standin2
 
 import (
 	"encoding/json"
@@ -46,6 +44,7 @@
 	// seeds are the addresses that the settings of all gateways name: those of the first few.
 	seeds     []string
 	stopBeat  chan struct{}
+	closing   sync.Once
 	servers   []*server
 	usedPorts map[string]bool
 }
@@ -80,12 +79,14 @@
 
 // close ends all processes.
 func (r *rig) close() {
-	close(r.stopBeat)
-	for _, g := range r.gateways {
-		g.kill()
-	}
-	_ = r.record.Close()
-	_ = os.RemoveAll(r.folder)
+	r.closing.Do(func() {
+		close(r.stopBeat)
+		for _, g := range r.gateways {
+			g.kill()
+		}
+		_ = r.record.Close()
+		_ = os.RemoveAll(r.folder)
+	})
 }
 
 // configure writes a configuration as the operator does.
