--- a/review/standin-2/late_test.go
+++ b/review/standin-2/late_test.go
@@ -18,6 +18,8 @@
 	calmTime = 3050 * time.Millisecond
 	// entryTime is the time in which a server's entry is written, and a request ends.
 	entryTime = 200 * time.Millisecond
+	// hearSteps is how many further such times a server waits for a client to hear that it leaves.
+	hearSteps = 4
 	drainTime = drainMs * time.Millisecond
 	// clientPause is the time between two requests of a client.
 	clientPause = 40 * time.Millisecond
@@ -84,6 +86,14 @@
 	}
 }
 
+// heardLeaving reports whether a client has got an answer of a server that says that it leaves.
+func (p *payers) heardLeaving(s *server) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, heard := p.passedOn[s.id]
+	return heard
+}
+
 // stop ends the clients.
 func (p *payers) stop() {
 	p.ended.Store(true)
@@ -102,12 +112,19 @@
 	return count
 }
 
-// leave makes a server say that it leaves, in its answers and in its entry.
-func (s *server) leave() {
+// leave makes a server say that it leaves, in its answers and, a moment later, in its entry. If clients are to hear of
+// it, the moment lasts until one has.
+func (s *server) leave(heard func() bool) {
 	s.mu.Lock()
 	s.leaving = true
 	s.mu.Unlock()
 	time.Sleep(entryTime)
+	for range hearSteps {
+		if heard() {
+			break
+		}
+		time.Sleep(entryTime)
+	}
 	s.mu.Lock()
 	s.state = "draining"
 	s.mu.Unlock()
@@ -157,7 +174,7 @@
 	p := startPayers(r)
 	time.Sleep(2 * time.Second)
 	first, second := r.servers[0], r.servers[1]
-	lateWriteOfLastLife(r, first, born, trouble)
+	lateWriteOfLastLife(r, p, first, born, trouble)
 	acknowledged := lateWriteOfSameLife(r, p, second, born, trouble)
 	p.stop()
 	passedOn, ok := p.passedOn[first.id]
@@ -174,7 +191,7 @@
 
 // lateWriteOfLastLife has a server begin again under its id and leave. The last write of its life before, which got
 // no answer, is done while it leaves.
-func lateWriteOfLastLife(r *rig, s *server, born int64, trouble bool) {
+func lateWriteOfLastLife(r *rig, p *payers, s *server, born int64, trouble bool) {
 	lastWrite := time.Now()
 	old := s.entryOf(born, "ready")
 	s.mu.Lock()
@@ -183,7 +200,7 @@
 	s.list()
 	r.note("server %s has begun again under its id; the last write of the life before has got no answer", s.id)
 	time.Sleep(time.Second)
-	s.leave()
+	s.leave(func() bool { return p.heardLeaving(s) })
 	r.doLate(s, old, lastWrite, lateBy, trouble)
 	time.Sleep(3 * time.Second)
 }
@@ -197,7 +214,7 @@
 	time.Sleep(calmTime)
 	p.paused.Store(true)
 	time.Sleep(entryTime)
-	s.leave()
+	s.leave(func() bool { return true })
 	acknowledged = time.Now()
 	p.paused.Store(false)
 	r.doLate(s, old, lostWrite, lateBySame, trouble)
