Review case 7: an older write of records of streams replaces a newer one

The cause: internal/originstore writes growing values of one key on no condition, and counts them as saved for 19 s.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Before it: the build of the deploy file, and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2 ] && [ -x target/capersaddle ] || exit 2
-exec target/review-2 late review/7/record.txt
+exec target/review-2 records review/7/record.txt
--- a/review/standin-2/deployment_test.go
+++ b/review/standin-2/deployment_test.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(r *rig, trouble bool) (broken string, err error){
 	"extra":   extra,
 	"late":    late,
+	"records": records,
 	"seeds":   seeds,
 	"slashes": slashes,
 }
--- a/review/standin-2/rig_test.go
+++ b/review/standin-2/rig_test.go
@@ -39,6 +39,7 @@
 
 	mu       sync.Mutex
 	store    *emulator.Store
+	front    *lateStore
 	storeAt  string
 	gateways []*gateway
 	// seeds are the addresses that the settings of all gateways name: those of the first few.
@@ -65,7 +66,8 @@
 		return nil, err
 	}
 	r.storeAt = listener.Addr().String()
-	go func() { _ = (&http.Server{Handler: r.store, ReadHeaderTimeout: 10 * time.Second}).Serve(listener) }()
+	r.front = &lateStore{rig: r}
+	go func() { _ = (&http.Server{Handler: r.front, ReadHeaderTimeout: 10 * time.Second}).Serve(listener) }()
 	go r.beat()
 	return r, nil
 }
--- a/review/standin-2/seeds_test.go
+++ b/review/standin-2/seeds_test.go
@@ -23,7 +23,10 @@
 )
 
 // engine answers a request with a stream, from behind the last event that its caller has.
-func engine(s *server, c *serverConn, a *arrival) {
+func engine(s *server, c *serverConn, a *arrival) { streamEvery(s, c, a, streamEvents, eventPause) }
+
+// streamEvery is engine with a number of events and a pause before each.
+func streamEvery(s *server, c *serverConn, a *arrival, events int, pause time.Duration) {
 	if a.isQuestion() {
 		c.answer(s, a, 200, "X-Instance-Id: "+s.id+"\r\n", "{}")
 		return
@@ -31,8 +34,8 @@
 	s.run(a)
 	_, err := io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", a.id, s.stamp()))
 	last, _ := strconv.Atoi(a.header.Get("Last-Event-Id"))
-	for number := last + 1; err == nil && number <= streamEvents; number++ {
-		time.Sleep(eventPause)
+	for number := last + 1; err == nil && number <= events; number++ {
+		time.Sleep(pause)
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", number, s.version)
 		_, err = io.WriteString(c, fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
 	}
@@ -50,6 +53,8 @@
 	complete bool
 	began    time.Time
 	resumed  bool
+	// triedInTouch means that it was taken up at a gateway in touch.
+	triedInTouch bool
 }
 
 // read asks a gateway for the stream, or for its rest, and reads it to its end.
@@ -99,20 +104,28 @@
 	}
 }
 
-// seeds has a machine join whose settings name machines that have left, and the other one killed while it
-// sends streams.
-func seeds(r *rig, trouble bool) (string, error) {
-	r.configure(configOf(3))
+// addEngines starts two servers of each of two versions.
+func (r *rig) addEngines(handle handler) error {
 	for i := range 4 {
-		s, err := r.addServer(engineService, fmt.Sprintf("e-%d", i), engine)
+		s, err := r.addServer(engineService, fmt.Sprintf("e-%d", i), handle)
 		if err != nil {
-			return "", err
+			return err
 		}
 		s.mu.Lock()
 		s.slots, s.version = 64, []string{"v1", "v2"}[i%2]
 		s.mu.Unlock()
 		s.list()
 	}
+	return nil
+}
+
+// seeds has a machine join whose settings name machines that have left, and the other one killed while it
+// sends streams.
+func seeds(r *rig, trouble bool) (string, error) {
+	r.configure(configOf(3))
+	if err := r.addEngines(engine); err != nil {
+		return "", err
+	}
 	// Four machines start. The settings of all machines name the first three as seeds.
 	if err := r.addGateways(maxSeeds + 1); err != nil {
 		return "", err
@@ -128,6 +141,12 @@
 	}
 	for _, g := range gone {
 		<-g.done
+		// Nobody else may get the address while the case is played.
+		held, err := net.ListenPacket("udp", g.peers)
+		if err != nil {
+			return "", err
+		}
+		defer func() { _ = held.Close() }()
 	}
 	r.note("%d of the three machines that are named as seeds have left for good, as planned", len(gone))
 	// A spare machine joins.
