--- a/review/standin-2/late_test.go
+++ b/review/standin-2/late_test.go
@@ -24,6 +24,7 @@
 	// clientPause is the time between two requests of a client.
 	clientPause = 40 * time.Millisecond
 	clients     = 4
+	burstSize   = 9
 )
 
 // entryOf returns an entry as the server would write it in a life.
@@ -86,6 +87,16 @@
 	}
 }
 
+// burst sends some payments at once, so that each server gets some.
+func (p *payers) burst() {
+	var wait sync.WaitGroup
+	for i := range burstSize {
+		id := fmt.Sprintf("pay-burst-%d-%d", time.Now().UnixNano(), i)
+		wait.Go(func() { p.payOnce(id) })
+	}
+	wait.Wait()
+}
+
 // heardLeaving reports whether a client has got an answer of a server that says that it leaves.
 func (p *payers) heardLeaving(s *server) bool {
 	p.mu.Lock()
@@ -200,7 +211,10 @@
 	s.list()
 	r.note("server %s has begun again under its id; the last write of the life before has got no answer", s.id)
 	time.Sleep(time.Second)
-	s.leave(func() bool { return p.heardLeaving(s) })
+	s.leave(func() bool {
+		p.burst()
+		return p.heardLeaving(s)
+	})
 	r.doLate(s, old, lastWrite, lateBy, trouble)
 	time.Sleep(3 * time.Second)
 }
