--- a/review/standin-2/records_test.go
+++ b/review/standin-2/records_test.go
@@ -23,13 +23,16 @@
 	lateFor   = 4500 * time.Millisecond
 	// longPause is the pause between the events of streams that last nearly as long as their clients wait.
 	longPause = 280 * time.Millisecond
-	// recordStreams begin one after the other, streamGap apart.
-	recordStreams = 40
-	streamGap     = 75 * time.Millisecond
-	// shortStreams come before and have ended by the kill.
-	shortStreams = 24
-	shortGap     = 140 * time.Millisecond
-	shortEvents  = 6
+	// burstStreams begin together, streamGap apart, right after the first write of a key of records; there are
+	// bursts of them.
+	burstStreams = 10
+	bursts       = 3
+	streamGap    = 20 * time.Millisecond
+	// Other streams, shortGap apart, end by themselves soon. shortLead is how long they come before.
+	shortGap    = 140 * time.Millisecond
+	shortEvents = 6
+	shortLead   = 2 * time.Second
+	leadTime    = 800 * time.Millisecond
 	// touchTime is the time without disruption after which machines are in touch, contact_ms.
 	touchTime = 3 * time.Second
 	// startPause is how long the platform takes to start a process again.
@@ -45,8 +48,12 @@
 	until  time.Time
 	writes int
 	late   int
-	// lastLate is when a write of a key was last done late.
-	lastLate map[string]time.Time
+	// trouble means that writes are done late; without it they are counted only.
+	trouble bool
+	// seen are the keys of records that were written since begin, and first gets a value for the first write of
+	// each that may be late.
+	seen  map[string]bool
+	first chan struct{}
 }
 
 // ServeHTTP serves a call to the store.
@@ -85,17 +92,23 @@
 func (l *lateStore) isLate(key string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
-	if now.After(l.until) {
+	if time.Now().After(l.until) {
 		return false
 	}
 	l.writes++
-	if !strings.HasPrefix(key, "capersaddle/streams/") || !l.lastLate[key].IsZero() || float64(l.late+1) > lateShare*float64(l.writes) {
+	if !strings.HasPrefix(key, "capersaddle/streams/") || l.seen[key] {
+		return false
+	}
+	l.seen[key] = true
+	if float64(l.late+1) > lateShare*float64(l.writes) {
 		return false
 	}
 	l.late++
-	l.lastLate[key] = now
-	return true
+	select {
+	case l.first <- struct{}{}:
+	default:
+	}
+	return l.trouble
 }
 
 // do does a late write.
@@ -106,12 +119,14 @@
 	l.rig.note("store: the write of %s is done, %v after it was sent: %d", key, lateDelay, answer.Code)
 }
 
-// begin begins the trouble.
-func (l *lateStore) begin() {
+// begin begins the trouble, or without it only the count.
+func (l *lateStore) begin(trouble bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.until, l.lastLate = time.Now().Add(lateFor), make(map[string]time.Time)
-	l.rig.note("store: some writes get no answer from now on, and are done late")
+	l.until, l.trouble, l.seen = time.Now().Add(lateFor), trouble, make(map[string]bool)
+	if trouble {
+		l.rig.note("store: some writes get no answer from now on, and are done late")
+	}
 }
 
 // longEngine is engine with longer streams, but for those whose paths say otherwise.
@@ -123,6 +138,33 @@
 	streamEvery(s, c, a, streamEvents, longPause)
 }
 
+// shortStreams begins streams that end by themselves soon.
+func (r *rig) shortStreams(stop <-chan struct{}, wait *sync.WaitGroup) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(shortGap):
+		}
+		wait.Go(func() {
+			id := fmt.Sprintf("short-%d", i)
+			x := &stream{id: id, first: id, versions: map[string]bool{}, began: time.Now()}
+			_, _, _ = x.read(r.gateways[i%3])
+		})
+	}
+}
+
+// drain takes what a channel holds.
+func drain(values <-chan struct{}) {
+	for {
+		select {
+		case <-values:
+		default:
+			return
+		}
+	}
+}
+
 // records has the store do some writes of records of streams late, and all gateways killed at the same moment then.
 func records(r *rig, trouble bool) (string, error) {
 	r.configure(configOf(3))
@@ -134,16 +176,11 @@
 	}
 	time.Sleep(3 * time.Second)
 	var wait sync.WaitGroup
-	for i := range shortStreams {
-		if i == shortStreams/2 && trouble {
-			r.front.begin()
-		}
-		wait.Go(func() {
-			x := &stream{id: fmt.Sprintf("short-%d", i), first: fmt.Sprintf("short-%d", i), versions: map[string]bool{}, began: time.Now()}
-			_, _, _ = x.read(r.gateways[i%3])
-		})
-		time.Sleep(shortGap)
-	}
+	stopShort := make(chan struct{})
+	wait.Go(func() { r.shortStreams(stopShort, &wait) })
+	time.Sleep(shortLead)
+	r.front.begin(trouble)
+	time.Sleep(leadTime)
 	var inTouch time.Time
 	var mu sync.Mutex
 	isInTouch := func() bool {
@@ -151,19 +188,30 @@
 		defer mu.Unlock()
 		return !inTouch.IsZero() && time.Now().After(inTouch)
 	}
-	streams := make([]*stream, recordStreams)
-	for i := range streams {
-		x := &stream{id: fmt.Sprintf("s%d-1", i), first: fmt.Sprintf("s%d-1", i), versions: map[string]bool{}, began: time.Now()}
-		streams[i] = x
-		wait.Go(func() {
-			status, _, err := x.read(r.gateways[i%3])
-			r.note("client: %s at %s -> %d, has event %d (%v)", x.id, r.gateways[i%3].name, status, x.last, err)
-			x.takeUp(r, i, isInTouch)
-		})
-		time.Sleep(streamGap)
+	var streams []*stream
+	end := time.After(lateFor - leadTime)
+	drain(r.front.first)
+	for len(streams) < bursts*burstStreams {
+		select {
+		case <-r.front.first:
+		case <-end:
+			return "", fmt.Errorf("too few writes of records")
+		}
+		for range burstStreams {
+			i := len(streams)
+			x := &stream{id: fmt.Sprintf("s%d-1", i), first: fmt.Sprintf("s%d-1", i), versions: map[string]bool{}, began: time.Now()}
+			streams = append(streams, x)
+			wait.Go(func() {
+				status, _, err := x.read(r.gateways[i%3])
+				r.note("client: %s at %s -> %d, has event %d (%v)", x.id, r.gateways[i%3].name, status, x.last, err)
+				x.takeUp(r, i, isInTouch)
+			})
+			time.Sleep(streamGap)
+		}
 	}
-	time.Sleep(lateDelay + 500*time.Millisecond)
-	r.note("all gateways are killed at the same moment; %d of %d writes since the trouble began were done late", r.front.late, r.front.writes)
+	close(stopShort)
+	time.Sleep(lateDelay + 700*time.Millisecond)
+	r.note("all gateways are killed at the same moment; %d of %d writes were first ones of their keys", r.front.late, r.front.writes)
 	for _, g := range r.gateways {
 		g.signal(syscall.SIGKILL)
 	}
--- a/review/standin-2/rig_test.go
+++ b/review/standin-2/rig_test.go
@@ -66,7 +66,7 @@
 		return nil, err
 	}
 	r.storeAt = listener.Addr().String()
-	r.front = &lateStore{rig: r}
+	r.front = &lateStore{rig: r, first: make(chan struct{}, 1)}
 	go func() { _ = (&http.Server{Handler: r.front, ReadHeaderTimeout: 10 * time.Second}).Serve(listener) }()
 	go r.beat()
 	return r, nil
--- a/review/standin-2/seeds_test.go
+++ b/review/standin-2/seeds_test.go
@@ -25,7 +25,7 @@
 // engine answers a request with a stream, from behind the last event that its caller has.
 func engine(s *server, c *serverConn, a *arrival) { streamEvery(s, c, a, streamEvents, eventPause) }
 
-// streamEvery is engine with a number of events and a pause before each.
+// streamEvery is engine with a number of events and a pause after each.
 func streamEvery(s *server, c *serverConn, a *arrival, events int, pause time.Duration) {
 	if a.isQuestion() {
 		c.answer(s, a, 200, "X-Instance-Id: "+s.id+"\r\n", "{}")
@@ -35,9 +35,9 @@
 	_, err := io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", a.id, s.stamp()))
 	last, _ := strconv.Atoi(a.header.Get("Last-Event-Id"))
 	for number := last + 1; err == nil && number <= events; number++ {
-		time.Sleep(pause)
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", number, s.version)
 		_, err = io.WriteString(c, fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
+		time.Sleep(pause)
 	}
 	if err == nil {
 		_, _ = io.WriteString(c, "0\r\n\r\n")
