Gateways whose seeds are all stale find each other through the store

Cause: a gateway knew others only from its seeds and from heartbeats. One whose seeds had left and one that was there before had no way to learn of each other, and settings with good seeds were not taken up at a reload. Not only records of streams were missing: nothing that heartbeats carry was shared. Ruled out: the records themselves (with TROUBLE=0 all go on), the time (16 s, 20 s in the new test), the number (two, eight, twenty-eight gateways stay islands of one).

Change: the store holds up to eight addresses of running gateways, written under a condition by the first of the gateways that hear each other if none of them is listed; the gateways that ask the store contact those that they don't hear. A reload takes up seeds. Addresses that somebody once named and that never answered are forgotten after five minutes; they were contacted for ever. Limits shared among gateways take a gateway for one of many until 3 s after a late first copy.

Tests that separate gateways by seeds alone, or by relays in front of their addresses, have the store refuse the list now (TestFatalRequestsWithPartitionedGateways, the soaks with a mesh): else the gateways would meet, and the checks would check less.

--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -81,7 +81,9 @@
 	faults    StoreFaults
 	// refusedCallers holds the caller addresses, IP:port or IP, whose calls get 503.
 	refusedCallers map[string]bool
-	pageItems      int
+	// refusedPrefix is a prefix of keys that gateways may not write; empty for none.
+	refusedPrefix string
+	pageItems     int
 	// waiting is the number of calls that are not answered yet.
 	waiting int
 	// callsToHang is how many further calls are never answered.
@@ -160,6 +162,14 @@
 	s.wake()
 }
 
+// RefuseWrites refuses gateways' writes of the keys with a prefix. Gateways that are to be separated from
+// each other must not find each other through what they write there.
+func (s *Store) RefuseWrites(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusedPrefix = prefix
+}
+
 // Calls returns the number of calls so far by path.
 func (s *Store) Calls() map[string]int {
 	s.mu.Lock()
--- a/internal/emulator/store_calls.go
+++ b/internal/emulator/store_calls.go
@@ -155,9 +155,13 @@
 	return status, answer, s.faults.LoseAnswers
 }
 
-// isExternalKey reports whether only the operator or a server may write a key.
-func isExternalKey(key string) bool {
-	return strings.HasPrefix(key, "op/") || strings.HasPrefix(key, "servers/")
+// SeedsPrefix begins the keys in which gateways keep each other's addresses.
+const SeedsPrefix = "capersaddle/gateways/"
+
+// isForbidden reports whether gateways may not write a key. Keys of the operator and the servers are always
+// forbidden. The lock is held.
+func (s *Store) isForbidden(key string) bool {
+	return strings.HasPrefix(key, "op/") || strings.HasPrefix(key, "servers/") || s.refusedPrefix != "" && strings.HasPrefix(key, s.refusedPrefix)
 }
 
 // transact applies a transaction completely or not at all. The lock is held.
@@ -172,11 +176,11 @@
 	if !revisionsMatch {
 		return http.StatusPreconditionFailed, conflict{Items: current, At: s.revision}
 	}
-	if slices.ContainsFunc(body.Remove, isExternalKey) {
+	if slices.ContainsFunc(body.Remove, s.isForbidden) {
 		return http.StatusForbidden, struct{}{}
 	}
 	for _, put := range body.Put {
-		if isExternalKey(put.Key) {
+		if s.isForbidden(put.Key) {
 			return http.StatusForbidden, struct{}{}
 		}
 		if _, ok := s.leases[put.Lease]; put.Lease != 0 && !ok {
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -35,6 +35,8 @@
 	EventBadValue          = "store_value_unreadable"
 	EventPeerFound         = "peer_found"
 	EventPeerLost          = "peer_lost"
+	EventSeedsListed       = "seeds_listed"
+	EventSeedsSaved        = "seeds_saved"
 	EventReplica           = "replica_fetched"
 	EventRefused           = "target_refused"
 	EventTargetSuspected   = "target_doubted"
@@ -75,7 +77,7 @@
 func Events() []string {
 	return []string{
 		EventRequest, EventConfig, EventTargetChanged, EventTargetsListed, EventTargetGone, EventEjected, EventStoreLost, EventStoreBack,
-		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventReplica, EventRefused, EventTargetSuspected, EventStart, EventDrain, EventAcceptingEnded, EventGraceOver, EventStop, EventStopFailed, EventMemoryHigh, EventAddressInUse, EventAddressFree, EventAcceptFailed, EventReload, EventProcessLate, EventProcessInTime, EventRequestsNotLogged,
+		EventBadValue, EventEvacuated, EventReturned, EventPeerFound, EventPeerLost, EventSeedsListed, EventSeedsSaved, EventReplica, EventRefused, EventTargetSuspected, EventStart, EventDrain, EventAcceptingEnded, EventGraceOver, EventStop, EventStopFailed, EventMemoryHigh, EventAddressInUse, EventAddressFree, EventAcceptFailed, EventReload, EventProcessLate, EventProcessInTime, EventRequestsNotLogged,
 		EventUnusable, EventLeaving, EventTargetResting, EventCallerEnded, EventNoticeUnreadable, EventTargetEnded, EventCrash, EventHeldBack, EventCleared, EventPartAtLimit, EventPartHeld, EventPartCleared, EventTrial, EventSuspect,
 		EventRolloutOrdered, EventRolloutStage, EventRolloutHalted, EventRolloutRecorded, EventRolloutCommitFailed,
 	}
--- a/internal/observe/state.go
+++ b/internal/observe/state.go
@@ -137,6 +137,20 @@
 	o.log.Info(EventPeerFound, "peer", id, "address", address)
 }
 
+// SeedsListed logs the addresses of gateways that the store lists.
+func (o *Observer) SeedsListed(addresses []string) {
+	o.log.Info(EventSeedsListed, "addresses", addresses)
+}
+
+// SeedsSaved logs that this process wrote a list of gateways' addresses to the store, or why it could not.
+func (o *Observer) SeedsSaved(addresses []string, err error) {
+	if err != nil {
+		o.log.Warn(EventSeedsSaved, "addresses", addresses, "reason", err.Error())
+		return
+	}
+	o.log.Info(EventSeedsSaved, "addresses", addresses, "reason", "")
+}
+
 // PeerLost logs a gateway that is no longer heard.
 func (o *Observer) PeerLost(id, address string, silent time.Duration) {
 	o.log.Warn(EventPeerLost, "peer", id, "address", address, "silent_ms", silent.Milliseconds())
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -255,7 +255,7 @@
 		s.sendCrashesToNew(from, now)
 		s.wake()
 	}
-	s.table.discover(heartbeat.GetKnown(), s.options.Address)
+	s.table.discover(heartbeat.GetKnown())
 	if !heartbeat.GetBare() {
 		s.applyProof(heartbeat)
 		s.applyNewProof(heartbeat)
--- a/internal/peer/rounds.go
+++ b/internal/peer/rounds.go
@@ -56,6 +56,9 @@
 	s.sendCrashes(now)
 	s.sendOrigins(now)
 	s.sendRefused(now)
+	if s.currentView(now).asksStore() {
+		s.table.contactStoredSeeds()
+	}
 	for _, address := range s.table.dueAddresses(now) {
 		s.send(address, s.fullHeartbeat(nil, now), false)
 	}
@@ -130,7 +133,7 @@
 // heartbeats go to all peers, and the budget is charged for them afterwards.
 func (s *Service) broadcast(now time.Time, urgent bool) {
 	live := slices.Clone(s.currentView(now).live)
-	s.options.OnCensus(s.table.census(len(live)))
+	s.options.OnCensus(s.table.census(len(live), now))
 	sortForBroadcast(live, s.hash)
 	for _, to := range live {
 		reported := to.nextPlacement
--- a/internal/peer/status.go
+++ b/internal/peer/status.go
@@ -53,7 +53,8 @@
 func (s *Service) Census() Census {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.census(len(s.currentView(clock.Now()).live))
+	now := clock.Now()
+	return s.table.census(len(s.currentView(now).live), now)
 }
 
 // Knows reports whether another live gateway has a copy of the store's content.
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -79,7 +80,10 @@
 	// addresses are the addresses of gateways from which no heartbeats arrive, with the attempts to
 	// contact them.
 	addresses map[string]contactAttempts
-	seeds     []string
+	// seeds are the addresses from the settings, and storedSeeds those from the store. Neither is ever
+	// forgotten, and neither has this gateway's own address.
+	seeds, storedSeeds []string
+	ownAddress         string
 	// budget is the number of bytes a second that each gateway sends in heartbeats.
 	budget int
 	// startedAt is when this gateway started. source is the peer from which it pulled its first
@@ -93,16 +97,36 @@
 }
 
 func newTable(self string, seeds []string, ownAddress string, budget int) *table {
-	t := &table{self: self, budget: max(budget, 1), peers: make(map[string]*peer), byIncarnation: make(map[uint64]*peer), addresses: make(map[string]contactAttempts)}
-	for _, seed := range seeds {
-		if seed != ownAddress {
-			t.seeds = append(t.seeds, seed)
-			t.addresses[seed] = contactAttempts{}
-		}
-	}
+	t := &table{self: self, ownAddress: ownAddress, budget: max(budget, 1), peers: make(map[string]*peer), byIncarnation: make(map[uint64]*peer), addresses: make(map[string]contactAttempts)}
+	t.setSeeds(seeds)
 	return t
 }
 
+// setSeeds replaces the seeds from the settings.
+func (t *table) setSeeds(seeds []string) {
+	t.seeds = t.withoutOwn(seeds)
+	t.discover(t.seeds)
+}
+
+// setStoredSeeds replaces the seeds from the store. contactStoredSeeds contacts them.
+func (t *table) setStoredSeeds(seeds []string) {
+	t.storedSeeds = t.withoutOwn(seeds)
+}
+
+// contactStoredSeeds adds the seeds from the store to the addresses to contact.
+func (t *table) contactStoredSeeds() {
+	t.discover(t.storedSeeds)
+}
+
+func (t *table) withoutOwn(addresses []string) []string {
+	return slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return address == t.ownAddress })
+}
+
+// isSeed reports whether an address is one of the seeds.
+func (t *table) isSeed(address string) bool {
+	return slices.Contains(t.seeds, address) || slices.Contains(t.storedSeeds, address)
+}
+
 // change is the effect of a heartbeat on the table.
 type change int
 
@@ -165,9 +189,9 @@
 }
 
 // discover adds the addresses of unknown gateways.
-func (t *table) discover(addresses []string, own string) {
+func (t *table) discover(addresses []string) {
 	for _, address := range addresses {
-		if address == own || t.hasPeerAt(address) {
+		if address == t.ownAddress || t.hasPeerAt(address) {
 			continue
 		}
 		if _, ok := t.addresses[address]; !ok {
@@ -215,8 +239,8 @@
 	// Known is the number of gateways that may be running. It includes those that were lost in the
 	// last few minutes, since they may only be cut off from this one.
 	Known int
-	// Silent is the number of addresses from which no heartbeat arrives: those of gateways that
-	// were lost in the last few minutes, and those from the settings.
+	// Silent is the number of addresses from which no heartbeat arrives: those that did not answer in
+	// the last few minutes, and those from the settings however long that is.
 	Silent int
 	// Preceding is the number of known gateways that precede this one in an order that all gateways
 	// share.
@@ -224,8 +248,13 @@
 }
 
 // census counts the peers, given the number of live ones.
-func (t *table) census(live int) Census {
-	census := Census{Live: live, Silent: len(t.addresses)}
+func (t *table) census(live int, now time.Time) Census {
+	census := Census{Live: live}
+	for address, attempts := range t.addresses {
+		if slices.Contains(t.seeds, address) || !attempts.longSilent(now) {
+			census.Silent++
+		}
+	}
 	own := policy.HashName(t.self)
 	for _, p := range t.peers {
 		if p.leaving {
@@ -239,8 +268,7 @@
 	return census
 }
 
-// expire returns the peers that have just become lost, and removes those that have been lost for
-// forgetAfter.
+// expire returns the peers that have just become lost, and removes what has been silent for forgetAfter.
 func (t *table) expire(now time.Time) []*peer {
 	var lost []*peer
 	limit := t.lostAfter()
@@ -254,18 +282,24 @@
 			delete(t.peers, id)
 			delete(t.byIncarnation, p.incarnation)
 			delete(t.addresses, p.address)
-			if slices.Contains(t.seeds, p.address) {
-				t.addresses[p.address] = contactAttempts{}
-			}
 		}
 	}
+	maps.DeleteFunc(t.addresses, func(address string, attempts contactAttempts) bool {
+		return attempts.longSilent(now) && !t.isSeed(address)
+	})
+	t.discover(t.seeds)
 	return lost
 }
 
 // contactAttempts counts the heartbeats to an address from which none arrives.
 type contactAttempts struct {
-	last  time.Time
-	count int
+	first, last time.Time
+	count       int
+}
+
+// longSilent reports whether nothing has arrived from the address for forgetAfter.
+func (c contactAttempts) longSilent(now time.Time) bool {
+	return c.count > 0 && now.Sub(c.first) > forgetAfter
 }
 
 const (
@@ -293,7 +327,10 @@
 	var due []string
 	for address, attempts := range t.addresses {
 		if attempts.due(now) {
-			t.addresses[address] = contactAttempts{last: now, count: attempts.count + 1}
+			if attempts.count == 0 {
+				attempts.first = now
+			}
+			t.addresses[address] = contactAttempts{first: attempts.first, last: now, count: attempts.count + 1}
 			due = append(due, address)
 		}
 	}
--- a/internal/peer/table_test.go
+++ b/internal/peer/table_test.go
@@ -180,3 +180,49 @@
 	tbl.expire(start.Add(forgetAfter + time.Second))
 	is.True(!slices.Contains(tbl.dueAddresses(start.Add(forgetAfter+time.Minute)), "10.0.0.1:2"))
 }
+
+// TestStoredSeedsAreNeverForgotten guards against gateways that stay apart after a cut that lasted longer than
+// an address is remembered, although the store lists them.
+func TestStoredSeedsAreNeverForgotten(t *testing.T) {
+	is := is.New(t)
+	tbl := newTable("self", nil, "10.0.0.9:9", 7000)
+	tbl.setStoredSeeds([]string{"10.0.0.1:1", "10.0.0.9:9"})
+	is.Equal(len(tbl.dueAddresses(start)), 0) // a gateway that doesn't ask the store leaves it to the others
+	tbl.contactStoredSeeds()
+	is.Equal(tbl.dueAddresses(start), []string{"10.0.0.1:1"}) // not its own address
+	tbl.record(heartbeatFrom("1", 1), start)
+	later := start.Add(3*forgetAfter + time.Second)
+	for at := start; at.Before(later); at = at.Add(time.Second) {
+		tbl.expire(at)
+		tbl.contactStoredSeeds()
+		tbl.dueAddresses(at)
+	}
+	is.Equal(len(tbl.peers), 0)
+	is.Equal(tbl.dueAddresses(later.Add(maxRetryDelay)), []string{"10.0.0.1:1"})
+	is.Equal(tbl.census(0, later).Silent, 0) // it need not be a gateway that is cut off
+}
+
+// TestSilentAddressesAreForgotten guards against addresses that are contacted for ever because another gateway
+// once named them.
+func TestSilentAddressesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	tbl := newTable("self", []string{"10.0.0.1:1"}, "10.0.0.9:9", 7000)
+	tbl.discover([]string{"10.0.0.2:2"})
+	is.Equal(tbl.dueAddresses(start), []string{"10.0.0.1:1", "10.0.0.2:2"})
+	later := start.Add(forgetAfter + time.Second)
+	is.Equal(tbl.census(0, later).Silent, 1)
+	tbl.expire(later)
+	is.Equal(tbl.dueAddresses(later), []string{"10.0.0.1:1"})
+}
+
+// TestSeedsAreReplaced checks that new settings add their seeds, and that the old ones are forgotten.
+func TestSeedsAreReplaced(t *testing.T) {
+	is := is.New(t)
+	tbl := newTable("self", []string{"10.0.0.1:1"}, "10.0.0.9:9", 7000)
+	tbl.dueAddresses(start)
+	tbl.setSeeds([]string{"10.0.0.2:2"})
+	is.Equal(tbl.dueAddresses(start.Add(maxRetryDelay)), []string{"10.0.0.1:1", "10.0.0.2:2"})
+	later := start.Add(forgetAfter + time.Second)
+	tbl.expire(later)
+	is.Equal(tbl.dueAddresses(later), []string{"10.0.0.2:2"})
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/capersaddle/capersaddle/internal/quarantine"
 	"github.com/capersaddle/capersaddle/internal/retrybudget"
 	"github.com/capersaddle/capersaddle/internal/rollout"
+	"github.com/capersaddle/capersaddle/internal/seedstore"
 	"github.com/capersaddle/capersaddle/internal/settings"
 	"github.com/capersaddle/capersaddle/internal/spool"
 	"github.com/capersaddle/capersaddle/internal/usage"
@@ -43,9 +44,11 @@
 	// seen, since more can join at any time.
 	gatewayGrowthFactor = 1.3
 	// assumedGateways is the number of gateways assumed while a process may not yet have
-	// discovered the others, which takes up to discoveryTime.
-	assumedGateways = 32
-	discoveryTime   = 5 * time.Second
+	// discovered the others, which takes up to discoveryTime from its start and, where its seeds are
+	// stale, up to storedDiscoveryTime from its first copy of the store.
+	assumedGateways     = 32
+	discoveryTime       = 5 * time.Second
+	storedDiscoveryTime = 3 * time.Second
 	// peerBytesPerSecond limits the heartbeat traffic to other gateways; 8 KB a second are
 	// allowed for all control traffic.
 	peerBytesPerSecond = 7000
@@ -62,9 +65,11 @@
 	gateway  *gateway.Gateway
 	feed     *platform.Feed
 	store    *observe.Dependency
-	peers    *peer.Service
-	crashes  *gateway.Crashes
-	prover   *prover
+	// peers and seeds are nil if the settings name no address for peers.
+	peers   *peer.Service
+	seeds   *seedstore.Keeper
+	crashes *gateway.Crashes
+	prover  *prover
 	// heldBudget limits the bytes buffered for callers.
 	heldBudget *spool.Budget
 	rollouts   *rollout.Controller
@@ -76,6 +81,8 @@
 	server     *http.Server
 	addresses  Addresses
 	started    time.Time
+	// firstCopyAt is when this process first had a copy of the store; nil before.
+	firstCopyAt atomic.Pointer[time.Time]
 	// peerCopySeenAt is when another gateway was first found to hold the store's content while
 	// this one held nothing. Only the feed accesses it.
 	peerCopySeenAt time.Time
@@ -204,7 +211,7 @@
 	if p.peers == nil {
 		return true
 	}
-	return time.Since(p.started) >= discoveryTime && p.peers.First()
+	return !p.isDiscovering() && p.peers.First()
 }
 
 // newCheckpointSaver returns the service that saves in the store which targets cache which parts
@@ -240,8 +247,10 @@
 	return known
 }
 
-// recordTargetCount records the number of targets after the first complete copy of the store.
-func (p *GatewayProcess) recordTargetCount() {
+// recordFirstCopy records the first complete copy of the store and the number of targets in it.
+func (p *GatewayProcess) recordFirstCopy() {
+	now := time.Now()
+	p.firstCopyAt.CompareAndSwap(nil, &now)
 	p.observer.TargetsListed(len(p.gateway.Balancer.Targets()))
 }
 
@@ -256,7 +265,7 @@
 func (w peerWatcher) ReplicaFetched(id string, from, to int64, err error) {
 	w.Observer.ReplicaFetched(id, from, to, err)
 	if from == 0 && err == nil {
-		w.process.recordTargetCount()
+		w.process.recordFirstCopy()
 	}
 }
 
@@ -361,4 +370,7 @@
 		p.log.SetLevel(level)
 	}
 	p.gateway.Budgets.SetRatio(s.Retry.Ratio)
+	if p.peers != nil {
+		p.peers.SetSeeds(s.Seeds)
+	}
 }
--- a/internal/process/gateway_peers.go
+++ b/internal/process/gateway_peers.go
@@ -55,11 +55,13 @@
 		position := peer.StoreOrder(p.settings.ID)
 		p.feed.CountGateways(time.Duration(position*float64(countWindow)), func() bool { return !p.peers.Many() })
 	}
+	p.seeds = p.newSeedKeeper()
 	server := link.NewServer(sockets.TCP, hello, nil, p.log, p.peers.Handle)
 	return errors.Join(
 		p.kernel.Register("links out", closeFunc{pool.Close}),
 		p.kernel.Register("links in", closeFunc{server.Close}),
 		p.kernel.Register("peers", p.peers),
+		p.kernel.Register("seeds", p.seeds),
 	)
 }
 
@@ -79,18 +81,27 @@
 func (p *GatewayProcess) gatewaysSharingSlack() float64 {
 	known := max(p.maxPeers+1, int(p.expectedGateways.Load()))
 	gateways := gatewayGrowthFactor * float64(known)
-	if time.Since(p.started) < discoveryTime {
+	if p.isDiscovering() {
 		return max(gateways, assumedGateways)
 	}
 	return gateways
 }
 
+// isDiscovering reports whether this process may not yet have had the time to discover the other gateways.
+func (p *GatewayProcess) isDiscovering() bool {
+	if time.Since(p.started) < discoveryTime {
+		return true
+	}
+	firstCopyAt := p.firstCopyAt.Load()
+	return firstCopyAt != nil && time.Since(*firstCopyAt) < storedDiscoveryTime
+}
+
 // gatewayPlace returns the number of gateways and this process's position among them. Until the
 // process has had time to discover the others, it assumes as many as when the last checkpoint was
 // written or, if that is unknown, assumedGateways, which is more than usual.
 func (p *GatewayProcess) gatewayPlace(census peer.Census) balance.Gateways {
 	known := census.Known + 1
-	if time.Since(p.started) >= discoveryTime {
+	if !p.isDiscovering() {
 		return balance.Gateways{Count: known, Place: census.Preceding}
 	}
 	expected := int(p.expectedGateways.Load())
--- a/internal/process/gateway_sink.go
+++ b/internal/process/gateway_sink.go
@@ -11,6 +11,7 @@
 	"github.com/capersaddle/capersaddle/internal/originstore"
 	"github.com/capersaddle/capersaddle/internal/quarantine"
 	"github.com/capersaddle/capersaddle/internal/routing"
+	"github.com/capersaddle/capersaddle/internal/seedstore"
 )
 
 // sink receives the content of the platform's store.
@@ -63,7 +64,7 @@
 	if change.Superseded != "" {
 		s.process.gateway.EndSuperseded(change.Superseded, change.OtherVersion)
 	}
-	// A starting process only logs the number of targets (recordTargetCount): thousands of log
+	// A starting process only logs the number of targets (recordFirstCopy): thousands of log
 	// lines cost a small host as much time as processing the targets.
 	if s.process.hasProof() {
 		s.process.observer.TargetChanged(target)
@@ -112,7 +113,7 @@
 	defer s.mu.Unlock()
 	s.process.gateway.Balancer.Restore(s.checkpointTargets, clock.Now())
 	s.checkpointTargets, s.restored = nil, true
-	s.process.recordTargetCount()
+	s.process.recordFirstCopy()
 }
 
 // Checkpoint restores the cached parts of prompts from a checkpoint. Only the first one is used:
@@ -165,6 +166,13 @@
 	s.process.gateway.Origins.Restore(records, clock.Now())
 }
 
+// Seeds receives the addresses of a few running gateways.
+func (s *sink) Seeds(list seedstore.List, at int64) {
+	if s.process.seeds != nil {
+		s.process.seeds.Set(list, at)
+	}
+}
+
 // claimFirstCheckpoint reports whether this is the first checkpoint received.
 func (s *sink) claimFirstCheckpoint() bool {
 	s.mu.Lock()
--- a/internal/process/gateway_start_test.go
+++ b/internal/process/gateway_start_test.go
@@ -154,11 +154,13 @@
 	cases := map[string]struct {
 		peers  string
 		age    time.Duration
+		copied bool // whether it has just got its first copy of the store
 		writes bool
 	}{
-		"no other gateways":        {"", 0, true},
-		"peers not yet discovered": {"127.0.0.1:0", 0, false},
-		"no peers after discovery": {"127.0.0.1:0", discoveryTime, true},
+		"no other gateways":        {"", 0, true, true},
+		"peers not yet discovered": {"127.0.0.1:0", 0, false, false},
+		"no peers after discovery": {"127.0.0.1:0", discoveryTime, false, true},
+		"first copy came late":     {"127.0.0.1:0", discoveryTime, true, false},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -168,6 +170,9 @@
 			is.NoErr(err)
 			t.Cleanup(func() { _ = p.kernel.Close() })
 			p.started = time.Now().Add(-2 * tc.age)
+			if tc.copied {
+				p.recordFirstCopy()
+			}
 			is.Equal(p.writesCheckpoint(), tc.writes)
 		})
 	}
--- a/internal/process/quarantine_partition_test.go
+++ b/internal/process/quarantine_partition_test.go
@@ -55,6 +55,7 @@
 // Callers use the partitions in turn.
 func (f *fleet) startPartitions(t *testing.T, partitions, gatewaysEach int) {
 	t.Helper()
+	f.platform.Store.RefuseWrites(emulator.SeedsPrefix)
 	seeds := make([][]string, partitions)
 	for number := range partitions * gatewaysEach {
 		partition := number % partitions
--- a/internal/soak/killed_in_series_test.go
+++ b/internal/soak/killed_in_series_test.go
@@ -112,6 +112,9 @@
 			s.addVersionedServer(fmt.Sprintf("v%d", version), i)
 		}
 	}
+	if s.mesh != nil {
+		s.platform.Store.RefuseWrites(emulator.SeedsPrefix) // addresses that lead past the relays
+	}
 	dir := s.t.TempDir()
 	var seeds []string
 	const maxSeeds = 3
