Records of streams survive a time of day that jumps back

If it jumps back by some seconds, the slot's turn comes again early, the next write replaces what was saved there seconds ago, and the saver, which counts records as saved for 19 s, doesn't write them again. After a loss of all gateways these streams are refused. Not seen by a caller; shown by the test.

Change: a saver that enters a slot no longer counts as saved what that slot held, so that it is written again. On a steady clock nothing changes: what a slot held is older than 19 s when its turn comes.

Test: originstore.TestTimeOfDayJumpsBack; without the change it finds "map[2:8 3:9] != map[1:7 2:8 3:9]".

--- a/internal/originstore/saver.go
+++ b/internal/originstore/saver.go
@@ -65,10 +65,11 @@
 	wait   sync.WaitGroup
 }
 
-// savedRecord is what the store has of a record since a time.
+// savedRecord is what the store has of a record since a time, and the slot that holds it.
 type savedRecord struct {
 	version origin.Version
 	at      time.Time
+	slot    int
 }
 
 // New returns a saver; Start starts it.
@@ -107,15 +108,18 @@
 		return
 	}
 	now := clock.Now()
+	s.saveIn(ctx, slotAt(now), now)
+}
+
+// saveIn saves the records that the store lacks into a slot.
+func (s *Saver) saveIn(ctx context.Context, slot int, now time.Time) {
 	running := s.options.Table.Records(now)
 	s.forget(running)
+	s.enterSlot(slot)
 	missing := s.missing(running, now)
 	if len(missing) == 0 {
 		return
 	}
-	if slot := slotAt(now); slot != s.slot {
-		s.slot, s.inSlot = slot, nil
-	}
 	records := slices.Concat(s.inSlot, missing)
 	err := s.write(ctx, records)
 	s.options.OnCall(err)
@@ -124,8 +128,18 @@
 	}
 	s.inSlot = records
 	for _, record := range missing {
-		s.saved[record.Stream] = savedRecord{record.Version, now}
+		s.saved[record.Stream] = savedRecord{record.Version, now, s.slot}
+	}
+}
+
+// enterSlot makes a slot the current one. The next write replaces what it holds, which is old unless the time of
+// day has jumped back.
+func (s *Saver) enterSlot(slot int) {
+	if slot == s.slot {
+		return
 	}
+	s.slot, s.inSlot = slot, nil
+	maps.DeleteFunc(s.saved, func(_ origin.Stream, record savedRecord) bool { return record.slot == slot })
 }
 
 // slotAt returns the slot of a time.
--- a/internal/originstore/saver_test.go
+++ b/internal/originstore/saver_test.go
@@ -179,3 +179,20 @@
 		_, _ = Decode(data)
 	})
 }
+
+// TestTimeOfDayJumpsBack guards against records that are replaced seconds after they were saved, because the time
+// of day names a slot again.
+func TestTimeOfDayJumpsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newFixture()
+		now := time.Now()
+		w.begin(1, 7, time.Minute)
+		w.saver.saveIn(t.Context(), 5, now)
+		w.begin(2, 8, time.Minute)
+		w.saver.saveIn(t.Context(), 6, now.Add(time.Second))
+		w.begin(3, 9, time.Minute)
+		w.saver.saveIn(t.Context(), 5, now.Add(2*time.Second)) // instead of slot 7
+		is.Equal(w.restored(), map[origin.Stream]origin.Version{1: 7, 2: 8, 3: 9})
+	})
+}
