--- a/internal/checkpoint/checkpoint.go
+++ b/internal/checkpoint/checkpoint.go
@@ -1,8 +1,9 @@
 // Package checkpoint saves in the store what gateways need when all of them restart at the same
 // time: where parts of prompts are cached, and the targets, whose own entries may have expired
 // while the store was unreachable. The checkpoint is only a hint. A wrong or old one costs reads,
-// or an attempt that its target refuses, but breaks no guarantee. It is therefore written
-// unconditionally and the last writer wins.
+// or an attempt that its target refuses, but breaks no guarantee. So the last writer wins. It also holds
+// the requests that are held back, and so no write replaces one that the store acknowledged after it was
+// sent.
 package checkpoint
 
 import (
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -122,6 +122,17 @@
 	return nil
 }
 
+// Last returns the last known change of a key; false if there is none.
+func (c *Copy) Last(key string) (Item, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rec, ok := c.records[key]
+	if !ok {
+		return Item{}, false
+	}
+	return rec.Item, true
+}
+
 // Change applies single changes up to a revision. It reports whether all values could be read
 // since the last whole reading.
 func (c *Copy) Change(changes []Item, revision int64) bool {
