--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -38,6 +38,10 @@
 	LoseWrites bool
 	// LateWrites drops the connection of writes and keeps the writes until ApplyLateWrites.
 	LateWrites bool
+	// Late returns how much later than they arrive writes are done, by the first key that they put; zero for
+	// at once. The connection of a late one is dropped. Nil means that none is late. It runs with the store
+	// locked, so it must not call the store.
+	Late func(key string) time.Duration
 	// Delay is the delay before every response.
 	Delay time.Duration
 	// Garbage answers with bytes that are not JSON.
--- a/internal/emulator/store_calls.go
+++ b/internal/emulator/store_calls.go
@@ -151,10 +151,29 @@
 		s.lateWrites = append(s.lateWrites, body)
 		return 0, nil, true
 	}
+	if late := s.lateness(body); late > 0 {
+		time.AfterFunc(late, func() { s.applyLate(body) })
+		return 0, nil, true
+	}
 	status, answer = s.transact(body)
 	return status, answer, s.faults.LoseAnswers
 }
 
+// lateness returns how much later than it arrives a transaction is done. The lock is held.
+func (s *Store) lateness(body *transactionBody) time.Duration {
+	if s.faults.Late == nil || len(body.Put) == 0 {
+		return 0
+	}
+	return s.faults.Late(body.Put[0].Key)
+}
+
+// applyLate applies a transaction if its condition still holds.
+func (s *Store) applyLate(body *transactionBody) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.transact(body)
+}
+
 // SeedsPrefix begins the keys in which gateways keep each other's addresses.
 const SeedsPrefix = "capersaddle/gateways/"
 
--- a/internal/soak/killed_in_series_test.go
+++ b/internal/soak/killed_in_series_test.go
@@ -51,28 +51,30 @@
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	cases := map[string]struct {
-		gateways int
-		// perSecond is the number of streams that begin in a second.
-		perSecond int
-		disrupt   func(s *soak)
+		// gateways is the number of gateways, and perSecond that of the streams that begin in a second.
+		gateways, perSecond int
+		staleSeeds          bool
+		disrupt             func(s *soak)
 	}{
-		"four":                          {4, 60, (*soak).killInTurn},
-		"four, many streams":            {4, 120, (*soak).killInTurn},
-		"eight, many streams":           {8, 200, (*soak).killInTurn},
-		"twenty-eight, many streams":    {28, 200, (*soak).killInTurn},
-		"the oldest after a mass start": {4, 200, (*soak).killOldestAfterOthers},
+		"four":                          {4, 60, false, (*soak).killInTurn},
+		"four, many streams":            {4, 120, false, (*soak).killInTurn},
+		"four, stale seeds":             {4, 120, true, (*soak).killInTurn},
+		"eight, many streams":           {8, 200, false, (*soak).killInTurn},
+		"twenty-eight, many streams":    {28, 200, false, (*soak).killInTurn},
+		"the oldest after a mass start": {4, 200, false, (*soak).killOldestAfterOthers},
 	}
 	if gateways, err := strconv.Atoi(os.Getenv("CAPERSADDLE_SOAK_SERIES_GATEWAYS")); err == nil {
 		clear(cases)
 		cases["by hand"] = struct {
 			gateways, perSecond int
+			staleSeeds          bool
 			disrupt             func(s *soak)
-		}{gateways, 200, (*soak).killInTurn}
+		}{gateways, 200, false, (*soak).killInTurn}
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			s := &soak{t: t, binary: binary, seed: 1, grace: stopGrace}
+			s := &soak{t: t, binary: binary, seed: 1, grace: stopGrace, staleSeeds: test.staleSeeds}
 			s.startVersionedSystem(test.gateways, seriesVersions)
 			defer s.stopSystem()
 			callers, stop := s.startStreamCallers(time.Second / time.Duration(test.perSecond))
@@ -122,6 +124,9 @@
 		if s.mesh != nil {
 			seeds = s.mesh.seeds(i, maxSeeds)
 		}
+		if s.staleSeeds {
+			seeds = []string{freeAddress(s.t)}
+		}
 		peers := s.addGateway(dir, fmt.Sprintf("gateway-%d", i), seeds)
 		seeds = append(seeds, peers)[:min(len(seeds)+1, maxSeeds)]
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -97,6 +97,8 @@
 	loseEvery int
 	// keepIDs means that versioned servers that begin again keep their IDs.
 	keepIDs bool
+	// staleSeeds means that no gateway runs at the addresses that the gateways' settings name.
+	staleSeeds bool
 	// versioned are the versioned servers, in the order in which they were added.
 	versioned []*emulator.Server
 	// passing is the number of versions that have come and gone.
