--- a/internal/process/gateway_seeds.go
+++ b/internal/process/gateway_seeds.go
@@ -14,13 +14,19 @@
 		Address:  p.addresses.Link,
 		Order:    peer.StoreOrder(p.settings.ID),
 		Store:    p.feed,
-		IsWriter: func() bool { return p.feed.Loaded() && p.peers.First() },
+		IsWriter: p.savesSeeds,
 		Heard:    p.peers.Heard,
 		OnList:   p.useStoredSeeds,
 		OnSave:   p.recordSeedsSaved,
 	})
 }
 
+// savesSeeds reports whether this process may write the list: it knows the store's content, stays, and is the
+// first of the gateways that it hears.
+func (p *GatewayProcess) savesSeeds() bool {
+	return p.feed.Loaded() && !p.gateway.Stop.Begun() && p.peers.First()
+}
+
 // recordSeedsSaved records a call to the store. One that was refused because the list is another one was
 // answered.
 func (p *GatewayProcess) recordSeedsSaved(addresses []string, err error) {
