Services that run a function at intervals share one loop

The savers of the checkpoint, of crash records and of records of streams, and the keeper of seeds, had the same Start and Close each. No change of behaviour. Two comments are wrapped.

--- a/internal/checkpoint/checkpoint.go
+++ b/internal/checkpoint/checkpoint.go
@@ -10,7 +10,6 @@
 	"context"
 	"math"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,8 +17,8 @@
 
 	"github.com/capersaddle/capersaddle/internal/balance"
 	"github.com/capersaddle/capersaddle/internal/clock"
+	"github.com/capersaddle/capersaddle/internal/periodic"
 	"github.com/capersaddle/capersaddle/internal/quarantine"
-	"github.com/capersaddle/capersaddle/internal/wait"
 	"github.com/capersaddle/capersaddle/internal/wire"
 )
 
@@ -47,6 +46,7 @@
 
 // Saver writes the checkpoint while this process is its writer.
 type Saver struct {
+	*periodic.Task
 	balancer *balance.Balancer
 	store    Store
 	// isWriter reports whether this process is to write now.
@@ -59,8 +59,6 @@
 	last Content
 	// savedAt is when last was saved.
 	savedAt time.Time
-	cancel  context.CancelFunc
-	wait    sync.WaitGroup
 }
 
 // Content is the content of a checkpoint.
@@ -97,26 +95,9 @@
 
 // NewSaver returns a saver; Start starts it. onCall is called with the result of each call.
 func NewSaver(balancer *balance.Balancer, store Store, isWriter func() bool, onCall func(err error)) *Saver {
-	return &Saver{balancer: balancer, store: store, isWriter: isWriter, onCall: onCall}
-}
-
-// Start starts writing checkpoints.
-func (s *Saver) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.wait.Go(func() {
-		for wait.For(ctx, saveEvery) {
-			s.save(ctx)
-		}
-	})
-	return nil
-}
-
-// Close stops writing and waits for the end of a call in progress.
-func (s *Saver) Close() error {
-	s.cancel()
-	s.wait.Wait()
-	return nil
+	s := &Saver{balancer: balancer, store: store, isWriter: isWriter, onCall: onCall}
+	s.Task = periodic.New(saveEvery, s.save)
+	return s
 }
 
 // save writes a checkpoint if this process is the writer and there is something new. The next call
--- a/internal/crashstore/saver.go
+++ b/internal/crashstore/saver.go
@@ -11,12 +11,11 @@
 	"bytes"
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/capersaddle/capersaddle/internal/clock"
+	"github.com/capersaddle/capersaddle/internal/periodic"
 	"github.com/capersaddle/capersaddle/internal/quarantine"
-	"github.com/capersaddle/capersaddle/internal/wait"
 )
 
 const (
@@ -68,6 +67,7 @@
 
 // Saver saves new records while its scope asks for it. Only its own goroutine uses its fields.
 type Saver struct {
+	*periodic.Task
 	options Options
 	// checkedAt is the table's change counter when records were last selected.
 	checkedAt uint64
@@ -75,34 +75,13 @@
 	// requests in it.
 	saved             []byte
 	savedFingerprints map[quarantine.Fingerprint]bool
-	cancel            context.CancelFunc
-	wait              sync.WaitGroup
 }
 
 // New returns a saver; Start starts it.
 func New(options Options) *Saver {
-	return &Saver{options: options}
-}
-
-// Start starts saving.
-func (s *Saver) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.wait.Go(func() {
-		for wait.For(ctx, saveEvery) {
-			s.save(ctx)
-		}
-	})
-	return nil
-}
-
-// Close stops saving and waits for the end of a call in progress.
-func (s *Saver) Close() error {
-	if s.cancel != nil {
-		s.cancel()
-	}
-	s.wait.Wait()
-	return nil
+	s := &Saver{options: options}
+	s.Task = periodic.New(saveEvery, s.save)
+	return s
 }
 
 // save saves new records according to the scope. A failed call is retried at the next check.
--- a/internal/originstore/saver.go
+++ b/internal/originstore/saver.go
@@ -9,12 +9,11 @@
 	"context"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/capersaddle/capersaddle/internal/clock"
 	"github.com/capersaddle/capersaddle/internal/origin"
-	"github.com/capersaddle/capersaddle/internal/wait"
+	"github.com/capersaddle/capersaddle/internal/periodic"
 )
 
 const (
@@ -55,14 +54,13 @@
 
 // Saver saves new records. Only its own goroutine uses its fields.
 type Saver struct {
+	*periodic.Task
 	options Options
 	// saved are the records that the store has.
 	saved map[origin.Stream]savedRecord
 	// slot is the current one, and inSlot what it holds.
 	slot   int
 	inSlot []origin.Record
-	cancel context.CancelFunc
-	wait   sync.WaitGroup
 }
 
 // savedRecord is what the store has of a record since a time, and the slot that holds it.
@@ -74,28 +72,9 @@
 
 // New returns a saver; Start starts it.
 func New(options Options) *Saver {
-	return &Saver{options: options, saved: make(map[origin.Stream]savedRecord), slot: -1}
-}
-
-// Start starts saving.
-func (s *Saver) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.wait.Go(func() {
-		for wait.For(ctx, saveEvery) {
-			s.save(ctx)
-		}
-	})
-	return nil
-}
-
-// Close stops saving and waits for the end of a call in progress.
-func (s *Saver) Close() error {
-	if s.cancel != nil {
-		s.cancel()
-	}
-	s.wait.Wait()
-	return nil
+	s := &Saver{options: options, saved: make(map[origin.Stream]savedRecord), slot: -1}
+	s.Task = periodic.New(saveEvery, s.save)
+	return s
 }
 
 // save saves the records that the store lacks. The next call makes up for a failed one.
--- a/internal/peer/proof_question.go
+++ b/internal/peer/proof_question.go
@@ -141,8 +141,8 @@
 	})
 }
 
-// prove begins to obtain a proof that covers a time, for a question that has come over some hops. It calls a function with the result, which holds s.mu.
-// The caller must hold s.mu too.
+// prove begins to obtain a proof that covers a time, for a question that has come over some hops. It calls a
+// function with the result, which holds s.mu. The caller must hold s.mu too.
 func (s *Service) prove(since time.Time, hops uint32, then func(proven bool)) {
 	s.proofs.answering++
 	s.wait.Go(func() {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -84,8 +84,7 @@
 )
 
 // New returns an empty copy that calls onChange with each new change. The keys of startupOnly, and those
-// below its prefixes, which end with a slash, are
-// passed on only to copies that lack everything else too.
+// below its prefixes, which end with a slash, are passed on only to copies that lack everything else too.
 func New(onChange ChangeFunc, startupOnly ...string) *Copy {
 	return &Copy{onChange: onChange, records: make(map[string]*record), startupOnly: startupOnly, readable: true}
 }
--- a/internal/seedstore/keeper.go
+++ b/internal/seedstore/keeper.go
@@ -16,7 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/capersaddle/capersaddle/internal/clock"
-	"github.com/capersaddle/capersaddle/internal/wait"
+	"github.com/capersaddle/capersaddle/internal/periodic"
 )
 
 const (
@@ -83,6 +83,7 @@
 
 // Keeper keeps the list up to date.
 type Keeper struct {
+	*periodic.Task
 	options Options
 
 	mu   sync.Mutex
@@ -98,34 +99,13 @@
 	lackingIn    int64
 	nextTry      time.Time
 	retryDelay   time.Duration
-	cancel       context.CancelFunc
-	wait         sync.WaitGroup
 }
 
 // New returns a keeper; Start starts it.
 func New(options Options) *Keeper {
-	return &Keeper{options: options}
-}
-
-// Start starts keeping the list.
-func (k *Keeper) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	k.cancel = cancel
-	k.wait.Go(func() {
-		for wait.For(ctx, checkEvery) {
-			k.check(ctx, clock.Now())
-		}
-	})
-	return nil
-}
-
-// Close stops the keeper and waits for the end of a call in progress.
-func (k *Keeper) Close() error {
-	if k.cancel != nil {
-		k.cancel()
-	}
-	k.wait.Wait()
-	return nil
+	k := &Keeper{options: options}
+	k.Task = periodic.New(checkEvery, k.check)
+	return k
 }
 
 // Set records the list that the store held at a revision of the store.
@@ -155,7 +135,8 @@
 }
 
 // check writes the list if it has lacked running gateways for long enough.
-func (k *Keeper) check(ctx context.Context, now time.Time) {
+func (k *Keeper) check(ctx context.Context) {
+	now := clock.Now()
 	list, heard := k.current(), k.options.Heard()
 	running := k.running(list, heard)
 	if running >= min(minHeard, 1+len(heard)) || !k.options.IsWriter() {
