Soak of late writes: streams older than 2.2 s must go on

So the age is bounded too, by two saves that run into their time limit. This is stricter; nothing else changes.

--- a/internal/soak/late_writes_test.go
+++ b/internal/soak/late_writes_test.go
@@ -24,8 +24,15 @@
 	// afterLateWrites is the time from the last late write until all gateways are killed.
 	afterLateWrites = 900 * time.Millisecond
 	// lateStreamGap makes streams of 8.7 s, which last from late writes until after the loss.
-	lateStreamGap   = 300 * time.Millisecond
-	latePerSecond   = 20
+	lateStreamGap = 300 * time.Millisecond
+	latePerSecond = 20
+	// saveInterval and saveLimit are the interval of the saves of records and the time limit of one, as in
+	// internal/originstore.
+	saveInterval = 300 * time.Millisecond
+	saveLimit    = 800 * time.Millisecond
+	// oldestUnsaved is the age from which a stream must go on after the loss of all gateways: its record is in the
+	// store even if one save failed.
+	oldestUnsaved   = 2 * (saveInterval + saveLimit)
 	streamsRecordIn = "capersaddle/streams/"
 )
 
@@ -122,5 +129,6 @@
 	is.True(counts.Resumed > 0)
 	is.Equal(counts.Mixed, 0)
 	is.Equal(counts.Disordered, 0)
+	is.True(counts.OldestEnded < oldestUnsaved)
 	is.True(float64(counts.Continued) >= minContinuedAfterLoss*float64(counts.Resumed))
 }
