--- a/internal/seedstore/keeper.go
+++ b/internal/seedstore/keeper.go
@@ -91,7 +91,7 @@
 	// seenAt is the latest revision of the store at which the list was seen.
 	seenAt int64
 
-	// lackingSince is since when the list has lacked running gateways while this process could write;
+	// lackingSince is the time from which the list lacks running gateways while this process may write;
 	// zero if it doesn't. lackingIn is the revision of that list. Only the keeper's goroutine uses these
 	// fields, nextTry, the time before which it makes no call, and retryDelay, the delay after the next
 	// failed one.
--- a/internal/seedstore/keeper_test.go
+++ b/internal/seedstore/keeper_test.go
@@ -68,7 +68,7 @@
 	return &gateways{store: &memoryStore{delay: 30 * time.Millisecond}, groups: make(map[string]int), cut: make(map[string]bool)}
 }
 
-// contactDelay is the time from learning of an address until its gateway is heard.
+// contactDelay is the delay between learning an address and the first heartbeat from its gateway.
 const contactDelay = 20 * time.Millisecond
 
 // add starts the keeper of a gateway that hears no other one.
